Never name a replica twice on a path

Ruled out: slow connections of callers (the log showed refusals, not waits). Change: the search leaves out a replica that the way to here already uses.

--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -103,6 +103,7 @@
                const Node& aNode,
                std::uint32_t aTo);
   [[nodiscard]] bool covered() const;
+  [[nodiscard]] bool uses(const Reached& aAt, const Node& aNode) const;
   [[nodiscard]] LayerPath trace(const Reached& aLast) const;
   Reached& reached(std::uint32_t aLayer, std::size_t aZone)
   {
@@ -236,13 +237,29 @@
                    aFromZone };
 }
 
+/** Whether the way to here runs through the node already. The engines reject a
+ * path that names a replica twice; one could, where a replica with memory for
+ * only some of its layers is left and met again. */
+bool
+Search::uses(const Reached& aAt, const Node& aNode) const
+{
+  const Reached* at = &aAt;
+  while (at->node != nullptr) {
+    if (at->node == &aNode) {
+      return true;
+    }
+    at = &this->reached(at->fromLayer, at->fromZone);
+  }
+  return false;
+}
+
 void
 Search::extendFrom(std::uint32_t aLayer, std::size_t aZone, const Reached& aAt)
 {
   const bool start = aAt.parts == 0;
   for (const Node& node : this->nodes) {
     if (aLayer < node.layers.from || aLayer >= node.layers.to ||
-        aAt.node == &node) {
+        this->uses(aAt, node)) {
       continue;
     }
     if (start && !this->demand.firstReplica.empty() &&
@@ -319,18 +336,7 @@
   if (best == nullptr) {
     return fail(ErrorKind::Overloaded, "no path has memory for the request");
   }
-  LayerPath path = this->trace(*best);
-  // A replica that holds the layers before and after another one's could be
-  // named twice, which the engines reject.
-  std::vector<std::string> seen;
-  for (const PathPart& part : path.parts) {
-    seen.push_back(part.replica);
-  }
-  std::sort(seen.begin(), seen.end());
-  if (std::adjacent_find(seen.begin(), seen.end()) != seen.end()) {
-    return fail(ErrorKind::NoRoute, "the best path names a replica twice");
-  }
-  return path;
+  return this->trace(*best);
 }
 
 } // namespace
