End a stopping relay's connections only after their answers

Ruled out: the grace time (cuts came 2 ms after the first event). Change: an answer that says close is told apart from bytes that are the last; lapses are removals seen within 0.8 s of the store's return.

--- a/include/poplartrack/fleet/FleetControl.h
+++ b/include/poplartrack/fleet/FleetControl.h
@@ -86,7 +86,6 @@
   bool configStarted = false;
   std::uint64_t replicasAfter = 0;
   bool replicasStarted = false;
-  std::mutex listGuard;
   ReplicaList list;
   bool configReachable = true;
   bool replicasReachable = true;
--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/fleet/FleetControl.inl.h
@@ -18,6 +18,10 @@
  * found after this and the store's slack, about two seconds. */
 constexpr Duration kReplicasWait = std::chrono::milliseconds{ 1'500 };
 
+/** ... and while entries are missing that may come back: whether they do is
+ * decided on time. */
+constexpr Duration kUncertainWait = std::chrono::milliseconds{ 200 };
+
 /** Pause after a look that failed. */
 constexpr Duration kRetryPause = std::chrono::milliseconds{ 250 };
 
@@ -166,7 +170,6 @@
                               this->replicasAfter, fleet_control::kReplicasWait)
                           : this->store.readReplicas();
   const TimePoint now = this->clock.now();
-  const std::scoped_lock lock{ this->listGuard };
   if (!poll) {
     const bool read = std::exchange(this->replicasStarted, false);
     if (poll.error().kind == ErrorKind::NotFound && read) {
--- a/include/poplartrack/fleet/ReplicaList.h
+++ b/include/poplartrack/fleet/ReplicaList.h
@@ -30,6 +30,10 @@
   /** Drops entries that stayed away. True when something was dropped. */
   bool expire(TimePoint aNow);
 
+  /** Whether entries are missing of which it is not known yet whether they
+   * come back. */
+  [[nodiscard]] bool uncertain() const { return !this->missing.empty(); }
+
   [[nodiscard]] ReplicaView view() const
   {
     return ReplicaView::of(this->version, this->replicas);
--- a/src/fleet/ReplicaList.cpp
+++ b/src/fleet/ReplicaList.cpp
@@ -8,12 +8,13 @@
 
 /** Entries that lapsed are back this long after the store's return; the
  * platform promises about two seconds. */
-constexpr Duration kComeBack = std::chrono::milliseconds{ 2'200 };
+constexpr Duration kComeBack = std::chrono::milliseconds{ 2'000 };
 
-/** A removal counts as a lapse while the store was out of reach this lately:
- * an entry lapses after three silent heartbeats, which may end after the
- * outage. */
-constexpr Duration kAroundOutage = std::chrono::seconds{ 4 };
+/** A removal that is seen this soon after the store's return happened while it
+ * was away. Later ones are replicas that leave, and work sent to them would
+ * break the bound on leaving ones: an outage may also be one of this relay
+ * alone, in which nothing lapsed. */
+constexpr Duration kAroundOutage = std::chrono::milliseconds{ 800 };
 
 } // namespace
 
--- a/src/relay/CallerConnection.h
+++ b/src/relay/CallerConnection.h
@@ -29,6 +29,9 @@
   bool continueSent = false;
   bool watchesWrite = false;
   bool readPaused = false;
+  /** The present answer says that the connection closes after it. */
+  bool closeWhenAnswered = false;
+  /** All that is written yet is the end: the connection closes after it. */
   bool closeAfterOut = false;
   /** Everything is answered; bytes are read and dropped until the caller
    * closes, or else the close would reset the answer on its way. */
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -53,7 +53,12 @@
   }
   text.append(aFraming);
   const auto caller = this->callers.find(aExchange.caller);
-  if (caller != this->callers.end() && caller->second->closeAfterOut) {
+  if (caller != this->callers.end()) {
+    CallerConnection& connection = *caller->second;
+    connection.closeWhenAnswered =
+      connection.closeWhenAnswered || this->shared.draining;
+  }
+  if (caller != this->callers.end() && caller->second->closeWhenAnswered) {
     text.append("Connection: close\r\n");
   }
   text.append("\r\n");
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -324,6 +324,11 @@
   if (aCaller.closeAfterOut) {
     return;
   }
+  if (aCaller.closeWhenAnswered) {
+    aCaller.closeAfterOut = true;
+    this->flushCaller(aCaller);
+    return;
+  }
   this->resetParser(aCaller);
   const auto config = this->shared.config.read();
   this->timers.arm(aCaller.id,
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -102,8 +102,7 @@
   exchange.requestId =
     std::string{ headers.find(this->names.requestId).value_or("") };
   aCaller.exchange = exchange.id;
-  aCaller.closeAfterOut =
-    !aCaller.parser->keep_alive() || this->shared.draining;
+  aCaller.closeWhenAnswered = !aCaller.parser->keep_alive();
   this->exchanges.emplace(exchange.id, std::move(owned));
   ++this->openCount;
   this->budget.onRequest(this->now);
