--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -39,7 +39,12 @@
   RcuBox<std::set<std::string>> lost{
     std::make_shared<const std::set<std::string>>()
   };
+  /** Stopping: not ready, and answers close their connections. */
   std::atomic<bool> draining{ false };
+  /** The balancer has had its time to notice: what still comes, on
+   * connections that were kept open, is refused at once. Taken in, a stream
+   * would be cut by the end of the grace time. */
+  std::atomic<bool> refusing{ false };
   Metrics metrics;
   EventLog log;
 };
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -146,8 +146,8 @@
     "open", static_cast<std::int64_t>(aLoop.openRequests())));
   constexpr Duration kLook = std::chrono::milliseconds{ 50 };
   while (aShared.clock.now() < latest) {
-    const bool noticed = aShared.clock.now() - start >= kBalancerNotices;
-    if (noticed && aLoop.openRequests() == 0) {
+    aShared.refusing = aShared.clock.now() - start >= kBalancerNotices;
+    if (aShared.refusing && aLoop.openRequests() == 0) {
       break;
     }
     waitForSignal(kLook);
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -117,6 +117,10 @@
       exchange, Error{ ErrorKind::BadRequest, "host, id or path" }, true);
     return;
   }
+  if (this->shared.refusing) {
+    this->refuse(exchange, Error{ ErrorKind::Draining, "stopping" }, true);
+    return;
+  }
   const auto deadline = numberIn(headers.find(this->names.deadline));
   const GateRequest asked{
     *headers.find("host"),
