Cut a copy anew when it lost a part, and keep paths in one zone

Failed repairs left streams standing until the replica's own stall time. Ruled out: false suspicion (each replica taken as lost had crashed or left). Change: recut by least loading over all that are left; a price for crossing zones in the path search; streams go on elsewhere when a repair is refused; one question a replica in 250 ms; longer polls of the store.

--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/fleet/FleetControl.inl.h
@@ -10,13 +10,13 @@
 namespace fleet_control {
 
 /** Longest wait of one look at the configuration. Its answer proves what was
- * in force when it was sent, so the proof is at most two waits old: 2.4 s of
+ * in force when it was sent, so the proof is at most two waits old: 3 s of
  * the 5 s after which a revoked key must be dead. */
-constexpr Duration kConfigWait = std::chrono::milliseconds{ 1'200 };
+constexpr Duration kConfigWait = std::chrono::milliseconds{ 1'500 };
 
 /** Longest wait of one look at the replicas: a connection that fell silent is
- * found after this and the store's slack, about two seconds. */
-constexpr Duration kReplicasWait = std::chrono::milliseconds{ 1'500 };
+ * found after this and the store's slack, under three seconds. */
+constexpr Duration kReplicasWait = std::chrono::milliseconds{ 2'000 };
 
 /** ... and while entries are missing that may come back: whether they do is
  * decided on time. */
@@ -29,7 +29,7 @@
 constexpr Duration kDutyPause = std::chrono::milliseconds{ 250 };
 
 /** The list of relays is read again this often. */
-constexpr Duration kRelaysPause = std::chrono::seconds{ 5 };
+constexpr Duration kRelaysPause = std::chrono::seconds{ 10 };
 
 constexpr const char* kRelayTable = "relays";
 
@@ -43,12 +43,13 @@
   lease.name = "placement/" + aSettings.region;
   lease.holder = aSettings.name + "/" + toText(randomRequestId());
   // Placement must not pause for long when its holder dies: a lost layer is
-  // refused work until it is held again. Three relays looking every 0.7 s and
-  // one renewing every 0.6 s are 6 calls a second of the store's 2,000.
-  lease.duration = std::chrono::milliseconds{ 2'000 };
-  lease.renewEvery = std::chrono::milliseconds{ 600 };
-  lease.lookEvery = std::chrono::milliseconds{ 700 };
-  lease.margin = std::chrono::milliseconds{ 200 };
+  // refused work until it is held again. It is taken over after 2.5 to 4 s; a
+  // call costs as much as a three-hundredth of an answer, so four relays look
+  // each 1.5 s and not more often.
+  lease.duration = std::chrono::milliseconds{ 2'500 };
+  lease.renewEvery = std::chrono::milliseconds{ 900 };
+  lease.lookEvery = std::chrono::milliseconds{ 1'500 };
+  lease.margin = std::chrono::milliseconds{ 250 };
   return lease;
 }
 
--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -23,7 +23,8 @@
   /** ... but not longer than this after the first one registered. */
   Duration settleMost = std::chrono::seconds{ 4 };
   /** A gap is left to a replica that comes back for this long, before its
-   * neighbours are extended over it; paths cross zones meanwhile. */
+   * copy is cut anew over those that are left; paths cross zones
+   * meanwhile. */
   Duration gapPatience = std::chrono::milliseconds{ 1'500 };
   /** An order that shows no effect for this long is given again, beyond the
    * time that loading takes. */
@@ -39,7 +40,7 @@
  * for the same number of tokens, and fast accelerators take as many layers as
  * that allows. Later changes move as little as possible: an empty replica
  * takes what is missing or doubles the part with the least memory; a part
- * that stays away is taken over by its neighbours.
+ * that stays away is taken over by the others with the least loading.
  *
  * Pure: it is given the time and keeps only its own open orders. Not
  * thread-safe.
@@ -96,10 +97,8 @@
               Group& aGroup,
               const std::string& aName,
               TimePoint aNow);
-  void fillGap(const EngineProfile& aProfile,
-               Group& aGroup,
-               LayerRange aGap,
-               bool aPatient);
+  void fillGap(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
+  void recut(const EngineProfile& aProfile, Group& aGroup);
   void employ(const EngineProfile& aProfile, Group& aGroup, Holder& aEmpty);
   void order(Holder& aHolder, LayerRange aLayers, const char* aReason);
 
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -199,9 +199,11 @@
     }
   };
   waitForStop(aPath, shared);
-  shared.draining = true;
-  control.leave();
+  // The lease is given back beside the draining: the store may not answer, and
+  // the grace time has begun.
+  std::thread leaving{ [&control] { control.leave(); } };
   drainRelay(*loop.value(), shared, aSettings);
+  leaving.detach();
   shared.log.flush();
   // Long polls at the store may wait for a second yet: they hold nothing that
   // must be put back.
--- a/src/fleet/LayerCut.cpp
+++ b/src/fleet/LayerCut.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace poplartrack {
@@ -56,6 +57,22 @@
   }
 }
 
+/** What a member at its most costs, in layers loaded. A load of one layer takes
+ * a fraction of a second once; memory that is missing refuses requests for as
+ * long as the cut stands. */
+constexpr double kFullCost = 6;
+
+/** Cost of giving a member the layers [aFrom, aTo). */
+double
+recutCost(const CutMember& aMember, std::uint32_t aFrom, std::uint32_t aTo)
+{
+  const std::uint32_t kept = LayerRange{ std::max(aFrom, aMember.held.from),
+                                         std::min(aTo, aMember.held.to) }
+                               .size();
+  const double part = static_cast<double>(aTo - aFrom) / aMember.most;
+  return (aTo - aFrom) - kept + kFullCost * part * part;
+}
+
 } // namespace
 
 std::uint32_t
@@ -121,4 +138,44 @@
   return counts;
 }
 
+std::vector<LayerRange>
+recutLayers(std::uint32_t aLayers, const std::vector<CutMember>& aMembers)
+{
+  // best[i][b]: least cost at which the first i members cover [0, b).
+  constexpr double kNever = std::numeric_limits<double>::infinity();
+  const std::size_t count = aMembers.size();
+  std::vector<std::vector<double>> best(
+    count + 1, std::vector<double>(aLayers + 1, kNever));
+  std::vector<std::vector<std::uint32_t>> start(
+    count + 1, std::vector<std::uint32_t>(aLayers + 1, 0));
+  best[0][0] = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const CutMember& member = aMembers[i];
+    for (std::uint32_t from = 0; from <= aLayers; ++from) {
+      if (best[i][from] == kNever) {
+        continue;
+      }
+      const std::uint32_t last = std::min(aLayers, from + member.most);
+      for (std::uint32_t to = from; to <= last; ++to) {
+        const double cost =
+          best[i][from] + (to == from ? 0 : recutCost(member, from, to));
+        if (cost < best[i + 1][to]) {
+          best[i + 1][to] = cost;
+          start[i + 1][to] = from;
+        }
+      }
+    }
+  }
+  if (best[count][aLayers] == kNever) {
+    return {};
+  }
+  std::vector<LayerRange> ranges(count);
+  std::uint32_t to = aLayers;
+  for (std::size_t i = count; i > 0; --i) {
+    ranges[i - 1] = { start[i][to], to };
+    to = start[i][to];
+  }
+  return ranges;
+}
+
 } // namespace poplartrack
--- a/src/fleet/LayerCut.h
+++ b/src/fleet/LayerCut.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "poplartrack/base/LayerRange.h"
 #include "poplartrack/fleet/EngineProfile.h"
 
 namespace poplartrack {
@@ -27,4 +28,22 @@
           const std::vector<const AcceleratorKind*>& aReplicas,
           double aTokens);
 
+/** A replica of a copy that is cut anew. */
+struct CutMember
+{
+  /** What it holds now; empty when it holds nothing. */
+  LayerRange held;
+  /** Most layers that it may take. */
+  std::uint32_t most = 0;
+};
+
+/**
+ * New ranges for the members, in their order, that cover all layers with the
+ * least loading. A member that gets no range keeps what it holds, beside the
+ * others. Loading is weighed against memory: a member near its most has little
+ * left for requests. Empty when the members cannot hold all layers.
+ */
+std::vector<LayerRange>
+recutLayers(std::uint32_t aLayers, const std::vector<CutMember>& aMembers);
+
 } // namespace poplartrack
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -20,7 +20,8 @@
  * goal; below it, crossing zones costs less than refusing. */
 constexpr double kSmallestCopy = 0.2;
 
-/** A neighbour that takes over a gap keeps memory for this part of the goal. */
+/** In a copy that lost a replica each keeps memory for this part of the goal.
+ */
 constexpr double kStretchedCopy = 0.25;
 
 double
@@ -244,8 +245,7 @@
 void
 LayerPlanner::fillGap(const EngineProfile& aProfile,
                       Group& aGroup,
-                      LayerRange aGap,
-                      bool aPatient)
+                      LayerRange aGap)
 {
   const double goal = tokenGoal(aProfile);
   for (Holder& holder : aGroup) {
@@ -258,32 +258,27 @@
     this->order(holder, { aGap.from, aGap.from + take }, "gap");
     aGap.from += take;
   }
-  if (aPatient || aGap.size() == 0) {
-    return;
+}
+
+/** Cuts the copy anew over those that are left of it. */
+void
+LayerPlanner::recut(const EngineProfile& aProfile, Group& aGroup)
+{
+  auto all = pointersTo(aGroup);
+  std::stable_sort(
+    all.begin(), all.end(), [](const Holder* aLeft, const Holder* aRight) {
+      return aLeft->layers < aRight->layers;
+    });
+  const double tokens = kStretchedCopy * tokenGoal(aProfile);
+  std::vector<CutMember> members;
+  for (const Holder* holder : all) {
+    const AcceleratorKind& kind = *kindOf(aProfile, *holder->replica);
+    members.push_back(
+      CutMember{ holder->layers, layersBeside(aProfile, kind, tokens) });
   }
-  // The neighbours stretch over the gap: what they hold already stays in
-  // memory, so only the gap's layers are loaded.
-  for (Holder& holder : aGroup) {
-    if (holder.moving || aGap.size() == 0) {
-      continue;
-    }
-    const std::uint32_t most = layersBeside(
-      aProfile, *kindOf(aProfile, *holder.replica), kStretchedCopy * goal);
-    if (most <= holder.layers.size()) {
-      continue;
-    }
-    const std::uint32_t room = most - holder.layers.size();
-    if (holder.layers.to == aGap.from) {
-      const std::uint32_t take = std::min(room, (aGap.size() + 1) / 2);
-      this->order(
-        holder, { holder.layers.from, holder.layers.to + take }, "stretch");
-      aGap.from += take;
-    } else if (holder.layers.from == aGap.to) {
-      const std::uint32_t take = std::min(room, aGap.size());
-      this->order(
-        holder, { holder.layers.from - take, holder.layers.to }, "stretch");
-      aGap.to -= take;
-    }
+  const auto ranges = recutLayers(aProfile.layers, members);
+  for (std::size_t i = 0; i < ranges.size(); ++i) {
+    this->order(*all[i], ranges[i], "recut");
   }
 }
 
@@ -341,7 +336,14 @@
     const auto since = this->gapSince.try_emplace(aName, aNow).first->second;
     const bool patient = aNow - since < this->policy.gapPatience;
     for (const LayerRange& gap : gaps) {
-      this->fillGap(aProfile, aGroup, gap, patient);
+      this->fillGap(aProfile, aGroup, gap);
+    }
+    const bool moving =
+      std::any_of(aGroup.begin(), aGroup.end(), [](const Holder& aHolder) {
+        return aHolder.moving;
+      });
+    if (!patient && !moving && !gapsOf(aGroup, aProfile.layers).empty()) {
+      this->recut(aProfile, aGroup);
     }
   }
   for (Holder& holder : aGroup) {
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -22,9 +22,16 @@
 constexpr double kHopMs = 0.2;
 
 /** What it is worth to enter the path in the entry's own availability zone, in
- * ms of the whole answer: about 11 KB of events would cross zones else, which
- * costs a third of a percent of the answer's benefit. */
-constexpr double kForeignEntryMs = 300.0;
+ * ms of the whole answer. The events of an answer, about 11 KB, would cross
+ * zones else; and all relays would crowd into the fastest zone, whose loss
+ * would then hit every request. */
+constexpr double kForeignEntryMs = 600.0;
+
+/** What it is worth that a path does not change zones, beside its time: the
+ * prompt's activations, 18 MB, take the shared pipe from others. With 62
+ * requests a second one crossing each would fill it. Two crossings cost more
+ * than entering a path that lies whole in another zone. */
+constexpr double kCrossingMs = 400.0;
 
 /** Part of a replica's memory that paths may book. The rest is for requests
  * that write more than expected: without it the newest requests are preempted
@@ -221,6 +228,7 @@
     const std::size_t cross = aFromZone * this->zones.size() + aNode.zone;
     firstMs += kHopMs + this->crossFirst[cross];
     tokenMs += kHopMs + this->crossToken[cross];
+    extra = aFromZone == aNode.zone ? 0 : kCrossingMs;
   }
   const double cost =
     aAt.cost + firstMs + tokenMs * this->demand.answerTokens + extra;
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -218,6 +218,9 @@
     listed.insert(replica.id);
   }
   this->health.keepOnly(listed);
+  std::erase_if(this->askedAt, [&](const auto& aEntry) {
+    return !listed.contains(aEntry.first);
+  });
 }
 
 void
@@ -227,7 +230,14 @@
   for (const auto& [peer, told] : this->peerLost) {
     lost.insert(told.replicas.begin(), told.replicas.end());
   }
-  if (*this->shared.lost.read() != lost) {
+  const auto before = this->shared.lost.read();
+  for (const std::string& replica : lost) {
+    if (!before->contains(replica)) {
+      this->shared.log.write(
+        LogLine{ LogPart::Replicas, "lost" }.with("replica", replica));
+    }
+  }
+  if (*before != lost) {
     this->shared.lost.replace(
       std::make_shared<const std::set<std::string>>(std::move(lost)));
   }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -151,9 +151,7 @@
   // RelayRepair.cpp: work that stands still.
   [[nodiscard]] Duration patienceOf(const Exchange& aExchange) const;
   void askForStall(Exchange& aExchange);
-  void onReport(std::uint64_t aExchange,
-                const std::string& aReplica,
-                const ReplicaReport& aReport);
+  void onReport(const std::string& aReplica, const ReplicaReport& aReport);
   void onCulprit(const std::string& aReplica);
   void repair(Exchange& aExchange);
   void onRepath(std::uint64_t aExchange,
@@ -190,6 +188,8 @@
   std::unordered_map<std::string, std::uint32_t> connectionCount;
   /** Requests in flight from here at plain replicas. */
   std::unordered_map<std::string, std::uint32_t> plainLoad;
+  /** When each replica was last asked how it does. */
+  std::unordered_map<std::string, TimePoint> askedAt;
 
   std::shared_ptr<const ReplicaView> view;
   ReplicaHealth health;
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -18,6 +18,10 @@
 constexpr Duration kLeastPatience = std::chrono::milliseconds{ 130 };
 constexpr Duration kMostPatience = std::chrono::milliseconds{ 900 };
 
+/** A replica is asked no more often than this: its report is some hundred ms
+ * old, and one answer serves all requests that wait for it. */
+constexpr Duration kAskPause = std::chrono::milliseconds{ 250 };
+
 /** Tokens of one event, when the engine writes several at once. */
 constexpr int kTokensPerEvent = 2;
 
@@ -39,20 +43,23 @@
 {
   aExchange.asking = true;
   aExchange.askedAt = this->now;
-  this->shared.metrics.count("stall_questions_total");
   const PathPart& first = aExchange.path.parts.front();
-  this->calls.ask(first.address,
-                  [this, id = aExchange.id, replica = first.replica](
-                    const ReplicaReport& aReport) {
-                    this->post([this, id, replica, aReport] {
-                      this->onReport(id, replica, aReport);
-                    });
-                  });
+  const auto asked = this->askedAt.find(first.replica);
+  if (asked != this->askedAt.end() && this->now - asked->second < kAskPause) {
+    return;
+  }
+  this->askedAt[first.replica] = this->now;
+  this->shared.metrics.count("stall_questions_total");
+  this->calls.ask(
+    first.address,
+    [this, replica = first.replica](const ReplicaReport& aReport) {
+      this->post(
+        [this, replica, aReport] { this->onReport(replica, aReport); });
+    });
 }
 
 void
-RelayLoop::Impl::onReport(std::uint64_t aExchange,
-                          const std::string& aReplica,
+RelayLoop::Impl::onReport(const std::string& aReplica,
                           const ReplicaReport& aReport)
 {
   if (!aReport.reached) {
@@ -71,18 +78,12 @@
     this->health.onFailure(culprit, ReplicaFailure::Stalled, this->now);
     this->onCulprit(culprit);
   }
-  const auto found = this->exchanges.find(aExchange);
-  if (found != this->exchanges.end()) {
-    this->armExchange(*found->second);
-  }
 }
 
 /** A replica is lost: all work that passes through it is moved. */
 void
 RelayLoop::Impl::onCulprit(const std::string& aReplica)
 {
-  this->shared.log.write(
-    LogLine{ LogPart::Replicas, "lost" }.with("replica", aReplica));
   this->publishLost();
   std::vector<std::uint64_t> affected;
   for (const auto& [id, exchange] : this->exchanges) {
@@ -162,9 +163,11 @@
     exchange.lastProgress = std::max(exchange.lastProgress, this->now);
     exchange.asking = false;
     this->armExchange(exchange);
+    return;
   }
-  // Otherwise the work stays where it is: the replica ends it after its own
-  // stall time, and it goes on elsewhere then.
+  // The work stands still until the replica gives it up, after seconds: it goes
+  // on after its last event at another first replica now.
+  this->onBroken(exchange, ReplicaFailure::Refused, "not moved");
 }
 
 } // namespace poplartrack
