Recut for memory, queue briefly for it, ask slow replicas

Slow replicas in the middle of a path stayed unknown. Ruled out: wrong booking (0 to 4 requests preempted).

--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/fleet/FleetControl.inl.h
@@ -267,9 +267,12 @@
       continue;
     }
     std::vector<Replica> staying;
+    bool someLost = false;
     for (const std::size_t place : listed->second) {
       const Replica& replica = view->replicas[place];
-      if (!replica.draining && !lost->contains(replica.id)) {
+      const bool dead = lost->contains(replica.id);
+      someLost = someLost || (dead && !replica.draining);
+      if (!replica.draining && !dead) {
         staying.push_back(replica);
       }
     }
@@ -278,7 +281,7 @@
       const std::scoped_lock lock{ this->planGuard };
       auto& planner =
         this->planners.try_emplace(name, LayerPlannerPolicy{}).first->second;
-      orders = planner.plan(*service.engine, staying, now);
+      orders = planner.plan(*service.engine, staying, someLost, now);
     }
     for (const LayerOrder& order : orders) {
       const auto replica = std::find_if(
--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -26,6 +26,10 @@
    * copy is cut anew over those that are left; paths cross zones
    * meanwhile. */
   Duration gapPatience = std::chrono::milliseconds{ 1'500 };
+  /** ... and for this long when none is missing but those that said that they
+   * leave: they will not be back. Long enough to see several leave together.
+   */
+  Duration leavingPatience = std::chrono::milliseconds{ 300 };
   /** An order that shows no effect for this long is given again, beyond the
    * time that loading takes. */
   Duration orderPatience = std::chrono::seconds{ 4 };
@@ -57,9 +61,11 @@
    * The orders that are due now.
    *
    * @param aReplicas the service's replicas that live and stay
+   * @param aSomeLost whether a listed replica is taken to be dead
    */
   std::vector<LayerOrder> plan(const EngineProfile& aProfile,
                                std::span<const Replica> aReplicas,
+                               bool aSomeLost,
                                TimePoint aNow);
   /** An order was not accepted: it is not waited for. */
   void onRefused(const std::string& aReplica) { this->open.erase(aReplica); }
@@ -109,6 +115,7 @@
   TimePoint firstSeen{};
   TimePoint lastJoined{};
   TimePoint now{};
+  Duration patience{ 0 };
   std::vector<LayerOrder> orders;
 };
 
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -269,7 +269,9 @@
     all.begin(), all.end(), [](const Holder* aLeft, const Holder* aRight) {
       return aLeft->layers < aRight->layers;
     });
-  const double tokens = kStretchedCopy * tokenGoal(aProfile);
+  const double tokens =
+    kStretchedCopy *
+    tokensOfCopy(aProfile, kindsOf(aProfile, all), tokenGoal(aProfile));
   std::vector<CutMember> members;
   for (const Holder* holder : all) {
     const AcceleratorKind& kind = *kindOf(aProfile, *holder->replica);
@@ -334,7 +336,7 @@
     this->gapSince.erase(aName);
   } else {
     const auto since = this->gapSince.try_emplace(aName, aNow).first->second;
-    const bool patient = aNow - since < this->policy.gapPatience;
+    const bool patient = aNow - since < this->patience;
     for (const LayerRange& gap : gaps) {
       this->fillGap(aProfile, aGroup, gap);
     }
@@ -356,9 +358,12 @@
 std::vector<LayerOrder>
 LayerPlanner::plan(const EngineProfile& aProfile,
                    std::span<const Replica> aReplicas,
+                   bool aSomeLost,
                    TimePoint aNow)
 {
   this->now = aNow;
+  this->patience =
+    aSomeLost ? this->policy.gapPatience : this->policy.leavingPatience;
   this->orders.clear();
   const bool ready = this->settled(aReplicas, aNow);
   this->settleOrders(aProfile, aReplicas, aNow);
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -17,7 +17,14 @@
 /** A started stream whose replica was lost waits this long for another path;
  * callers give a silent stream up after two seconds. */
 constexpr Duration kResumePatience = std::chrono::milliseconds{ 1'500 };
-constexpr Duration kResumePause = std::chrono::milliseconds{ 60 };
+
+/** A request for which no path has memory waits this long, or half of its
+ * objective: reading its prompt takes the other half at most. At 75 requests a
+ * second some twenty answers end in this time. */
+constexpr Duration kQueuePatience = std::chrono::milliseconds{ 250 };
+
+/** Pause between two looks for a path. */
+constexpr Duration kWaitPause = std::chrono::milliseconds{ 25 };
 
 /** When a caller that was refused may come back. Memory frees itself at the
  * pace of answers, about one and a half seconds; the spread keeps those that
@@ -177,19 +184,32 @@
     this->send(aExchange, target.value());
     return;
   }
-  if (aExchange.answering) {
-    // The caller has part of the stream: a path may free itself in time.
-    if (!aExchange.waitingSince) {
-      aExchange.waitingSince = this->now;
-    }
-    if (this->now - *aExchange.waitingSince < kResumePatience) {
-      this->timers.arm(aExchange.id, this->now + kResumePause);
-      return;
-    }
+  if (this->mayWait(aExchange, target.error().kind)) {
+    this->timers.arm(aExchange.id, this->now + kWaitPause);
+    return;
   }
   this->refuse(aExchange, target.error(), aExchange.runs == 0);
 }
 
+/** Whether a request without a path waits for one, a little longer. */
+bool
+RelayLoop::Impl::mayWait(Exchange& aExchange, ErrorKind aReason)
+{
+  // The caller of a started stream has part of it. One that has nothing yet
+  // waits for memory that other answers free, while it can still be on time.
+  const bool started = aExchange.answering;
+  if (!started && aReason != ErrorKind::Overloaded) {
+    return false;
+  }
+  if (!aExchange.waitingSince) {
+    aExchange.waitingSince = this->now;
+  }
+  const Duration patience =
+    started ? kResumePatience
+            : std::min(kQueuePatience, aExchange.route->objective / 2);
+  return this->now - *aExchange.waitingSince < patience;
+}
+
 void
 RelayLoop::Impl::send(Exchange& aExchange, const AttemptTarget& aTarget)
 {
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -253,6 +253,7 @@
     return this->now - aEntry.second.heard > kPeerSilence;
   });
   this->publishLost();
+  this->askSlowOnes();
   this->tellPeers();
   this->closeStaleIdle(this->now);
   this->shared.log.flush();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -108,6 +108,7 @@
   // RelayExchange.cpp: the course of a request.
   void beginExchange(CallerConnection& aCaller, MessageHead aHead);
   void dispatch(Exchange& aExchange);
+  bool mayWait(Exchange& aExchange, ErrorKind aReason);
   void send(Exchange& aExchange, const AttemptTarget& aTarget);
   [[nodiscard]] std::string requestHead(const Exchange& aExchange,
                                         const AttemptTarget& aTarget) const;
@@ -152,6 +153,9 @@
   // RelayRepair.cpp: work that stands still.
   [[nodiscard]] Duration patienceOf(const Exchange& aExchange) const;
   void askForStall(Exchange& aExchange);
+  void ask(const PathPart& aPart, Duration aPause);
+  void askRestOfPaths(const std::string& aFirst);
+  void askSlowOnes();
   void onReport(const std::string& aReplica, const ReplicaReport& aReport);
   void onCulprit(const std::string& aReplica);
   void repair(Exchange& aExchange);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -22,6 +22,14 @@
  * old, and one answer serves all requests that wait for it. */
 constexpr Duration kAskPause = std::chrono::milliseconds{ 250 };
 
+/** ... and the others of a late path no more often than this: a slow replica
+ * stays so for seconds, and each question is a priced call. */
+constexpr Duration kAskAllPause = std::chrono::milliseconds{ 1'000 };
+
+/** A replica this many times slower than declared is asked again until it is
+ * not. */
+constexpr double kSlow = 1.2;
+
 /** Tokens of one event, when the engine writes several at once. */
 constexpr int kTokensPerEvent = 2;
 
@@ -43,31 +51,70 @@
 {
   aExchange.asking = true;
   aExchange.askedAt = this->now;
-  const PathPart& first = aExchange.path.parts.front();
-  const auto asked = this->askedAt.find(first.replica);
-  if (asked != this->askedAt.end() && this->now - asked->second < kAskPause) {
+  this->ask(aExchange.path.parts.front(), kAskPause);
+}
+
+/** Asks a replica how it does, unless it was asked lately. */
+void
+RelayLoop::Impl::ask(const PathPart& aPart, Duration aPause)
+{
+  const auto asked = this->askedAt.find(aPart.replica);
+  if (asked != this->askedAt.end() && this->now - asked->second < aPause) {
     return;
   }
-  this->askedAt[first.replica] = this->now;
-  this->shared.metrics.count("stall_questions_total");
+  this->askedAt[aPart.replica] = this->now;
+  this->shared.metrics.count("replica_questions_total");
   this->calls.ask(
-    first.address,
-    [this, replica = first.replica](const ReplicaReport& aReport) {
+    aPart.address,
+    [this, replica = aPart.replica](const ReplicaReport& aReport) {
       this->post(
         [this, replica, aReport] { this->onReport(replica, aReport); });
     });
 }
 
+/** Streams that begin at this replica are late and nothing has stalled: one of
+ * their other replicas may be slow, which only it can tell. */
+void
+RelayLoop::Impl::askRestOfPaths(const std::string& aFirst)
+{
+  for (const auto& [id, exchange] : this->exchanges) {
+    const auto& parts = exchange->path.parts;
+    if (!exchange->asking || parts.empty() || parts.front().replica != aFirst) {
+      continue;
+    }
+    for (const PathPart& part : parts) {
+      this->ask(part, kAskAllPause);
+    }
+    return;
+  }
+}
+
+/** Those that were slow are asked again, to notice when they are not. */
+void
+RelayLoop::Impl::askSlowOnes()
+{
+  for (const Replica& replica : this->view->replicas) {
+    if (this->health.slowdown(replica.id) > kSlow) {
+      this->ask(PathPart{ replica.id, replica.address, {} }, kAskAllPause);
+    }
+  }
+}
+
 void
 RelayLoop::Impl::onReport(const std::string& aReplica,
                           const ReplicaReport& aReport)
 {
   if (!aReport.reached) {
+    this->health.onPace(aReplica, 1);
     this->health.onFailure(aReplica, ReplicaFailure::Unreachable, this->now);
     this->onCulprit(aReplica);
     return;
   }
   this->health.onPace(aReplica, aReport.pace);
+  if (aReport.stalled.empty()) {
+    this->askRestOfPaths(aReplica);
+    return;
+  }
   std::set<std::string> culprits;
   for (const StalledWork& work : aReport.stalled) {
     if (const Replica* replica = this->replicaAt(work.culprit)) {
@@ -121,9 +168,12 @@
       aExchange, ReplicaFailure::Unreachable, "first replica lost");
     return;
   }
+  // Its own memory on the old path is not in the way of the new one.
+  this->unbook(aExchange);
   const Result<AttemptTarget> target =
     this->choosePath(aExchange, first.replica);
   if (!target) {
+    this->book(aExchange);
     this->shared.log.write(LogLine{ LogPart::Path, "no_repair" }
                              .with("id", aExchange.requestId)
                              .with("reason", describe(target.error())));
@@ -131,7 +181,6 @@
   }
   ++aExchange.repairs;
   this->shared.metrics.countRetry(RetryReason::PathRepaired);
-  this->unbook(aExchange);
   aExchange.path = target.value().path;
   this->book(aExchange);
   this->calls.repath(
