Heal a copy at once, balance it again, share second tries by relays

Ruled out: false suspicion as the cause of gaps. Change: 0.3 s of patience when another replica named the lost one; newcomers double as many layers as fit; whole copies below 0.65 of what they could keep are cut anew; the budget of second tries is divided by the relays listed.

--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/fleet/FleetControl.inl.h
@@ -267,11 +267,12 @@
       continue;
     }
     std::vector<Replica> staying;
-    bool someLost = false;
+    bool inDoubt = false;
     for (const std::size_t place : listed->second) {
       const Replica& replica = view->replicas[place];
-      const bool dead = lost->contains(replica.id);
-      someLost = someLost || (dead && !replica.draining);
+      const auto found = lost->find(replica.id);
+      const bool dead = found != lost->end();
+      inDoubt = inDoubt || (dead && !found->second && !replica.draining);
       if (!replica.draining && !dead) {
         staying.push_back(replica);
       }
@@ -281,7 +282,7 @@
       const std::scoped_lock lock{ this->planGuard };
       auto& planner =
         this->planners.try_emplace(name, LayerPlannerPolicy{}).first->second;
-      orders = planner.plan(*service.engine, staying, someLost, now);
+      orders = planner.plan(*service.engine, staying, inDoubt, now);
     }
     for (const LayerOrder& order : orders) {
       const auto replica = std::find_if(
--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -22,14 +22,13 @@
   Duration settle = std::chrono::milliseconds{ 1'200 };
   /** ... but not longer than this after the first one registered. */
   Duration settleMost = std::chrono::seconds{ 4 };
-  /** A gap is left to a replica that comes back for this long, before its
-   * copy is cut anew over those that are left; paths cross zones
-   * meanwhile. */
-  Duration gapPatience = std::chrono::milliseconds{ 1'500 };
-  /** ... and for this long when none is missing but those that said that they
-   * leave: they will not be back. Long enough to see several leave together.
-   */
-  Duration leavingPatience = std::chrono::milliseconds{ 300 };
+  /** A gap is left alone for this long: replicas that leave together are
+   * replaced together. One that crashed comes back empty after some seconds,
+   * so that nothing is gained by waiting for it. */
+  Duration gapPatience = std::chrono::milliseconds{ 300 };
+  /** ... and for this long while a replica is missing that only the leader
+   * cannot reach: the leader itself may be the one that is cut off. */
+  Duration doubtPatience = std::chrono::milliseconds{ 1'500 };
   /** An order that shows no effect for this long is given again, beyond the
    * time that loading takes. */
   Duration orderPatience = std::chrono::seconds{ 4 };
@@ -61,11 +60,11 @@
    * The orders that are due now.
    *
    * @param aReplicas the service's replicas that live and stay
-   * @param aSomeLost whether a listed replica is taken to be dead
+   * @param aInDoubt whether a listed replica is missing that may be well
    */
   std::vector<LayerOrder> plan(const EngineProfile& aProfile,
                                std::span<const Replica> aReplicas,
-                               bool aSomeLost,
+                               bool aInDoubt,
                                TimePoint aNow);
   /** An order was not accepted: it is not waited for. */
   void onRefused(const std::string& aReplica) { this->open.erase(aReplica); }
@@ -105,6 +104,7 @@
               TimePoint aNow);
   void fillGap(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
   void recut(const EngineProfile& aProfile, Group& aGroup);
+  void rebalance(const EngineProfile& aProfile, Group& aGroup);
   void employ(const EngineProfile& aProfile, Group& aGroup, Holder& aEmpty);
   void order(Holder& aHolder, LayerRange aLayers, const char* aReason);
 
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -35,10 +35,10 @@
   RcuBox<std::vector<Address>> peers{
     std::make_shared<const std::vector<Address>>()
   };
-  /** Replicas that this relay or another takes to be dead. */
-  RcuBox<std::set<std::string>> lost{
-    std::make_shared<const std::set<std::string>>()
-  };
+  /** Replicas that are taken to be dead; true: another replica named it as
+   * what its work waits for, to this relay or another one. */
+  using LostReplicas = std::map<std::string, bool>;
+  RcuBox<LostReplicas> lost{ std::make_shared<const LostReplicas>() };
   /** Stopping: not ready, and answers close their connections. */
   std::atomic<bool> draining{ false };
   /** The balancer has had its time to notice: what still comes, on
--- a/include/poplartrack/retry/RetryBudget.h
+++ b/include/poplartrack/retry/RetryBudget.h
@@ -34,6 +34,9 @@
 public:
   explicit RetryBudget(const RetryBudgetPolicy& aPolicy);
 
+  /** Sets another policy. What has been earned stays; what time alone gave is
+   * cut to the new reserve. */
+  void setPolicy(const RetryBudgetPolicy& aPolicy);
   /** A first try came. */
   void onRequest(TimePoint aNow);
   /** Whether one retry may be made now; takes it from the budget if so. */
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -24,6 +24,11 @@
  */
 constexpr double kStretchedCopy = 0.25;
 
+/** A whole copy is cut anew when its weakest layer keeps less than this part
+ * of what it could: below what a recut keeps, so that one does not call for
+ * the next. */
+constexpr double kUnbalanced = 0.65;
+
 double
 tokenGoal(const EngineProfile& aProfile)
 {
@@ -85,6 +90,43 @@
   return gaps;
 }
 
+/** The last cut point of the group at or before a layer. */
+template<typename Group>
+std::uint32_t
+cutBefore(const Group& aGroup, std::uint32_t aLayer)
+{
+  std::uint32_t cut = 0;
+  for (const auto& holder : aGroup) {
+    for (const std::uint32_t point : { holder.layers.from, holder.layers.to }) {
+      if (holder.layers.size() > 0 && point <= aLayer) {
+        cut = std::max(cut, point);
+      }
+    }
+  }
+  return cut;
+}
+
+/** Tokens that the group can keep at each layer, over all that hold it. */
+template<typename Group>
+std::vector<double>
+tokensByLayer(const EngineProfile& aProfile, const Group& aGroup)
+{
+  std::vector<double> tokens(aProfile.layers, 0);
+  for (const auto& holder : aGroup) {
+    if (holder.layers.size() == 0) {
+      continue;
+    }
+    const AcceleratorKind& kind = *kindOf(aProfile, *holder.replica);
+    const double free = kind.memoryMb - aProfile.layerMb * holder.layers.size();
+    const double each =
+      std::max(0.0, free) / (aProfile.tokenLayerMb() * holder.layers.size());
+    for (auto i = holder.layers.from; i < holder.layers.to; ++i) {
+      tokens[i] += each;
+    }
+  }
+  return tokens;
+}
+
 } // namespace
 
 void
@@ -289,40 +331,26 @@
                      Group& aGroup,
                      Holder& aEmpty)
 {
-  // Memory for tokens at each layer, over all that hold it; the weakest layer
-  // bounds the copy.
-  std::vector<double> tokens(aProfile.layers, 0);
-  for (const Holder& holder : aGroup) {
-    if (holder.layers.size() == 0) {
-      continue;
-    }
-    Replica planned = *holder.replica;
-    const AcceleratorKind& kind = *kindOf(aProfile, planned);
-    const double free = kind.memoryMb - aProfile.layerMb * holder.layers.size();
-    const double each = free / (aProfile.tokenLayerMb() * holder.layers.size());
-    for (auto i = holder.layers.from; i < holder.layers.to; ++i) {
-      tokens[i] += each;
-    }
-  }
+  // The weakest layer bounds the copy.
+  const std::vector<double> tokens = tokensByLayer(aProfile, aGroup);
   const auto weakest = static_cast<std::uint32_t>(
     std::min_element(tokens.begin(), tokens.end()) - tokens.begin());
   const std::uint32_t most = std::max(
     layersBeside(
       aProfile, *kindOf(aProfile, *aEmpty.replica), tokenGoal(aProfile)),
     1U);
-  // Same cut points as a part that it doubles: the two are then exchangeable.
-  for (const Holder& holder : aGroup) {
-    if (holder.layers.contains({ weakest, weakest + 1 })) {
-      const std::uint32_t from =
-        holder.layers.size() <= most
-          ? holder.layers.from
-          : std::max(holder.layers.from,
-                     weakest + 1 > most ? weakest + 1 - most : 0U);
-      const std::uint32_t to = std::min(holder.layers.to, from + most);
-      this->order(aEmpty, { from, to }, "double");
-      return;
-    }
+  const std::uint32_t from = cutBefore(aGroup, weakest);
+  std::uint32_t to = std::min(from + most, aProfile.layers);
+  if (to <= weakest) {
+    this->order(
+      aEmpty, { weakest, std::min(weakest + most, aProfile.layers) }, "double");
+    return;
   }
+  // Same cut points as the parts that it doubles: it is then exchangeable with
+  // them.
+  const std::uint32_t snapped = cutBefore(aGroup, to);
+  to = snapped > weakest ? snapped : to;
+  this->order(aEmpty, { from, to }, "double");
 }
 
 void
@@ -353,17 +381,39 @@
       this->employ(aProfile, aGroup, holder);
     }
   }
+  this->rebalance(aProfile, aGroup);
+}
+
+/** Cuts a whole copy anew whose weakest layer keeps much less than it could:
+ * after repairs some hold more than their share. */
+void
+LayerPlanner::rebalance(const EngineProfile& aProfile, Group& aGroup)
+{
+  const bool moving =
+    std::any_of(aGroup.begin(), aGroup.end(), [](const Holder& aHolder) {
+      return aHolder.moving;
+    });
+  if (moving) {
+    return;
+  }
+  const std::vector<double> tokens = tokensByLayer(aProfile, aGroup);
+  const double least = *std::min_element(tokens.begin(), tokens.end());
+  const double could = tokensOfCopy(
+    aProfile, kindsOf(aProfile, pointersTo(aGroup)), tokenGoal(aProfile));
+  if (least > 0 && least < kUnbalanced * could) {
+    this->recut(aProfile, aGroup);
+  }
 }
 
 std::vector<LayerOrder>
 LayerPlanner::plan(const EngineProfile& aProfile,
                    std::span<const Replica> aReplicas,
-                   bool aSomeLost,
+                   bool aInDoubt,
                    TimePoint aNow)
 {
   this->now = aNow;
   this->patience =
-    aSomeLost ? this->policy.gapPatience : this->policy.leavingPatience;
+    aInDoubt ? this->policy.doubtPatience : this->policy.gapPatience;
   this->orders.clear();
   const bool ready = this->settled(aReplicas, aNow);
   this->settleOrders(aProfile, aReplicas, aNow);
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -38,25 +38,32 @@
   return policy;
 }
 
-/** This relay's share of the second tries that all relays have together. How
- * many relays there are is not known at once: eight is above what either
- * deployment runs, and a share that is too small costs a refusal that names
- * the truth, while one that is too large breaks the bound for all. */
+/** This relay's share of the second tries that all relays have together. A
+ * share that is too large breaks the bound for all. */
 RetryBudgetPolicy
-budgetPolicy(const RelaySettings& aSettings)
+budgetPolicy(const RelaySettings& aSettings, std::size_t aRelays)
 {
-  constexpr double kRelays = 8;
-  constexpr double kUsed = 0.8;
+  // What requests have earned and what they earn meanwhile may be spent in one
+  // window: each counts for half.
+  constexpr double kEarnedTwice = 0.5;
+  constexpr double kUsed = 0.9;
+  // Of the slack, a third comes back in a window.
+  constexpr double kAtOnce = 2.0 / 3;
   const double seconds =
     std::chrono::duration<double>(aSettings.retryWindow).count();
+  const double slack =
+    kUsed * aSettings.retrySlack / static_cast<double>(aRelays);
   RetryBudgetPolicy policy;
-  policy.ratio = kUsed * aSettings.retryRatio / 2;
-  policy.perSecond = kUsed * aSettings.retrySlack / kRelays / seconds / 2;
-  policy.reserve = kUsed * aSettings.retrySlack / kRelays / 2;
+  policy.ratio = kUsed * kEarnedTwice * aSettings.retryRatio;
+  policy.perSecond = (1 - kAtOnce) * slack / seconds;
+  policy.reserve = kAtOnce * slack;
   policy.window = aSettings.retryWindow;
   return policy;
 }
 
+/** Relays of a deployment until their list has been read. */
+constexpr std::size_t kFewRelays = 4;
+
 } // namespace
 
 RelayLoop::Impl::Impl(RelaySettings aSettings,
@@ -72,7 +79,7 @@
   , poller(std::move(aPoller))
   , nextId(kFirstId)
   , view(std::make_shared<const ReplicaView>())
-  , budget(budgetPolicy(this->settings))
+  , budget(budgetPolicy(this->settings, kFewRelays))
 {
 }
 
@@ -226,20 +233,40 @@
 void
 RelayLoop::Impl::publishLost()
 {
-  std::set<std::string> lost = this->health.lost(this->now);
+  RelayShared::LostReplicas lost;
+  for (const std::string& replica : this->health.lost(this->now)) {
+    lost.emplace(replica, false);
+  }
+  for (const std::string& replica : this->health.named(this->now)) {
+    lost.insert_or_assign(replica, true);
+  }
   for (const auto& [peer, told] : this->peerLost) {
-    lost.insert(told.replicas.begin(), told.replicas.end());
+    for (const std::string& replica : told.replicas) {
+      lost.insert_or_assign(replica, true);
+    }
   }
   const auto before = this->shared.lost.read();
-  for (const std::string& replica : lost) {
+  for (const auto& [replica, named] : lost) {
     if (!before->contains(replica)) {
-      this->shared.log.write(
-        LogLine{ LogPart::Replicas, "lost" }.with("replica", replica));
+      this->shared.log.write(LogLine{ LogPart::Replicas, "lost" }
+                               .with("replica", replica)
+                               .with("named", named ? 1 : 0));
     }
   }
   if (*before != lost) {
     this->shared.lost.replace(
-      std::make_shared<const std::set<std::string>>(std::move(lost)));
+      std::make_shared<const RelayShared::LostReplicas>(std::move(lost)));
+  }
+}
+
+void
+RelayLoop::Impl::shareBudget()
+{
+  const std::size_t relays =
+    std::max(this->shared.peers.read()->size() + 1, kFewRelays);
+  if (relays != this->budgetRelays) {
+    this->budgetRelays = relays;
+    this->budget.setPolicy(budgetPolicy(this->settings, relays));
   }
 }
 
@@ -253,6 +280,7 @@
     return this->now - aEntry.second.heard > kPeerSilence;
   });
   this->publishLost();
+  this->shareBudget();
   this->askSlowOnes();
   this->tellPeers();
   this->closeStaleIdle(this->now);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -65,6 +65,7 @@
   void regularWork();
   void refreshReplicas();
   void publishLost();
+  void shareBudget();
 
   // RelayCallers.cpp: connections of callers.
   void acceptCallers();
@@ -200,6 +201,8 @@
   ReplicaHealth health;
   LoadBook loads;
   RetryBudget budget;
+  /** Relays among which the second tries are shared. */
+  std::size_t budgetRelays = 0;
   /** What the other relays last told of lost replicas. */
   struct PeerLost
   {
--- a/src/retry/RetryBudget.cpp
+++ b/src/retry/RetryBudget.cpp
@@ -40,6 +40,13 @@
                          this->quiet + passed * this->policy.perSecond);
 }
 
+void
+RetryBudget::setPolicy(const RetryBudgetPolicy& aPolicy)
+{
+  this->policy = aPolicy;
+  this->quiet = std::min(this->quiet, quietMost(aPolicy));
+}
+
 void
 RetryBudget::onRequest(TimePoint aNow)
 {
