Stretch a copy over its gap, shift it only when nobody holds a layer

Slow replicas (12 times) kept their share. Ruled out: lost orders (each was answered, as a conflict).

--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -29,6 +30,8 @@
   /** ... and for this long while a replica is missing that only the leader
    * cannot reach: the leader itself may be the one that is cut off. */
   Duration doubtPatience = std::chrono::milliseconds{ 1'500 };
+  /** A replica that refused an order is given none for this long. */
+  Duration refusedRest = std::chrono::milliseconds{ 1'000 };
   /** An order that shows no effect for this long is given again, beyond the
    * time that loading takes. */
   Duration orderPatience = std::chrono::seconds{ 4 };
@@ -67,7 +70,11 @@
                                bool aInDoubt,
                                TimePoint aNow);
   /** An order was not accepted: it is not waited for. */
-  void onRefused(const std::string& aReplica) { this->open.erase(aReplica); }
+  void onRefused(const std::string& aReplica)
+  {
+    this->open.erase(aReplica);
+    this->refused.insert_or_assign(aReplica, this->now);
+  }
   /** Forgets open orders and waits: another process led meanwhile. */
   void reset();
 
@@ -100,17 +107,22 @@
                  double aTokens);
   void repair(const EngineProfile& aProfile,
               Group& aGroup,
-              const std::string& aName,
-              TimePoint aNow);
+              const std::string& aName);
   void fillGap(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
+  void stretch(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
+  void shrink(const EngineProfile& aProfile, Group& aGroup);
   void recut(const EngineProfile& aProfile, Group& aGroup);
-  void rebalance(const EngineProfile& aProfile, Group& aGroup);
+  void rescue(const EngineProfile& aProfile, std::vector<Group>& aZones);
   void employ(const EngineProfile& aProfile, Group& aGroup, Holder& aEmpty);
   void order(Holder& aHolder, LayerRange aLayers, const char* aReason);
 
   LayerPlannerPolicy policy;
   std::map<std::string, OpenOrder> open;
+  /** Replicas that refused an order, and when: most are carrying one out. */
+  std::map<std::string, TimePoint> refused;
   std::map<std::string, TimePoint> gapSince;
+  /** Since when some layer is held by no replica of any copy. */
+  std::optional<TimePoint> nowhereSince;
   std::set<std::string> known;
   TimePoint firstSeen{};
   TimePoint lastJoined{};
--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,6 +23,10 @@
   Faulty,
 };
 
+/** From this slowdown on, work goes round a replica where it can: a part of
+ * five layers then takes as long as a whole fast copy. */
+constexpr double kCrippled = 2.5;
+
 /**
  * What this process has learned about each replica from its own requests. The
  * shared list is late: a replica that has crashed stays on it for some
@@ -43,6 +48,8 @@
   [[nodiscard]] bool usable(const std::string& aReplica, TimePoint aNow) const;
   /** How many times as long as declared its work takes. */
   [[nodiscard]] double slowdown(const std::string& aReplica) const;
+  /** Replicas so slow that work goes round them, with how slow they are. */
+  [[nodiscard]] std::map<std::string, double> crippled() const;
   /** Part of its latest answers that were errors, 0 to 1. */
   [[nodiscard]] double errorRate(const std::string& aReplica) const;
   /** Replicas that are taken to be dead. */
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -20,14 +20,17 @@
  * goal; below it, crossing zones costs less than refusing. */
 constexpr double kSmallestCopy = 0.2;
 
-/** In a copy that lost a replica each keeps memory for this part of the goal.
- */
-constexpr double kStretchedCopy = 0.25;
+/** A replica whose neighbours are missing takes over layers while it keeps
+ * memory for this part of the goal. */
+constexpr double kStretchedCopy = 0.45;
+
+/** What was stretched is taken back to this part of the goal. */
+constexpr double kKeptCopy = 0.9;
 
-/** A whole copy is cut anew when its weakest layer keeps less than this part
- * of what it could: below what a recut keeps, so that one does not call for
- * the next. */
-constexpr double kUnbalanced = 0.65;
+/** When no replica anywhere holds a layer, a copy is cut anew for this part of
+ * the tokens that it could keep at most; the rest is room to leave most of it
+ * in place. */
+constexpr double kRecutCopy = 0.75;
 
 double
 tokenGoal(const EngineProfile& aProfile)
@@ -177,6 +180,9 @@
     }
   }
   this->open = std::move(still);
+  std::erase_if(this->refused, [&](const auto& aEntry) {
+    return aNow - aEntry.second >= this->policy.refusedRest;
+  });
 }
 
 std::vector<LayerPlanner::Group>
@@ -191,8 +197,12 @@
     Holder holder;
     holder.replica = &replica;
     const auto found = this->open.find(replica.id);
-    holder.moving = found != this->open.end();
-    if (holder.moving) {
+    const bool ordered = found != this->open.end();
+    const auto rests = this->refused.find(replica.id);
+    holder.moving =
+      ordered || (rests != this->refused.end() &&
+                  this->now - rests->second < this->policy.refusedRest);
+    if (ordered) {
       holder.layers = found->second.layers;
     } else if (replica.layers) {
       holder.layers = *replica.layers;
@@ -291,7 +301,7 @@
 {
   const double goal = tokenGoal(aProfile);
   for (Holder& holder : aGroup) {
-    if (holder.layers.size() > 0 || aGap.size() == 0) {
+    if (holder.layers.size() > 0 || holder.moving || aGap.size() == 0) {
       continue;
     }
     const std::uint32_t most = std::max(
@@ -302,7 +312,93 @@
   }
 }
 
-/** Cuts the copy anew over those that are left of it. */
+/**
+ * Stretches the neighbours of a gap over it. What they hold stays in service
+ * meanwhile, and only the gap's layers are loaded: under a second for five. A
+ * replica that must give layers up waits until the last answer that passes
+ * through them ends, 5 s and more, and is missing until then. Nothing is done
+ * when the neighbours cannot fill the gap: paths cross zones for those layers
+ * either way.
+ */
+void
+LayerPlanner::stretch(const EngineProfile& aProfile,
+                      Group& aGroup,
+                      LayerRange aGap)
+{
+  const double tokens = kStretchedCopy * tokenGoal(aProfile);
+  const auto roomOf = [&](const Holder& aHolder) {
+    const std::uint32_t most =
+      layersBeside(aProfile, *kindOf(aProfile, *aHolder.replica), tokens);
+    const bool free = !aHolder.moving && most > aHolder.layers.size();
+    return free ? most - aHolder.layers.size() : 0U;
+  };
+  Holder* before = nullptr;
+  Holder* behind = nullptr;
+  for (Holder& holder : aGroup) {
+    if (holder.layers.size() == 0) {
+      continue;
+    }
+    if (holder.layers.to == aGap.from &&
+        (before == nullptr || roomOf(holder) > roomOf(*before))) {
+      before = &holder;
+    }
+    if (holder.layers.from == aGap.to &&
+        (behind == nullptr || roomOf(holder) > roomOf(*behind))) {
+      behind = &holder;
+    }
+  }
+  const std::uint32_t roomBefore = before == nullptr ? 0 : roomOf(*before);
+  const std::uint32_t roomBehind = behind == nullptr ? 0 : roomOf(*behind);
+  const std::uint32_t room = roomBefore + roomBehind;
+  if (room < aGap.size()) {
+    return;
+  }
+  const std::uint32_t first =
+    std::min(roomBefore, (aGap.size() * roomBefore + room - 1) / room);
+  const std::uint32_t middle = aGap.from + first;
+  if (before != nullptr && first > 0) {
+    this->order(*before, { before->layers.from, middle }, "stretch");
+  }
+  if (behind != nullptr && middle < aGap.to) {
+    this->order(*behind, { middle, behind->layers.to }, "stretch");
+  }
+}
+
+/** Takes back what was stretched once others hold those layers again: memory
+ * for requests is worth more than a second holder at the edge of a part. */
+void
+LayerPlanner::shrink(const EngineProfile& aProfile, Group& aGroup)
+{
+  for (Holder& holder : aGroup) {
+    const std::uint32_t most = layersBeside(aProfile,
+                                            *kindOf(aProfile, *holder.replica),
+                                            kKeptCopy * tokenGoal(aProfile));
+    if (holder.moving || holder.layers.size() <= most) {
+      continue;
+    }
+    LayerRange kept = holder.layers;
+    const auto others = [&](std::uint32_t aLayer) {
+      return std::any_of(
+        aGroup.begin(), aGroup.end(), [&](const Holder& aOther) {
+          return &aOther != &holder && !aOther.moving &&
+                 aOther.layers.contains({ aLayer, aLayer + 1 });
+        });
+    };
+    while (kept.size() > most && others(kept.from)) {
+      ++kept.from;
+    }
+    while (kept.size() > most && others(kept.to - 1)) {
+      --kept.to;
+    }
+    if (kept != holder.layers) {
+      // One at a time: two that hold the same layers must not both leave them.
+      this->order(holder, kept, "shrink");
+      return;
+    }
+  }
+}
+
+/** Cuts a copy anew over those that are left of it. */
 void
 LayerPlanner::recut(const EngineProfile& aProfile, Group& aGroup)
 {
@@ -312,7 +408,7 @@
       return aLeft->layers < aRight->layers;
     });
   const double tokens =
-    kStretchedCopy *
+    kRecutCopy *
     tokensOfCopy(aProfile, kindsOf(aProfile, all), tokenGoal(aProfile));
   std::vector<CutMember> members;
   for (const Holder* holder : all) {
@@ -356,24 +452,22 @@
 void
 LayerPlanner::repair(const EngineProfile& aProfile,
                      Group& aGroup,
-                     const std::string& aName,
-                     TimePoint aNow)
+                     const std::string& aName)
 {
   const auto gaps = gapsOf(aGroup, aProfile.layers);
-  if (gaps.empty()) {
+  for (const LayerRange& gap : gaps) {
+    this->fillGap(aProfile, aGroup, gap);
+  }
+  const auto left = gapsOf(aGroup, aProfile.layers);
+  if (left.empty()) {
     this->gapSince.erase(aName);
   } else {
-    const auto since = this->gapSince.try_emplace(aName, aNow).first->second;
-    const bool patient = aNow - since < this->patience;
-    for (const LayerRange& gap : gaps) {
-      this->fillGap(aProfile, aGroup, gap);
-    }
-    const bool moving =
-      std::any_of(aGroup.begin(), aGroup.end(), [](const Holder& aHolder) {
-        return aHolder.moving;
-      });
-    if (!patient && !moving && !gapsOf(aGroup, aProfile.layers).empty()) {
-      this->recut(aProfile, aGroup);
+    const auto since =
+      this->gapSince.try_emplace(aName, this->now).first->second;
+    if (this->now - since >= this->patience) {
+      for (const LayerRange& gap : left) {
+        this->stretch(aProfile, aGroup, gap);
+      }
     }
   }
   for (Holder& holder : aGroup) {
@@ -381,28 +475,51 @@
       this->employ(aProfile, aGroup, holder);
     }
   }
-  this->rebalance(aProfile, aGroup);
+  const bool calm =
+    gaps.empty() &&
+    std::none_of(aGroup.begin(), aGroup.end(), [](const Holder& aHolder) {
+      return aHolder.moving;
+    });
+  if (calm) {
+    this->shrink(aProfile, aGroup);
+  }
 }
 
-/** Cuts a whole copy anew whose weakest layer keeps much less than it could:
- * after repairs some hold more than their share. */
+/** When some layer is held nowhere, every request is refused: the largest copy
+ * is cut anew, whatever has to move. */
 void
-LayerPlanner::rebalance(const EngineProfile& aProfile, Group& aGroup)
+LayerPlanner::rescue(const EngineProfile& aProfile, std::vector<Group>& aZones)
 {
+  Group all;
+  for (const Group& group : aZones) {
+    all.insert(all.end(), group.begin(), group.end());
+  }
   const bool moving =
-    std::any_of(aGroup.begin(), aGroup.end(), [](const Holder& aHolder) {
+    std::any_of(all.begin(), all.end(), [](const Holder& aHolder) {
       return aHolder.moving;
     });
-  if (moving) {
+  if (moving || gapsOf(all, aProfile.layers).empty()) {
+    this->nowhereSince.reset();
     return;
   }
-  const std::vector<double> tokens = tokensByLayer(aProfile, aGroup);
-  const double least = *std::min_element(tokens.begin(), tokens.end());
-  const double could = tokensOfCopy(
-    aProfile, kindsOf(aProfile, pointersTo(aGroup)), tokenGoal(aProfile));
-  if (least > 0 && least < kUnbalanced * could) {
-    this->recut(aProfile, aGroup);
+  if (!this->nowhereSince) {
+    this->nowhereSince = this->now;
+  }
+  if (this->now - *this->nowhereSince < this->patience) {
+    return;
+  }
+  const auto tokensOf = [&](Group& aGroup) {
+    return tokensOfCopy(
+      aProfile, kindsOf(aProfile, pointersTo(aGroup)), tokenGoal(aProfile));
+  };
+  Group* largest = nullptr;
+  for (Group& group : aZones) {
+    if (largest == nullptr || tokensOf(group) > tokensOf(*largest)) {
+      largest = &group;
+    }
   }
+  this->recut(aProfile,
+              largest != nullptr && tokensOf(*largest) > 0 ? *largest : all);
 }
 
 std::vector<LayerOrder>
@@ -430,8 +547,9 @@
       this->draw(aProfile, group);
       continue;
     }
-    this->repair(aProfile, group, group.front().replica->zone, aNow);
+    this->repair(aProfile, group, group.front().replica->zone);
   }
+  this->rescue(aProfile, zones);
   return std::exchange(this->orders, {});
 }
 
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -87,6 +87,18 @@
   return found == this->states.end() ? 1 : found->second.pace;
 }
 
+std::map<std::string, double>
+ReplicaHealth::crippled() const
+{
+  std::map<std::string, double> slow;
+  for (const auto& [name, state] : this->states) {
+    if (state.pace >= kCrippled) {
+      slow.emplace(name, state.pace);
+    }
+  }
+  return slow;
+}
+
 double
 ReplicaHealth::errorRate(const std::string& aReplica) const
 {
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -150,15 +150,28 @@
                                    : this->choosePlain(aExchange);
 }
 
-Result<AttemptTarget>
-RelayLoop::Impl::choosePath(const Exchange& aExchange,
-                            const std::string& aFirst)
+/** How slow a replica is, as this relay or another has learned. */
+double
+RelayLoop::Impl::slowdownOf(const std::string& aReplica) const
 {
+  double slowdown = this->health.slowdown(aReplica);
+  for (const auto& [peer, told] : this->peerLost) {
+    const auto found = told.slow.find(aReplica);
+    if (found != told.slow.end()) {
+      slowdown = std::max(slowdown, found->second);
+    }
+  }
+  return slowdown;
+}
+
+std::vector<PathCandidate>
+RelayLoop::Impl::candidatesFor(const Exchange& aExchange, bool aSlowToo) const
+{
+  std::vector<PathCandidate> candidates;
   const auto listed = this->view->byService.find(aExchange.service->name);
   if (listed == this->view->byService.end()) {
-    return fail(ErrorKind::NoRoute, "no replica is registered");
+    return candidates;
   }
-  std::vector<PathCandidate> candidates;
   for (const std::size_t place : listed->second) {
     const Replica& replica = this->view->replicas[place];
     const bool lostElsewhere = std::any_of(
@@ -169,15 +182,28 @@
         !this->health.usable(replica.id, this->now)) {
       continue;
     }
-    candidates.push_back(PathCandidate{ &replica,
-                                        this->loads.at(replica.id),
-                                        this->health.slowdown(replica.id) });
+    const double slowdown = this->slowdownOf(replica.id);
+    if (slowdown < kCrippled || aSlowToo) {
+      candidates.push_back(
+        PathCandidate{ &replica, this->loads.at(replica.id), slowdown });
+    }
   }
+  return candidates;
+}
+
+Result<AttemptTarget>
+RelayLoop::Impl::choosePath(const Exchange& aExchange,
+                            const std::string& aFirst)
+{
   const PathDemand demand{
     aExchange.need.prompt, aExchange.need.answer, this->settings.zone, aFirst
   };
+  const EngineProfile& engine = *aExchange.service->engine;
   Result<LayerPath> path =
-    findPath(*aExchange.service->engine, candidates, demand);
+    findPath(engine, this->candidatesFor(aExchange, false), demand);
+  if (!path) {
+    path = findPath(engine, this->candidatesFor(aExchange, true), demand);
+  }
   if (!path) {
     return path.error();
   }
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -240,7 +240,13 @@
   for (const std::string& replica : this->health.named(this->now)) {
     lost.insert_or_assign(replica, true);
   }
+  for (const auto& [replica, pace] : this->health.crippled()) {
+    lost.insert_or_assign(replica, true);
+  }
   for (const auto& [peer, told] : this->peerLost) {
+    for (const auto& [replica, pace] : told.slow) {
+      lost.insert_or_assign(replica, true);
+    }
     for (const std::string& replica : told.replicas) {
       lost.insert_or_assign(replica, true);
     }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -17,6 +17,7 @@
 #include "Exchange.h"
 #include "ReplicaConnection.h"
 #include "poplartrack/fleet/LoadBook.h"
+#include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
@@ -145,6 +146,10 @@
   Result<AttemptTarget> choosePlain(const Exchange& aExchange);
   [[nodiscard]] const RelayService* pickService(
     const Exchange& aExchange) const;
+  [[nodiscard]] double slowdownOf(const std::string& aReplica) const;
+  [[nodiscard]] std::vector<PathCandidate> candidatesFor(
+    const Exchange& aExchange,
+    bool aSlowToo) const;
   [[nodiscard]] const Replica* replicaAt(const Address& aAddress) const;
   [[nodiscard]] TokenNeed needOf(const Exchange& aExchange) const;
   void book(Exchange& aExchange);
@@ -207,6 +212,8 @@
   struct PeerLost
   {
     std::set<std::string> replicas;
+    /** Replicas that are slow, with how slow. */
+    std::map<std::string, double> slow;
     TimePoint heard;
   };
   std::map<std::string, PeerLost> peerLost;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /** Version of the datagram below; another one is ignored. */
-constexpr std::uint32_t kFormat = 2;
+constexpr std::uint32_t kFormat = 3;
 
 /** Largest datagram that is sent and taken in. */
 constexpr std::size_t kMostBytes = 8 * 1024;
@@ -39,8 +39,11 @@
   std::uint32_t format = kFormat;
   std::string sender;
   std::vector<LoadRow> loads;
+  /** Replicas that another replica named as what its work waits for. */
   std::vector<std::string> lost;
-  MSGPACK_DEFINE(format, sender, loads, lost);
+  /** Replicas that are slow, with how slow. */
+  std::map<std::string, double> slow;
+  MSGPACK_DEFINE(format, sender, loads, lost, slow);
 };
 
 bool
@@ -88,6 +91,7 @@
   for (const std::string& replica : this->health.named(this->now)) {
     word.lost.push_back(replica);
   }
+  word.slow = this->health.crippled();
   msgpack::sbuffer bytes;
   msgpack::pack(bytes, word);
   if (bytes.size() > kMostBytes) {
@@ -138,11 +142,12 @@
         ReplicaLoad{ row.requests, row.tokenLayers, row.readingTokens });
     }
     this->loads.onPeer(word.sender, std::move(table), this->now);
-    if (word.lost.empty()) {
+    if (word.lost.empty() && word.slow.empty()) {
       this->peerLost.erase(word.sender);
     } else {
-      this->peerLost[word.sender] =
-        PeerLost{ { word.lost.begin(), word.lost.end() }, this->now };
+      this->peerLost[word.sender] = PeerLost{
+        { word.lost.begin(), word.lost.end() }, std::move(word.slow), this->now
+      };
     }
   }
 }
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -110,7 +110,12 @@
     this->onCulprit(aReplica);
     return;
   }
+  const bool newlySlow =
+    this->health.slowdown(aReplica) < kCrippled && aReport.pace >= kCrippled;
   this->health.onPace(aReplica, aReport.pace);
+  if (newlySlow) {
+    this->onCulprit(aReplica);
+  }
   if (aReport.stalled.empty()) {
     this->askRestOfPaths(aReplica);
     return;
