--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -175,9 +175,12 @@
                     this->profile.contextMsPerK * tokens / 1000);
   node.stepMs = kPassWait * passMs * kind->second.stepFactor *
                 aCandidate.slowdown / this->profile.layers;
-  node.readMs = this->demand.promptTokens * 1000 / this->profile.readPerSecond *
-                kind->second.readFactor * aCandidate.slowdown /
-                this->profile.layers;
+  constexpr double kMsPerSecond = 1000;
+  const double tokenReadMs = kMsPerSecond / this->profile.readPerSecond *
+                             kind->second.readFactor * aCandidate.slowdown /
+                             this->profile.layers;
+  node.readMs = this->demand.promptTokens * tokenReadMs;
+  node.backlogMs = aCandidate.load.readingTokens * tokenReadMs;
   const double free = kBookable * tokenLayerCapacity(this->profile, replica) -
                       aCandidate.load.tokenLayers;
   if (free <= 0) {
--- /dev/null
+++ b/tests/unit/fleet/LayerPlannerTest.cpp
@@ -0,0 +1,275 @@
+#include "poplartrack/fleet/LayerPlanner.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "FleetSamples.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace fleettest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Replicas that carry out orders when the test says so. */
+class Fleet
+{
+public:
+  explicit Fleet(std::vector<Replica> aReplicas)
+    : replicas(std::move(aReplicas))
+  {
+  }
+
+  std::vector<LayerOrder> plan(bool aInDoubt = false)
+  {
+    return this->planner.plan(
+      this->profile, this->replicas, aInDoubt, this->clock.now());
+  }
+  /** Plans after a pause. */
+  std::vector<LayerOrder> planAfter(Duration aPause)
+  {
+    this->clock.advance(aPause);
+    return this->plan();
+  }
+  void carryOut(const std::vector<LayerOrder>& aOrders)
+  {
+    for (const LayerOrder& order : aOrders) {
+      this->at(order.replica).layers = order.layers;
+    }
+  }
+  Replica& at(const std::string& aId)
+  {
+    for (Replica& replica : this->replicas) {
+      if (replica.id == aId) {
+        return replica;
+      }
+    }
+    ADD_FAILURE() << "no replica " << aId;
+    return this->replicas.front();
+  }
+  void lose(const std::string& aId)
+  {
+    std::erase_if(this->replicas,
+                  [&](const Replica& aReplica) { return aReplica.id == aId; });
+  }
+  [[nodiscard]] bool covered(const std::string& aZone) const
+  {
+    std::vector<bool> held(this->profile.layers, false);
+    for (const Replica& replica : this->replicas) {
+      if (replica.zone != aZone || !replica.layers) {
+        continue;
+      }
+      for (auto i = replica.layers->from; i < replica.layers->to; ++i) {
+        held[i] = true;
+      }
+    }
+    return std::find(held.begin(), held.end(), false) == held.end();
+  }
+  [[nodiscard]] bool withinMemory() const
+  {
+    for (const Replica& replica : this->replicas) {
+      const double most = this->profile.kinds.at(replica.kind).memoryMb;
+      if (replica.layers &&
+          replica.layers->size() * this->profile.layerMb > most) {
+        return false;
+      }
+    }
+    return true;
+  }
+  /** Waits for the first plan and carries it out. */
+  void start()
+  {
+    this->plan();
+    this->carryOut(this->planAfter(seconds{ 2 }));
+    EXPECT_TRUE(this->planAfter(seconds{ 1 }).empty());
+  }
+
+  EngineProfile profile = smallProfile();
+  ManualClock clock;
+  LayerPlanner planner{ LayerPlannerPolicy{} };
+  std::vector<Replica> replicas;
+};
+
+std::vector<Replica>
+fourInEachOfTwoZones()
+{
+  std::vector<Replica> replicas;
+  for (const std::string zone : { "a", "b" }) {
+    replicas.push_back(replicaOf(zone + "0", zone, "fast"));
+    for (int i = 1; i < 5; ++i) {
+      replicas.push_back(replicaOf(zone + std::to_string(i), zone, "slow"));
+    }
+  }
+  return replicas;
+}
+
+TEST(LayerPlanner, GivesEachZoneAWholeCopyOnceReplicasHaveRegistered)
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  EXPECT_TRUE(fleet.plan().empty());
+  EXPECT_TRUE(fleet.planAfter(milliseconds{ 500 }).empty());
+  const auto orders = fleet.planAfter(seconds{ 1 });
+  fleet.carryOut(orders);
+  EXPECT_TRUE(fleet.covered("a"));
+  EXPECT_TRUE(fleet.covered("b"));
+  EXPECT_TRUE(fleet.withinMemory());
+}
+
+TEST(LayerPlanner, FastAcceleratorsTakeTheMostLayers)
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  EXPECT_GT(fleet.at("a0").layers->size(), fleet.at("a1").layers->size());
+}
+
+TEST(LayerPlanner, ZonesTooSmallForACopyShareOne)
+{
+  Fleet fleet{ { replicaOf("a1", "a", "slow"),
+                 replicaOf("a2", "a", "slow"),
+                 replicaOf("b1", "b", "slow"),
+                 replicaOf("b2", "b", "slow") } };
+  fleet.plan();
+  fleet.carryOut(fleet.planAfter(seconds{ 2 }));
+  std::vector<bool> held(20, false);
+  for (const Replica& replica : fleet.replicas) {
+    for (auto i = replica.layers->from; i < replica.layers->to; ++i) {
+      held[i] = true;
+    }
+  }
+  EXPECT_EQ(std::count(held.begin(), held.end(), false), 0);
+}
+
+TEST(LayerPlanner, NeighboursStretchOverALostPart)
+{
+  // Callers of the zone would have to cross to another one for these layers.
+  // What the neighbours hold stays in service while they load.
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  const LayerRange lost = *fleet.at("a2").layers;
+  fleet.lose("a2");
+  EXPECT_TRUE(fleet.planAfter(milliseconds{ 10 }).empty());
+  const auto orders = fleet.planAfter(milliseconds{ 400 });
+  ASSERT_FALSE(orders.empty());
+  for (const LayerOrder& order : orders) {
+    const LayerRange before = *fleet.at(order.replica).layers;
+    EXPECT_TRUE(order.layers.contains(before)) << order.replica;
+  }
+  fleet.carryOut(orders);
+  EXPECT_TRUE(fleet.covered("a"));
+  EXPECT_TRUE(fleet.withinMemory());
+  EXPECT_GT(lost.size(), 0U);
+}
+
+TEST(LayerPlanner, WaitsLongerWhenOnlyTheLeaderMissesAReplica)
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  fleet.lose("a2");
+  fleet.plan(true);
+  fleet.clock.advance(milliseconds{ 600 });
+  EXPECT_TRUE(fleet.plan(true).empty());
+  fleet.clock.advance(milliseconds{ 1'000 });
+  EXPECT_FALSE(fleet.plan(true).empty());
+}
+
+TEST(LayerPlanner, AReplicaThatComesBackEmptyTakesWhatIsMissing)
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  const LayerRange lost = *fleet.at("a0").layers;
+  fleet.lose("a0");
+  fleet.planAfter(milliseconds{ 100 });
+  fleet.replicas.push_back(replicaOf("a9", "a", "fast"));
+  const auto orders = fleet.planAfter(milliseconds{ 100 });
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].replica, "a9");
+  EXPECT_EQ(orders[0].layers, lost);
+}
+
+TEST(LayerPlanner, WhatWasStretchedIsTakenBackOneAtATime)
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  fleet.lose("a2");
+  fleet.planAfter(milliseconds{ 10 });
+  fleet.carryOut(fleet.planAfter(milliseconds{ 400 }));
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  fleet.carryOut(fleet.planAfter(milliseconds{ 100 }));
+  for (int i = 0; i < 10; ++i) {
+    const auto orders = fleet.planAfter(seconds{ 1 });
+    EXPECT_LE(orders.size(), 1U);
+    fleet.carryOut(orders);
+    EXPECT_TRUE(fleet.covered("a"));
+  }
+}
+
+TEST(LayerPlanner, CutsACopyAnewWhenNobodyHoldsALayer)
+{
+  // Every request is refused: both copies lost the same fast part, which is
+  // more than its neighbours can take.
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.profile.kinds["slow"].memoryMb = 600;
+  fleet.start();
+  fleet.lose("a0");
+  fleet.lose("b0");
+  fleet.replicas.push_back(replicaOf("a8", "a", "slow"));
+  std::vector<LayerOrder> orders;
+  for (int i = 0; i < 10; ++i) {
+    orders = fleet.planAfter(seconds{ 1 });
+    fleet.carryOut(orders);
+  }
+  EXPECT_TRUE(fleet.covered("a") || fleet.covered("b"));
+  EXPECT_TRUE(fleet.withinMemory());
+}
+
+TEST(LayerPlanner, AReplicaThatRefusedIsLeftAloneForASecond)
+{
+  // It carries out an earlier order; asking it four times a second for eight
+  // seconds was 32 refused calls.
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  ASSERT_EQ(fleet.planAfter(milliseconds{ 100 }).size(), 1U);
+  fleet.planner.onRefused("a9");
+  EXPECT_TRUE(fleet.planAfter(milliseconds{ 250 }).empty());
+  EXPECT_TRUE(fleet.planAfter(milliseconds{ 250 }).empty());
+  EXPECT_EQ(fleet.planAfter(milliseconds{ 600 }).size(), 1U);
+}
+
+TEST(LayerPlanner, AnOrderWithoutEffectIsGivenAgainInTheEnd)
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  ASSERT_EQ(fleet.planAfter(milliseconds{ 100 }).size(), 1U);
+  EXPECT_TRUE(fleet.planAfter(seconds{ 2 }).empty());
+  EXPECT_EQ(fleet.planAfter(seconds{ 13 }).size(), 1U);
+}
+
+RC_GTEST_PROP(LayerPlanner,
+              NeverOrdersMoreThanMemoryHolds,
+              (const std::vector<std::uint8_t>& aLosses))
+{
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.plan();
+  fleet.carryOut(fleet.planAfter(seconds{ 2 }));
+  int added = 0;
+  for (const std::uint8_t loss : aLosses) {
+    if (loss % 3 == 0 || fleet.replicas.size() < 3) {
+      fleet.replicas.push_back(replicaOf("n" + std::to_string(added++),
+                                         loss % 2 == 0 ? "a" : "b",
+                                         loss % 5 == 0 ? "fast" : "slow"));
+    } else {
+      fleet.lose(fleet.replicas[loss % fleet.replicas.size()].id);
+    }
+    for (int i = 0; i < 3; ++i) {
+      fleet.carryOut(fleet.planAfter(milliseconds{ 700 }));
+      RC_ASSERT(fleet.withinMemory());
+    }
+  }
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -0,0 +1,151 @@
+#include "poplartrack/fleet/PathFinder.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "FleetSamples.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace fleettest;
+
+std::vector<PathCandidate>
+candidatesOf(const std::vector<Replica>& aReplicas)
+{
+  std::vector<PathCandidate> candidates;
+  for (const Replica& replica : aReplicas) {
+    candidates.push_back(PathCandidate{ &replica, {}, 1 });
+  }
+  return candidates;
+}
+
+PathDemand
+demandIn(const std::string& aZone)
+{
+  return PathDemand{ 800, 200, aZone, {} };
+}
+
+/** A whole copy in each of two zones. */
+std::vector<Replica>
+twoZones()
+{
+  return { holding("a1", "a", { 0, 7 }),   holding("a2", "a", { 7, 14 }),
+           holding("a3", "a", { 14, 20 }), holding("b1", "b", { 0, 7 }),
+           holding("b2", "b", { 7, 14 }),  holding("b3", "b", { 14, 20 }) };
+}
+
+TEST(PathFinder, StaysInTheEntrysZone)
+{
+  const auto replicas = twoZones();
+  const auto path =
+    findPath(smallProfile(), candidatesOf(replicas), demandIn("b"));
+  ASSERT_TRUE(path);
+  ASSERT_EQ(path.value().parts.size(), 3U);
+  EXPECT_EQ(path.value().parts[0].replica, "b1");
+  EXPECT_EQ(path.value().parts[2].replica, "b3");
+}
+
+TEST(PathFinder, GoesToAnotherZonesCopyWhenItsOwnLacksAPart)
+{
+  // A caller of zone b must not wait for the pipe between the zones: the part
+  // [7, 14) of b is gone, and a has a whole copy.
+  auto replicas = twoZones();
+  replicas.erase(replicas.begin() + 4);
+  const auto path =
+    findPath(smallProfile(), candidatesOf(replicas), demandIn("b"));
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().parts[0].replica, "a1");
+  EXPECT_TRUE(isProper(path.value(), replicas, 20));
+}
+
+TEST(PathFinder, CrossesZonesWhenNoZoneHasAWholeCopy)
+{
+  const std::vector<Replica> replicas{ holding("a1", "a", { 0, 10 }),
+                                       holding("b1", "b", { 8, 20 }) };
+  const auto path =
+    findPath(smallProfile(), candidatesOf(replicas), demandIn("b"));
+  ASSERT_TRUE(path);
+  EXPECT_TRUE(isProper(path.value(), replicas, 20));
+}
+
+TEST(PathFinder, NamesALayerThatNobodyHolds)
+{
+  const std::vector<Replica> replicas{ holding("a1", "a", { 0, 10 }),
+                                       holding("a2", "a", { 11, 20 }) };
+  const auto path =
+    findPath(smallProfile(), candidatesOf(replicas), demandIn("a"));
+  ASSERT_FALSE(path);
+  EXPECT_EQ(path.error().kind, ErrorKind::NoRoute);
+}
+
+TEST(PathFinder, LeavesOutReplicasWithoutMemoryForTheRequest)
+{
+  // Preempted requests are read again in the middle of their streams, so a
+  // part that is booked out is as good as missing.
+  const auto replicas = twoZones();
+  auto candidates = candidatesOf(replicas);
+  const EngineProfile profile = smallProfile();
+  candidates[1].load.tokenLayers = tokenLayerCapacity(profile, replicas[1]);
+  const auto path = findPath(profile, candidates, demandIn("a"));
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().parts[0].replica, "b1");
+  candidates[4].load.tokenLayers = tokenLayerCapacity(profile, replicas[4]);
+  const auto none = findPath(profile, candidates, demandIn("a"));
+  ASSERT_FALSE(none);
+  EXPECT_EQ(none.error().kind, ErrorKind::Overloaded);
+}
+
+TEST(PathFinder, GoesElsewhereRatherThanBehindManyPrompts)
+{
+  // Tokens of running streams travel in the passes that read prompts: several
+  // large ones in one copy stretch every stream's pause there.
+  const auto replicas = twoZones();
+  auto candidates = candidatesOf(replicas);
+  for (std::size_t i = 0; i < 3; ++i) {
+    candidates[i].load.readingTokens = 4'000;
+  }
+  const auto path = findPath(smallProfile(), candidates, demandIn("a"));
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().parts[0].replica, "b1");
+}
+
+TEST(PathFinder, KeepsTheFirstReplicaOfARequestThatRuns)
+{
+  auto replicas = twoZones();
+  PathDemand demand = demandIn("a");
+  demand.firstReplica = "b1";
+  const auto path = findPath(smallProfile(), candidatesOf(replicas), demand);
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().parts[0].replica, "b1");
+}
+
+RC_GTEST_PROP(PathFinder,
+              RunsEachLayerOnceWhateverIsHeld,
+              (const std::vector<std::pair<std::uint8_t, std::uint8_t>>& aHeld))
+{
+  std::vector<Replica> replicas;
+  for (const auto& [from, size] : aHeld) {
+    const std::uint32_t first = from % 20;
+    const std::uint32_t last =
+      std::min<std::uint32_t>(first + 1 + size % 12, 20);
+    replicas.push_back(holding("r" + std::to_string(replicas.size()),
+                               replicas.size() % 2 == 0 ? "a" : "b",
+                               { first, last }));
+  }
+  auto candidates = candidatesOf(replicas);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    // Some have memory for a few layers of the request only.
+    candidates[i].load.tokenLayers =
+      tokenLayerCapacity(smallProfile(), replicas[i]) *
+      (i % 3 == 0 ? 0.5 : 0.0);
+  }
+  const auto path = findPath(smallProfile(), candidates, demandIn("a"));
+  if (path) {
+    RC_ASSERT(isProper(path.value(), replicas, 20));
+  }
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -0,0 +1,102 @@
+#include "poplartrack/fleet/ReplicaHealth.h"
+
+#include <gtest/gtest.h>
+
+#include "poplartrack/fleet/PlainChoice.h"
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ seconds{ 50 } };
+
+TEST(ReplicaHealth, ALostReplicaIsLeftOutUntilTheListKnows)
+{
+  ReplicaHealth health;
+  health.onFailure("one", ReplicaFailure::Unreachable, kStart);
+  EXPECT_FALSE(health.usable("one", kStart + seconds{ 3 }));
+  EXPECT_TRUE(health.usable("one", kStart + seconds{ 5 }));
+  EXPECT_EQ(health.lost(kStart + seconds{ 1 }).count("one"), 1U);
+}
+
+TEST(ReplicaHealth, OnlyWhatAnotherReplicaNamedIsToldToOthers)
+{
+  // A relay that is cut off from some replicas would else talk every other
+  // relay out of using them.
+  ReplicaHealth health;
+  health.onFailure("mine", ReplicaFailure::Unreachable, kStart);
+  health.onFailure("named", ReplicaFailure::Stalled, kStart);
+  const auto named = health.named(kStart + milliseconds{ 10 });
+  EXPECT_EQ(named.size(), 1U);
+  EXPECT_EQ(named.count("named"), 1U);
+}
+
+TEST(ReplicaHealth, ARefusalRestsItForAMomentAndDoesNotMakeItLost)
+{
+  ReplicaHealth health;
+  health.onFailure("one", ReplicaFailure::Refused, kStart);
+  EXPECT_FALSE(health.usable("one", kStart + milliseconds{ 100 }));
+  EXPECT_TRUE(health.usable("one", kStart + milliseconds{ 500 }));
+  EXPECT_TRUE(health.lost(kStart).empty());
+}
+
+TEST(ReplicaHealth, AnAnswerMakesItWellAgain)
+{
+  ReplicaHealth health;
+  health.onFailure("one", ReplicaFailure::Stalled, kStart);
+  health.onSuccess("one");
+  EXPECT_TRUE(health.usable("one", kStart));
+  EXPECT_TRUE(health.named(kStart).empty());
+}
+
+TEST(ReplicaHealth, SlowOnesAreTold)
+{
+  ReplicaHealth health;
+  health.onPace("slow", 12);
+  health.onPace("well", 1.1);
+  EXPECT_EQ(health.crippled().size(), 1U);
+  health.onPace("slow", 1);
+  EXPECT_TRUE(health.crippled().empty());
+}
+
+Replica
+plainIn(const std::string& aId, const std::string& aZone)
+{
+  Replica replica;
+  replica.id = aId;
+  replica.zone = aZone;
+  return replica;
+}
+
+TEST(PlainChoice, TakesItsOwnZoneUntilAnotherIsLessBusy)
+{
+  const Replica here = plainIn("here", "a");
+  const Replica there = plainIn("there", "b");
+  std::vector<PlainCandidate> candidates{ { &here }, { &there } };
+  EXPECT_EQ(choosePlainReplica(candidates, "a"), &here);
+  candidates[0].inFlight = 2;
+  EXPECT_EQ(choosePlainReplica(candidates, "a"), &there);
+}
+
+TEST(PlainChoice, GoesRoundOneThatAnswersWithErrors)
+{
+  // Its health page is good and it is the least busy, since errors are quick:
+  // by load alone it would take most of the requests.
+  const Replica grey = plainIn("grey", "a");
+  const Replica well = plainIn("well", "b");
+  const std::vector<PlainCandidate> candidates{ { &grey, 0, 0.5 },
+                                                { &well, 4, 0 } };
+  EXPECT_EQ(choosePlainReplica(candidates, "a"), &well);
+}
+
+TEST(PlainChoice, NeverTheSameForOneRequestTwice)
+{
+  const Replica only = plainIn("only", "a");
+  const std::vector<PlainCandidate> candidates{ { &only, 0, 0, true, true } };
+  EXPECT_EQ(choosePlainReplica(candidates, "a"), nullptr);
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/fleet/ReplicaListTest.cpp
@@ -0,0 +1,103 @@
+#include "poplartrack/fleet/ReplicaList.h"
+
+#include <gtest/gtest.h>
+
+#include "FleetSamples.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace fleettest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+ReplicaPoll
+wholeOf(const std::vector<std::string>& aIds)
+{
+  ReplicaPoll poll;
+  poll.whole = true;
+  poll.next = 1;
+  for (const std::string& id : aIds) {
+    poll.present.push_back(replicaOf(id, "a", "slow"));
+  }
+  return poll;
+}
+
+ReplicaPoll
+goneOf(const std::string& aId)
+{
+  ReplicaPoll poll;
+  poll.next = 2;
+  poll.gone.push_back(aId);
+  return poll;
+}
+
+class ReplicaListTest : public ::testing::Test
+{
+protected:
+  TimePoint in(Duration aTime) { return TimePoint{} + seconds{ 100 } + aTime; }
+  ReplicaList list;
+};
+
+TEST_F(ReplicaListTest, AnEntryThatIsRemovedIsGoneAtOnce)
+{
+  // New work sent to a replica whose entry is gone breaks the bound on leaving
+  // ones.
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(milliseconds{ 0 }));
+  this->list.onPoll(goneOf("one"), this->in(seconds{ 5 }));
+  EXPECT_EQ(this->list.size(), 1U);
+}
+
+TEST_F(ReplicaListTest, EntriesThatLapsedInAnOutageAreKeptUntilTheyAreBack)
+{
+  // Callers keep being served through an outage of the store in which every
+  // entry lapsed: after its return the list is empty for up to two seconds,
+  // although all replicas live.
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(milliseconds{ 0 }));
+  this->list.onUnreachable(this->in(seconds{ 8 }));
+  this->list.onPoll(wholeOf({}), this->in(milliseconds{ 8'300 }));
+  EXPECT_EQ(this->list.size(), 2U);
+  EXPECT_TRUE(this->list.uncertain());
+  ReplicaPoll back = wholeOf({ "one" });
+  back.whole = false;
+  this->list.onPoll(back, this->in(seconds{ 9 }));
+  EXPECT_FALSE(this->list.expire(this->in(seconds{ 10 })));
+  EXPECT_EQ(this->list.size(), 2U);
+  EXPECT_TRUE(this->list.expire(this->in(milliseconds{ 10'400 })));
+  EXPECT_EQ(this->list.size(), 1U);
+  EXPECT_FALSE(this->list.uncertain());
+}
+
+TEST_F(ReplicaListTest, ARemovalSomeTimeAfterAnOutageIsALeaving)
+{
+  // The outage was this relay's alone: nothing lapsed, and a replica that
+  // leaves 3.5 s later must not be kept for two seconds more.
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(milliseconds{ 0 }));
+  this->list.onUnreachable(this->in(seconds{ 8 }));
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(seconds{ 9 }));
+  this->list.onPoll(goneOf("one"), this->in(milliseconds{ 11'500 }));
+  EXPECT_EQ(this->list.size(), 1U);
+}
+
+TEST_F(ReplicaListTest, OneThatSaidItLeavesDoesNotComeBack)
+{
+  ReplicaPoll first = wholeOf({ "one", "two" });
+  first.present[0].draining = true;
+  this->list.onPoll(first, this->in(milliseconds{ 0 }));
+  this->list.onUnreachable(this->in(seconds{ 1 }));
+  this->list.onPoll(wholeOf({ "two" }), this->in(milliseconds{ 1'200 }));
+  EXPECT_EQ(this->list.size(), 1U);
+}
+
+TEST_F(ReplicaListTest, NobodyIsDroppedWhileTheStoreIsAway)
+{
+  this->list.onPoll(wholeOf({ "one" }), this->in(milliseconds{ 0 }));
+  this->list.onUnreachable(this->in(seconds{ 1 }));
+  this->list.onPoll(wholeOf({}), this->in(milliseconds{ 1'100 }));
+  this->list.onUnreachable(this->in(seconds{ 20 }));
+  EXPECT_FALSE(this->list.expire(this->in(seconds{ 21 })));
+  EXPECT_EQ(this->list.size(), 1U);
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/relay/MessageParserTest.cpp
@@ -0,0 +1,67 @@
+#include "../../../src/relay/MessageParser.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+constexpr std::size_t kHead = 4'096;
+
+TEST(MessageParser, ReadsABodyWithALengthWhenNoBoundIsSet)
+{
+  // Every answer with a length was refused while the parser was told of no
+  // bound in the way that its documentation suggests.
+  ResponseParser parser{ kHead, 0 };
+  parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  EXPECT_EQ(parser.problem(), ParseProblem::None);
+  EXPECT_TRUE(parser.is_done());
+  EXPECT_EQ(parser.takeBody(), "hello");
+}
+
+TEST(MessageParser, LeavesWhatFollowsAMessage)
+{
+  RequestParser parser{ kHead, 100 };
+  const std::string bytes =
+    "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nokGET / HTTP/1.1\r\n";
+  EXPECT_EQ(parser.feed(bytes), bytes.size() - 16);
+  EXPECT_TRUE(parser.is_done());
+}
+
+TEST(MessageParser, RefusesTwoFramingsInOneHead)
+{
+  RequestParser both{ kHead, 100 };
+  both.feed("POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+  EXPECT_EQ(both.problem(), ParseProblem::Malformed);
+  RequestParser twice{ kHead, 100 };
+  twice.feed("POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+             "Content-Length: 5\r\n\r\n");
+  EXPECT_EQ(twice.problem(), ParseProblem::Malformed);
+}
+
+TEST(MessageParser, KeepsToItsBounds)
+{
+  RequestParser head{ 64, 100 };
+  head.feed("POST / HTTP/1.1\r\nX: " + std::string(200, 'x'));
+  EXPECT_EQ(head.problem(), ParseProblem::HeadTooLarge);
+  RequestParser body{ kHead, 4 };
+  body.feed("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+  EXPECT_EQ(body.problem(), ParseProblem::BodyTooLarge);
+  RequestParser chunks{ kHead, 4 };
+  chunks.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "5\r\nhello\r\n");
+  EXPECT_EQ(chunks.problem(), ParseProblem::BodyTooLarge);
+}
+
+TEST(HeaderList, ComparesWithoutCaseAndFindsTokens)
+{
+  HeaderList headers;
+  headers.add("Connection", "keep-alive, X-Hop");
+  EXPECT_TRUE(headers.hasToken("connection", "x-hop"));
+  EXPECT_TRUE(isHopByHop(headers, "X-Hop"));
+  EXPECT_TRUE(isHopByHop(headers, "transfer-ENCODING"));
+  EXPECT_FALSE(isHopByHop(headers, "X-Other"));
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -0,0 +1,357 @@
+#include "RelayWorld.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace relaytest;
+
+bool
+has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+class RelayLoopTest : public ::testing::Test
+{
+protected:
+  RelayWorld world;
+  RawListener one;
+  RawListener two;
+};
+
+TEST_F(RelayLoopTest, ForwardsARequestAndItsAnswerWhole)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request(
+    "/once/x?q=1", "id-1", "X-Account: forged\r\nX-Other: kept\r\n", "body"));
+  RawSocket replica = this->one.accept();
+  const std::string got = replica.readUntil("body");
+  EXPECT_TRUE(got.starts_with("POST /once/x?q=1 HTTP/1.1\r\n"));
+  EXPECT_TRUE(has(got, "X-Id: id-1\r\n"));
+  EXPECT_TRUE(has(got, "X-Other: kept\r\n"));
+  EXPECT_TRUE(has(got, "X-Expect: one\r\n"));
+  // The account is the key's, whatever the caller says; the key stays here.
+  EXPECT_TRUE(has(got, "X-Account: shop\r\n"));
+  EXPECT_FALSE(has(got, "forged"));
+  EXPECT_FALSE(has(got, "secret"));
+  replica.send(RelayWorld::answer("id-1", "hello"));
+  const std::string answer = caller.readUntil("hello");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+  EXPECT_TRUE(has(answer, "X-Stamp: s\r\n"));
+}
+
+TEST_F(RelayLoopTest, ALateAnswerToAnotherRequestIsNeverTheCallers)
+{
+  // The replica answers an earlier request a second time, where the answer to
+  // this one is due. The caller must get its own answer and nothing else.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-2"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.send(RelayWorld::answer("id-1", "other") +
+               RelayWorld::answer("id-2", "own"));
+  const std::string answer = caller.readUntil("own");
+  EXPECT_FALSE(has(answer, "other"));
+}
+
+TEST_F(RelayLoopTest, BytesBehindAnAnswerEndItsConnection)
+{
+  // A second answer comes behind the first. The next request must not meet it:
+  // it goes out on a new connection.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/again/x", "id-1"));
+  RawSocket first = this->one.accept();
+  first.readUntil("\r\n\r\n");
+  first.send(RelayWorld::answer("id-1", "own") +
+             RelayWorld::answer("id-1", "second"));
+  caller.readUntil("own");
+  caller.send(RelayWorld::request("/again/x", "id-2"));
+  RawSocket next = this->one.accept();
+  next.readUntil("\r\n\r\n");
+  next.send(RelayWorld::answer("id-2", "own again"));
+  EXPECT_FALSE(has(caller.readUntil("own again"), "second"));
+}
+
+TEST_F(RelayLoopTest, AConnectionLostUnderANonIdempotentRequestIsNotRepeated)
+{
+  // The replica closes the connection once it has read the request: it may
+  // have run. The caller must not be told that it has not, and nobody else may
+  // run it.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.addReplica("two", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.close();
+  EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "502 Bad Gateway"));
+}
+
+TEST_F(RelayLoopTest, AnIdempotentRequestIsTriedElsewhereOnce)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.addReplica("two", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/again/x", "id-1"));
+  RawSocket first = this->one.accept();
+  first.readUntil("\r\n\r\n");
+  first.close();
+  RawSocket second = this->one.accept();
+  second.readUntil("\r\n\r\n");
+  second.send(RelayWorld::answer("id-1", "done"));
+  EXPECT_TRUE(has(caller.readUntil("done"), "200 OK"));
+}
+
+TEST_F(RelayLoopTest, WhatAReplicaRefusedWithoutRunningItGoesElsewhere)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.addReplica("two", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket first = this->one.accept();
+  first.readUntil("\r\n\r\n");
+  first.send(RelayWorld::answer(
+    "id-1", "", "503 Service Unavailable", "X-Not-Run: 1\r\n"));
+  RawSocket second = this->one.accept();
+  second.readUntil("\r\n\r\n");
+  second.send(RelayWorld::answer("id-1", "done"));
+  EXPECT_TRUE(has(caller.readUntil("done"), "200 OK"));
+}
+
+TEST_F(RelayLoopTest, ASuccessWithoutAReplicasStampIsNoSuccess)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.send(RelayWorld::answer("id-1", "spoiled", "200 OK", ""));
+  const std::string answer = caller.readUntil("\r\n\r\n");
+  EXPECT_TRUE(has(answer, "502 Bad Gateway"));
+  EXPECT_FALSE(has(answer, "spoiled"));
+}
+
+TEST_F(RelayLoopTest, AnAnswerThatIsCutOffDoesNotLookWhole)
+{
+  // The replica's answer names no length and its connection is reset: the
+  // caller must not take what has come for the whole.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n"
+               "Content-Length: 100\r\n\r\npart");
+  replica.close();
+  EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "502 Bad Gateway"));
+}
+
+TEST_F(RelayLoopTest, AnAnswerMayEndWithItsConnection)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n\r\nwhole");
+  replica.close();
+  EXPECT_TRUE(has(caller.readUntil("whole"), "Content-Length: 5\r\n"));
+}
+
+TEST_F(RelayLoopTest, AStreamGoesOnElsewhereAfterItsLastWholeEvent)
+{
+  // The first replica dies in the middle of event 3. The caller gets each
+  // event once and in order, and never part of one.
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.addReplica("two", "model", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket first = this->one.accept();
+  const std::string request = first.readUntil("\r\n\r\n");
+  EXPECT_TRUE(has(request, "X-Path: "));
+  first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1) +
+             RelayWorld::event(2) + "e\r\nid: 3\ndata");
+  caller.readUntil("id: 2");
+  first.close();
+  RawSocket second = this->one.accept();
+  EXPECT_TRUE(has(second.readUntil("\r\n\r\n"), "Last-Event-Id: 2\r\n"));
+  second.send(RelayWorld::streamHead("id-1") + RelayWorld::event(2) +
+              RelayWorld::event(3) + RelayWorld::kLastChunk);
+  const std::string rest = caller.readUntil("0\r\n\r\n");
+  EXPECT_TRUE(has(rest, "id: 3\ndata: x\n\n"));
+  EXPECT_FALSE(has(rest, "id: 2"));
+}
+
+TEST_F(RelayLoopTest, AStreamWithoutAnotherReplicaIsCutNotEnded)
+{
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.config->routes["shop.example"][2].resumable = false;
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
+  caller.readUntil("id: 1");
+  replica.close();
+  EXPECT_FALSE(has(caller.readToEnd(), "0\r\n\r\n"));
+}
+
+TEST_F(RelayLoopTest, ACallerThatLeavesEndsTheReplicasWork)
+{
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  caller.close();
+  // Returns only because the relay closes its side.
+  EXPECT_EQ(replica.readToEnd(), "");
+}
+
+TEST_F(RelayLoopTest, AnEarlyAnswerToALongBodyEndsItsConnection)
+{
+  // The replica answers after the head and would read on: the next request's
+  // bytes would be taken for the rest of this body.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.config->limits.bodyBytes = 64U << 20U;
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  std::thread sender{ [&] {
+    caller.send(RelayWorld::request(
+      "/again/x", "id-1", "", std::string(32U << 20U, 'b')));
+  } };
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  sender.join();
+  replica.send(RelayWorld::answer(
+    "id-1", "too long", "413 Payload Too Large", "X-Stamp: s\r\n"));
+  caller.readUntil("too long");
+  caller.send(RelayWorld::request("/again/x", "id-2"));
+  RawSocket next = this->one.accept();
+  EXPECT_TRUE(has(next.readUntil("\r\n\r\n"), "X-Id: id-2"));
+}
+
+TEST_F(RelayLoopTest, AKeyIsNotTrustedOnceTheConfigurationMayHaveChanged)
+{
+  // The relay has been cut off from the store for longer than a revoked key
+  // may live. The caller is told to come back, not that its key is wrong.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  this->world.shared.freshness.prove(this->world.shared.clock.now() -
+                                     std::chrono::seconds{ 10 });
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  const std::string answer = caller.readUntil("\r\n\r\n");
+  EXPECT_TRUE(has(answer, "503 Service Unavailable"));
+  EXPECT_TRUE(has(answer, "Retry-After: "));
+}
+
+TEST_F(RelayLoopTest, WithoutAConfigurationNothingIsDenied)
+{
+  this->world.start();
+  this->world.shared.config.replace(nullptr);
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/unknown/", "id-1"));
+  EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "503 Service Unavailable"));
+}
+
+TEST_F(RelayLoopTest, DeniesWhatTheConfigurationDoesNotAllow)
+{
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/unknown/", "id-1"));
+  EXPECT_TRUE(has(caller.readUntil("}\n"), "404 Not Found"));
+  caller.send("GET /once/ HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-2\r\n"
+              "X-Key: wrong\r\n\r\n");
+  EXPECT_TRUE(has(caller.readUntil("}\n"), "401 Unauthorized"));
+}
+
+TEST_F(RelayLoopTest, AHiddenSecondRequestReachesNobody)
+{
+  // Two framings in one head: what one reader takes for the body, another
+  // takes for a request.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send("POST /once/ HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-1\r\n"
+              "X-Key: secret\r\nContent-Length: 4\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  EXPECT_TRUE(has(caller.readToEnd(), "400 Bad Request"));
+}
+
+TEST_F(RelayLoopTest, TellsACallerWhichBoundItsRequestBroke)
+{
+  this->world.config->limits.headerBytes = 1'024;
+  this->world.config->limits.bodyBytes = 8;
+  this->world.start();
+  RawSocket large = this->world.caller();
+  large.send(RelayWorld::request(
+    "/once/", "id-1", "X-Long: " + std::string(4'000, 'h') + "\r\n"));
+  EXPECT_TRUE(has(large.readToEnd(), "431 "));
+  RawSocket body = this->world.caller();
+  body.send(RelayWorld::request("/once/", "id-1", "", "123456789"));
+  EXPECT_TRUE(has(body.readToEnd(), "413 "));
+  RawSocket nonsense = this->world.caller();
+  nonsense.send("nonsense\r\n\r\n");
+  EXPECT_TRUE(has(nonsense.readToEnd(), "400 "));
+}
+
+TEST_F(RelayLoopTest, AHeadThatDoesNotArriveIsGivenUp)
+{
+  this->world.config->limits.headerTimeout = std::chrono::milliseconds{ 50 };
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send("POST /once/ HTTP/1.1\r\nHost:");
+  EXPECT_TRUE(has(caller.readToEnd(), "408 Request Timeout"));
+}
+
+TEST_F(RelayLoopTest, AStoppingRelayEndsItsConnectionsAfterTheirAnswers)
+{
+  // The relay was told to stop while a stream was under way: the stream comes
+  // whole, its connection ends, and what comes later is refused as not run.
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  RawSocket other = this->world.caller();
+  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  this->world.shared.draining = true;
+  replica.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
+  EXPECT_TRUE(has(caller.readUntil("id: 1"), "Connection: close\r\n"));
+  replica.send(RelayWorld::event(2) + RelayWorld::kLastChunk);
+  EXPECT_TRUE(has(caller.readToEnd(), "0\r\n\r\n"));
+  this->world.shared.refusing = true;
+  other.send(RelayWorld::request("/once/x", "id-2"));
+  EXPECT_TRUE(has(other.readToEnd(), "503 Service Unavailable"));
+}
+
+TEST_F(RelayLoopTest, ATimeoutBeforeTheAnswerIsToldAtOnce)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1", "X-Deadline: 60\r\n"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "504 Gateway Timeout"));
+  EXPECT_EQ(replica.readToEnd(), "");
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/relay/RelayWorld.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "harness/RawSocket.h"
+#include "poplartrack/relay/RelayLoop.h"
+
+namespace poplartrack::relaytest {
+
+using harness::RawListener;
+using harness::RawSocket;
+
+inline RelayHeaderNames
+names()
+{
+  RelayHeaderNames names;
+  names.requestId = "X-Id";
+  names.deadline = "X-Deadline";
+  names.tokens = "X-Tokens";
+  names.lengthHint = "X-Hint";
+  names.apiKey = "X-Key";
+  names.account = "X-Account";
+  names.expectReplica = "X-Expect";
+  names.notRun = "X-Not-Run";
+  names.path = "X-Path";
+  names.urgency = "X-Urgency";
+  names.faultyReplica = "X-Faulty";
+  names.lastEventId = "Last-Event-Id";
+  names.stamp = "X-Stamp";
+  names.pathText = [](const LayerPath& aPath) {
+    std::string text;
+    for (const PathPart& part : aPath.parts) {
+      text += part.replica + ";";
+    }
+    return text;
+  };
+  return names;
+}
+
+/** A relay between raw callers and raw replicas on loopback. Replicas are
+ * listeners that the test answers for by hand. */
+class RelayWorld
+{
+public:
+  RelayWorld()
+    : logFd(::open("/dev/null", O_WRONLY))
+    , shared(logFd)
+  {
+    this->config = std::make_shared<RelayConfig>();
+    this->config->version = 1;
+    this->config->accounts.push_back(RelayAccount{ "shop", std::nullopt });
+    this->config->keys.emplace("secret", 0);
+    this->config->services["plain"].name = "plain";
+    this->config->services["model"].name = "model";
+    this->config->services["model"].engine = profile();
+    this->addRoute("/once/", RepeatRule::AtMostOnce, "plain");
+    this->addRoute("/again/", RepeatRule::Idempotent, "plain");
+    this->addRoute("/stream/", RepeatRule::Stream, "model");
+  }
+  RelayWorld(const RelayWorld&) = delete;
+  RelayWorld& operator=(const RelayWorld&) = delete;
+  ~RelayWorld()
+  {
+    this->loop.reset();
+    ::close(this->logFd);
+  }
+
+  void addReplica(const std::string& aId,
+                  const std::string& aService,
+                  const Address& aAddress)
+  {
+    Replica replica;
+    replica.id = aId;
+    replica.service = aService;
+    replica.address = aAddress;
+    replica.zone = "a";
+    if (aService == "model") {
+      replica.kind = "card";
+      replica.layers = LayerRange{ 0, 10 };
+    }
+    this->replicas.emplace(aId, replica);
+  }
+  /** Publishes configuration and replicas and starts the relay. */
+  void start()
+  {
+    RelaySettings settings;
+    settings.name = "relay-1";
+    settings.zone = "a";
+    settings.callers = { "127.0.0.1", 0 };
+    settings.peers = { "127.0.0.1", 0 };
+    this->config->sortRoutes();
+    this->shared.config.replace(this->config);
+    this->shared.replicas.replace(
+      std::make_shared<const ReplicaView>(ReplicaView::of(1, this->replicas)));
+    this->shared.freshness.prove(this->shared.clock.now());
+    ReplicaCalls calls;
+    calls.ask = [](const Address&, std::function<void(ReplicaReport)>) {};
+    calls.repath = [](const Address&,
+                      const std::string&,
+                      const LayerPath&,
+                      std::function<void(RepathOutcome)>) {};
+    auto made = RelayLoop::create(settings, names(), this->shared, calls);
+    ASSERT_TRUE(made);
+    this->loop = std::move(made).value();
+  }
+  [[nodiscard]] RawSocket caller() const
+  {
+    return RawSocket::connectTo(this->loop->callersAddress());
+  }
+
+  /** A request with what a caller of good conduct sends. */
+  static std::string request(const std::string& aPath,
+                             const std::string& aId,
+                             const std::string& aMore = {},
+                             const std::string& aBody = {})
+  {
+    std::string text = "POST " + aPath + " HTTP/1.1\r\nHost: shop.example\r\n";
+    text += "X-Id: " + aId + "\r\nX-Key: secret\r\n" + aMore;
+    text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
+    return text + aBody;
+  }
+  /** A replica's whole answer. */
+  static std::string answer(const std::string& aId,
+                            const std::string& aBody,
+                            const std::string& aStatus = "200 OK",
+                            const std::string& aMore = "X-Stamp: s\r\n")
+  {
+    return "HTTP/1.1 " + aStatus + "\r\nX-Id: " + aId + "\r\n" + aMore +
+           "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+           aBody;
+  }
+  static std::string streamHead(const std::string& aId)
+  {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + aId +
+           "\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+  static std::string event(int aId)
+  {
+    const std::string text = "id: " + std::to_string(aId) + "\ndata: x\n\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  }
+  static constexpr const char* kLastChunk = "0\r\n\r\n";
+
+  int logFd;
+  RelayShared shared;
+  std::shared_ptr<RelayConfig> config;
+  std::map<std::string, Replica> replicas;
+  std::unique_ptr<RelayLoop> loop;
+
+private:
+  static EngineProfile profile()
+  {
+    EngineProfile profile;
+    profile.slots = 8;
+    profile.layers = 10;
+    profile.layerMb = 1;
+    profile.tokenBytes = 10;
+    profile.stepMs = 1;
+    profile.readPerSecond = 1e6;
+    profile.usualPrompt = 10;
+    profile.usualAnswer = 10;
+    profile.kinds["card"] = AcceleratorKind{ 1'000, 1, 1 };
+    return profile;
+  }
+  void addRoute(const std::string& aPrefix,
+                RepeatRule aRule,
+                const std::string& aService)
+  {
+    RelayRoute route;
+    route.name = aPrefix;
+    route.host = "shop.example";
+    route.prefix = aPrefix;
+    route.rule = aRule;
+    // Above what any test takes, also on a busy machine.
+    route.timeout = std::chrono::seconds{ 60 };
+    route.objective = std::chrono::milliseconds{ 500 };
+    route.targets = { { aService, 1 } };
+    route.attempts = aRule == RepeatRule::AtMostOnce ? 1 : 2;
+    route.resumable = aRule == RepeatRule::Stream;
+    this->config->routes[route.host].push_back(route);
+  }
+};
+
+} // namespace poplartrack::relaytest
--- /dev/null
+++ b/tests/unit/relay/RequestGateTest.cpp
@@ -0,0 +1,96 @@
+#include "poplartrack/relay/RequestGate.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+RelayRoute
+routeTo(const std::string& aPrefix, const std::string& aName)
+{
+  RelayRoute route;
+  route.name = aName;
+  route.host = "shop.example";
+  route.prefix = aPrefix;
+  route.timeout = seconds{ 20 };
+  return route;
+}
+
+class RequestGateTest : public ::testing::Test
+{
+protected:
+  RequestGateTest()
+  {
+    auto& routes = this->config.routes["shop.example"];
+    routes.push_back(routeTo("/a/", "short"));
+    routes.push_back(routeTo("/a/b/", "long"));
+    routes.push_back(routeTo("/open/", "open"));
+    routes.back().open = true;
+    this->config.accounts.push_back(RelayAccount{ "shop", std::nullopt });
+    this->config.keys.emplace("secret", 0);
+    this->config.sortRoutes();
+  }
+
+  std::variant<Admitted, Error> ask(std::string_view aTarget,
+                                    const std::string& aKey,
+                                    Duration aAge = milliseconds{ 100 })
+  {
+    return admitRequest(&this->config,
+                        aAge,
+                        GatePolicy{},
+                        { "Shop.Example:80", aTarget, aKey, std::nullopt });
+  }
+  ErrorKind errorOf(std::variant<Admitted, Error> aVerdict)
+  {
+    const Error* error = std::get_if<Error>(&aVerdict);
+    return error == nullptr ? ErrorKind::Internal : error->kind;
+  }
+
+  RelayConfig config;
+};
+
+TEST_F(RequestGateTest, TheLongestPrefixWinsWhateverTheQuery)
+{
+  const auto verdict = this->ask("/a/b/c?x=/a/", "secret");
+  ASSERT_TRUE(std::holds_alternative<Admitted>(verdict));
+  EXPECT_EQ(std::get<Admitted>(verdict).route->name, "long");
+  EXPECT_EQ(std::get<Admitted>(verdict).account->name, "shop");
+}
+
+TEST_F(RequestGateTest, OpenRoutesNeedNoKeyAndNoFreshConfiguration)
+{
+  EXPECT_TRUE(
+    std::holds_alternative<Admitted>(this->ask("/open/x", "", seconds{ 60 })));
+}
+
+TEST_F(RequestGateTest, KeyedRoutesNeedAFreshConfiguration)
+{
+  EXPECT_EQ(this->errorOf(this->ask("/a/x", "secret", seconds{ 5 })),
+            ErrorKind::NoConfiguration);
+}
+
+TEST_F(RequestGateTest, DeniesOnlyWhileItIsCertain)
+{
+  EXPECT_EQ(this->errorOf(this->ask("/none/", "secret")), ErrorKind::NotFound);
+  EXPECT_EQ(this->errorOf(this->ask("/a/", "wrong")), ErrorKind::Unauthorized);
+  EXPECT_EQ(this->errorOf(this->ask("/none/", "secret", seconds{ 9 })),
+            ErrorKind::NoConfiguration);
+  EXPECT_EQ(this->errorOf(this->ask("/a/", "wrong", seconds{ 9 })),
+            ErrorKind::NoConfiguration);
+}
+
+TEST_F(RequestGateTest, TheCallersDeadlineBoundsItsPatience)
+{
+  const auto verdict =
+    admitRequest(&this->config,
+                 milliseconds{ 1 },
+                 GatePolicy{},
+                 { "shop.example", "/a/", "secret", seconds{ 3 } });
+  EXPECT_EQ(std::get<Admitted>(verdict).patience, seconds{ 3 });
+}
+
+} // namespace
+} // namespace poplartrack
