Tell a replica that refuses from one that is dead when moving streams

Ruled out: a loss (both replicas served on; this relay closed the attempts). Change: only a replica taken to be dead ends the attempt.

--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -46,6 +46,8 @@
 
   /** Whether work may be sent there. */
   [[nodiscard]] bool usable(const std::string& aReplica, TimePoint aNow) const;
+  /** Whether it is taken to be dead, not only to refuse. */
+  [[nodiscard]] bool dead(const std::string& aReplica, TimePoint aNow) const;
   /** How many times as long as declared its work takes. */
   [[nodiscard]] double slowdown(const std::string& aReplica) const;
   /** Replicas so slow that work goes round them, with how slow they are. */
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -80,6 +80,14 @@
   return found == this->states.end() || found->second.avoidUntil <= aNow;
 }
 
+bool
+ReplicaHealth::dead(const std::string& aReplica, TimePoint aNow) const
+{
+  const auto found = this->states.find(aReplica);
+  return found != this->states.end() && found->second.dead &&
+         found->second.avoidUntil > aNow;
+}
+
 double
 ReplicaHealth::slowdown(const std::string& aReplica) const
 {
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -181,7 +181,8 @@
 RelayLoop::Impl::repair(Exchange& aExchange)
 {
   const PathPart first = aExchange.path.parts.front();
-  const bool firstLives = this->health.usable(first.replica, this->now);
+  // One that refused a request, as full, lives and runs what it has.
+  const bool firstLives = !this->health.dead(first.replica, this->now);
   if (this->leavingSince.contains(first.replica)) {
     const bool mayMove = aExchange.route->resumable &&
                          aExchange.runs + 1 < aExchange.route->attempts &&
--- a/tests/unit/fleet/ReplicaHealthTest.cpp
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -38,6 +38,8 @@
   ReplicaHealth health;
   health.onFailure("one", ReplicaFailure::Refused, kStart);
   EXPECT_FALSE(health.usable("one", kStart + milliseconds{ 100 }));
+  // What it runs goes on: moving it would use up an attempt.
+  EXPECT_FALSE(health.dead("one", kStart + milliseconds{ 100 }));
   EXPECT_TRUE(health.usable("one", kStart + milliseconds{ 500 }));
   EXPECT_TRUE(health.lost(kStart).empty());
 }
