Say no longer that a relay leads once it gave the lease back

The relay that had led was stopping and told 'leads' for its whole grace time, so no other looked at the lease. At 19 s a first replica answered no question in 250 ms and was taken for dead, while its streams moved. Ruled out: the lease's duration (the row was free), orders lost. Change: both. Conclusion: kept for the fault; its worth shows only when a leader stops in the seconds after a loss.

--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/fleet/FleetControl.inl.h
@@ -92,6 +92,9 @@
 FleetControl<Store>::leave()
 {
   this->leaving = true;
+  // Told for the whole grace time, "leads" kept every other relay from looking
+  // at a lease that had been given back: nobody placed anything for 9 s.
+  this->shared.leads = false;
   this->lease.release();
 }
 
@@ -453,7 +456,7 @@
   this->catchUp();
   this->pollLease();
   const std::optional<HeldLease> held = this->lease.held();
-  this->shared.leads = held.has_value();
+  this->shared.leads = held.has_value() && !this->leaving;
   if (held.has_value() != this->leading) {
     this->leading = held.has_value();
     this->shared.metrics.set("placement_lease_held", this->leading ? 1 : 0);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -167,6 +167,7 @@
   void askRestOfPaths(const std::string& aFirst);
   void askSlowOnes();
   void onReport(const std::string& aReplica, const ReplicaReport& aReport);
+  [[nodiscard]] bool movesAt(const std::string& aReplica) const;
   void onCulprit(const std::string& aReplica);
   void repair(Exchange& aExchange);
   void noteLeaving(const ReplicaView& aLatest);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -118,6 +118,12 @@
 RelayLoop::Impl::onReport(const std::string& aReplica,
                           const ReplicaReport& aReport)
 {
+  if (!aReport.reached && this->movesAt(aReplica)) {
+    // Too busy to answer in time, but its streams move: taking it for dead
+    // used up the attempts of all of them.
+    this->health.onPace(aReplica, kCrippled);
+    return;
+  }
   if (!aReport.reached) {
     this->health.onPace(aReplica, 1);
     this->health.onFailure(aReplica, ReplicaFailure::Unreachable, this->now);
@@ -143,6 +149,23 @@
   }
 }
 
+/** Whether a stream that begins at this replica has moved since it was asked.
+ */
+bool
+RelayLoop::Impl::movesAt(const std::string& aReplica) const
+{
+  const auto asked = this->askedAt.find(aReplica);
+  return asked != this->askedAt.end() &&
+         std::any_of(this->exchanges.begin(),
+                     this->exchanges.end(),
+                     [&](const auto& aEntry) {
+                       const Exchange& exchange = *aEntry.second;
+                       return exchange.replica == aReplica &&
+                              exchange.connection != 0 && exchange.events > 0 &&
+                              exchange.lastProgress > asked->second;
+                     });
+}
+
 /** A replica is lost: all work that passes through it is moved. */
 void
 RelayLoop::Impl::onCulprit(const std::string& aReplica)
