--- a/include/poplartrack/config/SettingRow.h
+++ b/include/poplartrack/config/SettingRow.h
@@ -53,7 +53,7 @@
 std::string
 wantedText(const SettingRow& aRow);
 
-/** The row as a line of the table in docs/OPERATING.md. */
+/** The row as a line of the table in docs/OPERATIONS.md. */
 std::string
 toDocLine(const SettingRow& aRow);
 
--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -35,6 +35,11 @@
 class ReplicaHealth
 {
 public:
+  /** @param aHeartbeat how often a replica that lives registers again */
+  explicit ReplicaHealth(Duration aHeartbeat)
+    : deadRest(3 * aHeartbeat + kListDelay)
+  {
+  }
   void onFailure(const std::string& aReplica,
                  ReplicaFailure aFailure,
                  TimePoint aNow);
@@ -72,6 +77,11 @@
     double pace = 1;
   };
 
+  /** How long a replica that was taken for dead is left out: by then it has
+   * left the list, after three silent heartbeats, or it lives. Until then each
+   * request that tried it would stand still for seconds. */
+  static constexpr Duration kListDelay = std::chrono::milliseconds{ 400 };
+  Duration deadRest;
   std::unordered_map<std::string, State> states;
 };
 
--- a/include/poplartrack/relay/RelaySettings.h
+++ b/include/poplartrack/relay/RelaySettings.h
@@ -20,7 +20,6 @@
   std::string name;
   std::string zone;
   std::string region;
-  std::string ip;
   /** HTTP for callers. */
   Address callers;
   /** HTTP for the balancer's readiness questions and for metrics. */
@@ -29,16 +28,13 @@
   Address peers;
   /** The shared store. */
   Address store;
-  /** Bounds of this process. */
-  std::size_t memoryMb = 256;
+  /** Descriptors that this process may have. */
   std::size_t descriptors = 1024;
   /** After the store's acknowledgement that a replica leaves, no new work is
    * sent there beyond this. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
   /** From SIGTERM to SIGKILL. */
   Duration grace = std::chrono::seconds{ 8 };
-  /** An accepted configuration is in force after this. */
-  Duration configDeadline = std::chrono::milliseconds{ 2'000 };
   /** A key that was taken away works no longer than this. */
   Duration revoke = std::chrono::milliseconds{ 5'000 };
   /** Whether the bound on keys holds also for an instance that is cut off. */
--- a/src/cli/Command.h
+++ b/src/cli/Command.h
@@ -4,7 +4,7 @@
 
 namespace poplartrack {
 
-/** Exit codes of every sub-command; documented in docs/OPERATING.md. */
+/** Exit codes of every sub-command; documented in docs/OPERATIONS.md. */
 enum class ExitCode : int
 {
   Ok = 0,
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -6,6 +6,7 @@
 #include "cli/Command.h"
 #include "cli/RunCall.h"
 #include "cli/RunConfig.h"
+#include "cli/RunExplain.h"
 #include "cli/RunRelay.h"
 #include "cli/RunRole.h"
 
@@ -27,6 +28,7 @@
   Command{ "side", "run the process beside one endpoint", runSide },
   Command{ "config", "check and change the operators' settings", runConfig },
   Command{ "call", "send one request and print its answer", runCall },
+  Command{ "explain", "tell one request's story from logs", runExplain },
   Command{ "status", "print what an entry knows", runStatus },
   Command{ "version", "print the version", runVersion },
 };
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -5,11 +5,6 @@
 namespace poplartrack {
 namespace {
 
-/** A dead replica leaves the list after three silent heartbeats, about 4 s.
- * Until then each request that tries it stands still for seconds, so it is
- * left out for that long at once. */
-constexpr Duration kDeadRest = std::chrono::seconds{ 4 };
-
 /** A replica that refuses is full, short of memory or leaving; all three last
  * for about one answer. */
 constexpr Duration kRefusedRest = std::chrono::milliseconds{ 400 };
@@ -33,7 +28,7 @@
       state.dead = true;
       state.namedByReplica =
         state.namedByReplica || aFailure == ReplicaFailure::Stalled;
-      state.avoidUntil = std::max(state.avoidUntil, aNow + kDeadRest);
+      state.avoidUntil = std::max(state.avoidUntil, aNow + this->deadRest);
       break;
     case ReplicaFailure::Refused:
       state.avoidUntil = std::max(state.avoidUntil, aNow + kRefusedRest);
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -80,6 +80,7 @@
   , poller(std::move(aPoller))
   , nextId(kFirstId)
   , view(std::make_shared<const ReplicaView>())
+  , health(this->settings.heartbeat)
   , budget(budgetPolicy(this->settings, kFewRelays))
   , ownName(this->settings.name + "/" + toText(randomRequestId()))
 {
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -30,9 +30,10 @@
  * not. */
 constexpr double kSlow = 1.2;
 
-/** A leaving replica takes no new work; what it runs is moved after this long,
- * when its neighbours have had the time to take its layers over. */
-constexpr Duration kLeavingNotice = std::chrono::milliseconds{ 1'000 };
+/** A leaving replica takes no new work and serves on for the drain time at
+ * least. What it runs is moved after this part of it, when its neighbours have
+ * had the time to take its layers over. */
+constexpr int kLeavingNoticePart = 2;
 
 /** By then it is gone, and with it all that it ran. */
 constexpr Duration kLeavingForgotten = std::chrono::seconds{ 20 };
@@ -286,7 +287,8 @@
     std::any_of(parts.begin(), parts.end(), [this](const PathPart& aPart) {
       const auto found = this->leavingSince.find(aPart.replica);
       return found != this->leavingSince.end() &&
-             this->now - found->second >= kLeavingNotice;
+             this->now - found->second >=
+               this->settings.drain / kLeavingNoticePart;
     });
   const double left =
     aExchange.need.answer - static_cast<double>(aExchange.events) *
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -21,7 +21,6 @@
   SettingRow{ "process.name", Name, 0, 0, "", "", "the process, unique" },
   SettingRow{ "process.zone", Name, 0, 0, "", "", "its availability zone" },
   SettingRow{ "process.region", Name, 0, 0, "", "", "its region" },
-  SettingRow{ "process.ip", Name, 0, 0, "", "", "its instance's address" },
   SettingRow{ "listen.callers", AddressText, 0, 0, "", "", "HTTP for callers" },
   SettingRow{ "listen.health",
               AddressText,
@@ -38,13 +37,6 @@
               "",
               "datagrams between relays" },
   SettingRow{ "store.address", AddressText, 0, 0, "", "", "the shared store" },
-  SettingRow{ "limits.memory_mb",
-              Number,
-              16,
-              1'048'576,
-              "",
-              "256",
-              "memory of this process, in MB" },
   SettingRow{ "limits.descriptors",
               Integer,
               64,
@@ -66,13 +58,6 @@
               "",
               "8",
               "from SIGTERM to SIGKILL" },
-  SettingRow{ "bounds.config_ms",
-              Number,
-              0,
-              kMostMs,
-              "",
-              "2000",
-              "an accepted configuration is in force after this" },
   SettingRow{ "bounds.revoke_ms",
               Number,
               0,
@@ -165,21 +150,16 @@
   bind(process, "name", settings.name);
   bind(process, "zone", settings.zone);
   bind(process, "region", settings.region);
-  bind(process, "ip", settings.ip);
   const SettingsNode& listen = tableOf(aRoot, "listen");
   bindAddress(listen, "callers", settings.callers);
   bindAddress(listen, "health", settings.health);
   bindAddress(listen, "peers", settings.peers);
   bindAddress(tableOf(aRoot, "store"), "address", settings.store);
   const SettingsNode& limits = tableOf(aRoot, "limits");
-  double memory = static_cast<double>(settings.memoryMb);
-  bind(limits, "memory_mb", memory);
-  settings.memoryMb = static_cast<std::size_t>(memory);
   bind(limits, "descriptors", settings.descriptors);
   const SettingsNode& bounds = tableOf(aRoot, "bounds");
   bindTime(bounds, "drain_ms", kMs, settings.drain);
   bindTime(bounds, "grace_s", kSecond, settings.grace);
-  bindTime(bounds, "config_ms", kMs, settings.configDeadline);
   bindTime(bounds, "revoke_ms", kMs, settings.revoke);
   bind(bounds, "strict_revoke", settings.strictRevoke);
   bind(bounds, "retry_ratio", settings.retryRatio);
--- a/tests/unit/config/SettingsDocTest.cpp
+++ b/tests/unit/config/SettingsDocTest.cpp
@@ -5,6 +5,7 @@
 
 #include "poplartrack/config/ProcessSettings.h"
 #include "poplartrack/config/SettingRow.h"
+#include "poplartrack/relay/RelaySettings.h"
 
 namespace poplartrack {
 namespace {
@@ -12,7 +13,7 @@
 std::string
 operatingPage()
 {
-  std::ifstream stream{ POPLARTRACK_SOURCE_DIR "/docs/OPERATING.md" };
+  std::ifstream stream{ POPLARTRACK_SOURCE_DIR "/docs/OPERATIONS.md" };
   std::ostringstream text;
   text << stream.rdbuf();
   return text.str();
@@ -24,7 +25,7 @@
   for (const SettingRow& row : aRows) {
     const std::string line = toDocLine(row) + "\n";
     EXPECT_NE(aPage.find(line), std::string::npos)
-      << "docs/OPERATING.md lacks this line:\n"
+      << "docs/OPERATIONS.md lacks this line:\n"
       << line;
   }
 }
@@ -37,6 +38,7 @@
   expectDocumented(page, folderSettings());
   expectDocumented(page, processSettings(ProcessRole::Entry));
   expectDocumented(page, processSettings(ProcessRole::Side));
+  expectDocumented(page, relaySettings());
 }
 
 } // namespace
--- a/tests/unit/fleet/ReplicaHealthTest.cpp
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -11,10 +11,11 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{ seconds{ 50 } };
+constexpr Duration kHeartbeat = milliseconds{ 1'200 };
 
 TEST(ReplicaHealth, ALostReplicaIsLeftOutUntilTheListKnows)
 {
-  ReplicaHealth health;
+  ReplicaHealth health{ kHeartbeat };
   health.onFailure("one", ReplicaFailure::Unreachable, kStart);
   EXPECT_FALSE(health.usable("one", kStart + seconds{ 3 }));
   EXPECT_TRUE(health.usable("one", kStart + seconds{ 5 }));
@@ -25,7 +26,7 @@
 {
   // A relay that is cut off from some replicas would else talk every other
   // relay out of using them.
-  ReplicaHealth health;
+  ReplicaHealth health{ kHeartbeat };
   health.onFailure("mine", ReplicaFailure::Unreachable, kStart);
   health.onFailure("named", ReplicaFailure::Stalled, kStart);
   const auto named = health.named(kStart + milliseconds{ 10 });
@@ -35,7 +36,7 @@
 
 TEST(ReplicaHealth, ARefusalRestsItForAMomentAndDoesNotMakeItLost)
 {
-  ReplicaHealth health;
+  ReplicaHealth health{ kHeartbeat };
   health.onFailure("one", ReplicaFailure::Refused, kStart);
   EXPECT_FALSE(health.usable("one", kStart + milliseconds{ 100 }));
   // What it runs goes on: moving it would use up an attempt.
@@ -46,7 +47,7 @@
 
 TEST(ReplicaHealth, AnAnswerMakesItWellAgain)
 {
-  ReplicaHealth health;
+  ReplicaHealth health{ kHeartbeat };
   health.onFailure("one", ReplicaFailure::Stalled, kStart);
   health.onSuccess("one");
   EXPECT_TRUE(health.usable("one", kStart));
@@ -55,7 +56,7 @@
 
 TEST(ReplicaHealth, SlowOnesAreTold)
 {
-  ReplicaHealth health;
+  ReplicaHealth health{ kHeartbeat };
   health.onPace("slow", 12);
   health.onPace("well", 1.1);
   EXPECT_EQ(health.crippled().size(), 1U);
--- a/tests/unit/relay/RelaySettingsTest.cpp
+++ b/tests/unit/relay/RelaySettingsTest.cpp
@@ -9,7 +9,6 @@
 name = "edge-1"
 zone = "a"
 region = "r"
-ip = "127.0.0.1"
 [listen]
 callers = "127.0.0.1:1"
 health = "127.0.0.1:2"
@@ -41,7 +40,7 @@
   const auto settings = parseRelaySettings("relay.toml", text);
   ASSERT_FALSE(settings.ok());
   const std::string problems = toText(settings.problems);
-  EXPECT_NE(problems.find("relay.toml:11: store.address"), std::string::npos)
+  EXPECT_NE(problems.find("relay.toml:10: store.address"), std::string::npos)
     << problems;
   EXPECT_NE(problems.find("bounds.retry_ratio"), std::string::npos);
   EXPECT_NE(problems.find("bounds.unknown"), std::string::npos);
