Keep an attempt when a stream is moved off a leaving part

Change: a planned move orders another path even across zones, five streams in 200 ms at most, and keeps the attempt for a first replica that leaves.

--- a/src/cli/RequestStory.cpp
+++ b/src/cli/RequestStory.cpp
@@ -51,7 +51,7 @@
                      valueOf(aEntry, "event");
   for (const auto& [key, value] : aEntry.values) {
     if (key != "event" && key != "id" && key != "t_ms") {
-      text += ", " + key + " " + value;
+      text.append(", ").append(key).append(" ").append(value);
     }
   }
   return text;
@@ -126,6 +126,7 @@
                      return aLeft->millis < aRight->millis;
                    });
   std::vector<std::string> story;
+  story.reserve(chosen.size());
   for (const LogEntry* entry : chosen) {
     story.push_back(sentenceOf(*entry, chosen.front()->millis));
   }
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -51,6 +51,7 @@
 kindsOf(const EngineProfile& aProfile, const Holders& aHolders)
 {
   std::vector<const AcceleratorKind*> kinds;
+  kinds.reserve(aHolders.size());
   for (const auto* holder : aHolders) {
     kinds.push_back(kindOf(aProfile, *holder->replica));
   }
@@ -62,6 +63,7 @@
 pointersTo(std::vector<Holder>& aGroup)
 {
   std::vector<Holder*> all;
+  all.reserve(aGroup.size());
   for (Holder& holder : aGroup) {
     all.push_back(&holder);
   }
--- a/src/observe/EventLog.cpp
+++ b/src/observe/EventLog.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t kLinesPerSecond = 150;
 
 /** Bytes that wait for a slow reader: about 1,500 lines. */
-constexpr std::size_t kMostWaiting = 256 * 1024;
+constexpr std::size_t kMostWaiting = std::size_t{ 256 } * 1024;
 
 /** Once poll says that a pipe has room, so many bytes can be written without
  * waiting (PIPE_BUF). */
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -199,14 +199,14 @@
     this->onBroken(exchange, ReplicaFailure::Faulty, "resume refused");
     return;
   }
-  std::string body = connection.parser->takeBody();
+  const std::string body = connection.parser->takeBody();
   if (stream) {
     this->passEvents(exchange, body, true);
   }
   exchange.connection = 0;
   this->releaseReplica(connection);
   if (!stream) {
-    this->passWhole(exchange, head, std::move(body));
+    this->passWhole(exchange, head, body);
   }
   this->shared.metrics.count("answers_total");
   this->shared.metrics.observe("answer_seconds", this->now - exchange.arrived);
@@ -222,7 +222,7 @@
 void
 RelayLoop::Impl::passWhole(Exchange& aExchange,
                            const MessageHead& aHead,
-                           std::string aBody)
+                           const std::string& aBody)
 {
   const auto caller = this->callers.find(aExchange.caller);
   if (caller == this->callers.end()) {
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -19,10 +19,10 @@
 constexpr std::size_t kReservedDescriptors = 600;
 
 /** Bytes that one read takes from a caller or replica. */
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
 /** Bytes of later requests that are taken in while one is being answered. */
-constexpr std::size_t kMostAhead = 64 * 1024;
+constexpr std::size_t kMostAhead = std::size_t{ 64 } * 1024;
 
 /** How long an answer to a request that was not read whole may take to arrive
  * before the connection is closed under it. */
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -111,7 +111,7 @@
   this->poller.add(this->listener.get(), kListenerKey, false);
   const Result<Done> peers = this->openPeers();
   if (!peers) {
-    return peers;
+    return peers.error();
   }
   this->poller.add(this->peerSocket.get(), kPeersKey, false);
   return Done{};
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -138,7 +138,7 @@
   void passEvents(Exchange& aExchange, const std::string& aBytes, bool aEnd);
   void passWhole(Exchange& aExchange,
                  const MessageHead& aHead,
-                 std::string aBody);
+                 const std::string& aBody);
   [[nodiscard]] std::string answerHead(const Exchange& aExchange,
                                        const MessageHead& aHead,
                                        std::string_view aFraming) const;
@@ -169,7 +169,7 @@
   void onReport(const std::string& aReplica, const ReplicaReport& aReport);
   [[nodiscard]] bool movesAt(const std::string& aReplica) const;
   void onCulprit(const std::string& aReplica);
-  void repair(Exchange& aExchange);
+  void repair(Exchange& aExchange, bool aPlanned);
   void noteLeaving(const ReplicaView& aLatest);
   void moveOffLeaving();
   [[nodiscard]] bool leavesSoon(const Exchange& aExchange) const;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 /** Largest datagram that is sent and taken in. */
-constexpr std::size_t kMostBytes = 8 * 1024;
+constexpr std::size_t kMostBytes = std::size_t{ 8 } * 1024;
 
 bool
 toSocketAddress(const Address& aAddress, sockaddr_in& aResult)
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -42,8 +42,8 @@
 constexpr Duration kNearlyDone = std::chrono::milliseconds{ 1'000 };
 
 /** Streams that are moved in one round of regular work: at five rounds a second
- * the thirty that a relay has at one replica are moved in about a second. */
-constexpr std::size_t kMovesAtOnce = 8;
+ * the thirty that a relay has at one replica are moved in a second or so. */
+constexpr std::size_t kMovesAtOnce = 5;
 
 /** Tokens of one event, when the engine writes several at once. */
 constexpr int kTokensPerEvent = 2;
@@ -187,7 +187,7 @@
   for (const std::uint64_t id : affected) {
     const auto found = this->exchanges.find(id);
     if (found != this->exchanges.end()) {
-      this->repair(*found->second);
+      this->repair(*found->second, false);
     }
   }
 }
@@ -202,7 +202,7 @@
  * are back in about 0.3 s, at the price of one attempt.
  */
 void
-RelayLoop::Impl::repair(Exchange& aExchange)
+RelayLoop::Impl::repair(Exchange& aExchange, bool aPlanned)
 {
   const PathPart first = aExchange.path.parts.front();
   // One that refused a request, as full, lives and runs what it has.
@@ -229,7 +229,12 @@
                                     this->zonesOf(aExchange.path);
   const bool mayResume = aExchange.route->resumable &&
                          aExchange.runs + 1 < aExchange.route->attempts;
-  if (crosses && mayResume && this->choosePath(aExchange, {}).ok()) {
+  // Planned moves are few at a time, so the pipe takes them; the attempt is
+  // kept for a first replica that leaves, which no other path helps. In a
+  // release of six replicas in turn streams met two that leave, and the second
+  // cut them.
+  const bool resumes = !target || !aPlanned;
+  if (crosses && mayResume && resumes && this->choosePath(aExchange, {}).ok()) {
     this->onBroken(aExchange, ReplicaFailure::Refused, "part lost");
     return;
   }
@@ -318,7 +323,7 @@
     }
   }
   for (const std::uint64_t id : moving) {
-    this->repair(*this->exchanges.at(id));
+    this->repair(*this->exchanges.at(id), true);
   }
 }
 
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -15,10 +15,10 @@
 namespace poplartrack {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
 /** Largest head of an answer. */
-constexpr std::size_t kMostHead = 64 * 1024;
+constexpr std::size_t kMostHead = std::size_t{ 64 } * 1024;
 
 /** Unacknowledged bytes and unanswered keep-alive probes end a connection
  * after this: a path that was cut says nothing by itself. Two seconds is above
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -15,6 +15,7 @@
 candidatesOf(const std::vector<Replica>& aReplicas)
 {
   std::vector<PathCandidate> candidates;
+  candidates.reserve(aReplicas.size());
   for (const Replica& replica : aReplicas) {
     candidates.push_back(PathCandidate{ &replica, {}, 1 });
   }
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -103,11 +103,12 @@
       std::make_shared<const ReplicaView>(ReplicaView::of(1, this->replicas)));
     this->shared.freshness.prove(this->shared.clock.now() - aProofAge);
     ReplicaCalls calls;
-    calls.ask = [](const Address&, std::function<void(ReplicaReport)>) {};
+    calls.ask = [](const Address&, const std::function<void(ReplicaReport)>&) {
+    };
     calls.repath = [](const Address&,
                       const std::string&,
                       const LayerPath&,
-                      std::function<void(RepathOutcome)>) {};
+                      const std::function<void(RepathOutcome)>&) {};
     auto made = RelayLoop::create(settings, names(), this->shared, calls);
     ASSERT_TRUE(made);
     this->loop = std::move(made).value();
