--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/fleet/FleetControl.inl.h
@@ -39,6 +39,11 @@
  * decided on time. */
 constexpr Duration kUncertainWait = std::chrono::milliseconds{ 200 };
 
+/** Pause after a look that brought something: changes come in bursts (a dozen a
+ * second as replicas register or the operator pushes), and the next look brings
+ * what has gathered. Far below the bounds of two seconds on both. */
+constexpr Duration kGatherPause = std::chrono::milliseconds{ 150 };
+
 /** Pause after a look that failed. */
 constexpr Duration kRetryPause = std::chrono::milliseconds{ 250 };
 
@@ -142,7 +147,7 @@
   this->onConfig(poll.value());
   const std::scoped_lock lock{ this->configGuard };
   this->configStarted = this->shared.config.read() != nullptr;
-  return Duration{ 0 };
+  return poll.value().config ? fleet_control::kGatherPause : Duration{ 0 };
 }
 
 template<FleetStoreLike Store>
@@ -226,7 +231,8 @@
   this->replicasAfter = poll.value().next;
   this->replicasStarted = true;
   this->onReplicas(poll.value(), now);
-  return Duration{ 0 };
+  const bool quiet = poll.value().present.empty() && poll.value().gone.empty();
+  return quiet ? Duration{ 0 } : fleet_control::kGatherPause;
 }
 
 /** Takes an answer about the replicas over; the list's guard is held. */
