--- a/include/poplartrack/base/LayerRange.h
+++ b/include/poplartrack/base/LayerRange.h
@@ -22,6 +22,8 @@
     return this->from <= aInner.from && aInner.to <= this->to;
   }
 
+  // The linter takes the zero that a defaulted <=> compares with for a null.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const LayerRange&, const LayerRange&) = default;
   MSGPACK_DEFINE(from, to);
 };
