--- a/include/poplartrack/base/TcpSocket.h
+++ b/include/poplartrack/base/TcpSocket.h
@@ -1,11 +1,20 @@
 #pragma once
 
+#include <netinet/in.h>
+
+#include <optional>
+
 #include "poplartrack/base/Address.h"
 #include "poplartrack/base/OwnedFd.h"
 #include "poplartrack/base/Result.h"
 
 namespace poplartrack {
 
+/** The address as the system calls take it; nothing when its host is no IPv4
+ * number. */
+std::optional<sockaddr_in>
+toSocketAddress(const Address& aAddress);
+
 /** A non-blocking socket that listens; port 0 picks a free one. Network names
  * the cause. */
 Result<OwnedFd>
--- a/include/poplartrack/fleet/EngineProfile.h
+++ b/include/poplartrack/fleet/EngineProfile.h
@@ -45,8 +45,6 @@
   double usualAnswer = 0;
   /** Time to load all layers onto one replica. */
   Duration loadTime{ 0 };
-  /** Loads at once that do not slow each other. */
-  std::uint32_t loadsAtOnce = 1;
   std::map<std::string, AcceleratorKind> kinds;
   /** One-way delay between availability zones, by (smaller, larger) name. */
   std::map<std::pair<std::string, std::string>, Duration> delays;
--- a/include/poplartrack/fleet/RelayConfig.h
+++ b/include/poplartrack/fleet/RelayConfig.h
@@ -19,8 +19,6 @@
 struct RelayService
 {
   std::string name;
-  /** Connections that one replica takes from all callers together. */
-  std::uint32_t maxConnections = 64;
   /** Only for services whose replicas hold layers of a model. */
   std::optional<EngineProfile> engine;
 };
--- a/include/poplartrack/fleet/Replica.h
+++ b/include/poplartrack/fleet/Replica.h
@@ -27,8 +27,6 @@
   std::optional<LayerRange> layers;
   /** Version of the weights in these layers. */
   std::int64_t weights = 0;
-  /** Orders that it has accepted since its start. */
-  std::uint64_t orders = 0;
 
   friend bool operator==(const Replica&, const Replica&) = default;
 };
--- a/src/base/TcpSocket.cpp
+++ b/src/base/TcpSocket.cpp
@@ -21,6 +21,15 @@
                 std::generic_category().message(aErrno));
 }
 
+OwnedFd
+newSocket()
+{
+  return OwnedFd{ ::socket(
+    AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP) };
+}
+
+} // namespace
+
 std::optional<sockaddr_in>
 toSocketAddress(const Address& aAddress)
 {
@@ -33,15 +42,6 @@
   return result;
 }
 
-OwnedFd
-newSocket()
-{
-  return OwnedFd{ ::socket(
-    AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP) };
-}
-
-} // namespace
-
 Result<OwnedFd>
 listenTcp(const Address& aListen)
 {
--- a/src/config/ProcessSettings.cpp
+++ b/src/config/ProcessSettings.cpp
@@ -1,13 +1,8 @@
 #include "poplartrack/config/ProcessSettings.h"
 
-#include <algorithm>
 #include <array>
-#include <fstream>
-#include <sstream>
 
 #include "SettingsBinding.h"
-#include "poplartrack/config/SettingsCheck.h"
-#include "poplartrack/config/TomlDocument.h"
 
 namespace poplartrack {
 namespace {
@@ -152,32 +147,12 @@
               "a model engine or a plain service" },
 };
 
-void
-bindAddress(const SettingsNode& aTable, std::string_view aKey, Address& aField)
-{
-  std::string text;
-  bind(aTable, aKey, text);
-  const Result<Address> address = addressFromText(text);
-  if (address) {
-    aField = address.value();
-  }
-}
-
-/** A table of the file; an empty one when it is not given. */
-const SettingsNode&
-tableOf(const SettingsNode& aRoot, std::string_view aKey)
-{
-  static const SettingsNode kEmpty{ SettingsTable{}, 0, 0 };
-  const SettingsNode* node = aRoot.find(aKey);
-  return node == nullptr ? kEmpty : *node;
-}
-
 EndpointSettings
 endpointFrom(const SettingsNode& aTable)
 {
   EndpointSettings endpoint;
   bind(aTable, "name", endpoint.name);
-  bindAddress(aTable, "address", endpoint.address);
+  bind(aTable, "address", endpoint.address);
   std::string kind;
   bind(aTable, "kind", kind);
   endpoint.kind =
@@ -212,10 +187,10 @@
        { &settings.callers, &settings.wire, &settings.metrics }) {
     *any = Address{ "127.0.0.1", 0 };
   }
-  bindAddress(listen, "callers", settings.callers);
-  bindAddress(listen, "wire", settings.wire);
-  bindAddress(listen, "metrics", settings.metrics);
-  bindAddress(tableOf(aRoot, "platform"), "address", settings.platform);
+  bind(listen, "callers", settings.callers);
+  bind(listen, "wire", settings.wire);
+  bind(listen, "metrics", settings.metrics);
+  bind(tableOf(aRoot, "platform"), "address", settings.platform);
   if (const SettingsNode* peers = tableOf(aRoot, "peers").find("entries")) {
     for (const SettingsNode& peer : std::get<SettingsArray>(peers->value)) {
       const Result<Address> address =
@@ -246,34 +221,18 @@
                      std::string_view aText,
                      ProcessRole aRole)
 {
-  Checked<ProcessSettings> result;
-  TomlDocument document = parseToml(aFile, 0, aText);
-  result.problems = std::move(document.problems);
-  checkSettings(document.root,
-                processSettings(aRole),
-                { aFile },
-                document.incomplete ? TreeExtent::Part : TreeExtent::Whole,
-                result.problems);
-  std::sort(result.problems.begin(), result.problems.end());
-  if (result.ok()) {
-    result.value = settingsFrom(document.root);
-  }
-  return result;
+  return parseSettings<ProcessSettings>(
+    aFile, aText, processSettings(aRole), settingsFrom);
 }
 
 Checked<ProcessSettings>
 loadProcessSettings(const std::string& aPath, ProcessRole aRole)
 {
-  std::ifstream stream{ aPath, std::ios::binary };
-  std::ostringstream text;
-  text << stream.rdbuf();
-  if (!stream) {
-    Checked<ProcessSettings> result;
-    result.problems.push_back(
-      SettingsProblem{ aPath, 0, "", "the file cannot be read" });
-    return result;
+  const Checked<std::string> text = readSettingsFile(aPath);
+  if (!text.ok()) {
+    return { {}, text.problems };
   }
-  return parseProcessSettings(aPath, text.str(), aRole);
+  return parseProcessSettings(aPath, text.value, aRole);
 }
 
 } // namespace poplartrack
--- a/src/config/SettingsBinding.h
+++ b/src/config/SettingsBinding.h
@@ -1,13 +1,22 @@
 #pragma once
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <fstream>
+#include <span>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 
+#include "poplartrack/base/Address.h"
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/config/SettingsCheck.h"
 #include "poplartrack/config/SettingsNode.h"
+#include "poplartrack/config/SettingsProblem.h"
+#include "poplartrack/config/TomlDocument.h"
 
 namespace poplartrack {
 
@@ -60,6 +69,67 @@
   }
 }
 
+/** A table of a tree; an empty one when it is not given. */
+inline const SettingsNode&
+tableOf(const SettingsNode& aRoot, std::string_view aKey)
+{
+  static const SettingsNode kEmpty{ SettingsTable{}, 0, 0 };
+  const SettingsNode* node = aRoot.find(aKey);
+  return node == nullptr ? kEmpty : *node;
+}
+
+/** An address; the check has seen that it is one. */
+inline void
+bind(const SettingsNode& aTable, std::string_view aKey, Address& aField)
+{
+  std::string text;
+  bind(aTable, aKey, text);
+  Result<Address> address = addressFromText(text);
+  if (address) {
+    aField = std::move(address).value();
+  }
+}
+
+/** Parses and checks a settings file's text against its rows, and reads it. */
+template<typename T, typename Read>
+Checked<T>
+parseSettings(const std::string& aFile,
+              std::string_view aText,
+              std::span<const SettingRow> aRows,
+              Read&& aRead)
+{
+  Checked<T> result;
+  TomlDocument document = parseToml(aFile, 0, aText);
+  result.problems = std::move(document.problems);
+  checkSettings(document.root,
+                aRows,
+                { aFile },
+                document.incomplete ? TreeExtent::Part : TreeExtent::Whole,
+                result.problems);
+  std::sort(result.problems.begin(), result.problems.end());
+  if (result.ok()) {
+    result.value = aRead(document.root);
+  }
+  return result;
+}
+
+/** The text of a settings file, or the problem that it cannot be read. */
+inline Checked<std::string>
+readSettingsFile(const std::string& aPath)
+{
+  Checked<std::string> result;
+  std::ifstream stream{ aPath, std::ios::binary };
+  std::ostringstream text;
+  text << stream.rdbuf();
+  if (!stream) {
+    result.problems.push_back(
+      SettingsProblem{ aPath, 0, "", "the file cannot be read" });
+    return result;
+  }
+  result.value = text.str();
+  return result;
+}
+
 /** Calls aVisit(name, node) for each entry of a table of names. */
 template<typename Visit>
 void
--- /dev/null
+++ b/src/fleet/LayerRepair.cpp
@@ -0,0 +1,258 @@
+// How the planner repairs a copy that lost a part, and employs newcomers.
+
+#include <algorithm>
+#include <limits>
+
+#include "LayerCopy.h"
+#include "LayerCut.h"
+#include "poplartrack/fleet/LayerPlanner.h"
+
+namespace poplartrack {
+
+using namespace layer_copy;
+
+namespace {
+
+/** A replica whose neighbours are missing takes over layers while it keeps
+ * memory for this part of the goal. */
+constexpr double kStretchedCopy = 0.45;
+
+/** What was stretched is taken back to this part of the goal. */
+constexpr double kKeptCopy = 0.9;
+
+/** When no replica anywhere holds a layer, a copy is cut anew for this part of
+ * the tokens that it could keep at most; the rest is room to leave most of it
+ * in place. */
+constexpr double kRecutCopy = 0.75;
+
+} // namespace
+
+void
+LayerPlanner::fillGap(const EngineProfile& aProfile,
+                      Group& aGroup,
+                      LayerRange aGap)
+{
+  const double goal = tokenGoal(aProfile);
+  for (Holder& holder : aGroup) {
+    if (holder.layers.size() > 0 || holder.moving || aGap.size() == 0) {
+      continue;
+    }
+    const std::uint32_t most = std::max(
+      layersBeside(aProfile, *kindOf(aProfile, *holder.replica), goal), 1U);
+    const std::uint32_t take = std::min(most, aGap.size());
+    this->order(holder, { aGap.from, aGap.from + take }, "gap");
+    aGap.from += take;
+  }
+}
+
+/**
+ * Stretches the neighbours of a gap over it. What they hold stays in service
+ * meanwhile, and only the gap's layers are loaded: under a second for five. A
+ * replica that must give layers up waits until the last answer that passes
+ * through them ends, 5 s and more, and is missing until then. Nothing is done
+ * when the neighbours cannot fill the gap: paths cross zones for those layers
+ * either way.
+ */
+void
+LayerPlanner::stretch(const EngineProfile& aProfile,
+                      Group& aGroup,
+                      LayerRange aGap)
+{
+  const double tokens = kStretchedCopy * tokenGoal(aProfile);
+  const auto roomOf = [&](const Holder& aHolder) {
+    const std::uint32_t most =
+      layersBeside(aProfile, *kindOf(aProfile, *aHolder.replica), tokens);
+    const bool free = !aHolder.moving && most > aHolder.layers.size();
+    return free ? most - aHolder.layers.size() : 0U;
+  };
+  Holder* before = nullptr;
+  Holder* behind = nullptr;
+  for (Holder& holder : aGroup) {
+    if (holder.layers.size() == 0) {
+      continue;
+    }
+    if (holder.layers.to == aGap.from &&
+        (before == nullptr || roomOf(holder) > roomOf(*before))) {
+      before = &holder;
+    }
+    if (holder.layers.from == aGap.to &&
+        (behind == nullptr || roomOf(holder) > roomOf(*behind))) {
+      behind = &holder;
+    }
+  }
+  const std::uint32_t roomBefore = before == nullptr ? 0 : roomOf(*before);
+  const std::uint32_t roomBehind = behind == nullptr ? 0 : roomOf(*behind);
+  const std::uint32_t room = roomBefore + roomBehind;
+  if (room < aGap.size()) {
+    return;
+  }
+  const std::uint32_t first =
+    std::min(roomBefore, (aGap.size() * roomBefore + room - 1) / room);
+  const std::uint32_t middle = aGap.from + first;
+  if (before != nullptr && first > 0) {
+    this->order(*before, { before->layers.from, middle }, "stretch");
+  }
+  if (behind != nullptr && middle < aGap.to) {
+    this->order(*behind, { middle, behind->layers.to }, "stretch");
+  }
+}
+
+/** Takes back what was stretched once others hold those layers again: memory
+ * for requests is worth more than a second holder at the edge of a part. */
+void
+LayerPlanner::shrink(const EngineProfile& aProfile, Group& aGroup)
+{
+  for (Holder& holder : aGroup) {
+    const std::uint32_t most = layersBeside(aProfile,
+                                            *kindOf(aProfile, *holder.replica),
+                                            kKeptCopy * tokenGoal(aProfile));
+    if (holder.moving || holder.layers.size() <= most) {
+      continue;
+    }
+    LayerRange kept = holder.layers;
+    const auto others = [&](std::uint32_t aLayer) {
+      return std::any_of(
+        aGroup.begin(), aGroup.end(), [&](const Holder& aOther) {
+          return &aOther != &holder && !aOther.moving &&
+                 aOther.layers.contains({ aLayer, aLayer + 1 });
+        });
+    };
+    while (kept.size() > most && others(kept.from)) {
+      ++kept.from;
+    }
+    while (kept.size() > most && others(kept.to - 1)) {
+      --kept.to;
+    }
+    if (kept != holder.layers) {
+      // One at a time: two that hold the same layers must not both leave them.
+      this->order(holder, kept, "shrink");
+      return;
+    }
+  }
+}
+
+/** Cuts a copy anew over those that are left of it. */
+void
+LayerPlanner::recut(const EngineProfile& aProfile, Group& aGroup)
+{
+  auto all = pointersTo(aGroup);
+  std::stable_sort(
+    all.begin(), all.end(), [](const Holder* aLeft, const Holder* aRight) {
+      return aLeft->layers < aRight->layers;
+    });
+  const double tokens =
+    kRecutCopy *
+    tokensOfCopy(aProfile, kindsOf(aProfile, all), tokenGoal(aProfile));
+  std::vector<CutMember> members;
+  for (const Holder* holder : all) {
+    const AcceleratorKind& kind = *kindOf(aProfile, *holder->replica);
+    members.push_back(
+      CutMember{ holder->layers, layersBeside(aProfile, kind, tokens) });
+  }
+  const auto ranges = recutLayers(aProfile.layers, members);
+  for (std::size_t i = 0; i < ranges.size(); ++i) {
+    this->order(*all[i], ranges[i], "recut");
+  }
+}
+
+void
+LayerPlanner::employ(const EngineProfile& aProfile,
+                     Group& aGroup,
+                     Holder& aEmpty)
+{
+  // The weakest layer bounds the copy.
+  const std::vector<double> tokens = tokensByLayer(aProfile, aGroup);
+  const auto weakest = static_cast<std::uint32_t>(
+    std::min_element(tokens.begin(), tokens.end()) - tokens.begin());
+  const std::uint32_t most = std::max(
+    layersBeside(
+      aProfile, *kindOf(aProfile, *aEmpty.replica), tokenGoal(aProfile)),
+    1U);
+  const std::uint32_t from = cutBefore(aGroup, weakest);
+  std::uint32_t to = std::min(from + most, aProfile.layers);
+  if (to <= weakest) {
+    this->order(
+      aEmpty, { weakest, std::min(weakest + most, aProfile.layers) }, "double");
+    return;
+  }
+  // Same cut points as the parts that it doubles: it is then exchangeable with
+  // them.
+  const std::uint32_t snapped = cutBefore(aGroup, to);
+  to = snapped > weakest ? snapped : to;
+  this->order(aEmpty, { from, to }, "double");
+}
+
+void
+LayerPlanner::repair(const EngineProfile& aProfile,
+                     Group& aGroup,
+                     const std::string& aName)
+{
+  const auto gaps = gapsOf(aGroup, aProfile.layers);
+  for (const LayerRange& gap : gaps) {
+    this->fillGap(aProfile, aGroup, gap);
+  }
+  const auto left = gapsOf(aGroup, aProfile.layers);
+  if (left.empty()) {
+    this->gapSince.erase(aName);
+  } else {
+    const auto since =
+      this->gapSince.try_emplace(aName, this->now).first->second;
+    if (this->now - since >= this->patience) {
+      for (const LayerRange& gap : left) {
+        this->stretch(aProfile, aGroup, gap);
+      }
+    }
+  }
+  for (Holder& holder : aGroup) {
+    if (holder.layers.size() == 0 && !holder.moving) {
+      this->employ(aProfile, aGroup, holder);
+    }
+  }
+  const bool calm =
+    gaps.empty() &&
+    std::none_of(aGroup.begin(), aGroup.end(), [](const Holder& aHolder) {
+      return aHolder.moving;
+    });
+  if (calm) {
+    this->shrink(aProfile, aGroup);
+  }
+}
+
+/** When some layer is held nowhere, every request is refused: the largest copy
+ * is cut anew, whatever has to move. */
+void
+LayerPlanner::rescue(const EngineProfile& aProfile, std::vector<Group>& aZones)
+{
+  Group all;
+  for (const Group& group : aZones) {
+    all.insert(all.end(), group.begin(), group.end());
+  }
+  const bool moving =
+    std::any_of(all.begin(), all.end(), [](const Holder& aHolder) {
+      return aHolder.moving;
+    });
+  if (moving || gapsOf(all, aProfile.layers).empty()) {
+    this->nowhereSince.reset();
+    return;
+  }
+  if (!this->nowhereSince) {
+    this->nowhereSince = this->now;
+  }
+  if (this->now - *this->nowhereSince < this->patience) {
+    return;
+  }
+  const auto tokensOf = [&](Group& aGroup) {
+    return tokensOfCopy(
+      aProfile, kindsOf(aProfile, pointersTo(aGroup)), tokenGoal(aProfile));
+  };
+  Group* largest = nullptr;
+  for (Group& group : aZones) {
+    if (largest == nullptr || tokensOf(group) > tokensOf(*largest)) {
+      largest = &group;
+    }
+  }
+  this->recut(aProfile,
+              largest != nullptr && tokensOf(*largest) > 0 ? *largest : all);
+}
+
+} // namespace poplartrack
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -18,9 +18,6 @@
 /** Descriptors kept for files, the store's and replicas' connections. */
 constexpr std::size_t kReservedDescriptors = 600;
 
-/** Bytes that one read takes from a caller or replica. */
-constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
-
 /** Bytes of later requests that are taken in while one is being answered. */
 constexpr std::size_t kMostAhead = std::size_t{ 64 } * 1024;
 
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -27,6 +27,9 @@
 
 struct PeerWord;
 
+/** Bytes that one read takes from a caller or replica. */
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
+
 /** Where an attempt goes. */
 struct AttemptTarget
 {
@@ -208,7 +211,6 @@
   std::unordered_map<std::uint64_t, ExchangePtr> exchanges;
   /** Idle connections by replica; the latest used last. */
   std::unordered_map<std::string, std::vector<std::uint64_t>> idle;
-  std::unordered_map<std::string, std::uint32_t> connectionCount;
   /** Requests in flight from here at plain replicas. */
   std::unordered_map<std::string, std::uint32_t> plainLoad;
   /** When each replica was last asked how it does. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -23,27 +23,17 @@
 /** Largest datagram that is sent and taken in. */
 constexpr std::size_t kMostBytes = std::size_t{ 8 } * 1024;
 
-bool
-toSocketAddress(const Address& aAddress, sockaddr_in& aResult)
-{
-  aResult = sockaddr_in{};
-  aResult.sin_family = AF_INET;
-  aResult.sin_port = htons(aAddress.port);
-  return inet_pton(AF_INET, aAddress.host.c_str(), &aResult.sin_addr) == 1;
-}
-
 } // namespace
 
 Result<Done>
 RelayLoop::Impl::openPeers()
 {
   OwnedFd fd{ ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) };
-  sockaddr_in address{};
-  const bool known = toSocketAddress(this->settings.peers, address);
-  if (!fd.valid() || !known ||
+  const auto address = toSocketAddress(this->settings.peers);
+  if (!fd.valid() || !address ||
       ::bind(fd.get(),
-             reinterpret_cast<const sockaddr*>(&address),
-             sizeof address) != 0) {
+             reinterpret_cast<const sockaddr*>(&*address),
+             sizeof *address) != 0) {
     return fail(ErrorKind::Network,
                 "datagrams on " + toText(this->settings.peers) + ": " +
                   std::generic_category().message(errno));
@@ -132,15 +122,14 @@
     return;
   }
   for (const Address& peer : *peers) {
-    sockaddr_in address{};
-    if (toSocketAddress(peer, address)) {
+    if (const auto address = toSocketAddress(peer)) {
       // A datagram that is lost is followed by a newer one.
       static_cast<void>(::sendto(this->peerSocket.get(),
                                  bytes.data(),
                                  bytes.size(),
                                  MSG_NOSIGNAL,
-                                 reinterpret_cast<const sockaddr*>(&address),
-                                 sizeof address));
+                                 reinterpret_cast<const sockaddr*>(&*address),
+                                 sizeof *address));
     }
   }
 }
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -15,8 +15,6 @@
 namespace poplartrack {
 namespace {
 
-constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
-
 /** Largest head of an answer. */
 constexpr std::size_t kMostHead = std::size_t{ 64 } * 1024;
 
@@ -115,7 +113,6 @@
   if (!this->poller.add(connection->fd.get(), connection->id, true)) {
     return fail(ErrorKind::Network, "epoll takes no more descriptors");
   }
-  ++this->connectionCount[connection->replica];
   this->shared.metrics.count("replica_connects_total");
   ReplicaConnection* opened = connection.get();
   this->connections.emplace(opened->id, std::move(connection));
@@ -362,10 +359,6 @@
   if (found == this->connections.end()) {
     return;
   }
-  const auto count = this->connectionCount.find(found->second->replica);
-  if (count != this->connectionCount.end() && --count->second == 0) {
-    this->connectionCount.erase(count);
-  }
   this->connections.erase(found);
 }
 
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -1,13 +1,8 @@
 #include "poplartrack/relay/RelaySettings.h"
 
-#include <algorithm>
 #include <array>
-#include <fstream>
-#include <sstream>
 
 #include "../config/SettingsBinding.h"
-#include "poplartrack/config/SettingsCheck.h"
-#include "poplartrack/config/TomlDocument.h"
 
 namespace poplartrack {
 namespace {
@@ -109,25 +104,6 @@
               "time between two heartbeats of a replica" },
 };
 
-const SettingsNode&
-tableOf(const SettingsNode& aRoot, std::string_view aKey)
-{
-  static const SettingsNode kEmpty{ SettingsTable{}, 0, 0 };
-  const SettingsNode* node = aRoot.find(aKey);
-  return node == nullptr ? kEmpty : *node;
-}
-
-void
-bindAddress(const SettingsNode& aTable, std::string_view aKey, Address& aField)
-{
-  std::string text;
-  bind(aTable, aKey, text);
-  const Result<Address> address = addressFromText(text);
-  if (address) {
-    aField = address.value();
-  }
-}
-
 /** A time that may be a fraction, in units of aUnit. */
 void
 bindTime(const SettingsNode& aTable,
@@ -151,10 +127,10 @@
   bind(process, "zone", settings.zone);
   bind(process, "region", settings.region);
   const SettingsNode& listen = tableOf(aRoot, "listen");
-  bindAddress(listen, "callers", settings.callers);
-  bindAddress(listen, "health", settings.health);
-  bindAddress(listen, "peers", settings.peers);
-  bindAddress(tableOf(aRoot, "store"), "address", settings.store);
+  bind(listen, "callers", settings.callers);
+  bind(listen, "health", settings.health);
+  bind(listen, "peers", settings.peers);
+  bind(tableOf(aRoot, "store"), "address", settings.store);
   const SettingsNode& limits = tableOf(aRoot, "limits");
   bind(limits, "descriptors", settings.descriptors);
   const SettingsNode& bounds = tableOf(aRoot, "bounds");
@@ -181,34 +157,18 @@
 Checked<RelaySettings>
 parseRelaySettings(const std::string& aFile, std::string_view aText)
 {
-  Checked<RelaySettings> result;
-  TomlDocument document = parseToml(aFile, 0, aText);
-  result.problems = std::move(document.problems);
-  checkSettings(document.root,
-                relaySettings(),
-                { aFile },
-                document.incomplete ? TreeExtent::Part : TreeExtent::Whole,
-                result.problems);
-  std::sort(result.problems.begin(), result.problems.end());
-  if (result.ok()) {
-    result.value = settingsFrom(document.root);
-  }
-  return result;
+  return parseSettings<RelaySettings>(
+    aFile, aText, relaySettings(), settingsFrom);
 }
 
 Checked<RelaySettings>
 loadRelaySettings(const std::string& aPath)
 {
-  std::ifstream stream{ aPath, std::ios::binary };
-  std::ostringstream text;
-  text << stream.rdbuf();
-  if (!stream) {
-    Checked<RelaySettings> result;
-    result.problems.push_back(
-      SettingsProblem{ aPath, 0, "", "the file cannot be read" });
-    return result;
+  const Checked<std::string> text = readSettingsFile(aPath);
+  if (!text.ok()) {
+    return { {}, text.problems };
   }
-  return parseRelaySettings(aPath, text.str());
+  return parseRelaySettings(aPath, text.value);
 }
 
 } // namespace poplartrack
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -4,6 +4,7 @@
 
 #include "PlatformJson.h"
 #include "poplartrack/base/PercentEncoding.h"
+#include "poplartrack/store/CallFailure.h"
 
 namespace poplartrack {
 namespace {
@@ -12,53 +13,6 @@
 constexpr int kCreated = 201;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
-constexpr int kInternalError = 500;
-constexpr int kUnavailable = 503;
-
-std::string
-detailOf(const HttpResult& aResult)
-{
-  if (aResult.outcome != CallOutcome::Replied) {
-    return aResult.detail;
-  }
-  return "status " + std::to_string(aResult.status) + " " + aResult.body;
-}
-
-/** Why a read gave nothing. Whatever happened, it changed nothing. */
-Error
-readFailure(const HttpResult& aResult)
-{
-  const bool missing =
-    aResult.outcome == CallOutcome::Replied && aResult.status == kNotFound;
-  return fail(missing ? ErrorKind::NotFound : ErrorKind::PlatformUnavailable,
-              detailOf(aResult));
-}
-
-/**
- * Why a write gave no success, and whether it may have taken effect. Only
- * three ends prove that it did not: the call never left, the platform named a
- * conflict, or it refused (503 and 4xx). Any other end, a 5xx included, leaves
- * it open.
- */
-Error
-writeFailure(const HttpResult& aResult)
-{
-  if (aResult.outcome == CallOutcome::NotSent) {
-    return fail(ErrorKind::PlatformUnavailable, detailOf(aResult));
-  }
-  if (aResult.outcome == CallOutcome::Unknown) {
-    return fail(ErrorKind::PlatformUnknown, detailOf(aResult));
-  }
-  if (aResult.status == kConflict) {
-    return fail(ErrorKind::Conflict, aResult.body);
-  }
-  const bool refused =
-    aResult.status == kUnavailable ||
-    (aResult.status >= 400 && aResult.status < kInternalError);
-  return fail(refused ? ErrorKind::PlatformUnavailable
-                      : ErrorKind::PlatformUnknown,
-              detailOf(aResult));
-}
 
 Error
 unreadable()
@@ -91,7 +45,7 @@
   call.url = aPath;
   HttpResult result = this->send(std::move(call));
   if (result.outcome != CallOutcome::Replied || result.status != kOk) {
-    return readFailure(result);
+    return readFailure(result, kNotFound);
   }
   return std::move(result.body);
 }
@@ -146,7 +100,7 @@
   call.freshConnection = true;
   const HttpResult result = this->send(std::move(call));
   if (result.outcome != CallOutcome::Replied || result.status != kOk) {
-    return writeFailure(result);
+    return writeFailure(result, kConflict);
   }
   std::optional<std::vector<std::uint64_t>> versions =
     versionsFromJson(result.body);
@@ -166,7 +120,7 @@
   const HttpResult result = this->send(std::move(call));
   const bool stored = result.status == kOk || result.status == kCreated;
   if (result.outcome != CallOutcome::Replied || !stored) {
-    return writeFailure(result);
+    return writeFailure(result, kConflict);
   }
   return Done{};
 }
--- a/tests/unit/fleet/FleetSamples.h
+++ b/tests/unit/fleet/FleetSamples.h
@@ -27,7 +27,6 @@
   profile.usualPrompt = 800;
   profile.usualAnswer = 200;
   profile.loadTime = std::chrono::seconds{ 10 };
-  profile.loadsAtOnce = 4;
   profile.kinds["fast"] = AcceleratorKind{ 1'600, 2, 2 };
   profile.kinds["slow"] = AcceleratorKind{ 1'000, 10, 10 };
   profile.delays[{ "a", "b" }] = std::chrono::microseconds{ 250 };
