Take a reset under a request for a lost answer, not a dead replica

Ruled out: a crash (no replica named it, it answered in between). A test fails on the program before.

--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -23,6 +23,19 @@
   Faulty,
 };
 
+/**
+ * What the end of a connection says of its replica. One that is refused or
+ * stays silent speaks of a dead replica. One that is reset under a request does
+ * not: some replicas lose single answers so, and taking each for dead kept the
+ * copy that begins with it out of use for 4 s. If it is dead, the next
+ * connection tells.
+ *
+ * @param aConnecting the connection had not been made yet
+ * @param aAnswering part of an answer had come
+ */
+ReplicaFailure
+failureOf(bool aConnecting, bool aAnswering);
+
 /** From this slowdown on, work goes round a replica where it can: a part of
  * five layers then takes as long as a whole fast copy. */
 constexpr double kCrippled = 2.5;
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+ReplicaFailure
+failureOf(bool aConnecting, bool aAnswering)
+{
+  if (aConnecting) {
+    return ReplicaFailure::Unreachable;
+  }
+  return aAnswering ? ReplicaFailure::Faulty : ReplicaFailure::Refused;
+}
+
 void
 ReplicaHealth::onFailure(const std::string& aReplica,
                          ReplicaFailure aFailure,
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -324,10 +324,8 @@
   }
   const bool connecting =
     connection.state == ReplicaConnection::State::Connecting;
-  const bool refused = connecting || !connection.headSeen;
-  this->onBroken(*exchange->second,
-                 refused ? ReplicaFailure::Unreachable : ReplicaFailure::Faulty,
-                 aCause);
+  this->onBroken(
+    *exchange->second, failureOf(connecting, connection.headSeen), aCause);
 }
 
 /** The answer is whole: the connection is kept if nothing speaks against it. */
--- a/tests/unit/fleet/ReplicaHealthTest.cpp
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -45,6 +45,18 @@
   EXPECT_TRUE(health.lost(kStart).empty());
 }
 
+TEST(ReplicaHealth, OneResetIsNotADeath)
+{
+  // A replica ran a request and reset its connection: that answer is lost, and
+  // all that begins at the replica must not wait four seconds for it.
+  ReplicaHealth health{ kHeartbeat };
+  health.onFailure("one", failureOf(false, false), kStart);
+  EXPECT_FALSE(health.dead("one", kStart));
+  EXPECT_TRUE(health.usable("one", kStart + milliseconds{ 500 }));
+  health.onFailure("two", failureOf(true, false), kStart);
+  EXPECT_TRUE(health.dead("two", kStart + seconds{ 1 }));
+}
+
 TEST(ReplicaHealth, AnAnswerMakesItWellAgain)
 {
   ReplicaHealth health{ kHeartbeat };
