Leave a stream where it is when its planned move is refused

Ruled out: the change of configuration beside it; a loss (none). Change: a refused planned move restores the old path, to be tried again; so does a refused repair when no attempt is left. A test shows the stream go on; on the program before it went to another replica.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -30,6 +30,16 @@
 /** Bytes that one read takes from a caller or replica. */
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
+/** An order to move a running request to another path. */
+struct RepathOrder
+{
+  std::uint64_t exchange = 0;
+  LayerPath before;
+  LayerPath after;
+  /** A replica of the old path leaves; it has not failed. */
+  bool planned = false;
+};
+
 /** Where an attempt goes. */
 struct AttemptTarget
 {
@@ -177,9 +187,7 @@
   void moveOffLeaving();
   [[nodiscard]] bool leavesSoon(const Exchange& aExchange) const;
   [[nodiscard]] std::size_t zonesOf(const LayerPath& aPath) const;
-  void onRepath(std::uint64_t aExchange,
-                const LayerPath& aPath,
-                RepathOutcome aOutcome);
+  void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
   // RelayPeers.cpp: datagrams between relays.
   Result<Done> openPeers();
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -248,15 +248,17 @@
   ++aExchange.repairs;
   aExchange.repairedAt = this->now;
   this->shared.metrics.countRetry(RetryReason::PathRepaired);
-  aExchange.path = target.value().path;
+  const RepathOrder order{
+    aExchange.id, aExchange.path, target.value().path, aPlanned
+  };
+  aExchange.path = order.after;
   this->book(aExchange);
   this->calls.repath(
     first.address,
     aExchange.requestId,
-    aExchange.path,
-    [this, id = aExchange.id, path = aExchange.path](RepathOutcome aOutcome) {
-      this->post(
-        [this, id, path, aOutcome] { this->onRepath(id, path, aOutcome); });
+    order.after,
+    [this, order](RepathOutcome aOutcome) {
+      this->post([this, order, aOutcome] { this->onRepath(order, aOutcome); });
     });
 }
 
@@ -343,11 +345,9 @@
 }
 
 void
-RelayLoop::Impl::onRepath(std::uint64_t aExchange,
-                          const LayerPath& aPath,
-                          RepathOutcome aOutcome)
+RelayLoop::Impl::onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome)
 {
-  const auto found = this->exchanges.find(aExchange);
+  const auto found = this->exchanges.find(aOrder.exchange);
   if (found == this->exchanges.end() || found->second->connection == 0) {
     return;
   }
@@ -355,7 +355,8 @@
   this->shared.log.write(
     LogLine{ LogPart::Path, "repaired" }
       .with("id", exchange.requestId)
-      .with("parts", static_cast<std::int64_t>(aPath.parts.size()))
+      .with("parts", static_cast<std::int64_t>(aOrder.after.parts.size()))
+      .with("planned", aOrder.planned ? 1 : 0)
       .with("outcome", static_cast<std::int64_t>(aOutcome)));
   if (aOutcome == RepathOutcome::Moved) {
     exchange.lastProgress = std::max(exchange.lastProgress, this->now);
@@ -363,6 +364,17 @@
     this->armExchange(exchange);
     return;
   }
+  const bool mayResume =
+    exchange.route->resumable && exchange.runs + 1 < exchange.route->attempts;
+  if (aOrder.planned || !mayResume) {
+    // It is where it was. A stream that was to leave in time still runs there,
+    // and is tried again; ending its attempt cut streams that lacked nothing.
+    this->unbook(exchange);
+    exchange.path = aOrder.before;
+    this->book(exchange);
+    exchange.repairedAt.reset();
+    return;
+  }
   // The work stands still until the replica gives it up, after seconds: it goes
   // on after its last event at another first replica now.
   this->onBroken(exchange, ReplicaFailure::Refused, "not moved");
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -223,6 +223,35 @@
   EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
 }
 
+TEST_F(RelayLoopTest, AStreamWhosePlannedMoveIsRefusedGoesOnWhereItIs)
+{
+  // A part of a stream's path says that it leaves. The first replica refuses
+  // the new path, since its part has no room. Nothing has failed yet: the
+  // caller gets the rest from where the stream runs.
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.addReplica("two", "model", this->two.address());
+  this->world.replicas["one"].layers = LayerRange{ 0, 5 };
+  this->world.replicas["two"].layers = LayerRange{ 5, 10 };
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request(
+    "/stream/x", "id-1", "X-Tokens: 5,50000\r\nX-Hint: 50000\r\n"));
+  RawSocket first = this->one.accept();
+  first.readUntil("\r\n\r\n");
+  first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
+  caller.readUntil("id: 1");
+  this->world.addReplica("three", "model", this->two.address());
+  this->world.replicas["three"].layers = LayerRange{ 5, 10 };
+  this->world.replicas["two"].draining = true;
+  this->world.publishReplicas(2);
+  // Two refusals: the first one has been taken in by then.
+  while (this->world.repaths < 2) {
+    std::this_thread::yield();
+  }
+  first.send(RelayWorld::event(2) + RelayWorld::kLastChunk);
+  EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
+}
+
 TEST_F(RelayLoopTest, AStreamWithoutAnotherReplicaIsCutNotEnded)
 {
   this->world.addReplica("one", "model", this->one.address());
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -105,10 +106,13 @@
     ReplicaCalls calls;
     calls.ask = [](const Address&, const std::function<void(ReplicaReport)>&) {
     };
-    calls.repath = [](const Address&,
-                      const std::string&,
-                      const LayerPath&,
-                      const std::function<void(RepathOutcome)>&) {};
+    calls.repath = [this](const Address&,
+                          const std::string&,
+                          const LayerPath&,
+                          const std::function<void(RepathOutcome)>& aDone) {
+      ++this->repaths;
+      aDone(RepathOutcome::PartMissing);
+    };
     auto made = RelayLoop::create(settings, names(), this->shared, calls);
     ASSERT_TRUE(made);
     this->loop = std::move(made).value();
@@ -162,6 +166,8 @@
   RelayShared shared;
   std::shared_ptr<RelayConfig> config;
   std::map<std::string, Replica> replicas;
+  /** Orders to move a request that replicas were given; all are refused. */
+  std::atomic<int> repaths{ 0 };
   std::unique_ptr<RelayLoop> loop;
 
 private:
