Drop a count of failures in a row that nothing read

ReplicaHealth counted them and no decision asked. Ruled out: a use in logs or metrics (none). Behaviour is unchanged; the 35 tests of relay, health and plain choice pass, formatter and linter are clean on the file. Found by reading the change once more.

--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -85,7 +85,6 @@
     TimePoint avoidUntil{};
     bool dead = false;
     bool namedByReplica = false;
-    std::uint32_t inARow = 0;
     double errors = 0;
     double pace = 1;
   };
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -30,7 +30,6 @@
                          TimePoint aNow)
 {
   State& state = this->states[aReplica];
-  ++state.inARow;
   switch (aFailure) {
     case ReplicaFailure::Unreachable:
     case ReplicaFailure::Stalled:
@@ -56,7 +55,6 @@
     return;
   }
   State& state = found->second;
-  state.inARow = 0;
   state.dead = false;
   state.namedByReplica = false;
   state.avoidUntil = TimePoint{};
