--- /dev/null
+++ b/include/poplartrack/retry/RetryCounts.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace poplartrack {
+
+/** What one process counted over the window of the retry budget. */
+struct RetryCounts
+{
+  std::uint32_t requests = 0;
+  /** Attempts beyond the first of a request. */
+  std::uint32_t retries = 0;
+};
+
+} // namespace poplartrack
