--- a/include/poplartrack/fleet/EngineProfile.h
+++ b/include/poplartrack/fleet/EngineProfile.h
@@ -3,9 +3,9 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/ZonePair.h"
 
 namespace poplartrack {
 
@@ -38,7 +38,8 @@
   double readPerSecond = 1;
   /** Bytes that a token sends from one part of a path to the next. */
   double activationBytes = 0;
-  /** The pipe between two availability zones, shared by all, in Mbit/s. */
+  /** The pipe between each two availability zones, in Mbit/s; all that passes
+   * between them shares it. */
   double pipeMbps = 0;
   /** Mean tokens of a prompt and of an answer. */
   double usualPrompt = 0;
@@ -47,7 +48,7 @@
   Duration loadTime{ 0 };
   std::map<std::string, AcceleratorKind> kinds;
   /** One-way delay between availability zones, by (smaller, larger) name. */
-  std::map<std::pair<std::string, std::string>, Duration> delays;
+  std::map<ZonePair, Duration> delays;
 
   /** Memory of one token in one layer, in MB. */
   [[nodiscard]] double tokenLayerMb() const
--- a/include/poplartrack/fleet/LayerPath.h
+++ b/include/poplartrack/fleet/LayerPath.h
@@ -6,6 +6,7 @@
 #include "poplartrack/base/Address.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/LayerRange.h"
+#include "poplartrack/fleet/ZonePair.h"
 
 namespace poplartrack {
 
@@ -23,6 +24,8 @@
 struct LayerPath
 {
   std::vector<PathPart> parts;
+  /** Where it passes from one availability zone to another. */
+  std::vector<ZonePair> crossings;
   /** Expected time from sending to the first token, and between tokens. */
   Duration firstToken{ 0 };
   Duration perToken{ 0 };
--- a/include/poplartrack/fleet/PathFinder.h
+++ b/include/poplartrack/fleet/PathFinder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -35,6 +36,10 @@
   bool started = false;
   /** Repair of a running request: the path must begin with this replica. */
   std::string firstReplica;
+  /** Whether the path may change its availability zone on the way. */
+  bool mayCross = true;
+  /** ... but not between these. */
+  std::set<ZonePair> closed;
 };
 
 /** Memory of a replica for requests, in tokens times layers. */
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -84,7 +84,7 @@
         const std::string& aFrom,
         const std::string& aTo)
 {
-  const auto found = aProfile.delays.find(std::minmax(aFrom, aTo));
+  const auto found = aProfile.delays.find(zonePair(aFrom, aTo));
   return found == aProfile.delays.end()
            ? 0
            : std::chrono::duration<double, std::milli>(found->second).count();
@@ -125,6 +125,10 @@
                const Node& aNode,
                std::uint32_t aTo);
   [[nodiscard]] bool covered() const;
+  [[nodiscard]] bool open(std::size_t aFrom, std::size_t aTo) const
+  {
+    return this->crossOpen[aFrom * this->zones.size() + aTo];
+  }
   [[nodiscard]] bool uses(const Reached& aAt, const Node& aNode) const;
   [[nodiscard]] LayerPath trace(const Reached& aLast) const;
   Reached& reached(std::uint32_t aLayer, std::size_t aZone)
@@ -146,6 +150,8 @@
   /** Cost of the first token and of each token between two zones. */
   std::vector<double> crossFirst;
   std::vector<double> crossToken;
+  /** Whether a path may cross between two zones. */
+  std::vector<bool> crossOpen;
 };
 
 std::size_t
@@ -204,6 +210,7 @@
   const std::size_t count = this->zones.size();
   this->crossFirst.assign(count * count, 0);
   this->crossToken.assign(count * count, 0);
+  this->crossOpen.assign(count * count, false);
   const double transfer = transferMs(this->profile, this->demand.promptTokens);
   for (std::size_t from = 0; from < count; ++from) {
     for (std::size_t to = 0; to < count; ++to) {
@@ -214,6 +221,9 @@
         delayMs(this->profile, this->zones[from], this->zones[to]);
       this->crossFirst[from * count + to] = delay + transfer;
       this->crossToken[from * count + to] = delay;
+      this->crossOpen[from * count + to] =
+        this->demand.mayCross && !this->demand.closed.contains(zonePair(
+                                   this->zones[from], this->zones[to]));
     }
   }
 }
@@ -237,17 +247,22 @@
                 const Node& aNode,
                 std::uint32_t aTo)
 {
+  const bool begins = aFromZone == this->zones.size();
+  const bool crosses = !begins && aFromZone != aNode.zone;
+  if (crosses && !this->open(aFromZone, aNode.zone)) {
+    return;
+  }
   const double layers = aTo - aFrom;
   double firstMs = layers * (aNode.readMs + aNode.backlogMs + aNode.stepMs);
   double tokenMs = layers * aNode.stepMs;
   double extra = layers * aNode.backlogMs * (kBacklogWeight - 1);
-  if (aFromZone == this->zones.size()) {
+  if (begins) {
     extra += this->zones[aNode.zone] == this->demand.zone ? 0 : kForeignEntryMs;
   } else {
     const std::size_t cross = aFromZone * this->zones.size() + aNode.zone;
     firstMs += kHopMs + this->crossFirst[cross];
     tokenMs += kHopMs + this->crossToken[cross];
-    extra += aFromZone == aNode.zone ? 0 : kCrossingMs;
+    extra += crosses ? kCrossingMs : 0;
   }
   const double cost =
     aAt.cost + firstMs + tokenMs * this->demand.answerTokens + extra;
@@ -318,6 +333,11 @@
     const Replica& replica = *at->node->candidate->replica;
     path.parts.push_back(
       PathPart{ replica.id, replica.address, { at->fromLayer, to } });
+    const bool begins = at->fromZone == this->zones.size();
+    if (!begins && at->fromZone != at->node->zone) {
+      path.crossings.push_back(
+        zonePair(this->zones[at->fromZone], this->zones[at->node->zone]));
+    }
     to = at->fromLayer;
     at = &this->reached(at->fromLayer, at->fromZone);
   }
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -25,7 +25,11 @@
 PathDemand
 demandIn(const std::string& aZone)
 {
-  return PathDemand{ 800, 200, aZone, false, {} };
+  PathDemand demand;
+  demand.promptTokens = 800;
+  demand.answerTokens = 200;
+  demand.zone = aZone;
+  return demand;
 }
 
 /** A whole copy in each of two zones. */
@@ -86,6 +90,29 @@
   EXPECT_EQ(crossingsOf(path.value()), 1U);
 }
 
+TEST(PathFinder, CrossesOnlyWherePipesAreOpen)
+{
+  // The pipe between the zones is booked out. A request for which only a path
+  // through both is left is refused at once: taken, it would stand still
+  // behind what is queued there until its caller left.
+  const std::vector<Replica> replicas{ holding("a1", "a", { 0, 5 }),
+                                       holding("a2", "a", { 5, 10 }),
+                                       holding("b1", "b", { 10, 15 }),
+                                       holding("b2", "b", { 15, 20 }) };
+  PathDemand demand = demandIn("b");
+  const auto path = findPath(smallProfile(), candidatesOf(replicas), demand);
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().crossings,
+            std::vector<ZonePair>{ zonePair("b", "a") });
+  demand.closed.insert(zonePair("a", "b"));
+  const auto none = findPath(smallProfile(), candidatesOf(replicas), demand);
+  ASSERT_FALSE(none);
+  EXPECT_EQ(none.error().kind, ErrorKind::Overloaded);
+  demand.closed.clear();
+  demand.mayCross = false;
+  EXPECT_FALSE(findPath(smallProfile(), candidatesOf(replicas), demand));
+}
+
 TEST(PathFinder, NamesALayerThatNobodyHolds)
 {
   const std::vector<Replica> replicas{ holding("a1", "a", { 0, 10 }),
