--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -56,7 +56,9 @@
   /** Replicas that refused or failed it already. */
   std::set<std::string> avoid;
   TimePoint sentAt{};
-  /** Waits for a path since then. */
+  /** Its next attempt is a retry that the budget has not paid for yet. */
+  bool owesRetry = false;
+  /** Waits for a path or for the retry budget since then. */
   std::optional<TimePoint> waitingSince;
 
   /** The head of the answer went to the caller. */
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -10,7 +10,7 @@
 namespace poplartrack {
 
 /** Version of the datagram below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 4;
+constexpr std::uint32_t kPeerFormat = 5;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -44,6 +44,9 @@
   std::uint64_t list = 0;
   /** The sender holds the placement lease. */
   bool leads = false;
+  /** What it counted over the window of the retry budget. */
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
   MSGPACK_DEFINE(format,
                  sender,
                  loads,
@@ -54,7 +57,9 @@
                  config,
                  configAge,
                  list,
-                 leads);
+                 leads,
+                 requests,
+                 retries);
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -294,11 +294,11 @@
   const bool repeatable = route.rule == RepeatRule::Idempotent ||
                           (route.rule == RepeatRule::Stream && route.resumable);
   const bool allowed = !ran || (repeatable && aExchange.runs < route.attempts);
-  if (allowed && aExchange.sends < kMostSends &&
-      this->budget.tryRetry(this->now)) {
+  if (allowed && aExchange.sends < kMostSends) {
     this->shared.metrics.countRetry(aExchange.answering
                                       ? RetryReason::StreamBroken
                                       : RetryReason::ReplicaFailed);
+    aExchange.owesRetry = true;
     this->dispatch(aExchange);
     return;
   }
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -17,6 +17,13 @@
  * longer. */
 constexpr double kAnswerMargin = 1.3;
 
+/** Part of the pipe between two zones that all relays may book together. Those
+ * with little to send leave some of it; one that is booked in full has a queue
+ * that grows with each stream that is told another path. */
+constexpr double kPipePart = 0.6;
+
+constexpr double kBytesPerMegabit = 1e6 / 8;
+
 std::vector<double>
 numbersIn(std::string_view aText)
 {
@@ -191,21 +198,55 @@
   return candidates;
 }
 
+/** A path inside one zone, else one that crosses where pipes have room; by
+ * replicas of a usual pace, else by slow ones too. */
+Result<LayerPath>
+RelayLoop::Impl::findPathFor(const Exchange& aExchange, PathDemand aDemand)
+{
+  const EngineProfile& engine = *aExchange.service->engine;
+  if (engine.pipeMbps > 0) {
+    const std::size_t relays = this->shared.peers.read()->size() + 1;
+    this->pipes.setShare(kPipePart * engine.pipeMbps * kBytesPerMegabit /
+                         static_cast<double>(relays));
+    aDemand.closed = this->pipes.closed(this->now);
+  }
+  Result<LayerPath> path = fail(ErrorKind::NoRoute, "");
+  for (const bool slowToo : { false, true }) {
+    const auto candidates = this->candidatesFor(aExchange, slowToo);
+    for (const bool crosses : { false, true }) {
+      aDemand.mayCross = crosses;
+      path = findPath(engine, candidates, aDemand);
+      if (path) {
+        return path;
+      }
+    }
+  }
+  return path;
+}
+
+/** Books what a path takes of the pipes between zones: the prompt's activations
+ * and those of each token that is written. */
+void
+RelayLoop::Impl::payCrossings(const Exchange& aExchange, const LayerPath& aPath)
+{
+  const double tokens = aExchange.need.prompt + aExchange.need.answer;
+  for (const ZonePair& zones : aPath.crossings) {
+    this->pipes.take(
+      zones, tokens * aExchange.service->engine->activationBytes, this->now);
+  }
+}
+
 Result<AttemptTarget>
 RelayLoop::Impl::choosePath(const Exchange& aExchange,
                             const std::string& aFirst)
 {
-  const PathDemand demand{ aExchange.need.prompt,
-                           aExchange.need.answer,
-                           this->settings.zone,
-                           aExchange.answering,
-                           aFirst };
-  const EngineProfile& engine = *aExchange.service->engine;
-  Result<LayerPath> path =
-    findPath(engine, this->candidatesFor(aExchange, false), demand);
-  if (!path) {
-    path = findPath(engine, this->candidatesFor(aExchange, true), demand);
-  }
+  PathDemand demand;
+  demand.promptTokens = aExchange.need.prompt;
+  demand.answerTokens = aExchange.need.answer;
+  demand.zone = this->settings.zone;
+  demand.started = aExchange.answering;
+  demand.firstReplica = aFirst;
+  Result<LayerPath> path = this->findPathFor(aExchange, demand);
   if (!path) {
     return path.error();
   }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -85,6 +85,11 @@
   line.with("runs", aExchange.runs);
   line.with("sends", aExchange.sends);
   line.with("ms", (this->now - aExchange.arrived).count() / kMicrosPerMs);
+  if (!aExchange.path.parts.empty()) {
+    line.with("parts", static_cast<std::int64_t>(aExchange.path.parts.size()));
+    line.with("crossings",
+              static_cast<std::int64_t>(aExchange.path.crossings.size()));
+  }
   if (aExchange.streaming) {
     line.with("events", aExchange.events);
     line.with("first_ms", aExchange.firstEvent.count() / kMicrosPerMs);
@@ -178,8 +183,12 @@
       aExchange.runs == 0);
     return;
   }
-  const Result<AttemptTarget> target = this->choose(aExchange);
+  Result<AttemptTarget> target = this->choose(aExchange);
+  if (target && aExchange.owesRetry && !this->budget.tryRetry(this->now)) {
+    target = fail(ErrorKind::Overloaded, "the retry budget is used up");
+  }
   if (target) {
+    aExchange.owesRetry = false;
     aExchange.waitingSince.reset();
     this->send(aExchange, target.value());
     return;
@@ -231,6 +240,7 @@
   aExchange.asking = false;
   ++aExchange.sends;
   this->book(aExchange);
+  this->payCrossings(aExchange, aTarget.path);
   this->armExchange(aExchange);
   // The answer to HEAD names a length and has no body.
   connection.parser->skip(aExchange.head.method == "HEAD");
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -39,25 +39,13 @@
   return policy;
 }
 
-/** This relay's share of the second tries that all relays have together. A
- * share that is too large breaks the bound for all. */
-RetryBudgetPolicy
-budgetPolicy(const RelaySettings& aSettings, std::size_t aRelays)
+/** The second tries that all relays have together. */
+SharedRetryPolicy
+retryPolicy(const RelaySettings& aSettings)
 {
-  // What requests have earned and what they earn meanwhile may be spent in one
-  // window: each counts for half.
-  constexpr double kEarnedTwice = 0.5;
-  constexpr double kUsed = 0.9;
-  // Of the slack, a third comes back in a window.
-  constexpr double kAtOnce = 2.0 / 3;
-  const double seconds =
-    std::chrono::duration<double>(aSettings.retryWindow).count();
-  const double slack =
-    kUsed * aSettings.retrySlack / static_cast<double>(aRelays);
-  RetryBudgetPolicy policy;
-  policy.ratio = kUsed * kEarnedTwice * aSettings.retryRatio;
-  policy.perSecond = (1 - kAtOnce) * slack / seconds;
-  policy.reserve = kAtOnce * slack;
+  SharedRetryPolicy policy;
+  policy.ratio = aSettings.retryRatio;
+  policy.slack = aSettings.retrySlack;
   policy.window = aSettings.retryWindow;
   return policy;
 }
@@ -81,7 +69,7 @@
   , nextId(kFirstId)
   , view(std::make_shared<const ReplicaView>())
   , health(this->settings.heartbeat)
-  , budget(budgetPolicy(this->settings, kFewRelays))
+  , budget(retryPolicy(this->settings))
   , ownName(this->settings.name + "/" + toText(randomRequestId()))
 {
 }
@@ -269,17 +257,6 @@
   }
 }
 
-void
-RelayLoop::Impl::shareBudget()
-{
-  const std::size_t relays =
-    std::max(this->shared.peers.read()->size() + 1, kFewRelays);
-  if (relays != this->budgetRelays) {
-    this->budgetRelays = relays;
-    this->budget.setPolicy(budgetPolicy(this->settings, relays));
-  }
-}
-
 void
 RelayLoop::Impl::regularWork()
 {
@@ -294,7 +271,8 @@
     return this->now - aEntry.second.heard > kPeerSilence;
   });
   this->publishLost();
-  this->shareBudget();
+  this->budget.setRelays(
+    std::max(this->shared.peers.read()->size() + 1, kFewRelays));
   this->askSlowOnes();
   this->moveOffLeaving();
   this->tellPeers();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -18,10 +18,11 @@
 #include "ReplicaConnection.h"
 #include "poplartrack/fleet/LoadBook.h"
 #include "poplartrack/fleet/PathFinder.h"
+#include "poplartrack/fleet/PipeBudget.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
-#include "poplartrack/retry/RetryBudget.h"
+#include "poplartrack/retry/SharedRetryBudget.h"
 
 namespace poplartrack {
 
@@ -82,7 +83,6 @@
   void regularWork();
   void refreshReplicas();
   void publishLost();
-  void shareBudget();
 
   // RelayCallers.cpp: connections of callers.
   void acceptCallers();
@@ -169,6 +169,9 @@
     bool aSlowToo) const;
   [[nodiscard]] const Replica* replicaAt(const Address& aAddress) const;
   [[nodiscard]] TokenNeed needOf(const Exchange& aExchange) const;
+  [[nodiscard]] Result<LayerPath> findPathFor(const Exchange& aExchange,
+                                              PathDemand aDemand);
+  void payCrossings(const Exchange& aExchange, const LayerPath& aPath);
   void book(Exchange& aExchange);
   void unbook(Exchange& aExchange);
   void endReading(Exchange& aExchange);
@@ -186,7 +189,6 @@
   void noteLeaving(const ReplicaView& aLatest);
   void moveOffLeaving();
   [[nodiscard]] bool leavesSoon(const Exchange& aExchange) const;
-  [[nodiscard]] std::size_t zonesOf(const LayerPath& aPath) const;
   void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
   // RelayPeers.cpp: datagrams between relays.
@@ -227,9 +229,8 @@
   std::shared_ptr<const ReplicaView> view;
   ReplicaHealth health;
   LoadBook loads;
-  RetryBudget budget;
-  /** Relays among which the second tries are shared. */
-  std::size_t budgetRelays = 0;
+  SharedRetryBudget budget;
+  PipeBudget pipes;
   /** This life of this process, as it names itself to other relays: a machine
    * that takes over its name has another clock. */
   std::string ownName;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -115,6 +115,9 @@
     word.lost.push_back(replica);
   }
   word.slow = this->health.crippled();
+  const RetryCounts counts = this->budget.own(this->now);
+  word.requests = counts.requests;
+  word.retries = counts.retries;
   msgpack::sbuffer bytes;
   msgpack::pack(bytes, word);
   if (bytes.size() > kMostBytes) {
@@ -158,6 +161,8 @@
       continue;
     }
     this->onPeerWord(word);
+    this->budget.onPeer(
+      word.sender, RetryCounts{ word.requests, word.retries }, this->now);
     LoadTable table;
     for (LoadRow& row : word.loads) {
       table.emplace(
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -225,8 +225,8 @@
   this->unbook(aExchange);
   const Result<AttemptTarget> target =
     this->choosePath(aExchange, first.replica);
-  const bool crosses = !target || this->zonesOf(target.value().path) >
-                                    this->zonesOf(aExchange.path);
+  const bool crosses = !target || target.value().path.crossings.size() >
+                                    aExchange.path.crossings.size();
   const bool mayResume = aExchange.route->resumable &&
                          aExchange.runs + 1 < aExchange.route->attempts;
   // Planned moves are few at a time, so the pipe takes them; the attempt is
@@ -234,7 +234,10 @@
   // release of six replicas in turn streams met two that leave, and the second
   // cut them.
   const bool resumes = !target || !aPlanned;
-  if (crosses && mayResume && resumes && this->choosePath(aExchange, {}).ok()) {
+  // Without a retry to spend it stays: its zone is whole again after a second
+  // or so, and the replica keeps the work for longer than that.
+  if (crosses && mayResume && resumes && this->budget.open(this->now) &&
+      this->choosePath(aExchange, {}).ok()) {
     this->onBroken(aExchange, ReplicaFailure::Refused, "part lost");
     return;
   }
@@ -253,6 +256,7 @@
   };
   aExchange.path = order.after;
   this->book(aExchange);
+  this->payCrossings(aExchange, order.after);
   this->calls.repath(
     first.address,
     aExchange.requestId,
@@ -329,21 +333,6 @@
   }
 }
 
-/** How often a path changes its availability zone, plus one. */
-std::size_t
-RelayLoop::Impl::zonesOf(const LayerPath& aPath) const
-{
-  std::size_t zones = 0;
-  std::string last;
-  for (const PathPart& part : aPath.parts) {
-    const Replica* replica = this->replicaAt(part.address);
-    const std::string zone = replica == nullptr ? last : replica->zone;
-    zones += zone == last ? 0 : 1;
-    last = zone;
-  }
-  return zones;
-}
-
 void
 RelayLoop::Impl::onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome)
 {
