--- a/include/poplartrack/fleet/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -2,16 +2,15 @@
 
 #include <atomic>
 #include <concepts>
-#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <string>
 
 #include "poplartrack/base/PeriodicThread.h"
 #include "poplartrack/fleet/FleetPolls.h"
-#include "poplartrack/fleet/LayerPlanner.h"
 #include "poplartrack/fleet/ReplicaList.h"
+#include "poplartrack/relay/PlacementDuty.h"
+#include "poplartrack/relay/RelayDirectory.h"
 #include "poplartrack/relay/RelaySettings.h"
 #include "poplartrack/relay/RelayShared.h"
 #include "poplartrack/store/Lease.h"
@@ -38,17 +37,12 @@
     } -> std::same_as<Result<ReplicaPoll>>;
 };
 
-/** Gives one order to a replica; returns at once. */
-using PlaceOrder = std::function<void(const Replica&,
-                                      LayerRange,
-                                      std::uint64_t aFence,
-                                      std::function<void(Result<Done>)>)>;
-
 /**
  * The threads that keep a relay up to date and do its share of the common
- * duties: one follows the operator's configuration, one the replicas' list,
- * one contends for the placement lease, gives orders while it holds it, and
- * keeps the list of relays.
+ * duties: one follows the operator's configuration, one the replicas' list, one
+ * contends for the placement lease and keeps the list of relays, one places
+ * layers while the lease is held. Each but the last may wait for the store for
+ * more than a second; placement goes on meanwhile.
  */
 template<FleetStoreLike Store>
 class FleetControl
@@ -66,6 +60,7 @@
   Duration followConfig();
   Duration followReplicas();
   Duration duty();
+  Duration place();
   void onConfig(const ConfigPoll& aPoll);
   void onStoreFailure(const char* aWhat, const Error& aError);
   void onStoreAnswer(const char* aWhat);
@@ -74,17 +69,10 @@
   void catchUp();
   void pollLease();
   [[nodiscard]] Duration configWait() const;
-  void place(std::uint64_t aFence);
-  void give(const LayerOrder& aOrder,
-            const Replica& aReplica,
-            std::uint64_t aFence);
-  void joinRelays();
-  void readRelays();
 
   RelaySettings settings;
   RelayShared& shared;
   Store& store;
-  PlaceOrder placeOrder;
   SuspendAwareClock clock;
   Lease<Store, SuspendAwareClock> lease;
 
@@ -105,21 +93,19 @@
   bool configReachable = true;
   bool replicasReachable = true;
 
-  std::mutex planGuard;
-  /** One planner for each model service. */
-  std::map<std::string, LayerPlanner> planners;
-  bool leading = false;
-  bool joined = false;
-  TimePoint relaysReadAt{};
-  bool relaysRead = false;
+  PlacementDuty placement;
+  RelayDirectory<Store> directory;
+  /** The lease under which layers are placed; 0: none. */
+  std::atomic<std::uint64_t> leading{ 0 };
   std::atomic<bool> leaving{ false };
 
   // Last: they use all the above.
   PeriodicThread configThread;
   PeriodicThread replicasThread;
   PeriodicThread dutyThread;
+  PeriodicThread placeThread;
 };
 
 } // namespace poplartrack
 
-#include "poplartrack/fleet/FleetControl.inl.h"
+#include "poplartrack/relay/FleetControl.inl.h"
--- a/include/poplartrack/fleet/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -50,13 +50,9 @@
 /** Pause between two rounds of duties. */
 constexpr Duration kDutyPause = std::chrono::milliseconds{ 250 };
 
-/** The list of relays is read again this often. */
-constexpr Duration kRelaysPause = std::chrono::seconds{ 10 };
-
-constexpr const char* kRelayTable = "relays";
-
-/** Relays of one region that tell each other their load. */
-constexpr std::size_t kMostRelays = 64;
+/** Pause between two looks at what is held: a lost part is noticed by the
+ * streams through it after some 300 ms, and should not wait for long then. */
+constexpr Duration kPlacePause = std::chrono::milliseconds{ 100 };
 
 inline LeaseSettings
 leaseSettings(const RelaySettings& aSettings)
@@ -84,11 +80,13 @@
   : settings(aSettings)
   , shared(aShared)
   , store(aStore)
-  , placeOrder(std::move(aPlace))
   , lease(aStore, this->clock, fleet_control::leaseSettings(aSettings))
+  , placement(aShared, std::move(aPlace))
+  , directory(this->settings, aShared, aStore)
   , configThread([this] { return this->followConfig(); })
   , replicasThread([this] { return this->followReplicas(); })
   , dutyThread([this] { return this->duty(); })
+  , placeThread([this] { return this->place(); })
 {
 }
 
@@ -100,6 +98,7 @@
   // Told for the whole grace time, "leads" kept every other relay from looking
   // at a lease that had been given back: nobody placed anything for 9 s.
   this->shared.leads = false;
+  this->shared.fenceGivenUp = this->leading.exchange(0);
   this->lease.release();
 }
 
@@ -295,148 +294,8 @@
   }
 }
 
-template<FleetStoreLike Store>
-void
-FleetControl<Store>::give(const LayerOrder& aOrder,
-                          const Replica& aReplica,
-                          std::uint64_t aFence)
-{
-  this->shared.metrics.count("placement_orders_total");
-  this->shared.log.write(LogLine{ LogPart::Placement, "order" }
-                           .with("replica", aReplica.id)
-                           .with("zone", aReplica.zone)
-                           .with("kind", aReplica.kind)
-                           .with("from", aOrder.layers.from)
-                           .with("to", aOrder.layers.to)
-                           .with("why", aOrder.reason)
-                           .with("fence", static_cast<std::int64_t>(aFence)));
-  this->placeOrder(aReplica,
-                   aOrder.layers,
-                   aFence,
-                   [this, replica = aReplica.id, service = aReplica.service](
-                     const Result<Done>& aDone) {
-                     if (aDone) {
-                       return;
-                     }
-                     this->shared.log.write(
-                       LogLine{ LogPart::Placement, "order_failed" }
-                         .with("replica", replica)
-                         .with("reason", describe(aDone.error())));
-                     // Without an answer the order may be carried out yet: it
-                     // is waited for.
-                     if (aDone.error().kind == ErrorKind::PlatformUnknown) {
-                       return;
-                     }
-                     const std::scoped_lock lock{ this->planGuard };
-                     const auto planner = this->planners.find(service);
-                     if (planner != this->planners.end()) {
-                       planner->second.onRefused(replica);
-                     }
-                   });
-}
-
-template<FleetStoreLike Store>
-void
-FleetControl<Store>::place(std::uint64_t aFence)
-{
-  const auto config = this->shared.config.read();
-  const auto view = this->shared.replicas.read();
-  const auto lost = this->shared.lost.read();
-  if (config == nullptr) {
-    return;
-  }
-  const TimePoint now = this->clock.now();
-  for (const auto& [name, service] : config->services) {
-    const auto listed = view->byService.find(name);
-    if (!service.engine || listed == view->byService.end()) {
-      continue;
-    }
-    std::vector<Replica> staying;
-    bool inDoubt = false;
-    for (const std::size_t place : listed->second) {
-      const Replica& replica = view->replicas[place];
-      const auto found = lost->find(replica.id);
-      const bool dead = found != lost->end();
-      inDoubt = inDoubt || (dead && !found->second && !replica.draining);
-      if (!replica.draining && !dead) {
-        staying.push_back(replica);
-      }
-    }
-    std::vector<LayerOrder> orders;
-    {
-      const std::scoped_lock lock{ this->planGuard };
-      auto& planner =
-        this->planners.try_emplace(name, LayerPlannerPolicy{}).first->second;
-      orders = planner.plan(*service.engine, staying, inDoubt, now);
-    }
-    for (const LayerOrder& order : orders) {
-      const auto replica = std::find_if(
-        staying.begin(), staying.end(), [&](const Replica& aReplica) {
-          return aReplica.id == order.replica;
-        });
-      this->give(order, *replica, aFence);
-    }
-  }
-}
-
-template<FleetStoreLike Store>
-void
-FleetControl<Store>::joinRelays()
-{
-  const std::string key = this->settings.region + "/" + this->settings.name;
-  const Result<std::optional<TableRow>> row =
-    this->store.readRow(fleet_control::kRelayTable, key);
-  if (!row) {
-    return;
-  }
-  const std::string own = toText(this->settings.peers);
-  if (row.value() && row.value()->value == own) {
-    this->joined = true;
-    return;
-  }
-  const std::uint64_t expect = row.value() ? row.value()->version : 0;
-  this->joined =
-    this->store
-      .transact({ TableWrite{ fleet_control::kRelayTable, key, expect, own } })
-      .ok();
-}
-
-template<FleetStoreLike Store>
-void
-FleetControl<Store>::readRelays()
-{
-  const TimePoint now = this->clock.now();
-  if (this->relaysRead &&
-      now - this->relaysReadAt < fleet_control::kRelaysPause) {
-    return;
-  }
-  const Result<std::vector<TableRow>> rows =
-    this->store.scanRows(fleet_control::kRelayTable,
-                         this->settings.region + "/",
-                         {},
-                         fleet_control::kMostRelays);
-  if (!rows) {
-    return;
-  }
-  this->relaysRead = true;
-  this->relaysReadAt = now;
-  std::vector<Address> peers;
-  for (const TableRow& row : rows.value()) {
-    const Result<Address> address = addressFromText(row.value);
-    if (address && address.value() != this->settings.peers) {
-      peers.push_back(address.value());
-    }
-  }
-  if (*this->shared.peers.read() != peers) {
-    this->shared.log.write(LogLine{ LogPart::Peers, "listed" }.with(
-      "relays", static_cast<std::int64_t>(peers.size())));
-    this->shared.peers.replace(
-      std::make_shared<const std::vector<Address>>(std::move(peers)));
-  }
-}
-
 /** Contends for the lease, or renews it. While its holder is heard there is
- * nothing to contend for. */
+ * nothing to contend for; one that says that it gave up is not waited for. */
 template<FleetStoreLike Store>
 void
 FleetControl<Store>::pollLease()
@@ -444,10 +303,11 @@
   const TimePoint now = this->clock.now();
   const TimePoint heard{ Duration{ this->shared.leaderHeard.load() } };
   const bool led = now - heard < fleet_control::kLeaderSilence;
-  if (led && !this->leading &&
+  if (led && this->leading == 0 &&
       now - this->leaseLooked < fleet_control::kLeaseLook) {
     return;
   }
+  this->lease.onFreed(this->shared.fenceFreed);
   this->leaseLooked = now;
   this->lease.poll();
 }
@@ -455,33 +315,47 @@
 template<FleetStoreLike Store>
 Duration
 FleetControl<Store>::duty()
+{
+  if (!this->leaving) {
+    this->catchUp();
+    this->pollLease();
+    this->directory.refresh(this->clock.now());
+  }
+  return fleet_control::kDutyPause;
+}
+
+/** Places layers while the lease is held; tells the others when it no longer
+ * is. A store that turns only this relay away would else keep all of them from
+ * placing until the row's time is up for them too: 3 s in which what is lost
+ * stays lost. */
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::place()
 {
   if (this->leaving) {
-    return fleet_control::kDutyPause;
+    this->shared.leads = false;
+    return fleet_control::kPlacePause;
   }
-  this->catchUp();
-  this->pollLease();
   const std::optional<HeldLease> held = this->lease.held();
-  this->shared.leads = held.has_value() && !this->leaving;
-  if (held.has_value() != this->leading) {
-    this->leading = held.has_value();
-    this->shared.metrics.set("placement_lease_held", this->leading ? 1 : 0);
-    this->shared.log.write(
-      LogLine{ LogPart::Lease, this->leading ? "taken" : "lost" }.with(
-        "fence", static_cast<std::int64_t>(held ? held->fence : 0)));
-    const std::scoped_lock lock{ this->planGuard };
-    for (auto& [service, planner] : this->planners) {
-      planner.reset();
-    }
-  }
   if (held) {
-    this->place(held->fence);
+    if (this->leading.exchange(held->fence) != held->fence) {
+      this->shared.metrics.set("placement_lease_held", 1);
+      this->shared.log.write(LogLine{ LogPart::Lease, "taken" }.with(
+        "fence", static_cast<std::int64_t>(held->fence)));
+    }
+    this->shared.leads = true;
+    this->placement.run(held->fence, this->clock.now());
+    return fleet_control::kPlacePause;
   }
-  if (!this->joined) {
-    this->joinRelays();
+  this->shared.leads = false;
+  const std::uint64_t lost = this->leading.exchange(0);
+  if (lost != 0) {
+    this->shared.fenceGivenUp = this->lease.giveUp().value_or(lost);
+    this->shared.metrics.set("placement_lease_held", 0);
+    this->shared.log.write(LogLine{ LogPart::Lease, "lost" }.with(
+      "fence", static_cast<std::int64_t>(lost)));
   }
-  this->readRelays();
-  return fleet_control::kDutyPause;
+  return fleet_control::kPlacePause;
 }
 
 } // namespace poplartrack
--- /dev/null
+++ b/include/poplartrack/relay/PlacementDuty.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "poplartrack/fleet/LayerPlanner.h"
+#include "poplartrack/relay/RelayShared.h"
+
+namespace poplartrack {
+
+/** Gives one order to a replica; returns at once. */
+using PlaceOrder = std::function<void(const Replica&,
+                                      LayerRange,
+                                      std::uint64_t aFence,
+                                      std::function<void(Result<Done>)>)>;
+
+/** What the holder of the placement lease does: looks which layers are held and
+ * gives the orders that are due. One thread calls run(); answers to orders may
+ * come on others. */
+class PlacementDuty
+{
+public:
+  PlacementDuty(RelayShared& aShared, PlaceOrder aPlace);
+
+  /** One look, under the lease with this fencing number. */
+  void run(std::uint64_t aFence, TimePoint aNow);
+
+private:
+  void place(const std::string& aService,
+             const EngineProfile& aEngine,
+             const std::vector<std::size_t>& aListed,
+             TimePoint aNow);
+  void give(const LayerOrder& aOrder, const Replica& aReplica);
+  void onOrderDone(const Replica& aReplica, const Result<Done>& aDone);
+
+  RelayShared& shared;
+  PlaceOrder placeOrder;
+  std::mutex guard;
+  /** One planner for each model service. */
+  std::map<std::string, LayerPlanner> planners;
+  std::uint64_t fence = 0;
+};
+
+} // namespace poplartrack
--- /dev/null
+++ b/include/poplartrack/relay/RelayDirectory.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "poplartrack/relay/RelaySettings.h"
+#include "poplartrack/relay/RelayShared.h"
+#include "poplartrack/store/PlatformLike.h"
+
+namespace poplartrack {
+
+/** The list of a region's relays, as rows of the store: each writes where it
+ * takes datagrams, and reads where the others do. One thread calls. */
+template<PlatformLike Store>
+class RelayDirectory
+{
+public:
+  RelayDirectory(const RelaySettings& aSettings,
+                 RelayShared& aShared,
+                 Store& aStore)
+    : settings(aSettings)
+    , shared(aShared)
+    , store(aStore)
+  {
+  }
+
+  /** Writes the own row, if it is not there yet, and reads the others' when
+   * that is due. */
+  void refresh(TimePoint aNow)
+  {
+    if (!this->joined) {
+      this->join();
+    }
+    if (!this->listed || aNow - this->readAt >= kReadPause) {
+      this->read(aNow);
+    }
+  }
+
+private:
+  /** The list is read again this often: a relay that joins is heard by the
+   * others from its own words, and hears them after this long at most. */
+  static constexpr Duration kReadPause = std::chrono::seconds{ 10 };
+  static constexpr const char* kTable = "relays";
+  /** Relays of one region that tell each other their load. */
+  static constexpr std::size_t kMost = 64;
+
+  void join();
+  void read(TimePoint aNow);
+
+  const RelaySettings& settings;
+  RelayShared& shared;
+  Store& store;
+  bool joined = false;
+  bool listed = false;
+  TimePoint readAt{};
+};
+
+template<PlatformLike Store>
+void
+RelayDirectory<Store>::join()
+{
+  const std::string key = this->settings.region + "/" + this->settings.name;
+  const Result<std::optional<TableRow>> row = this->store.readRow(kTable, key);
+  if (!row) {
+    return;
+  }
+  const std::string own = toText(this->settings.peers);
+  if (row.value() && row.value()->value == own) {
+    this->joined = true;
+    return;
+  }
+  const std::uint64_t expect = row.value() ? row.value()->version : 0;
+  this->joined =
+    this->store.transact({ TableWrite{ kTable, key, expect, own } }).ok();
+}
+
+template<PlatformLike Store>
+void
+RelayDirectory<Store>::read(TimePoint aNow)
+{
+  const Result<std::vector<TableRow>> rows =
+    this->store.scanRows(kTable, this->settings.region + "/", {}, kMost);
+  if (!rows) {
+    return;
+  }
+  this->listed = true;
+  this->readAt = aNow;
+  std::vector<Address> peers;
+  for (const TableRow& row : rows.value()) {
+    const Result<Address> address = addressFromText(row.value);
+    if (address && address.value() != this->settings.peers) {
+      peers.push_back(address.value());
+    }
+  }
+  if (*this->shared.peers.read() != peers) {
+    this->shared.log.write(LogLine{ LogPart::Peers, "listed" }.with(
+      "relays", static_cast<std::int64_t>(peers.size())));
+    this->shared.peers.replace(
+      std::make_shared<const std::vector<Address>>(std::move(peers)));
+  }
+}
+
+} // namespace poplartrack
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -46,6 +46,10 @@
   /** When a relay was last heard that holds it, in microseconds of the clock;
    * 0: never. */
   std::atomic<std::int64_t> leaderHeard{ 0 };
+  /** Fencing number of the lease that this relay held and gave up; 0: none. */
+  std::atomic<std::uint64_t> fenceGivenUp{ 0 };
+  /** The highest of which another relay told so. */
+  std::atomic<std::uint64_t> fenceFreed{ 0 };
   /** Relays that are heard. */
   std::atomic<std::size_t> relaysHeard{ 0 };
   /** Newest configuration of which another relay spoke. */
--- a/include/poplartrack/store/Lease.h
+++ b/include/poplartrack/store/Lease.h
@@ -35,6 +35,12 @@
   /** Gives the lease up, at once for this process and, if the platform can be
    * reached, for the others too; else they wait for its end. */
   void release();
+  /** Gives the lease up for this process without a call. Gives the fencing
+   * number that it held, to be told to the others; nothing if it held none. */
+  std::optional<std::uint64_t> giveUp();
+  /** Another process has told that it gave up the lease of this number: there
+   * is nothing to wait for. */
+  void onFreed(std::uint64_t aFence);
 
 private:
   void read();
@@ -142,4 +148,20 @@
   }
 }
 
+template<PlatformLike Platform, ClockLike Clock>
+std::optional<std::uint64_t>
+Lease<Platform, Clock>::giveUp()
+{
+  const std::scoped_lock lock{ this->mutex };
+  return this->state.giveUp();
+}
+
+template<PlatformLike Platform, ClockLike Clock>
+void
+Lease<Platform, Clock>::onFreed(std::uint64_t aFence)
+{
+  const std::scoped_lock lock{ this->mutex };
+  this->state.onFreed(aFence, this->clock.now());
+}
+
 } // namespace poplartrack
--- a/include/poplartrack/store/LeaseState.h
+++ b/include/poplartrack/store/LeaseState.h
@@ -84,6 +84,12 @@
   /** Gives the lease up at once. The write tells the others; nothing when there
    * is no lease to give up. */
   std::optional<TableWrite> beginRelease();
+  /** Gives the lease up without a write: the platform is out of reach. Gives
+   * its fencing number, never held again, for the others to be told. A renewal
+   * that is under way and succeeds yet does not bring it back. */
+  std::optional<std::uint64_t> giveUp();
+  /** The holder of this fencing number has given the lease up. */
+  void onFreed(std::uint64_t aFence, TimePoint aNow);
 
 private:
   /** A write that was sent and not yet seen in the row. */
@@ -113,6 +119,8 @@
   std::uint64_t fence = 0;
   TimePoint until{};
   std::uint64_t lastBeat = 0;
+  /** Leases up to this number were given up, by this process or another one. */
+  std::uint64_t freed = 0;
   std::vector<Beat> beats;
   TimePoint dueAt{};
 };
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -14,8 +14,8 @@
 #include "platform/ReplicaOrders.h"
 #include "platform/UsersStore.h"
 #include "platform/WireNames.h"
-#include "poplartrack/fleet/FleetControl.h"
 #include "poplartrack/http/HttpServer.h"
+#include "poplartrack/relay/FleetControl.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RelaySettings.h"
 
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -47,6 +47,9 @@
   /** What it counted over the window of the retry budget. */
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
+  /** Fencing number of the placement lease that it held and gave up; 0: none.
+   */
+  std::uint64_t gaveUp = 0;
   MSGPACK_DEFINE(format,
                  sender,
                  loads,
@@ -59,7 +62,8 @@
                  list,
                  leads,
                  requests,
-                 retries);
+                 retries,
+                 gaveUp);
 };
 
 } // namespace poplartrack
--- /dev/null
+++ b/src/relay/PlacementDuty.cpp
@@ -0,0 +1,114 @@
+#include "poplartrack/relay/PlacementDuty.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplartrack {
+
+PlacementDuty::PlacementDuty(RelayShared& aShared, PlaceOrder aPlace)
+  : shared(aShared)
+  , placeOrder(std::move(aPlace))
+{
+}
+
+void
+PlacementDuty::run(std::uint64_t aFence, TimePoint aNow)
+{
+  if (aFence != this->fence) {
+    // Another relay may have led meanwhile: its orders are not known here.
+    this->fence = aFence;
+    const std::scoped_lock lock{ this->guard };
+    for (auto& [service, planner] : this->planners) {
+      planner.reset();
+    }
+  }
+  const auto config = this->shared.config.read();
+  const auto view = this->shared.replicas.read();
+  if (config == nullptr) {
+    return;
+  }
+  for (const auto& [name, service] : config->services) {
+    const auto listed = view->byService.find(name);
+    if (service.engine && listed != view->byService.end()) {
+      this->place(name, *service.engine, listed->second, aNow);
+    }
+  }
+}
+
+void
+PlacementDuty::place(const std::string& aService,
+                     const EngineProfile& aEngine,
+                     const std::vector<std::size_t>& aListed,
+                     TimePoint aNow)
+{
+  const auto view = this->shared.replicas.read();
+  const auto lost = this->shared.lost.read();
+  std::vector<Replica> staying;
+  bool inDoubt = false;
+  for (const std::size_t place : aListed) {
+    const Replica& replica = view->replicas[place];
+    const auto found = lost->find(replica.id);
+    const bool dead = found != lost->end();
+    inDoubt = inDoubt || (dead && !found->second && !replica.draining);
+    if (!replica.draining && !dead) {
+      staying.push_back(replica);
+    }
+  }
+  std::vector<LayerOrder> orders;
+  {
+    const std::scoped_lock lock{ this->guard };
+    auto& planner =
+      this->planners.try_emplace(aService, LayerPlannerPolicy{}).first->second;
+    orders = planner.plan(aEngine, staying, inDoubt, aNow);
+  }
+  for (const LayerOrder& order : orders) {
+    const auto replica = std::find_if(
+      staying.begin(), staying.end(), [&](const Replica& aReplica) {
+        return aReplica.id == order.replica;
+      });
+    this->give(order, *replica);
+  }
+}
+
+void
+PlacementDuty::give(const LayerOrder& aOrder, const Replica& aReplica)
+{
+  this->shared.metrics.count("placement_orders_total");
+  this->shared.log.write(
+    LogLine{ LogPart::Placement, "order" }
+      .with("replica", aReplica.id)
+      .with("zone", aReplica.zone)
+      .with("kind", aReplica.kind)
+      .with("from", aOrder.layers.from)
+      .with("to", aOrder.layers.to)
+      .with("why", aOrder.reason)
+      .with("fence", static_cast<std::int64_t>(this->fence)));
+  this->placeOrder(aReplica,
+                   aOrder.layers,
+                   this->fence,
+                   [this, replica = aReplica](const Result<Done>& aDone) {
+                     this->onOrderDone(replica, aDone);
+                   });
+}
+
+void
+PlacementDuty::onOrderDone(const Replica& aReplica, const Result<Done>& aDone)
+{
+  if (aDone) {
+    return;
+  }
+  this->shared.log.write(LogLine{ LogPart::Placement, "order_failed" }
+                           .with("replica", aReplica.id)
+                           .with("reason", describe(aDone.error())));
+  // Without an answer the order may be carried out yet: it is waited for.
+  if (aDone.error().kind == ErrorKind::PlatformUnknown) {
+    return;
+  }
+  const std::scoped_lock lock{ this->guard };
+  const auto planner = this->planners.find(aReplica.service);
+  if (planner != this->planners.end()) {
+    planner->second.onRefused(aReplica.id);
+  }
+}
+
+} // namespace poplartrack
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -61,6 +61,7 @@
   aWord.configAge = age == Duration::max() ? -1 : age.count();
   aWord.list = this->view->changed;
   aWord.leads = this->shared.leads;
+  aWord.gaveUp = this->shared.fenceGivenUp;
 }
 
 /**
@@ -88,6 +89,11 @@
   };
   raise(this->shared.configHeard, aWord.config);
   raise(this->shared.listHeard, aWord.list);
+  if (aWord.gaveUp > this->shared.fenceFreed) {
+    this->shared.fenceFreed = aWord.gaveUp;
+    // Nobody leads: the next look at the lease need not wait for silence.
+    this->shared.leaderHeard = 0;
+  }
   const auto echo = aWord.heard.find(this->ownName);
   const auto config = this->shared.config.read();
   const bool same = config != nullptr && config->version == aWord.config;
--- a/src/store/LeaseState.cpp
+++ b/src/store/LeaseState.cpp
@@ -34,7 +34,8 @@
     // Writing over it would start the fencing numbers anew.
     return false;
   }
-  if (!this->record || this->record->released) {
+  if (!this->record || this->record->released ||
+      this->record->fence <= this->freed) {
     return true;
   }
   if (this->own(*this->record)) {
@@ -112,7 +113,7 @@
     this->beats.begin(), this->beats.end(), [&](const Beat& aBeat) {
       return aBeat.number == aRecord.beat && aBeat.fence == aRecord.fence;
     });
-  if (sent != this->beats.end()) {
+  if (sent != this->beats.end() && aRecord.fence > this->freed) {
     this->holding = true;
     this->fence = aRecord.fence;
     this->until = sent->sent + aRecord.duration - this->settings.margin;
@@ -162,13 +163,38 @@
                               this->settings.duration,
                               false };
   this->rowKnown = true;
-  this->holding = true;
+  this->holding = sent.fence > this->freed;
   this->fence = sent.fence;
   this->until = sent.sent + this->settings.duration - this->settings.margin;
   this->beats.clear();
   this->dueAt = sent.sent + this->settings.renewEvery;
 }
 
+std::optional<std::uint64_t>
+LeaseState::giveUp()
+{
+  if (!this->holding) {
+    return std::nullopt;
+  }
+  // The beats stay: an answer to a write that is under way looks for its own.
+  this->holding = false;
+  this->freed = std::max(this->freed, this->fence);
+  this->rowKnown = false;
+  return this->fence;
+}
+
+void
+LeaseState::onFreed(std::uint64_t aFence, TimePoint aNow)
+{
+  if (aFence <= this->freed) {
+    return;
+  }
+  this->freed = aFence;
+  if (!this->holding) {
+    this->dueAt = std::min(this->dueAt, aNow);
+  }
+}
+
 void
 LeaseState::onWriteUnsure(TimePoint aNow)
 {
--- a/tests/unit/fleet/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -1,4 +1,4 @@
-#include "poplartrack/fleet/FleetControl.h"
+#include "poplartrack/relay/FleetControl.h"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -8,7 +8,7 @@
 
 #include <gtest/gtest.h>
 
-#include "FleetSamples.h"
+#include "unit/fleet/FleetSamples.h"
 
 namespace poplartrack {
 namespace {
--- a/tests/unit/store/LeaseStateTest.cpp
+++ b/tests/unit/store/LeaseStateTest.cpp
@@ -70,6 +70,7 @@
   Advance,
   Poll,
   Release,
+  GiveUp,
   Restart,
   KeepNextWrite,
   Land,
@@ -126,6 +127,14 @@
       case Act::Release:
         one.lease.release();
         break;
+      case Act::GiveUp:
+        // Its word reaches the others at once, whatever the platform does.
+        if (const auto fence = one.lease.giveUp()) {
+          for (const auto& other : this->contenders) {
+            other->lease.onFreed(*fence);
+          }
+        }
+        break;
       case Act::Restart:
         this->start(aMove.who);
         break;
@@ -235,8 +244,8 @@
 }
 
 const std::vector<Act> kFaults{
-  Act::Release,   Act::Restart,    Act::KeepNextWrite, Act::Land,
-  Act::LoseAfter, Act::LoseBefore, Act::Outage,        Act::Heal,
+  Act::Release,   Act::GiveUp,     Act::Restart, Act::KeepNextWrite, Act::Land,
+  Act::LoseAfter, Act::LoseBefore, Act::Outage,  Act::Heal,
 };
 
 RC_GTEST_PROP(LeaseState, neverTwoHoldersAndNumbersOnlyGrow, ())
--- a/tests/unit/store/LeaseTest.cpp
+++ b/tests/unit/store/LeaseTest.cpp
@@ -133,6 +133,36 @@
   EXPECT_EQ(this->second.held()->fence, 2);
 }
 
+// The store turns only the holder away. It says so to the others, who need not
+// wait for the row's time: without a holder what is lost stays lost.
+TEST_F(LeaseTest, aLeaseThatWasGivenUpIsNotWaitedFor)
+{
+  this->first.poll();
+  this->second.poll();
+  EXPECT_EQ(this->first.giveUp(), 1U);
+  EXPECT_FALSE(this->first.held());
+  this->second.onFreed(1);
+  this->second.poll();
+  ASSERT_TRUE(this->second.held());
+  EXPECT_EQ(this->second.held()->fence, 2);
+}
+
+// A renewal was under way when the holder gave up, and the store carried it
+// out. The others were told that nobody holds this number any more.
+TEST_F(LeaseTest, aRenewalThatCameThroughDoesNotBringItBack)
+{
+  this->first.poll();
+  this->lose(0, 1);
+  this->clock.advance(seconds{ 4 });
+  this->first.poll();
+  this->platform.setFaults({});
+  EXPECT_EQ(this->first.giveUp(), 1U);
+  this->clock.advance(seconds{ 1 });
+  this->first.poll();
+  const auto held = this->first.held();
+  EXPECT_TRUE(!held || held->fence > 1);
+}
+
 // Somebody else's bytes are in the row: writing over them would start the
 // fencing numbers anew, and orders of an old holder would pass again.
 TEST_F(LeaseTest, aRowThatCannotBeReadIsLeftAlone)
