--- a/include/poplartrack/base/TcpSocket.h
+++ b/include/poplartrack/base/TcpSocket.h
@@ -15,6 +15,10 @@
 std::optional<sockaddr_in>
 toSocketAddress(const Address& aAddress);
 
+/** The address that the system calls gave. */
+Address
+fromSocketAddress(const sockaddr_in& aAddress);
+
 /** A non-blocking socket that listens; port 0 picks a free one. Network names
  * the cause. */
 Result<OwnedFd>
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -144,8 +144,10 @@
   }
   this->configAfter = poll.value().next;
   this->onConfig(poll.value());
-  const std::scoped_lock lock{ this->configGuard };
-  this->configStarted = this->shared.config.read() != nullptr;
+  // Also where there is no configuration yet: it is a change like others. Read
+  // again and again until the operator wrote the first one, it took 85 calls a
+  // relay, half of all in the first 30 s.
+  this->configStarted = true;
   return poll.value().config ? fleet_control::kGatherPause : Duration{ 0 };
 }
 
--- a/src/base/TcpSocket.cpp
+++ b/src/base/TcpSocket.cpp
@@ -42,6 +42,14 @@
   return result;
 }
 
+Address
+fromSocketAddress(const sockaddr_in& aAddress)
+{
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &aAddress.sin_addr, text.data(), text.size());
+  return Address{ text.data(), ntohs(aAddress.sin_port) };
+}
+
 Result<OwnedFd>
 listenTcp(const Address& aListen)
 {
@@ -111,12 +119,7 @@
   if (::getsockname(aFd, reinterpret_cast<sockaddr*>(&local), &length) != 0) {
     return fail(ErrorKind::Network, std::generic_category().message(errno));
   }
-  std::array<char, INET_ADDRSTRLEN> text{};
-  if (inet_ntop(AF_INET, &local.sin_addr, text.data(), text.size()) ==
-      nullptr) {
-    return fail(ErrorKind::Network, std::generic_category().message(errno));
-  }
-  return Address{ text.data(), ntohs(local.sin_port) };
+  return fromSocketAddress(local);
 }
 
 } // namespace poplartrack
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -30,6 +30,8 @@
   std::vector<LoadRow> loads;
   /** Replicas that another replica named as what its work waits for. */
   std::vector<std::string> lost;
+  /** Replicas that the sender itself cannot reach. */
+  std::vector<std::string> unreachable;
   /** Replicas that are slow, with how slow. */
   std::map<std::string, double> slow;
   /** When it was sent, on the sender's clock, in microseconds. */
@@ -54,6 +56,7 @@
                  sender,
                  loads,
                  lost,
+                 unreachable,
                  slow,
                  sentAt,
                  heard,
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -17,6 +17,10 @@
 /** Attempts for one request, those that were refused included. */
 constexpr int kMostSends = 4;
 
+/** ... and for a stream of which the caller has part. When a zone is lost,
+ * several copies are short of memory at once, and each refuses. */
+constexpr int kMostStreamSends = 8;
+
 bool
 isSuccess(int aStatus)
 {
@@ -264,8 +268,10 @@
                            .with("stalled", stalled ? 1 : 0));
   aExchange.avoid.insert(culprit);
   this->dropAttempt(aExchange, false);
-  if (aExchange.sends < kMostSends && this->budget.tryRetry(this->now)) {
+  // A started stream waits for the budget, and for a path, before it is cut.
+  if (aExchange.sends < (aExchange.answering ? kMostStreamSends : kMostSends)) {
     this->shared.metrics.countRetry(RetryReason::ReplicaRefused);
+    aExchange.owesRetry = true;
     this->dispatch(aExchange);
     return;
   }
@@ -294,7 +300,11 @@
   const bool repeatable = route.rule == RepeatRule::Idempotent ||
                           (route.rule == RepeatRule::Stream && route.resumable);
   const bool allowed = !ran || (repeatable && aExchange.runs < route.attempts);
-  if (allowed && aExchange.sends < kMostSends) {
+  if (aFailure == ReplicaFailure::Unreachable) {
+    this->publishLost();
+  }
+  const int most = aExchange.answering ? kMostStreamSends : kMostSends;
+  if (allowed && aExchange.sends < most) {
     this->shared.metrics.countRetry(aExchange.answering
                                       ? RetryReason::StreamBroken
                                       : RetryReason::ReplicaFailed);
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -161,14 +161,17 @@
 double
 RelayLoop::Impl::slowdownOf(const std::string& aReplica) const
 {
-  double slowdown = this->health.slowdown(aReplica);
-  for (const auto& [peer, told] : this->peerLost) {
-    const auto found = told.slow.find(aReplica);
-    if (found != told.slow.end()) {
-      slowdown = std::max(slowdown, found->second);
-    }
-  }
-  return slowdown;
+  return std::max(this->health.slowdown(aReplica),
+                  this->reports.slowdown(aReplica));
+}
+
+/** Whether a replica is certainly lost, as far as all relays can tell. */
+bool
+RelayLoop::Impl::isLost(const std::string& aReplica) const
+{
+  return this->reports.lost(aReplica,
+                            this->health.dead(aReplica, this->now),
+                            this->peersHeard.size() + 1);
 }
 
 std::vector<PathCandidate>
@@ -181,11 +184,7 @@
   }
   for (const std::size_t place : listed->second) {
     const Replica& replica = this->view->replicas[place];
-    const bool lostElsewhere = std::any_of(
-      this->peerLost.begin(), this->peerLost.end(), [&](const auto& aPeer) {
-        return aPeer.second.replicas.contains(replica.id);
-      });
-    if (replica.draining || lostElsewhere ||
+    if (replica.draining || this->isLost(replica.id) ||
         !this->health.usable(replica.id, this->now)) {
       continue;
     }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "RelayLoopImpl.h"
+#include "RetryAdvice.h"
 
 namespace poplartrack {
 namespace {
@@ -26,11 +27,8 @@
 /** Pause between two looks for a path. */
 constexpr Duration kWaitPause = std::chrono::milliseconds{ 25 };
 
-/** When a caller that was refused may come back. Memory frees itself at the
- * pace of answers, about one and a half seconds; the spread keeps those that
- * were refused together from coming back together. */
-constexpr Duration kRetryLeast = std::chrono::milliseconds{ 300 };
-constexpr std::uint64_t kRetrySpreadMs = 900;
+/** A relay that was heard this lately still serves. */
+constexpr Duration kPeerServes = std::chrono::milliseconds{ 1'000 };
 
 std::optional<std::int64_t>
 numberIn(std::optional<std::string_view> aText)
@@ -350,7 +348,8 @@
     const TimePoint since =
       aExchange.asking ? aExchange.askedAt : aExchange.lastProgress;
     if (this->now - since >= this->patienceOf(aExchange)) {
-      this->askForStall(aExchange);
+      this->onOverdue(aExchange);
+      return;
     }
   }
   this->armExchange(aExchange);
@@ -427,6 +426,11 @@
   const auto found = this->callers.find(aExchange.caller);
   const std::string requestId = aExchange.requestId;
   const bool answering = aExchange.answering;
+  RefusalState state;
+  state.kind = error.kind;
+  state.othersServe = this->now - this->peerFreshAt <= kPeerServes;
+  state.timeLeft = aExchange.giveUpAt - this->now;
+  state.spread = hashOf(requestId);
   this->endExchange(aExchange);
   if (found == this->callers.end()) {
     return;
@@ -441,10 +445,7 @@
   const int status = rowOf(error.kind).httpStatus;
   constexpr int kUnavailable = 503;
   const Duration retryAfter =
-    status == kUnavailable
-      ? kRetryLeast +
-          std::chrono::milliseconds{ hashOf(requestId) % kRetrySpreadMs }
-      : Duration{ 0 };
+    status == kUnavailable ? retryAdvice(state) : Duration{ 0 };
   this->answerError(caller, error, requestId, retryAfter, caller.closeAfterOut);
   this->afterAnswer(caller);
 }
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -20,7 +20,7 @@
  * a relay starts about 3 requests in that time. */
 constexpr Duration kRegularPause = std::chrono::milliseconds{ 200 };
 
-/** What a relay told of lost replicas is dropped when it falls silent. */
+/** A relay that told nothing for this long is not heard any more. */
 constexpr Duration kPeerSilence = std::chrono::seconds{ 2 };
 
 /** Margin between the bound on revoked keys and the age at which a relay stops
@@ -235,25 +235,38 @@
   for (const auto& [replica, pace] : this->health.crippled()) {
     lost.insert_or_assign(replica, true);
   }
-  for (const auto& [peer, told] : this->peerLost) {
-    for (const auto& [replica, pace] : told.slow) {
-      lost.insert_or_assign(replica, true);
-    }
-    for (const std::string& replica : told.replicas) {
+  for (const std::string& replica : this->reports.slow()) {
+    lost.insert_or_assign(replica, true);
+  }
+  for (const std::string& replica : this->reports.suspects()) {
+    if (this->isLost(replica)) {
       lost.insert_or_assign(replica, true);
     }
   }
   const auto before = this->shared.lost.read();
-  for (const auto& [replica, named] : lost) {
-    if (!before->contains(replica)) {
-      this->shared.log.write(LogLine{ LogPart::Replicas, "lost" }
-                               .with("replica", replica)
-                               .with("named", named ? 1 : 0));
+  if (*before == lost) {
+    return;
+  }
+  this->shared.lost.replace(
+    std::make_shared<const RelayShared::LostReplicas>(lost));
+  bool news = false;
+  for (const auto& [replica, certain] : lost) {
+    const auto known = before->find(replica);
+    if (known != before->end() && known->second == certain) {
+      continue;
+    }
+    news = true;
+    this->shared.log.write(LogLine{ LogPart::Replicas, "lost" }
+                             .with("replica", replica)
+                             .with("named", certain ? 1 : 0));
+    if (certain) {
+      this->hurryThrough(replica);
     }
   }
-  if (*before != lost) {
-    this->shared.lost.replace(
-      std::make_shared<const RelayShared::LostReplicas>(std::move(lost)));
+  if (news) {
+    // The next word would come after 200 ms; the streams of the other relays
+    // stand still meanwhile.
+    this->tellPeers();
   }
 }
 
@@ -267,9 +280,7 @@
     return this->now - aEntry.second.heard > kPeerSilence;
   });
   this->shared.relaysHeard = this->peersHeard.size();
-  std::erase_if(this->peerLost, [this](const auto& aEntry) {
-    return this->now - aEntry.second.heard > kPeerSilence;
-  });
+  this->reports.expire(this->now);
   this->publishLost();
   this->budget.setRelays(
     std::max(this->shared.peers.read()->size() + 1, kFewRelays));
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <netinet/in.h>
+
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -17,6 +19,7 @@
 #include "Exchange.h"
 #include "ReplicaConnection.h"
 #include "poplartrack/fleet/LoadBook.h"
+#include "poplartrack/fleet/LossReports.h"
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/PipeBudget.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
@@ -164,6 +167,7 @@
   [[nodiscard]] const RelayService* pickService(
     const Exchange& aExchange) const;
   [[nodiscard]] double slowdownOf(const std::string& aReplica) const;
+  [[nodiscard]] bool isLost(const std::string& aReplica) const;
   [[nodiscard]] std::vector<PathCandidate> candidatesFor(
     const Exchange& aExchange,
     bool aSlowToo) const;
@@ -178,11 +182,13 @@
 
   // RelayRepair.cpp: work that stands still.
   [[nodiscard]] Duration patienceOf(const Exchange& aExchange) const;
-  void askForStall(Exchange& aExchange);
+  void onOverdue(Exchange& aExchange);
   void ask(const PathPart& aPart, Duration aPause);
   void askRestOfPaths(const std::string& aFirst);
   void askSlowOnes();
   void onReport(const std::string& aReplica, const ReplicaReport& aReport);
+  [[nodiscard]] bool throughLost(const Exchange& aExchange) const;
+  void hurryThrough(const std::string& aReplica);
   [[nodiscard]] bool movesAt(const std::string& aReplica) const;
   void onCulprit(const std::string& aReplica);
   void repair(Exchange& aExchange, bool aPlanned);
@@ -194,6 +200,7 @@
   // RelayPeers.cpp: datagrams between relays.
   Result<Done> openPeers();
   void readPeers();
+  void meet(const sockaddr_in& aSender);
   void tellPeers();
   void describeSelf(PeerWord& aWord) const;
   void onPeerWord(const PeerWord& aWord);
@@ -242,15 +249,9 @@
     TimePoint heard;
   };
   std::map<std::string, PeerHeard> peersHeard;
-  /** What the other relays last told of lost replicas. */
-  struct PeerLost
-  {
-    std::set<std::string> replicas;
-    /** Replicas that are slow, with how slow. */
-    std::map<std::string, double> slow;
-    TimePoint heard;
-  };
-  std::map<std::string, PeerLost> peerLost;
+  /** Some relay knows its configuration to be the newest. */
+  TimePoint peerFreshAt{};
+  LossReports reports;
   /** Replicas that leave, and since when this relay knows. */
   std::map<std::string, TimePoint> leavingSince;
   TimePoint now{};
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <system_error>
@@ -96,6 +97,10 @@
   }
   const auto echo = aWord.heard.find(this->ownName);
   const auto config = this->shared.config.read();
+  const Duration theirAge{ aWord.configAge };
+  if (aWord.configAge >= 0 && theirAge <= this->gate.keyAge) {
+    this->peerFreshAt = this->now;
+  }
   const bool same = config != nullptr && config->version == aWord.config;
   if (!same || echo == aWord.heard.end() || aWord.configAge < 0) {
     return;
@@ -104,6 +109,29 @@
   this->shared.freshness.prove(std::min(proved, moment));
 }
 
+/** Answers a relay that is not on the list yet: one that started later read the
+ * list with this relay on it. Until all hear each other, each looks at the
+ * lease and at the configuration more often: a third of the calls of the first
+ * 10 s.
+ */
+void
+RelayLoop::Impl::meet(const sockaddr_in& aSender)
+{
+  const Address sender = fromSocketAddress(aSender);
+  const auto known = this->shared.peers.read();
+  const bool listed =
+    std::find(known->begin(), known->end(), sender) != known->end();
+  if (listed || sender == this->localPeers) {
+    return;
+  }
+  std::vector<Address> peers = *known;
+  peers.push_back(sender);
+  this->shared.log.write(
+    LogLine{ LogPart::Peers, "met" }.with("address", toText(sender)));
+  this->shared.peers.replace(
+    std::make_shared<const std::vector<Address>>(std::move(peers)));
+}
+
 void
 RelayLoop::Impl::tellPeers()
 {
@@ -120,6 +148,9 @@
   for (const std::string& replica : this->health.named(this->now)) {
     word.lost.push_back(replica);
   }
+  for (const std::string& replica : this->health.lost(this->now)) {
+    word.unreachable.push_back(replica);
+  }
   word.slow = this->health.crippled();
   const RetryCounts counts = this->budget.own(this->now);
   word.requests = counts.requests;
@@ -149,8 +180,14 @@
   constexpr int kMostAtOnce = 64;
   std::array<char, kMostBytes> bytes;
   for (int i = 0; i < kMostAtOnce; ++i) {
-    const ssize_t count =
-      ::recv(this->peerSocket.get(), bytes.data(), bytes.size(), 0);
+    sockaddr_in from{};
+    socklen_t fromSize = sizeof from;
+    const ssize_t count = ::recvfrom(this->peerSocket.get(),
+                                     bytes.data(),
+                                     bytes.size(),
+                                     0,
+                                     reinterpret_cast<sockaddr*>(&from),
+                                     &fromSize);
     if (count <= 0) {
       return;
     }
@@ -166,6 +203,7 @@
     if (word.format != kPeerFormat || word.sender == this->ownName) {
       continue;
     }
+    this->meet(from);
     this->onPeerWord(word);
     this->budget.onPeer(
       word.sender, RetryCounts{ word.requests, word.retries }, this->now);
@@ -176,12 +214,11 @@
         ReplicaLoad{ row.requests, row.tokenLayers, row.readingTokens });
     }
     this->loads.onPeer(word.sender, std::move(table), this->now);
-    if (word.lost.empty() && word.slow.empty()) {
-      this->peerLost.erase(word.sender);
-    } else {
-      this->peerLost[word.sender] = PeerLost{
-        { word.lost.begin(), word.lost.end() }, std::move(word.slow), this->now
-      };
+    LossReport report{ { word.lost.begin(), word.lost.end() },
+                       { word.unreachable.begin(), word.unreachable.end() },
+                       std::move(word.slow) };
+    if (this->reports.onPeer(word.sender, std::move(report), this->now)) {
+      this->publishLost();
     }
   }
 }
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -11,16 +11,26 @@
 
 /** Progress that is this many times overdue is looked into. Passes of other
  * requests' prompts stretch a step two- or threefold. */
-constexpr int kOverdue = 4;
+constexpr int kOverdue = 3;
 
-/** ... but not before this: a lost packet is repeated within 200 ms, and a
- * question costs a call. */
-constexpr Duration kLeastPatience = std::chrono::milliseconds{ 130 };
+/** ... but not before this. A question costs a probe, 1 in 1,400,000 of what
+ * a day is worth; a stream that moves again within 200 to 250 ms of its last
+ * event is still on time. */
+constexpr Duration kLeastPatience = std::chrono::milliseconds{ 100 };
 constexpr Duration kMostPatience = std::chrono::milliseconds{ 900 };
 
-/** A replica is asked no more often than this: its report is some hundred ms
- * old, and one answer serves all requests that wait for it. */
-constexpr Duration kAskPause = std::chrono::milliseconds{ 250 };
+/** A replica is asked no more often than this: one answer serves all requests
+ * that wait for it. Its report is 200 ms old, so the first one may not show yet
+ * what the next one does. */
+constexpr Duration kAskPause = std::chrono::milliseconds{ 90 };
+
+/** A stream through a replica that is known to be lost is moved once it is
+ * this much behind; others told of the loss before this relay noticed. */
+constexpr int kOverdueThroughLost = 2;
+constexpr Duration kLeastThroughLost = std::chrono::milliseconds{ 60 };
+
+/** ... and when there was nowhere to move it, again after this. */
+constexpr Duration kMoveAgain = std::chrono::milliseconds{ 150 };
 
 /** ... and the others of a late path no more often than this: a slow replica
  * stays so for seconds, and each question is a priced call. */
@@ -58,15 +68,68 @@
   const Duration expected = begun ? aExchange.path.perToken * kTokensPerEvent
                                   : aExchange.path.firstToken +
                                       aExchange.path.perToken * kTokensPerEvent;
+  if (this->throughLost(aExchange)) {
+    return aExchange.asking ? kMoveAgain
+                            : std::clamp(expected * kOverdueThroughLost,
+                                         kLeastThroughLost,
+                                         kMostPatience);
+  }
+  if (aExchange.asking) {
+    return kAskPause;
+  }
   return std::clamp(expected * kOverdue, kLeastPatience, kMostPatience);
 }
 
+/** Whether the path leads through a replica that is certainly lost. */
+bool
+RelayLoop::Impl::throughLost(const Exchange& aExchange) const
+{
+  const auto lost = this->shared.lost.read();
+  const auto& parts = aExchange.path.parts;
+  return !lost->empty() &&
+         std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
+           const auto found = lost->find(aPart.replica);
+           return found != lost->end() && found->second &&
+                  this->slowdownOf(aPart.replica) < kCrippled;
+         });
+}
+
+/** Streams through a replica that is newly known to be lost are looked at as
+ * soon as they are late. Those that still move are left alone: the loss may be
+ * one between that replica and others. */
 void
-RelayLoop::Impl::askForStall(Exchange& aExchange)
+RelayLoop::Impl::hurryThrough(const std::string& aReplica)
 {
+  for (const auto& [id, exchange] : this->exchanges) {
+    const auto& parts = exchange->path.parts;
+    const bool through =
+      exchange->connection != 0 &&
+      std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
+        return aPart.replica == aReplica;
+      });
+    if (through) {
+      this->armExchange(*exchange);
+    }
+  }
+}
+
+/** Nothing has come for too long: the stream is moved when the cause is known,
+ * else it is asked for. */
+void
+RelayLoop::Impl::onOverdue(Exchange& aExchange)
+{
+  const std::uint64_t id = aExchange.id;
   aExchange.asking = true;
   aExchange.askedAt = this->now;
-  this->ask(aExchange.path.parts.front(), kAskPause);
+  if (this->throughLost(aExchange)) {
+    this->repair(aExchange, false);
+  } else {
+    this->ask(aExchange.path.parts.front(), kAskPause);
+  }
+  const auto still = this->exchanges.find(id);
+  if (still != this->exchanges.end() && still->second->connection != 0) {
+    this->armExchange(*still->second);
+  }
 }
 
 /** Asks a replica how it does, unless it was asked lately. */
@@ -206,7 +269,8 @@
 {
   const PathPart first = aExchange.path.parts.front();
   // One that refused a request, as full, lives and runs what it has.
-  const bool firstLives = !this->health.dead(first.replica, this->now);
+  const bool firstLives = !this->health.dead(first.replica, this->now) &&
+                          !this->isLost(first.replica);
   if (this->leavingSince.contains(first.replica)) {
     const bool mayMove = aExchange.route->resumable &&
                          aExchange.runs + 1 < aExchange.route->attempts &&
--- /dev/null
+++ b/src/relay/RetryAdvice.cpp
@@ -0,0 +1,69 @@
+#include "RetryAdvice.h"
+
+#include <algorithm>
+
+namespace poplartrack {
+namespace {
+
+/** From when on a caller may come back, and over which time they spread. */
+struct Window
+{
+  Duration least;
+  Duration spread;
+};
+
+/** Only this relay cannot serve: it stops, starts or is cut off. Another one
+ * can at once, and the answer may still be on time. */
+constexpr Window kElsewhere{ std::chrono::milliseconds{ 20 },
+                             std::chrono::milliseconds{ 150 } };
+
+/** Memory frees itself at the pace of answers, two to three seconds each, and a
+ * zone that lost a part is whole again after one to two: what came back within
+ * a second was refused again. The answer is late in either case. */
+constexpr Window kCrowded{ std::chrono::milliseconds{ 900 },
+                           std::chrono::milliseconds{ 2'000 } };
+
+/** Nobody can tell which keys hold: the store is away for all, for seconds. */
+constexpr Window kBlind{ std::chrono::milliseconds{ 1'500 },
+                         std::chrono::milliseconds{ 3'500 } };
+
+/** Callers wait for this part of their time at most. */
+constexpr int kPartOfTime = 3;
+
+Window
+windowOf(const RefusalState& aState)
+{
+  switch (aState.kind) {
+    case ErrorKind::Draining:
+      return kElsewhere;
+    case ErrorKind::NoConfiguration:
+      return aState.othersServe ? kElsewhere : kBlind;
+    default:
+      return kCrowded;
+  }
+}
+
+} // namespace
+
+Duration
+retryAdvice(const RefusalState& aState)
+{
+  const Window window = windowOf(aState);
+  const Duration most = aState.timeLeft / kPartOfTime;
+  // A caller with little time gets the same spread in less of it.
+  const Duration whole = window.least + window.spread;
+  const auto part = static_cast<double>(aState.spread % 1'000) / 1'000;
+  const auto asked = window.least + Duration{
+    static_cast<std::int64_t>(part * static_cast<double>(window.spread.count()))
+  };
+  if (whole <= most) {
+    return asked;
+  }
+  const double scale =
+    static_cast<double>(std::max(most, Duration{ 0 }).count()) /
+    static_cast<double>(whole.count());
+  return Duration{ static_cast<std::int64_t>(
+    scale * static_cast<double>(asked.count())) };
+}
+
+} // namespace poplartrack
