--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -69,6 +69,7 @@
   void catchUp();
   void pollLease();
   [[nodiscard]] Duration configWait() const;
+  [[nodiscard]] Duration retryPause(int aFailures) const;
 
   RelaySettings settings;
   RelayShared& shared;
@@ -91,6 +92,9 @@
   std::uint64_t listCaughtUp = 0;
   TimePoint leaseLooked{};
   bool configReachable = true;
+  /** Looks in a row that failed. */
+  int configFailures = 0;
+  int replicasFailures = 0;
   bool replicasReachable = true;
 
   PlacementDuty placement;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -44,8 +44,13 @@
  * what has gathered. Far below the bounds of two seconds on both. */
 constexpr Duration kGatherPause = std::chrono::milliseconds{ 150 };
 
-/** Pause after a look that failed. */
+/** Pause after a look that failed, doubled with each one up to the most. While
+ * the store is away each look is a call for nothing; which relay's look finds
+ * it back is no matter, since the others hear of it at once. */
 constexpr Duration kRetryPause = std::chrono::milliseconds{ 250 };
+constexpr Duration kRetryMost = std::chrono::milliseconds{ 1'500 };
+/** ... and for a relay that hears too few others. */
+constexpr Duration kRetryMostAlone = std::chrono::milliseconds{ 500 };
 
 /** Pause between two rounds of duties. */
 constexpr Duration kDutyPause = std::chrono::milliseconds{ 250 };
@@ -137,8 +142,9 @@
     if (std::exchange(this->configReachable, false)) {
       this->onStoreFailure("config", poll.error());
     }
-    return fleet_control::kRetryPause;
+    return this->retryPause(this->configFailures++);
   }
+  this->configFailures = 0;
   if (!std::exchange(this->configReachable, true)) {
     this->onStoreAnswer("config");
   }
@@ -151,6 +157,23 @@
   return poll.value().config ? fleet_control::kGatherPause : Duration{ 0 };
 }
 
+/** The pause after one more look that failed, between half and all of what its
+ * number gives: relays must not look together. */
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::retryPause(int aFailures) const
+{
+  const Duration most = this->shared.relaysHeard >= fleet_control::kEnoughRelays
+                          ? fleet_control::kRetryMost
+                          : fleet_control::kRetryMostAlone;
+  constexpr int kDoublings = 4;
+  const Duration pause = std::min(
+    most, fleet_control::kRetryPause * (1 << std::min(aFailures, kDoublings)));
+  return pause / 2 + Duration{ static_cast<std::int64_t>(
+                       randomRequestId().low %
+                       static_cast<std::uint64_t>(pause.count() / 2)) };
+}
+
 template<FleetStoreLike Store>
 Duration
 FleetControl<Store>::configWait() const
@@ -229,8 +252,9 @@
     if (std::exchange(this->replicasReachable, false)) {
       this->onStoreFailure("replicas", poll.error());
     }
-    return fleet_control::kRetryPause;
+    return this->retryPause(this->replicasFailures++);
   }
+  this->replicasFailures = 0;
   if (!std::exchange(this->replicasReachable, true)) {
     this->onStoreAnswer("replicas");
   }
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -9,24 +9,41 @@
 
 namespace poplartrack {
 
-/** Version of the datagram below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 5;
+/** Version of the datagrams below; another one is ignored. */
+constexpr std::uint32_t kPeerFormat = 6;
 
 /** One replica's load in a datagram. */
 struct LoadRow
 {
   std::string replica;
   std::uint32_t requests = 0;
-  double tokenLayers = 0;
-  double readingTokens = 0;
+  std::uint32_t tokenLayers = 0;
+  std::uint32_t readingTokens = 0;
   MSGPACK_DEFINE(replica, requests, tokenLayers, readingTokens);
 };
 
+/** The latest word of the addressed relay that the sender has. It follows the
+ * word in the datagram: all else is the same for everybody. With the echoes for
+ * all in each, 23 relays sent each other 2.3 KB a word, most of what crossed
+ * zones on a quiet day. */
+struct PeerEcho
+{
+  /** The addressed relay's life; 0: not heard yet. */
+  std::uint64_t life = 0;
+  /** When it sent that word, on its own clock, in microseconds. */
+  std::int64_t sentAt = 0;
+  MSGPACK_DEFINE(life, sentAt);
+};
+
 /** What a relay tells the others. */
 struct PeerWord
 {
   std::uint32_t format = kPeerFormat;
-  std::string sender;
+  /** Names one life of the sender's process: a machine that takes over its
+   * address has another clock. */
+  std::uint64_t life = 0;
+  /** The sender's availability zone. */
+  std::string zone;
   std::vector<LoadRow> loads;
   /** Replicas that another replica named as what its work waits for. */
   std::vector<std::string> lost;
@@ -36,8 +53,6 @@
   std::map<std::string, double> slow;
   /** When it was sent, on the sender's clock, in microseconds. */
   std::int64_t sentAt = 0;
-  /** The latest sentAt that the sender has had of each other relay. */
-  std::map<std::string, std::int64_t> heard;
   std::uint64_t config = 0;
   /** How long ago the sender's configuration was known to be the newest, in
    * microseconds; negative: never. */
@@ -53,13 +68,13 @@
    */
   std::uint64_t gaveUp = 0;
   MSGPACK_DEFINE(format,
-                 sender,
+                 life,
+                 zone,
                  loads,
                  lost,
                  unreachable,
                  slow,
                  sentAt,
-                 heard,
                  config,
                  configAge,
                  list,
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -70,7 +70,7 @@
   , view(std::make_shared<const ReplicaView>())
   , health(this->settings.heartbeat)
   , budget(retryPolicy(this->settings))
-  , ownName(this->settings.name + "/" + toText(randomRequestId()))
+  , ownLife(randomRequestId().low)
 {
 }
 
@@ -267,7 +267,7 @@
   if (news) {
     // The next word would come after 200 ms; the streams of the other relays
     // stand still meanwhile.
-    this->tellPeers();
+    this->tellPeers(true);
   }
 }
 
@@ -287,7 +287,7 @@
     std::max(this->shared.peers.read()->size() + 1, kFewRelays));
   this->askSlowOnes();
   this->moveOffLeaving();
-  this->tellPeers();
+  this->tellPeers(false);
   this->closeStaleIdle(this->now);
   this->shared.log.flush();
   if (this->regularCount++ % kSecondOf == 0) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <netinet/in.h>
-
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -17,6 +15,7 @@
 #include "../wire/TimerQueue.h"
 #include "CallerConnection.h"
 #include "Exchange.h"
+#include "PeerWord.h"
 #include "ReplicaConnection.h"
 #include "poplartrack/fleet/LoadBook.h"
 #include "poplartrack/fleet/LossReports.h"
@@ -29,8 +28,6 @@
 
 namespace poplartrack {
 
-struct PeerWord;
-
 /** Bytes that one read takes from a caller or replica. */
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
@@ -202,10 +199,15 @@
   // RelayPeers.cpp: datagrams between relays.
   Result<Done> openPeers();
   void readPeers();
-  void meet(const sockaddr_in& aSender);
-  void tellPeers();
-  void describeSelf(PeerWord& aWord) const;
-  void onPeerWord(const PeerWord& aWord);
+  void meet(const Address& aSender);
+  void tellPeers(bool aNews);
+  [[nodiscard]] PeerWord ownWord();
+  void sendWord(const Address& aPeer, std::string_view aWord) const;
+  void readWord(const char* aBytes, std::size_t aSize, const Address& aFrom);
+  void onPeerWord(const PeerWord& aWord,
+                  const PeerEcho& aEcho,
+                  const Address& aFrom);
+  void learnFreshness(const PeerWord& aWord, const PeerEcho& aEcho);
 
   void logRequest(const Exchange& aExchange,
                   std::string_view aEvent,
@@ -240,17 +242,16 @@
   LoadBook loads;
   SharedRetryBudget budget;
   PipeBudget pipes;
-  /** This life of this process, as it names itself to other relays: a machine
-   * that takes over its name has another clock. */
-  std::string ownName;
+  /** This life of this process, as it names itself to other relays. */
+  std::uint64_t ownLife;
   /** The latest word of another relay. */
   struct PeerHeard
   {
-    /** When it was sent, on the sender's clock, in microseconds. */
-    std::int64_t theirTime = 0;
+    PeerEcho echo;
+    std::string zone;
     TimePoint heard;
   };
-  std::map<std::string, PeerHeard> peersHeard;
+  std::map<Address, PeerHeard> peersHeard;
   /** Some relay knows its configuration to be the newest. */
   TimePoint peerFreshAt{};
   LossReports reports;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -48,65 +48,87 @@
   return Done{};
 }
 
-void
-RelayLoop::Impl::describeSelf(PeerWord& aWord) const
+PeerWord
+RelayLoop::Impl::ownWord()
 {
-  aWord.sender = this->ownName;
-  aWord.sentAt = this->shared.clock.now().time_since_epoch().count();
-  for (const auto& [peer, heard] : this->peersHeard) {
-    aWord.heard.emplace(peer, heard.theirTime);
+  PeerWord word;
+  word.life = this->ownLife;
+  word.zone = this->settings.zone;
+  word.sentAt = this->shared.clock.now().time_since_epoch().count();
+  for (const auto& [replica, load] : this->loads.own()) {
+    word.loads.push_back(
+      LoadRow{ replica,
+               load.requests,
+               static_cast<std::uint32_t>(std::max(0.0, load.tokenLayers)),
+               static_cast<std::uint32_t>(load.readingTokens) });
+  }
+  for (const std::string& replica : this->health.named(this->now)) {
+    word.lost.push_back(replica);
   }
+  for (const std::string& replica : this->health.lost(this->now)) {
+    word.unreachable.push_back(replica);
+  }
+  word.slow = this->health.crippled();
   const auto config = this->shared.config.read();
   const Duration age = this->shared.freshness.age();
-  aWord.config = config ? config->version : 0;
-  aWord.configAge = age == Duration::max() ? -1 : age.count();
-  aWord.list = this->view->changed;
-  aWord.leads = this->shared.leads;
-  aWord.gaveUp = this->shared.fenceGivenUp;
+  word.config = config ? config->version : 0;
+  word.configAge = age == Duration::max() ? -1 : age.count();
+  word.list = this->view->changed;
+  word.leads = this->shared.leads;
+  word.gaveUp = this->shared.fenceGivenUp;
+  const RetryCounts counts = this->budget.own(this->now);
+  word.requests = counts.requests;
+  word.retries = counts.retries;
+  return word;
 }
 
-/**
- * Takes over how fresh another relay knows the configuration to be. It had this
- * relay's word of the echoed moment before it spoke, so what it says was so at
- * that moment on this relay's clock less its age, or later: no clock is
- * compared with another one's, and a word that lay in a buffer through a
- * suspension proves only what is old. Relays may therefore ask the store less
- * often: with five of them, each 2.5 s, some relay's proof is half a second
- * old.
- */
+/** Tells all other relays; those of other zones, unless there is news, in every
+ * second round: what is told there is work at replicas that are seldom shared,
+ * and bytes between zones are dear. */
 void
-RelayLoop::Impl::onPeerWord(const PeerWord& aWord)
+RelayLoop::Impl::tellPeers(bool aNews)
 {
-  const TimePoint moment = this->shared.clock.now();
-  this->peersHeard[aWord.sender] = PeerHeard{ aWord.sentAt, this->now };
-  if (aWord.leads) {
-    this->shared.leaderHeard = moment.time_since_epoch().count();
+  const auto peers = this->shared.peers.read();
+  if (peers->empty()) {
+    return;
   }
-  const auto raise = [](std::atomic<std::uint64_t>& aMost,
-                        std::uint64_t aValue) {
-    if (aValue > aMost) {
-      aMost = aValue;
-    }
-  };
-  raise(this->shared.configHeard, aWord.config);
-  raise(this->shared.listHeard, aWord.list);
-  if (aWord.gaveUp > this->shared.fenceFreed) {
-    this->shared.fenceFreed = aWord.gaveUp;
-    // Nobody leads: the next look at the lease need not wait for silence.
-    this->shared.leaderHeard = 0;
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, this->ownWord());
+  if (bytes.size() > kMostBytes) {
+    this->shared.metrics.count("peer_words_too_large_total");
+    return;
   }
-  const auto echo = aWord.heard.find(this->ownName);
-  const auto config = this->shared.config.read();
-  const Duration theirAge{ aWord.configAge };
-  if (aWord.configAge >= 0 && theirAge <= this->gate.keyAge) {
-    this->peerFreshAt = this->now;
+  const bool all = aNews || this->regularCount % 2 == 0;
+  for (const Address& peer : *peers) {
+    const auto heard = this->peersHeard.find(peer);
+    const bool near = heard == this->peersHeard.end() ||
+                      heard->second.zone == this->settings.zone;
+    if (all || near) {
+      this->sendWord(peer, { bytes.data(), bytes.size() });
+    }
   }
-  const bool same = config != nullptr && config->version == aWord.config;
-  if (!same || echo == aWord.heard.end() || aWord.configAge < 0) {
+}
+
+/** Sends the word with the peer's own echo behind it. */
+void
+RelayLoop::Impl::sendWord(const Address& aPeer, std::string_view aWord) const
+{
+  const auto address = toSocketAddress(aPeer);
+  if (!address) {
     return;
   }
-  const TimePoint proved{ Duration{ echo->second - aWord.configAge } };
-  this->shared.freshness.prove(std::min(proved, moment));
+  const auto heard = this->peersHeard.find(aPeer);
+  msgpack::sbuffer bytes;
+  bytes.write(aWord.data(), aWord.size());
+  msgpack::pack(
+    bytes, heard == this->peersHeard.end() ? PeerEcho{} : heard->second.echo);
+  // A datagram that is lost is followed by a newer one.
+  static_cast<void>(::sendto(this->peerSocket.get(),
+                             bytes.data(),
+                             bytes.size(),
+                             MSG_NOSIGNAL,
+                             reinterpret_cast<const sockaddr*>(&*address),
+                             sizeof *address));
 }
 
 /** Answers a relay that is not on the list yet: one that started later read the
@@ -115,62 +137,109 @@
  * 10 s.
  */
 void
-RelayLoop::Impl::meet(const sockaddr_in& aSender)
+RelayLoop::Impl::meet(const Address& aSender)
 {
-  const Address sender = fromSocketAddress(aSender);
   const auto known = this->shared.peers.read();
   const bool listed =
-    std::find(known->begin(), known->end(), sender) != known->end();
-  if (listed || sender == this->localPeers) {
+    std::find(known->begin(), known->end(), aSender) != known->end();
+  if (listed || aSender == this->localPeers) {
     return;
   }
   std::vector<Address> peers = *known;
-  peers.push_back(sender);
+  peers.push_back(aSender);
   this->shared.log.write(
-    LogLine{ LogPart::Peers, "met" }.with("address", toText(sender)));
+    LogLine{ LogPart::Peers, "met" }.with("address", toText(aSender)));
   this->shared.peers.replace(
     std::make_shared<const std::vector<Address>>(std::move(peers)));
 }
 
+/**
+ * Takes over how fresh another relay knows the configuration to be. It had this
+ * relay's word of the echoed moment before it spoke, so what it says was so at
+ * that moment on this relay's clock less its age, or later: no clock is
+ * compared with another one's, and a word that lay in a buffer through a
+ * suspension proves only what is old. Relays may therefore ask the store less
+ * often: with five of them, each 2.5 s, some relay's proof is half a second
+ * old.
+ */
 void
-RelayLoop::Impl::tellPeers()
+RelayLoop::Impl::learnFreshness(const PeerWord& aWord, const PeerEcho& aEcho)
 {
-  const auto peers = this->shared.peers.read();
-  if (peers->empty()) {
+  if (aWord.configAge >= 0 &&
+      Duration{ aWord.configAge } <= this->gate.keyAge) {
+    this->peerFreshAt = this->now;
+  }
+  const auto config = this->shared.config.read();
+  const bool same = config != nullptr && config->version == aWord.config;
+  if (!same || aEcho.life != this->ownLife || aWord.configAge < 0) {
     return;
   }
-  PeerWord word;
-  this->describeSelf(word);
-  for (const auto& [replica, load] : this->loads.own()) {
-    word.loads.push_back(
-      LoadRow{ replica, load.requests, load.tokenLayers, load.readingTokens });
+  const TimePoint proved{ Duration{ aEcho.sentAt - aWord.configAge } };
+  this->shared.freshness.prove(std::min(proved, this->shared.clock.now()));
+}
+
+void
+RelayLoop::Impl::onPeerWord(const PeerWord& aWord,
+                            const PeerEcho& aEcho,
+                            const Address& aFrom)
+{
+  this->peersHeard[aFrom] =
+    PeerHeard{ { aWord.life, aWord.sentAt }, aWord.zone, this->now };
+  if (aWord.leads) {
+    this->shared.leaderHeard =
+      this->shared.clock.now().time_since_epoch().count();
   }
-  for (const std::string& replica : this->health.named(this->now)) {
-    word.lost.push_back(replica);
+  const auto raise = [](std::atomic<std::uint64_t>& aMost,
+                        std::uint64_t aValue) {
+    if (aValue > aMost) {
+      aMost = aValue;
+    }
+  };
+  raise(this->shared.configHeard, aWord.config);
+  raise(this->shared.listHeard, aWord.list);
+  if (aWord.gaveUp > this->shared.fenceFreed) {
+    this->shared.fenceFreed = aWord.gaveUp;
+    // Nobody leads: the next look at the lease need not wait for silence.
+    this->shared.leaderHeard = 0;
   }
-  for (const std::string& replica : this->health.lost(this->now)) {
-    word.unreachable.push_back(replica);
+  this->learnFreshness(aWord, aEcho);
+  const std::string peer = toText(aFrom);
+  this->budget.onPeer(
+    peer, RetryCounts{ aWord.requests, aWord.retries }, this->now);
+  LoadTable table;
+  for (const LoadRow& row : aWord.loads) {
+    table.emplace(row.replica,
+                  ReplicaLoad{ row.requests,
+                               static_cast<double>(row.tokenLayers),
+                               static_cast<double>(row.readingTokens) });
   }
-  word.slow = this->health.crippled();
-  const RetryCounts counts = this->budget.own(this->now);
-  word.requests = counts.requests;
-  word.retries = counts.retries;
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, word);
-  if (bytes.size() > kMostBytes) {
-    this->shared.metrics.count("peer_words_too_large_total");
+  this->loads.onPeer(peer, std::move(table), this->now);
+  LossReport report{ { aWord.lost.begin(), aWord.lost.end() },
+                     { aWord.unreachable.begin(), aWord.unreachable.end() },
+                     aWord.slow };
+  if (this->reports.onPeer(peer, std::move(report), this->now)) {
+    this->publishLost();
+  }
+}
+
+void
+RelayLoop::Impl::readWord(const char* aBytes,
+                          std::size_t aSize,
+                          const Address& aFrom)
+{
+  PeerWord word;
+  PeerEcho echo;
+  try {
+    std::size_t at = 0;
+    msgpack::unpack(aBytes, aSize, at).get().convert(word);
+    msgpack::unpack(aBytes, aSize, at).get().convert(echo);
+  } catch (const std::exception&) {
+    this->shared.metrics.count("peer_words_unreadable_total");
     return;
   }
-  for (const Address& peer : *peers) {
-    if (const auto address = toSocketAddress(peer)) {
-      // A datagram that is lost is followed by a newer one.
-      static_cast<void>(::sendto(this->peerSocket.get(),
-                                 bytes.data(),
-                                 bytes.size(),
-                                 MSG_NOSIGNAL,
-                                 reinterpret_cast<const sockaddr*>(&*address),
-                                 sizeof *address));
-    }
+  if (word.format == kPeerFormat && word.life != this->ownLife) {
+    this->meet(aFrom);
+    this->onPeerWord(word, echo, aFrom);
   }
 }
 
@@ -191,35 +260,8 @@
     if (count <= 0) {
       return;
     }
-    PeerWord word;
-    try {
-      const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), static_cast<std::size_t>(count));
-      handle.get().convert(word);
-    } catch (const std::exception&) {
-      this->shared.metrics.count("peer_words_unreadable_total");
-      continue;
-    }
-    if (word.format != kPeerFormat || word.sender == this->ownName) {
-      continue;
-    }
-    this->meet(from);
-    this->onPeerWord(word);
-    this->budget.onPeer(
-      word.sender, RetryCounts{ word.requests, word.retries }, this->now);
-    LoadTable table;
-    for (LoadRow& row : word.loads) {
-      table.emplace(
-        std::move(row.replica),
-        ReplicaLoad{ row.requests, row.tokenLayers, row.readingTokens });
-    }
-    this->loads.onPeer(word.sender, std::move(table), this->now);
-    LossReport report{ { word.lost.begin(), word.lost.end() },
-                       { word.unreachable.begin(), word.unreachable.end() },
-                       std::move(word.slow) };
-    if (this->reports.onPeer(word.sender, std::move(report), this->now)) {
-      this->publishLost();
-    }
+    this->readWord(
+      bytes.data(), static_cast<std::size_t>(count), fromSocketAddress(from));
   }
 }
 
--- a/src/store/LeaseState.cpp
+++ b/src/store/LeaseState.cpp
@@ -126,7 +126,9 @@
 void
 LeaseState::onUnavailable(TimePoint aNow)
 {
-  this->dueAt = aNow + this->settings.renewEvery / kUnavailablePartOfRenewal;
+  this->dueAt = aNow + (this->holding ? this->settings.renewEvery /
+                                          kUnavailablePartOfRenewal
+                                      : this->settings.lookEvery);
 }
 
 TableWrite
