--- /dev/null
+++ b/tests/soak/SoakCaller.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "poplartrack/base/Address.h"
+#include "poplartrack/base/OwnedFd.h"
+#include "soak/SoakRecord.h"
+
+namespace poplartrack::soak {
+
+/** One caller: sends requests one after the other, on a connection that it
+ * keeps until the relay closes it, and reads the answers byte by byte with no
+ * help of the code under test. */
+class SoakCaller
+{
+public:
+  SoakCaller(SoakRecord& aRecord, std::string aName, std::uint64_t aSeed)
+    : record(aRecord)
+    , name(std::move(aName))
+    , random(aSeed)
+  {
+  }
+
+  /** Sends one request of a random kind; gives what came of it. */
+  CallRecord call(const Address& aRelay);
+  CallRecord call(const Address& aRelay,
+                  RequestKind aKind,
+                  const std::string& aKey);
+
+private:
+  bool connect(const Address& aRelay);
+  bool send(const std::string& aText);
+  /** Reads more; false when the time is up or the connection has ended. */
+  bool readMore();
+  void readAnswer(const std::string& aId, CallRecord& aCall);
+  void readBody(const std::string& aId, CallRecord& aCall);
+  [[nodiscard]] bool chunked(std::size_t aHeadEnd) const;
+
+  SoakRecord& record;
+  std::string name;
+  std::mt19937_64 random;
+  OwnedFd fd;
+  Address connected;
+  std::string in;
+  std::int64_t giveUpAt = 0;
+  int count = 0;
+};
+
+} // namespace poplartrack::soak
--- /dev/null
+++ b/tests/soak/SoakJudge.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "soak/SoakRecord.h"
+
+namespace poplartrack::soak {
+
+/** What became of the requests of a run. */
+struct SoakVerdict
+{
+  std::size_t calls = 0;
+  std::size_t whole = 0;
+  /** Answered 429 or 503: promised not to have run. */
+  std::size_t refused = 0;
+  /** Promises that were broken, one line each. */
+  std::vector<std::string> broken;
+};
+
+/**
+ * Holds what callers saw against what replicas ran:
+ * - what may run once has run at most once;
+ * - what was refused with a promise has not run;
+ * - no run without a request of that id;
+ * - each whole answer is the replica's, each stream complete and in order, and
+ *   what came of a broken one is its beginning;
+ * - no run with a key later than 5 s after it was taken away.
+ *
+ * @param aRunLines "run ID MS", as replicas printed them
+ */
+SoakVerdict
+judge(const SoakRecord& aRecord, const std::vector<std::string>& aRunLines);
+
+} // namespace poplartrack::soak
--- /dev/null
+++ b/tests/soak/SoakWorld.cpp
@@ -0,0 +1,343 @@
+#include "soak/SoakWorld.h"
+
+#include <csignal>
+#include <fstream>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include "harness/RawSocket.h"
+#include "platform/WireNames.h"
+#include "soak/SoakClock.h"
+
+namespace poplartrack::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kLayers = 12;
+constexpr Duration kStopPatience = std::chrono::seconds{ 10 };
+
+Json
+routeOf(const std::string& aName,
+        const std::string& aKind,
+        const std::string& aService,
+        int aAttempts)
+{
+  return { { "Name", aName },
+           { "Host", "soak.example" },
+           { "Prefix", "/" + aName + "/" },
+           { "Kind", aKind },
+           { "Service", aService },
+           { "TimeoutMs", 5'000 },
+           { "SloMs", 500 },
+           { "GapAimMs", 200 },
+           { "Attempts", aAttempts },
+           { "Resumable", aKind == "streaming" } };
+}
+
+/** A model that three replicas hold together with room for a lost one. */
+Json
+engine()
+{
+  return {
+    { "Slots", 64 },
+    { "Layers", kLayers },
+    { "LayerMb", 100 },
+    { "KvTokenBytes", 120'000 },
+    { "step_ms", 1 },
+    { "per_seq_ms", 0.01 },
+    { "context_per_k", 0.01 },
+    { "read_per_s", 100'000 },
+    { "ActBytes", 1'000 },
+    { "PipeMbps", 8'000 },
+    { "usual", { { "prompt", 40 }, { "answer", 60 } } },
+    { "Models", { { { "Name", "m" }, { "LoadS", 1.0 } } } },
+    { "Kinds",
+      { { { "Name", "card" },
+          { "Mb", 1'200 },
+          { "pace", 1 },
+          { "ReadX", 1 } } } },
+    { "delays",
+      { { { "From", "a" }, { "Target", "b" }, { "delay_ms", 0.2 } } } }
+  };
+}
+
+} // namespace
+
+SoakWorld::SoakWorld(std::string aBuild,
+                     std::string aFolder,
+                     SoakSize aSize,
+                     SoakRecord& aRecord)
+  : build(std::move(aBuild))
+  , folder(std::move(aFolder))
+  , record(aRecord)
+{
+  this->store.faults.longPolls = true;
+  this->pushConfig();
+  const auto add = [this](const std::string& aService,
+                          const std::string& aZone,
+                          const std::string& aKind) {
+    auto replica = std::make_unique<Replica>();
+    replica->service = aService;
+    replica->zone = aZone;
+    replica->kind = aKind;
+    this->startReplica(*replica);
+    this->replicas.push_back(std::move(replica));
+  };
+  for (std::size_t i = 0; i < aSize.plain; ++i) {
+    add("plain", i % 2 == 0 ? "a" : "b", "");
+  }
+  for (std::size_t i = 0; i < 2 * aSize.engines; ++i) {
+    add("model", i % 2 == 0 ? "a" : "b", "card");
+  }
+  for (std::size_t i = 0; i < aSize.relays; ++i) {
+    this->addRelay(i);
+  }
+}
+
+void
+SoakWorld::pushConfig()
+{
+  Json keys{ "key-1" };
+  if (this->secondKey) {
+    keys.push_back("key-2");
+  }
+  this->store.put(
+    std::string{ wire_names::kOperatorTable },
+    std::string{ wire_names::kConfigKey },
+    Json{ { "Version", ++this->version },
+          { "Routes",
+            { routeOf("once", "non_idempotent", "plain", 1),
+              routeOf("again", "idempotent", "plain", 2),
+              routeOf("stream", "streaming", "model", 2) } },
+          { "Services",
+            { { { "Name", "plain" } },
+              { { "Name", "model" }, { "Engine", engine() } } } },
+          { "Tenants", { { { "Name", "account" }, { "ApiKeys", keys } } } } }
+      .dump());
+}
+
+void
+SoakWorld::addRelay(std::size_t aNumber)
+{
+  auto relay = std::make_unique<Relay>();
+  relay->storeLink =
+    std::make_unique<harness::TcpForwarder>(this->store.address());
+  const std::string name = "relay-" + std::to_string(aNumber);
+  const Address callers = harness::deadAddress();
+  relay->settings = this->folder + "/" + name + ".toml";
+  std::ofstream{ relay->settings }
+    << "[process]\nname = \"" << name << "\"\nzone = \""
+    << (aNumber % 2 == 0 ? "a" : "b") << "\"\nregion = \"r\"\n"
+    << "[listen]\ncallers = \"" << toText(callers) << "\"\nhealth = \""
+    << toText(harness::deadAddress()) << "\"\npeers = \""
+    << toText(harness::deadAddress()) << "\"\n[store]\naddress = \""
+    << toText(relay->storeLink->address()) << "\"\n"
+    << "[bounds]\ngrace_s = 4\nheartbeat_ms = 400\n";
+  this->startRelay(*relay);
+  this->relayAddresses.push_back(callers);
+  this->relays.push_back(std::move(relay));
+}
+
+void
+SoakWorld::startRelay(Relay& aRelay)
+{
+  const std::string output =
+    aRelay.settings + "." + std::to_string(++aRelay.lives);
+  auto started = harness::ChildProcess::start(
+    { this->build + "/poplartrack", "relay", "--settings", aRelay.settings },
+    output + ".out",
+    output + ".err");
+  CHECK(started.ok()) << describe(started.error());
+  aRelay.process = std::move(started).value();
+}
+
+void
+SoakWorld::startReplica(Replica& aReplica)
+{
+  if (!aReplica.id.empty()) {
+    this->store.drop(std::string{ wire_names::kReplicaTable }, aReplica.id);
+  }
+  static int started = 0;
+  aReplica.id = "i-" + std::to_string(++started);
+  aReplica.listen = harness::deadAddress();
+  aReplica.link = std::make_unique<harness::TcpForwarder>(aReplica.listen);
+  const std::string output = this->folder + "/" + aReplica.id;
+  auto process = harness::ChildProcess::start(
+    { this->build + "/standin_users_replica",
+      "--id=" + aReplica.id,
+      "--service=" + aReplica.service,
+      "--zone=" + aReplica.zone,
+      "--kind=" + aReplica.kind,
+      "--listen=" + toText(aReplica.listen),
+      "--advertise=" + toText(aReplica.link->address()),
+      "--store=" + toText(this->store.address()) },
+    output + ".out",
+    output + ".err");
+  CHECK(process.ok()) << describe(process.error());
+  aReplica.process = std::move(process).value();
+  this->outputs.push_back(output + ".out");
+}
+
+SoakWorld::Relay&
+SoakWorld::relay(std::size_t aWho)
+{
+  return *this->relays[aWho % this->relays.size()];
+}
+
+SoakWorld::Replica&
+SoakWorld::replica(std::size_t aWho)
+{
+  return *this->replicas[aWho % this->replicas.size()];
+}
+
+void
+SoakWorld::sayLeaving(const Replica& aReplica)
+{
+  Json entry{ { "Service", aReplica.service },
+              { "Address", toText(aReplica.link->address()) },
+              { "Zone", aReplica.zone },
+              { "Slots", 64 },
+              { "State", "draining" } };
+  if (!aReplica.kind.empty()) {
+    entry["Kind"] = aReplica.kind;
+  }
+  this->store.put(
+    std::string{ wire_names::kReplicaTable }, aReplica.id, entry.dump());
+}
+
+void
+SoakWorld::begin(const PlannedFault& aFault)
+{
+  constexpr Duration kSlow = std::chrono::milliseconds{ 60 };
+  constexpr int kBusy = 503;
+  switch (aFault.fault) {
+    case Fault::RelayKilled:
+      this->relay(aFault.who).process->signal(SIGKILL);
+      break;
+    case Fault::RelayPaused:
+      this->relay(aFault.who).process->signal(SIGSTOP);
+      break;
+    case Fault::RelayStopped:
+      this->relay(aFault.who).process->signal(SIGTERM);
+      break;
+    case Fault::ReplicaKilled:
+      this->replica(aFault.who).process->signal(SIGKILL);
+      break;
+    case Fault::ReplicaPaused:
+      this->replica(aFault.who).process->signal(SIGSTOP);
+      break;
+    case Fault::ReplicaLeaves:
+      this->sayLeaving(this->replica(aFault.who));
+      break;
+    case Fault::StoreLinkCut:
+      this->relay(aFault.who).storeLink->cut();
+      break;
+    case Fault::StoreLinkSilent:
+      this->relay(aFault.who).storeLink->freeze();
+      break;
+    case Fault::StoreLinkSlow:
+      this->relay(aFault.who).storeLink->delay(kSlow);
+      break;
+    case Fault::ReplicaLinkCut:
+      this->replica(aFault.who).link->cut();
+      break;
+    case Fault::ReplicaLinkSilent:
+      this->replica(aFault.who).link->freeze();
+      break;
+    case Fault::ReplicaLinkSlow:
+      this->replica(aFault.who).link->delay(kSlow);
+      break;
+    case Fault::StoreBusy:
+      this->store.faults.refuseWith = kBusy;
+      break;
+    case Fault::StoreLosesAnswers:
+      this->store.faults.loseAnswers = true;
+      break;
+    case Fault::StoreForgets:
+      this->store.faults.forgetHistory = true;
+      break;
+    case Fault::KeyTakenAway:
+      this->secondKey = false;
+      this->pushConfig();
+      this->record.keyTaken("key-2", nowMillis());
+      break;
+  }
+}
+
+void
+SoakWorld::end(const PlannedFault& aFault)
+{
+  switch (aFault.fault) {
+    case Fault::RelayKilled:
+    case Fault::RelayStopped:
+    case Fault::RelayPaused: {
+      // Whatever else was done to it meanwhile: it runs again.
+      Relay& relay = this->relay(aFault.who);
+      relay.process->signal(SIGCONT);
+      if (aFault.fault == Fault::RelayPaused) {
+        break;
+      }
+      if (!relay.process->waitExit(kStopPatience)) {
+        relay.process->signal(SIGKILL);
+      }
+      this->startRelay(relay);
+      break;
+    }
+    case Fault::ReplicaPaused:
+      this->replica(aFault.who).process->signal(SIGCONT);
+      break;
+    case Fault::ReplicaKilled:
+    case Fault::ReplicaLeaves: {
+      Replica& replica = this->replica(aFault.who);
+      replica.process->signal(SIGKILL);
+      this->startReplica(replica);
+      break;
+    }
+    case Fault::StoreLinkCut:
+    case Fault::StoreLinkSilent:
+    case Fault::StoreLinkSlow:
+      this->relay(aFault.who).storeLink->heal();
+      this->relay(aFault.who).storeLink->delay(Duration{ 0 });
+      break;
+    case Fault::ReplicaLinkCut:
+    case Fault::ReplicaLinkSilent:
+    case Fault::ReplicaLinkSlow:
+      this->replica(aFault.who).link->heal();
+      this->replica(aFault.who).link->delay(Duration{ 0 });
+      break;
+    case Fault::StoreBusy:
+      this->store.faults.refuseWith = 0;
+      break;
+    case Fault::StoreLosesAnswers:
+      this->store.faults.loseAnswers = false;
+      break;
+    case Fault::StoreForgets:
+      this->store.faults.forgetHistory = false;
+      break;
+    case Fault::KeyTakenAway:
+      this->secondKey = true;
+      this->pushConfig();
+      this->record.keyBack("key-2", nowMillis());
+      break;
+  }
+}
+
+std::vector<std::string>
+SoakWorld::runLines() const
+{
+  std::vector<std::string> lines;
+  for (const std::string& path : this->outputs) {
+    std::ifstream stream{ path };
+    std::string line;
+    while (std::getline(stream, line)) {
+      if (line.starts_with("run ")) {
+        lines.push_back(line);
+      }
+    }
+  }
+  return lines;
+}
+
+} // namespace poplartrack::soak
--- /dev/null
+++ b/tests/soak/SoakWorld.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "harness/ChildProcess.h"
+#include "harness/TcpForwarder.h"
+#include "soak/SoakPlan.h"
+#include "soak/SoakRecord.h"
+#include "standins/lib/UsersStoreStandin.h"
+
+namespace poplartrack::soak {
+
+/** How large a run is. */
+struct SoakSize
+{
+  std::size_t relays = 2;
+  std::size_t plain = 2;
+  /** Replicas that hold layers of the model, in each of two zones. */
+  std::size_t engines = 3;
+};
+
+/**
+ * The store, real relays and stand-in replicas as processes, and the links
+ * between them. Faults begin and end on the caller's thread; other threads may
+ * ask for relays meanwhile.
+ */
+class SoakWorld
+{
+public:
+  /** @param aBuild the folder of the programs
+   *  @param aFolder where settings and outputs go */
+  SoakWorld(std::string aBuild,
+            std::string aFolder,
+            SoakSize aSize,
+            SoakRecord& aRecord);
+
+  [[nodiscard]] const std::vector<Address>& callers() const
+  {
+    return this->relayAddresses;
+  }
+  void begin(const PlannedFault& aFault);
+  void end(const PlannedFault& aFault);
+  /** Lines "run ID MS" that replicas have printed, of all their lives. */
+  [[nodiscard]] std::vector<std::string> runLines() const;
+
+private:
+  struct Relay
+  {
+    std::unique_ptr<harness::TcpForwarder> storeLink;
+    std::string settings;
+    std::unique_ptr<harness::ChildProcess> process;
+    int lives = 0;
+  };
+  struct Replica
+  {
+    std::string service;
+    std::string zone;
+    std::string kind;
+    std::string id;
+    Address listen;
+    std::unique_ptr<harness::TcpForwarder> link;
+    std::unique_ptr<harness::ChildProcess> process;
+    int lives = 0;
+  };
+
+  void pushConfig();
+  void addRelay(std::size_t aNumber);
+  void startRelay(Relay& aRelay);
+  void startReplica(Replica& aReplica);
+  void sayLeaving(const Replica& aReplica);
+  /** The process of a relay or replica; starts a dead one first. */
+  Relay& relay(std::size_t aWho);
+  Replica& replica(std::size_t aWho);
+
+  std::string build;
+  std::string folder;
+  SoakRecord& record;
+  standins::UsersStoreStandin store;
+  std::vector<Address> relayAddresses;
+  std::vector<std::unique_ptr<Relay>> relays;
+  std::vector<std::unique_ptr<Replica>> replicas;
+  std::vector<std::string> outputs;
+  int version = 0;
+  bool secondKey = true;
+};
+
+} // namespace poplartrack::soak
--- /dev/null
+++ b/tests/soak/soak.cmake
@@ -0,0 +1,15 @@
+# The fault soak: real relays, stand-in replicas, faults from outside.
+add_executable(soak
+  tests/soak/soak.cpp
+  tests/soak/SoakCaller.cpp
+  tests/soak/SoakJudge.cpp
+  tests/soak/SoakPlan.cpp
+  tests/soak/SoakWorld.cpp)
+target_include_directories(soak PRIVATE tests)
+target_link_libraries(soak PRIVATE harness)
+
+# Three fixed seeds in CI. What is checked does not depend on how fast the
+# machine is; the limit is far above what a run takes.
+add_test(NAME soak.three_seeds
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6)
+set_tests_properties(soak.three_seeds PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,188 @@
+// The fault soak: real relays between real callers and stand-in replicas, with
+// faults from outside in an order drawn from a seed.
+//   build/soak BUILD [--seed N] [--seeds N] [--seconds N] [--relays N] ...
+// Ends with 0 when every promise held in every run, with 1 else.
+
+#include <algorithm>
+#include <atomic>
+#include <filesystem>
+#include <iostream>
+#include <map>
+#include <thread>
+
+#include <cxxopts.hpp>
+
+#include "soak/SoakCaller.h"
+#include "soak/SoakClock.h"
+#include "soak/SoakJudge.h"
+#include "soak/SoakPlan.h"
+#include "soak/SoakWorld.h"
+
+namespace {
+
+using namespace poplartrack;
+using namespace poplartrack::soak;
+using std::chrono::milliseconds;
+
+/** How long every relay may take to serve each kind again once all faults have
+ * ended. Placement after a restart takes some seconds. */
+constexpr std::int64_t kRecoveryMs = 30'000;
+
+struct SoakOptions
+{
+  std::string build;
+  std::uint64_t seed = 1;
+  milliseconds length{ 8'000 };
+  SoakSize size;
+  int callers = 6;
+};
+
+/** Begins and ends the faults of a plan at their times. */
+void
+play(SoakWorld& aWorld, const std::vector<PlannedFault>& aPlan)
+{
+  const std::int64_t start = nowMillis();
+  std::multimap<std::int64_t, std::pair<PlannedFault, bool>> acts;
+  for (const PlannedFault& fault : aPlan) {
+    acts.emplace(fault.at.count(), std::pair{ fault, true });
+    acts.emplace((fault.at + fault.lasts).count(), std::pair{ fault, false });
+  }
+  for (const auto& [at, act] : acts) {
+    const std::int64_t left = start + at - nowMillis();
+    std::this_thread::sleep_for(
+      milliseconds{ std::max<std::int64_t>(left, 0) });
+    if (act.second) {
+      aWorld.begin(act.first);
+    } else {
+      aWorld.end(act.first);
+    }
+  }
+}
+
+/** Waits until every relay serves each kind of request. */
+std::vector<std::string>
+awaitService(const SoakWorld& aWorld,
+             SoakRecord& aRecord,
+             const std::string& aName)
+{
+  std::vector<std::string> missing;
+  SoakCaller caller{ aRecord, aName, 0 };
+  for (const Address& relay : aWorld.callers()) {
+    for (const RequestKind kind :
+         { RequestKind::Once, RequestKind::Again, RequestKind::Stream }) {
+      const std::int64_t latest = nowMillis() + kRecoveryMs;
+      bool served = false;
+      while (!served && nowMillis() < latest) {
+        served = caller.call(relay, kind, "key-1").whole;
+        if (!served) {
+          std::this_thread::sleep_for(milliseconds{ 50 });
+        }
+      }
+      if (!served) {
+        missing.push_back(toText(relay) + " does not serve kind " +
+                          std::to_string(static_cast<int>(kind)));
+      }
+    }
+  }
+  return missing;
+}
+
+/** One run; whether every promise held. */
+bool
+runOnce(const SoakOptions& aOptions)
+{
+  const std::string folder =
+    (std::filesystem::temp_directory_path() /
+     ("soak-" + std::to_string(getpid()) + "-" + std::to_string(aOptions.seed)))
+      .string();
+  std::filesystem::create_directories(folder);
+  SoakRecord record;
+  SoakWorld world{ aOptions.build, folder, aOptions.size, record };
+  std::vector<std::string> broken = awaitService(world, record, "before");
+  const std::vector<PlannedFault> plan = planOf(aOptions.seed, aOptions.length);
+  std::atomic<bool> stop{ false };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < aOptions.callers; ++i) {
+    threads.emplace_back([&, i] {
+      SoakCaller caller{ record, "c" + std::to_string(i), aOptions.seed + i };
+      std::size_t turn = static_cast<std::size_t>(i);
+      while (!stop) {
+        // Most calls go where the last one went, on the same connection.
+        turn += turn % 4 == 0 ? 1 : 4;
+        const auto& relays = world.callers();
+        caller.call(relays[turn / 4 % relays.size()]);
+      }
+    });
+  }
+  play(world, plan);
+  stop = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (std::string& line : awaitService(world, record, "after")) {
+    broken.push_back(std::move(line));
+  }
+  SoakVerdict verdict = judge(record, world.runLines());
+  broken.insert(broken.end(), verdict.broken.begin(), verdict.broken.end());
+  std::cout << "seed " << aOptions.seed << ": " << plan.size() << " faults, "
+            << verdict.calls << " calls, " << verdict.whole << " whole, "
+            << verdict.refused << " refused, " << broken.size()
+            << " promises broken" << std::endl;
+  if (broken.empty()) {
+    std::filesystem::remove_all(folder);
+    return true;
+  }
+  for (const PlannedFault& fault : plan) {
+    std::cout << "  " << fault.at.count() << " ms to "
+              << (fault.at + fault.lasts).count()
+              << " ms: " << kFaultNames[static_cast<std::size_t>(fault.fault)]
+              << " (" << fault.who % 100 << ")\n";
+  }
+  for (const std::string& line : broken) {
+    std::cout << "  BROKEN " << line << '\n';
+  }
+  std::cout << "  logs in " << folder << std::endl;
+  return false;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  cxxopts::Options options{ "soak", "The fault soak of relays." };
+  auto add = options.add_options();
+  add("build", "folder of the programs", cxxopts::value<std::string>());
+  add("seed", "the first seed", cxxopts::value<int>()->default_value("1"));
+  add("seeds", "how many", cxxopts::value<int>()->default_value("1"));
+  add("seconds",
+      "faults begin within this time",
+      cxxopts::value<int>()->default_value("8"));
+  add("relays", "relays", cxxopts::value<int>()->default_value("2"));
+  add("plain", "plain replicas", cxxopts::value<int>()->default_value("2"));
+  add("engines",
+      "engine replicas in each of two zones",
+      cxxopts::value<int>()->default_value("3"));
+  add("callers", "callers", cxxopts::value<int>()->default_value("6"));
+  options.parse_positional({ "build" });
+  try {
+    const cxxopts::ParseResult line = options.parse(argc, argv);
+    SoakOptions run;
+    run.build = line["build"].as<std::string>();
+    run.length = std::chrono::seconds{ line["seconds"].as<int>() };
+    run.size.relays = static_cast<std::size_t>(line["relays"].as<int>());
+    run.size.plain = static_cast<std::size_t>(line["plain"].as<int>());
+    run.size.engines = static_cast<std::size_t>(line["engines"].as<int>());
+    run.callers = line["callers"].as<int>();
+    bool held = true;
+    const int first = line["seed"].as<int>();
+    for (int i = 0; i < line["seeds"].as<int>(); ++i) {
+      run.seed = static_cast<std::uint64_t>(first + i);
+      held = runOnce(run) && held;
+    }
+    return held ? 0 : 1;
+  } catch (const std::exception& problem) {
+    std::cerr << "soak: " << problem.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/standins/lib/UsersReplica.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "poplartrack/base/LayerRange.h"
+#include "poplartrack/http/HttpClient.h"
+#include "poplartrack/http/HttpServer.h"
+
+namespace poplartrack::standins {
+
+/** How a stand-in replica of the users' platform is set up. */
+struct UsersReplicaSettings
+{
+  std::string id;
+  std::string service;
+  std::string zone;
+  /** Kind of accelerator; empty for a plain service. */
+  std::string kind;
+  Address listen;
+  /** Where others reach it: a link that a test can break. */
+  Address advertised;
+  /** The store in which it registers. */
+  Address store;
+};
+
+/** What the replica answers to a request: computed alone by whoever checks. */
+std::string
+usersAnswer(const std::string& aRequestId);
+
+/** The events of a stream: how many, and each one's bytes. */
+int
+usersEventCount(const std::string& aRequestId);
+std::string
+usersEvent(const std::string& aRequestId, int aNumber);
+
+/**
+ * A replica of the users' platform, as far as a relay can tell: registers, runs
+ * plain requests and streams, takes orders to hold layers, and prints a line
+ * "run ID MS" for each request that it begins, MS on the clock that counts
+ * suspension.
+ */
+class UsersReplica
+{
+public:
+  static Result<std::unique_ptr<UsersReplica>> create(
+    UsersReplicaSettings aSettings);
+
+  /** Writes its entry in the store, for as long as that takes. */
+  void registerSelf();
+
+private:
+  explicit UsersReplica(UsersReplicaSettings aSettings);
+
+  HttpReply answer(const HttpRequest& aRequest);
+  HttpReply report();
+  HttpReply takeOrder(const HttpRequest& aRequest);
+  HttpReply runPlain(const std::string& aId);
+  HttpReply runStream(const std::string& aId, int aAfter);
+  [[nodiscard]] std::string entry();
+
+  UsersReplicaSettings settings;
+  std::unique_ptr<HttpClient> http;
+  std::mutex guard;
+  std::optional<LayerRange> layers;
+  int sequence = 0;
+  // Last: it answers from all the above.
+  std::unique_ptr<HttpServer> server;
+};
+
+} // namespace poplartrack::standins
--- a/tests/standins/lib/UsersStoreStandin.cpp
+++ b/tests/standins/lib/UsersStoreStandin.cpp
@@ -1,5 +1,6 @@
 #include "standins/lib/UsersStoreStandin.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 
@@ -65,6 +66,7 @@
 {
   const std::scoped_lock lock{ this->guard };
   this->rows[{ aTable, aKey }] = Row{ aValue, ++this->version, false };
+  this->written.notify_all();
 }
 
 void
@@ -72,12 +74,13 @@
 {
   const std::scoped_lock lock{ this->guard };
   this->rows[{ aTable, aKey }] = Row{ "", ++this->version, true };
+  this->written.notify_all();
 }
 
 HttpReply
 UsersStoreStandin::answer(const HttpRequest& aRequest)
 {
-  const std::scoped_lock lock{ this->guard };
+  std::unique_lock lock{ this->guard };
   if (const int status = this->faults.refuseWith; status != 0) {
     HttpReply reply;
     reply.status = status;
@@ -87,7 +90,7 @@
     return this->readRows(aRequest);
   }
   if (aRequest.path == "/api/rows-feed") {
-    return this->readFeed(aRequest);
+    return this->readFeed(aRequest, lock);
   }
   if (aRequest.path == "/api/rows-tx") {
     HttpReply reply = this->transact(aRequest);
@@ -128,14 +131,32 @@
     kOk, { { "Rows", list }, { "MorePages", more } }, this->version);
 }
 
+bool
+UsersStoreStandin::changedSince(const std::string& aTable,
+                                std::uint64_t aVersion) const
+{
+  return std::any_of(
+    this->rows.begin(), this->rows.end(), [&](const auto& aEntry) {
+      return aEntry.first.first == aTable && aEntry.second.version > aVersion;
+    });
+}
+
 HttpReply
-UsersStoreStandin::readFeed(const HttpRequest& aRequest)
+UsersStoreStandin::readFeed(const HttpRequest& aRequest,
+                            std::unique_lock<std::mutex>& aLock)
 {
   if (this->faults.forgetHistory) {
     return replyWith(kGone, Json::object(), this->version);
   }
   const std::uint64_t after =
     std::strtoull(queryOf(aRequest, "After").c_str(), nullptr, 10);
+  if (this->faults.longPolls) {
+    const std::chrono::milliseconds most{ std::strtol(
+      queryOf(aRequest, "WaitMs").c_str(), nullptr, 10) };
+    this->written.wait_for(aLock, most, [&] {
+      return this->changedSince(queryOf(aRequest, "Table"), after);
+    });
+  }
   std::map<std::uint64_t, Json> changed;
   for (const auto& [name, row] : this->rows) {
     if (name.first == queryOf(aRequest, "Table") && row.version > after) {
@@ -179,6 +200,7 @@
   for (const Json& drop : body.at("Delete")) {
     this->rows[nameOf(drop)] = Row{ "", this->version, true };
   }
+  this->written.notify_all();
   return replyWith(kOk, Json::object(), this->version);
 }
 
--- a/tests/standins/lib/UsersStoreStandin.h
+++ b/tests/standins/lib/UsersStoreStandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -22,12 +23,14 @@
   std::atomic<bool> loseAnswers{ false };
   /** The feed no longer knows what has changed. */
   std::atomic<bool> forgetHistory{ false };
+  /** The feed waits for changes for as long as it is asked to, as the real one
+   * does, instead of answering at once. */
+  std::atomic<bool> longPolls{ false };
 };
 
 /**
  * The users' store, as far as a relay speaks to it: rows with versions, writes
- * under conditions, and a feed of changes that answers at once. On loopback,
- * in memory.
+ * under conditions, and a feed of changes. On loopback, in memory.
  */
 class UsersStoreStandin
 {
@@ -54,10 +57,14 @@
 
   HttpReply answer(const HttpRequest& aRequest);
   HttpReply readRows(const HttpRequest& aRequest);
-  HttpReply readFeed(const HttpRequest& aRequest);
+  HttpReply readFeed(const HttpRequest& aRequest,
+                     std::unique_lock<std::mutex>& aLock);
+  [[nodiscard]] bool changedSince(const std::string& aTable,
+                                  std::uint64_t aVersion) const;
   HttpReply transact(const HttpRequest& aRequest);
 
   std::mutex guard;
+  std::condition_variable written;
   std::map<Name, Row> rows;
   std::uint64_t version = 0;
   // Last: it answers from all the above.
