--- a/include/poplartrack/fleet/ReplicaList.h
+++ b/include/poplartrack/fleet/ReplicaList.h
@@ -49,7 +49,9 @@
   std::map<std::string, Replica> replicas;
   /** Entries that vanished around an outage, and since when. */
   std::map<std::string, TimePoint> missing;
+  /** The latest look that failed, or the first one that was answered again. */
   std::optional<TimePoint> lastTrouble;
+  bool away = false;
   std::uint64_t version = 0;
   std::uint64_t changed = 0;
 };
--- a/src/fleet/ReplicaList.cpp
+++ b/src/fleet/ReplicaList.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace poplartrack {
@@ -11,11 +12,11 @@
  * platform promises about two seconds. */
 constexpr Duration kComeBack = std::chrono::milliseconds{ 2'000 };
 
-/** A removal that is seen this soon after the store's return happened while it
- * was away. Later ones are replicas that leave, and work sent to them would
- * break the bound on leaving ones: an outage may also be one of this relay
- * alone, in which nothing lapsed. */
-constexpr Duration kAroundOutage = std::chrono::milliseconds{ 800 };
+/** A removal that is seen this soon after the first look that was answered
+ * again happened while the store was away. Later ones are replicas that leave,
+ * and work sent to them would break the bound on leaving ones: an outage may
+ * also be one of this relay alone, in which nothing lapsed. */
+constexpr Duration kAroundOutage = std::chrono::milliseconds{ 600 };
 
 } // namespace
 
@@ -44,6 +45,11 @@
 void
 ReplicaList::onPoll(const ReplicaPoll& aPoll, TimePoint aNow)
 {
+  if (std::exchange(this->away, false)) {
+    // Counted from the last look that failed, the time was over when looks were
+    // a second and a half apart, and what had lapsed was taken for leaving.
+    this->lastTrouble = aNow;
+  }
   this->version = aPoll.next;
   this->changed = std::max(this->changed, aPoll.changed);
   std::set<std::string> listed;
@@ -73,6 +79,7 @@
 ReplicaList::onUnreachable(TimePoint aNow)
 {
   this->lastTrouble = aNow;
+  this->away = true;
 }
 
 bool
--- a/tests/unit/fleet/ReplicaListTest.cpp
+++ b/tests/unit/fleet/ReplicaListTest.cpp
@@ -68,6 +68,19 @@
   EXPECT_FALSE(this->list.uncertain());
 }
 
+TEST_F(ReplicaListTest, TheFirstLookAfterAnOutageMayComeLate)
+{
+  // While the store is away it is asked less and less often. The first answer
+  // comes 1.4 s after the last failure, without the entries that lapsed; their
+  // replicas live, and callers must not be refused.
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(milliseconds{ 0 }));
+  this->list.onUnreachable(this->in(seconds{ 8 }));
+  this->list.onPoll(wholeOf({}), this->in(milliseconds{ 9'400 }));
+  EXPECT_EQ(this->list.size(), 2U);
+  this->list.onPoll(goneOf("one"), this->in(milliseconds{ 9'800 }));
+  EXPECT_EQ(this->list.size(), 2U);
+}
+
 TEST_F(ReplicaListTest, ARemovalSomeTimeAfterAnOutageIsALeaving)
 {
   // The outage was this relay's alone: nothing lapsed, and a replica that
