--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -112,7 +112,7 @@
   // A relay could not listen again on its port: while it was down, a caller's
   // connection had been given that port (seed 109).
   while (true) {
-    const Address address{ "127.0.0.1", this->nextPort++ };
+    Address address{ "127.0.0.1", this->nextPort++ };
     if (listenTcp(address).ok()) {
       return address;
     }
