--- a/src/fleet/LossReports.cpp
+++ b/src/fleet/LossReports.cpp
@@ -6,7 +6,7 @@
 namespace poplartrack {
 namespace {
 
-/** Words come five times a second. */
+/** Words come five times a second, from other zones half as often. */
 constexpr Duration kSilence = std::chrono::seconds{ 2 };
 
 /** Relays that must fail to reach a replica: one in four of those that are
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -21,6 +21,13 @@
  * several copies are short of memory at once, and each refuses. */
 constexpr int kMostStreamSends = 8;
 
+bool
+maySendAgain(const Exchange& aExchange)
+{
+  return aExchange.sends <
+         (aExchange.answering ? kMostStreamSends : kMostSends);
+}
+
 bool
 isSuccess(int aStatus)
 {
@@ -269,7 +276,7 @@
   aExchange.avoid.insert(culprit);
   this->dropAttempt(aExchange, false);
   // A started stream waits for the budget, and for a path, before it is cut.
-  if (aExchange.sends < (aExchange.answering ? kMostStreamSends : kMostSends)) {
+  if (maySendAgain(aExchange)) {
     this->shared.metrics.countRetry(RetryReason::ReplicaRefused);
     aExchange.owesRetry = true;
     this->dispatch(aExchange);
@@ -303,8 +310,7 @@
   if (aFailure == ReplicaFailure::Unreachable) {
     this->publishLost();
   }
-  const int most = aExchange.answering ? kMostStreamSends : kMostSends;
-  if (allowed && aExchange.sends < most) {
+  if (allowed && maySendAgain(aExchange)) {
     this->shared.metrics.countRetry(aExchange.answering
                                       ? RetryReason::StreamBroken
                                       : RetryReason::ReplicaFailed);
--- a/src/retry/SharedRetryBudget.cpp
+++ b/src/retry/SharedRetryBudget.cpp
@@ -6,7 +6,8 @@
 namespace {
 
 /** Part of the bound that is used. The rest is for counts that are on their
- * way: a word may be lost, and the next one comes after 200 ms. */
+ * way: a word may be lost, and the next one comes after 200 ms, from other
+ * zones after 400. */
 constexpr double kUsed = 0.85;
 
 /** A relay that is silent for this long is not heard. */
