--- a/include/poplartrack/entry/EndpointDirectory.h
+++ b/include/poplartrack/entry/EndpointDirectory.h
@@ -37,7 +37,11 @@
 
   /** The platform's list was read. */
   void onInstanceList(const std::vector<InstanceInfo>& aList);
-  /** A reply to a request carried load. */
+  /** An endpoint replied to a request, or refused it. */
+  void onReply(const std::string& aEndpoint,
+               const Refusal& aRefusal,
+               const LoadHint& aLoad);
+  /** A token of an endpoint carried load. */
   void onLoad(const std::string& aEndpoint, const LoadHint& aLoad);
   /** A call to an endpoint was not answered. */
   void onCallFailed(const std::string& aEndpoint);
--- a/include/poplartrack/entry/EndpointTracker.h
+++ b/include/poplartrack/entry/EndpointTracker.h
@@ -78,6 +78,9 @@
   void onLoad(const std::string& aEndpoint,
               const LoadHint& aLoad,
               TimePoint aNow);
+  /** The endpoint refused work in a way that shows that what is known of it is
+   * out of date (showsOutdatedView). */
+  void onOutdated(const std::string& aEndpoint, TimePoint aNow);
   /** A call to the endpoint ended without a reply. */
   void onCallFailed(const std::string& aEndpoint, TimePoint aNow);
 
@@ -95,6 +98,8 @@
     bool listed = false;
     bool listedLeaving = false;
     bool saysLeaving = false;
+    /** A probe is on its way. */
+    bool asked = false;
     TimePoint lastHeard{};
     TimePoint nextProbe{};
     Duration pause{ 0 };
@@ -104,6 +109,7 @@
                   std::string aRegion,
                   std::uint64_t aSeed,
                   TimePoint aNow);
+  static void askSoon(Tracked& aTracked, TimePoint aNow);
   Tracked* byEndpoint(const std::string& aEndpoint);
   Duration jittered(Duration aDuration);
   void refill(TimePoint aNow);
--- /dev/null
+++ b/include/poplartrack/entry/OutdatedView.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "poplartrack/wire/Refusal.h"
+
+namespace poplartrack {
+
+/** True for a refusal which says that the caller's view of the endpoint is out
+ * of date: it was restarted, holds other layers now, or is leaving. */
+[[nodiscard]] inline bool
+showsOutdatedView(const Refusal& aRefusal)
+{
+  if (!aRefusal.refused) {
+    return false;
+  }
+  switch (aRefusal.kind) {
+    case ErrorKind::WrongIncarnation:
+    case ErrorKind::StageRefused:
+    case ErrorKind::Leaving:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace poplartrack
--- a/src/entry/EndpointDirectory.cpp
+++ b/src/entry/EndpointDirectory.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include "poplartrack/entry/OutdatedView.h"
+
 namespace poplartrack {
 namespace {
 
@@ -130,6 +132,22 @@
   this->publish();
 }
 
+void
+EndpointDirectory::onReply(const std::string& aEndpoint,
+                           const Refusal& aRefusal,
+                           const LoadHint& aLoad)
+{
+  if (!showsOutdatedView(aRefusal)) {
+    this->onLoad(aEndpoint, aLoad);
+    return;
+  }
+  // Counted as a sign of life, a refusal would put off the very probe that
+  // tells what changed: callers that come back faster than probes are sent
+  // kept a restarted side out of use for as long as they came (30 s and more).
+  const std::scoped_lock lock{ this->guard };
+  this->tracker.onOutdated(aEndpoint, runtimeNow());
+}
+
 void
 EndpointDirectory::onLoad(const std::string& aEndpoint, const LoadHint& aLoad)
 {
--- a/src/entry/EndpointTracker.cpp
+++ b/src/entry/EndpointTracker.cpp
@@ -144,6 +144,7 @@
     }
     this->tokens -= 1;
     tracked->nextProbe = aNow + this->policy.silence;
+    tracked->asked = true;
     targets.push_back(ProbeTarget{
       tracked->instance, tracked->info.address, tracked->listedLeaving });
   }
@@ -176,6 +177,7 @@
     return false;
   }
   Tracked& tracked = found->second;
+  tracked.asked = false;
   if (aReply.service.empty()) {
     // The side lives but its endpoint does not answer it (yet): nothing can
     // be chosen there, and it is worth asking again soon.
@@ -227,6 +229,7 @@
     return;
   }
   Tracked& tracked = found->second;
+  tracked.asked = false;
   ++tracked.info.failures;
   tracked.pause = tracked.pause == Duration::zero()
                     ? this->policy.retryFirst
@@ -235,6 +238,16 @@
   this->changed = true;
 }
 
+void
+EndpointTracker::askSoon(Tracked& aTracked, TimePoint aNow)
+{
+  // The answer to a probe on its way brings what there is to learn; a crowd of
+  // failed calls must not spend the budget of probes on one endpoint.
+  if (!aTracked.asked) {
+    aTracked.nextProbe = std::min(aTracked.nextProbe, aNow);
+  }
+}
+
 EndpointTracker::Tracked*
 EndpointTracker::byEndpoint(const std::string& aEndpoint)
 {
@@ -266,6 +279,15 @@
     std::max(tracked->nextProbe, aNow + this->policy.silence / 2);
 }
 
+void
+EndpointTracker::onOutdated(const std::string& aEndpoint, TimePoint aNow)
+{
+  Tracked* tracked = this->byEndpoint(aEndpoint);
+  if (tracked != nullptr) {
+    askSoon(*tracked, aNow);
+  }
+}
+
 void
 EndpointTracker::onCallFailed(const std::string& aEndpoint, TimePoint aNow)
 {
@@ -274,7 +296,7 @@
     return;
   }
   ++tracked->info.failures;
-  tracked->nextProbe = std::min(tracked->nextProbe, aNow);
+  askSoon(*tracked, aNow);
   this->changed = true;
 }
 
--- a/src/entry/ModelRunnerSends.cpp
+++ b/src/entry/ModelRunnerSends.cpp
@@ -22,7 +22,8 @@
   const auto done = [this, aRun, attempt, stage, endpoint = aSend.endpoint](
                       const TypedResult<OpenReply>& aResult) {
     if (aResult.outcome == CallOutcome::Replied) {
-      this->parts.endpoints.onLoad(endpoint, aResult.reply.load);
+      this->parts.endpoints.onReply(
+        endpoint, aResult.reply.refusal, aResult.reply.load);
     }
     this->apply(aRun, [&](RequestRun& aState, TimePoint aNow) {
       return aState.onOpenReply(
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -180,7 +180,8 @@
         aChooser.onPlainEnded(endpoint, replied, runtimeNow());
       });
     if (replied) {
-      this->parts.endpoints.onLoad(endpoint, aResult.reply.load);
+      this->parts.endpoints.onReply(
+        endpoint, aResult.reply.refusal, aResult.reply.load);
     } else {
       this->parts.endpoints.onCallFailed(endpoint);
     }
--- a/tests/unit/entry/EndpointTrackerTest.cpp
+++ b/tests/unit/entry/EndpointTrackerTest.cpp
@@ -1,4 +1,5 @@
 #include "poplartrack/entry/EndpointTracker.h"
+#include "poplartrack/entry/OutdatedView.h"
 
 #include <gtest/gtest.h>
 
@@ -96,6 +97,32 @@
     "a", replyOf("engine-a", 6), milliseconds{ 1 }, this->clock.now()));
 }
 
+TEST_F(EndpointTrackerTest, callsThatARestartedSideRefusesDoNotPutOffItsProbe)
+{
+  // A side was restarted and refuses every call, as they name its earlier
+  // incarnation. Callers come back every 11 ms, faster than probes are due.
+  // The probe that tells of the restart must go out all the same, and once.
+  this->learn("a", 5);
+  std::size_t probes = 0;
+  for (int call = 0; call < 10; ++call) {
+    this->tracker.onCallFailed("engine-a", this->clock.now());
+    this->tracker.onOutdated("engine-a", this->clock.now());
+    this->clock.advance(milliseconds{ 11 });
+    probes += this->tracker.dueProbes(this->clock.now()).size();
+  }
+  EXPECT_EQ(probes, 1U);
+}
+
+TEST_F(EndpointTrackerTest, onlyARefusalOfAnOutdatedViewAsksForAProbe)
+{
+  EXPECT_FALSE(showsOutdatedView(Refusal::none()));
+  EXPECT_FALSE(showsOutdatedView(Refusal::of(fail(ErrorKind::Overloaded))));
+  EXPECT_TRUE(
+    showsOutdatedView(Refusal::of(fail(ErrorKind::WrongIncarnation))));
+  EXPECT_TRUE(showsOutdatedView(Refusal::of(fail(ErrorKind::StageRefused))));
+  EXPECT_TRUE(showsOutdatedView(Refusal::of(fail(ErrorKind::Leaving))));
+}
+
 TEST_F(EndpointTrackerTest, probesStayWithinTheBudgetAndReachEveryEndpoint)
 {
   // 340 sides of a region appear at once, as after a switch came back. Probes
