--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -277,8 +277,8 @@
   // back is better than none, but not before the entry has heard of it. Asked
   // again at once, restarted sides refused all attempts that a request has
   // within 2 ms, in 20 to 30 of 48 requests while faults come without a pause.
-  const bool mayRepeat = aNeed.reason != RetryReason::OpenRefused ||
-                         moment - aSince >= kRoutePause;
+  const bool mayRepeat =
+    aNeed.reason != RetryReason::OpenRefused || moment - aSince >= kRoutePause;
   RouteQuery query = this->queryFor(aRun->spec, moment);
   query.avoid = aNeed.avoid;
   const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
