--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -9,6 +9,7 @@
 #include "poplartrack/base/PeriodicThread.h"
 #include "poplartrack/fleet/FleetPolls.h"
 #include "poplartrack/fleet/ReplicaList.h"
+#include "poplartrack/fleet/StorePace.h"
 #include "poplartrack/relay/PlacementDuty.h"
 #include "poplartrack/relay/RelayDirectory.h"
 #include "poplartrack/relay/RelaySettings.h"
@@ -68,8 +69,8 @@
   void onReplicas(const ReplicaPoll& aPoll, TimePoint aNow);
   void catchUp();
   void pollLease();
-  [[nodiscard]] Duration configWait() const;
-  [[nodiscard]] Duration retryPause(int aFailures) const;
+  [[nodiscard]] StorePace pace() const;
+  [[nodiscard]] Duration gatherPause() const;
 
   RelaySettings settings;
   RelayShared& shared;
@@ -91,11 +92,13 @@
   std::optional<TimePoint> listBehind;
   std::uint64_t listCaughtUp = 0;
   TimePoint leaseLooked{};
-  bool configReachable = true;
+  /** When the configuration was read for its proof alone. */
+  TimePoint proofAsked{};
+  std::atomic<bool> configReachable{ true };
   /** Looks in a row that failed. */
   int configFailures = 0;
   int replicasFailures = 0;
-  bool replicasReachable = true;
+  std::atomic<bool> replicasReachable{ true };
 
   PlacementDuty placement;
   RelayDirectory<Store> directory;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -9,23 +9,6 @@
 namespace poplartrack {
 namespace fleet_control {
 
-/** Longest wait of one look at the configuration while no other relay is heard.
- * Its answer proves what was in force when it was given, so a relay that loses
- * the store has a proof at most this old, and goes on for the rest of the 5 s
- * after which a revoked key must be dead. */
-constexpr Duration kConfigWaitAlone = std::chrono::milliseconds{ 1'000 };
-
-/** ... and while others are: they tell each other their proofs five times a
- * second. Saves 3 of 5 calls a second for each five relays. */
-constexpr Duration kConfigWait = std::chrono::milliseconds{ 2'500 };
-
-/** Relays that must be heard for that. */
-constexpr std::size_t kEnoughRelays = 2;
-
-/** Longest wait of one look at the replicas. A connection to the store that
- * fell silent is noticed sooner, by what other relays tell. */
-constexpr Duration kReplicasWait = std::chrono::milliseconds{ 4'000 };
-
 /** Another relay has had something newer for this long: the look that is under
  * way will not bring it. An answer of the store takes some ms. */
 constexpr Duration kBehind = std::chrono::milliseconds{ 300 };
@@ -33,24 +16,7 @@
 /** A leader that was heard this lately renews its lease: nobody else looks at
  * the row, but for now and then. */
 constexpr Duration kLeaderSilence = std::chrono::milliseconds{ 1'000 };
-constexpr Duration kLeaseLook = std::chrono::seconds{ 8 };
-
-/** ... and while entries are missing that may come back: whether they do is
- * decided on time. */
-constexpr Duration kUncertainWait = std::chrono::milliseconds{ 200 };
-
-/** Pause after a look that brought something: changes come in bursts (a dozen a
- * second as replicas register or the operator pushes), and the next look brings
- * what has gathered. Far below the bounds of two seconds on both. */
-constexpr Duration kGatherPause = std::chrono::milliseconds{ 150 };
-
-/** Pause after a look that failed, doubled with each one up to the most. While
- * the store is away each look is a call for nothing; which relay's look finds
- * it back is no matter, since the others hear of it at once. */
-constexpr Duration kRetryPause = std::chrono::milliseconds{ 250 };
-constexpr Duration kRetryMost = std::chrono::milliseconds{ 1'500 };
-/** ... and for a relay that hears too few others. */
-constexpr Duration kRetryMostAlone = std::chrono::milliseconds{ 500 };
+constexpr Duration kLeaseLook = std::chrono::seconds{ 20 };
 
 /** Pause between two rounds of duties. */
 constexpr Duration kDutyPause = std::chrono::milliseconds{ 250 };
@@ -59,6 +25,14 @@
  * streams through it after some 300 ms, and should not wait for long then. */
 constexpr Duration kPlacePause = std::chrono::milliseconds{ 100 };
 
+/** A number in [0, 1). */
+inline double
+draw()
+{
+  constexpr std::uint64_t kSteps = 1U << 20U;
+  return static_cast<double>(randomRequestId().low % kSteps) / kSteps;
+}
+
 inline LeaseSettings
 leaseSettings(const RelaySettings& aSettings)
 {
@@ -125,13 +99,28 @@
     LogLine{ LogPart::Store, "regained" }.with("what", aWhat));
 }
 
+template<FleetStoreLike Store>
+StorePace
+FleetControl<Store>::pace() const
+{
+  return StorePace{ this->shared.relaysHeard };
+}
+
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::gatherPause() const
+{
+  return StorePace::gatherPause(this->shared.called || this->leading != 0);
+}
+
 template<FleetStoreLike Store>
 Duration
 FleetControl<Store>::followConfig()
 {
   const Result<ConfigPoll> poll =
     this->configStarted
-      ? this->store.awaitConfig(this->configAfter, this->configWait())
+      ? this->store.awaitConfig(this->configAfter,
+                                this->pace().configWait(fleet_control::draw()))
       : this->store.readConfig();
   if (!poll) {
     // History that is gone is no outage: the whole is read at once.
@@ -139,13 +128,13 @@
     if (poll.error().kind == ErrorKind::NotFound && read) {
       return Duration{ 0 };
     }
-    if (std::exchange(this->configReachable, false)) {
+    if (this->configReachable.exchange(false)) {
       this->onStoreFailure("config", poll.error());
     }
-    return this->retryPause(this->configFailures++);
+    return this->pace().retryPause(this->configFailures++, fleet_control::draw());
   }
   this->configFailures = 0;
-  if (!std::exchange(this->configReachable, true)) {
+  if (!this->configReachable.exchange(true)) {
     this->onStoreAnswer("config");
   }
   this->configAfter = poll.value().next;
@@ -154,42 +143,7 @@
   // again and again until the operator wrote the first one, it took 85 calls a
   // relay, half of all in the first 30 s.
   this->configStarted = true;
-  return poll.value().config ? fleet_control::kGatherPause : Duration{ 0 };
-}
-
-/** The pause after one more look that failed, between half and all of what its
- * number gives: relays must not look together. */
-template<FleetStoreLike Store>
-Duration
-FleetControl<Store>::retryPause(int aFailures) const
-{
-  const Duration most = this->shared.relaysHeard >= fleet_control::kEnoughRelays
-                          ? fleet_control::kRetryMost
-                          : fleet_control::kRetryMostAlone;
-  constexpr int kDoublings = 4;
-  const Duration pause = std::min(
-    most, fleet_control::kRetryPause * (1 << std::min(aFailures, kDoublings)));
-  return pause / 2 + Duration{ static_cast<std::int64_t>(
-                       randomRequestId().low %
-                       static_cast<std::uint64_t>(pause.count() / 2)) };
-}
-
-template<FleetStoreLike Store>
-Duration
-FleetControl<Store>::configWait() const
-{
-  if (this->shared.relaysHeard < fleet_control::kEnoughRelays) {
-    return fleet_control::kConfigWaitAlone;
-  }
-  // A change ends the looks of all relays at one moment. Equal waits would end
-  // together from then on: the store went away 2.4 s after the newest proof of
-  // 22 relays, and they served 1.6 s where 4 are allowed.
-  const Duration spread =
-    fleet_control::kConfigWait - fleet_control::kConfigWaitAlone;
-  return fleet_control::kConfigWaitAlone + Duration{
-    static_cast<std::int64_t>(randomRequestId().low %
-                              static_cast<std::uint64_t>(spread.count()))
-  };
+  return poll.value().config ? this->gatherPause() : Duration{ 0 };
 }
 
 template<FleetStoreLike Store>
@@ -236,10 +190,9 @@
 {
   const Result<ReplicaPoll> poll =
     this->replicasStarted
-      ? this->store.awaitReplicas(this->replicasAfter,
-                                  this->uncertain
-                                    ? fleet_control::kUncertainWait
-                                    : fleet_control::kReplicasWait)
+      ? this->store.awaitReplicas(
+          this->replicasAfter,
+          this->pace().replicasWait(this->uncertain, fleet_control::draw()))
       : this->store.readReplicas();
   const TimePoint now = this->clock.now();
   const std::scoped_lock lock{ this->listGuard };
@@ -249,13 +202,13 @@
       return Duration{ 0 };
     }
     this->list.onUnreachable(now);
-    if (std::exchange(this->replicasReachable, false)) {
+    if (this->replicasReachable.exchange(false)) {
       this->onStoreFailure("replicas", poll.error());
     }
-    return this->retryPause(this->replicasFailures++);
+    return this->pace().retryPause(this->replicasFailures++, fleet_control::draw());
   }
   this->replicasFailures = 0;
-  if (!std::exchange(this->replicasReachable, true)) {
+  if (!this->replicasReachable.exchange(true)) {
     this->onStoreAnswer("replicas");
   }
   for (const std::string& problem : poll.value().unreadable) {
@@ -266,7 +219,7 @@
   this->replicasStarted = true;
   this->onReplicas(poll.value(), now);
   const bool quiet = poll.value().present.empty() && poll.value().gone.empty();
-  return quiet ? Duration{ 0 } : fleet_control::kGatherPause;
+  return quiet ? Duration{ 0 } : this->gatherPause();
 }
 
 /** Takes an answer about the replicas over; the list's guard is held. */
@@ -305,8 +258,16 @@
     this->configBehind.reset();
   } else if (!this->configBehind) {
     this->configBehind = now;
-  } else if (now - *this->configBehind >= fleet_control::kBehind) {
+  }
+  const bool behind =
+    this->configBehind && now - *this->configBehind >= fleet_control::kBehind;
+  // A thread whose look has failed asks again by itself.
+  const bool proofOld =
+    config != nullptr && this->configReachable &&
+    StorePace::wantsProof(this->shared.freshness.age(), now - this->proofAsked);
+  if (behind || proofOld) {
     this->configBehind.reset();
+    this->proofAsked = now;
     const Result<ConfigPoll> poll = this->store.readConfig();
     if (poll) {
       this->onConfig(poll.value());
@@ -338,6 +299,12 @@
   const TimePoint now = this->clock.now();
   const TimePoint heard{ Duration{ this->shared.leaderHeard.load() } };
   const bool led = now - heard < fleet_control::kLeaderSilence;
+  // The two other threads look again soon; asked by each relay too, the lease
+  // was 200 calls for nothing in 8 s without the store, 24 relays.
+  const bool away = !this->configReachable && !this->replicasReachable;
+  if (away && this->leading == 0) {
+    return;
+  }
   if (led && this->leading == 0 &&
       now - this->leaseLooked < fleet_control::kLeaseLook) {
     return;
--- a/include/poplartrack/relay/RelayDirectory.h
+++ b/include/poplartrack/relay/RelayDirectory.h
@@ -31,18 +31,28 @@
    * that is due. */
   void refresh(TimePoint aNow)
   {
+    if (aNow < this->nextTry) {
+      return;
+    }
     if (!this->joined) {
       this->join();
     }
     if (!this->listed || aNow - this->readAt >= kReadPause) {
       this->read(aNow);
     }
+    const bool done =
+      this->joined && this->listed && aNow - this->readAt < kReadPause;
+    this->nextTry = done ? aNow : aNow + kRetryPause;
   }
 
 private:
   /** The list is read again this often: a relay that joins is heard by the
    * others from its own words, and hears them after this long at most. */
-  static constexpr Duration kReadPause = std::chrono::seconds{ 10 };
+  static constexpr Duration kReadPause = std::chrono::seconds{ 20 };
+  /** Pause after a call that failed. Tried in every round of duties, four times
+   * a second, the list was most of what relays asked of a store that was away:
+   * up to 770 calls in 8 s, 24 relays. */
+  static constexpr Duration kRetryPause = std::chrono::milliseconds{ 1'500 };
   static constexpr const char* kTable = "relays";
   /** Relays of one region that tell each other their load. */
   static constexpr std::size_t kMost = 64;
@@ -56,6 +66,7 @@
   bool joined = false;
   bool listed = false;
   TimePoint readAt{};
+  TimePoint nextTry{};
 };
 
 template<PlatformLike Store>
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -41,6 +41,8 @@
   RcuBox<LostReplicas> lost{ std::make_shared<const LostReplicas>() };
   /** Stopping: not ready, and answers close their connections. */
   std::atomic<bool> draining{ false };
+  /** A request has come since the start. */
+  std::atomic<bool> called{ false };
   /** This relay holds the placement lease. */
   std::atomic<bool> leads{ false };
   /** When a relay was last heard that holds it, in microseconds of the clock;
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -58,6 +58,7 @@
   aCaller.exchange = exchange.id;
   aCaller.closeWhenAnswered = !aCaller.parser->keep_alive();
   this->exchanges.emplace(exchange.id, std::move(owned));
+  this->shared.called = true;
   ++this->openCount;
   this->budget.onRequest(this->now);
   this->admit(exchange);
--- /dev/null
+++ b/tests/unit/fleet/StorePaceTest.cpp
@@ -0,0 +1,68 @@
+#include "poplartrack/fleet/StorePace.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kAlmostOne = 0.999;
+
+TEST(StorePaceTest, ARelayThatHearsNobodyProvesFreshnessEverySecond)
+{
+  for (const double draw : { 0.0, kAlmostOne }) {
+    EXPECT_EQ(StorePace{ 0 }.configWait(draw), seconds{ 1 });
+    EXPECT_EQ(StorePace{ 1 }.configWait(draw), seconds{ 1 });
+  }
+}
+
+TEST(StorePaceTest, TheMoreRelaysAreHeardTheLessEachAsks)
+{
+  // 23 relays that each look every 10 s at most and 1 s at least have a proof
+  // among them every 0.3 s; five keep to 2.5 s and have one every 0.4 s.
+  EXPECT_EQ(StorePace{ 4 }.configWait(0), seconds{ 1 });
+  EXPECT_LE(StorePace{ 4 }.configWait(kAlmostOne), milliseconds{ 3'000 });
+  EXPECT_EQ(StorePace{ 22 }.configWait(0), seconds{ 1 });
+  EXPECT_GT(StorePace{ 22 }.configWait(kAlmostOne), seconds{ 9 });
+  EXPECT_LT(StorePace{ 370 }.configWait(kAlmostOne), seconds{ 10 });
+}
+
+TEST(StorePaceTest, MissingEntriesAreLookedForAtOnceByAnyNumberOfRelays)
+{
+  EXPECT_EQ(StorePace{ 0 }.replicasWait(true, 0), milliseconds{ 200 });
+  EXPECT_EQ(StorePace{ 22 }.replicasWait(true, kAlmostOne),
+            milliseconds{ 200 });
+}
+
+TEST(StorePaceTest, PausesAfterFailuresGrowToABoundThatNeighboursRaise)
+{
+  EXPECT_EQ(StorePace{ 22 }.retryPause(0, 0), milliseconds{ 125 });
+  EXPECT_GT(StorePace{ 22 }.retryPause(1, 0), milliseconds{ 125 });
+  for (const int failures : { 5, 50, 1'000'000 }) {
+    EXPECT_LE(StorePace{ 22 }.retryPause(failures, kAlmostOne),
+              milliseconds{ 1'500 });
+    EXPECT_LE(StorePace{ 0 }.retryPause(failures, kAlmostOne),
+              milliseconds{ 500 });
+  }
+}
+
+TEST(StorePaceTest, AnOldProofIsRenewedBesideALookThatHangs)
+{
+  // The look under way waits on a connection that fell silent, and the relays
+  // whose proofs would do are gone. Keys are trusted for 4 s after a proof.
+  EXPECT_FALSE(StorePace::wantsProof(milliseconds{ 900 }, seconds{ 5 }));
+  EXPECT_TRUE(StorePace::wantsProof(milliseconds{ 1'500 }, seconds{ 5 }));
+  // One call a second is enough, also where it brings no proof.
+  EXPECT_FALSE(StorePace::wantsProof(seconds{ 30 }, milliseconds{ 300 }));
+}
+
+TEST(StorePaceTest, BurstsAreGatheredLongerBeforeTheFirstRequest)
+{
+  EXPECT_LT(StorePace::gatherPause(true), StorePace::gatherPause(false));
+  EXPECT_LT(StorePace::gatherPause(false), seconds{ 1 });
+}
+
+} // namespace
+} // namespace poplartrack
