--- a/include/poplartrack/fleet/ReplicaList.h
+++ b/include/poplartrack/fleet/ReplicaList.h
@@ -23,7 +23,8 @@
 class ReplicaList
 {
 public:
-  /** A look at the store was answered. */
+  /** A look at the store was answered. One that speaks of an earlier moment
+   * than what is known changes no entry. */
   void onPoll(const ReplicaPoll& aPoll, TimePoint aNow);
   /** A look at the store failed. */
   void onUnreachable(TimePoint aNow);
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -68,6 +68,7 @@
   void publishReplicas();
   void onReplicas(const ReplicaPoll& aPoll, TimePoint aNow);
   void catchUp();
+  void dropLapsed();
   void pollLease();
   [[nodiscard]] StorePace pace() const;
   [[nodiscard]] Duration gatherPause() const;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -314,11 +314,26 @@
   this->lease.poll();
 }
 
+/** Drops entries that stayed away after an outage. The look that is under way
+ * may wait for ten seconds more before it decides on those that another thread
+ * found missing. */
+template<FleetStoreLike Store>
+void
+FleetControl<Store>::dropLapsed()
+{
+  const std::scoped_lock lock{ this->listGuard };
+  if (this->uncertain && this->list.expire(this->clock.now())) {
+    this->uncertain = this->list.uncertain();
+    this->publishReplicas();
+  }
+}
+
 template<FleetStoreLike Store>
 Duration
 FleetControl<Store>::duty()
 {
   if (!this->leaving) {
+    this->dropLapsed();
     this->catchUp();
     this->pollLease();
     this->directory.refresh(this->clock.now());
--- a/src/fleet/ReplicaList.cpp
+++ b/src/fleet/ReplicaList.cpp
@@ -50,6 +50,13 @@
     // a second and a half apart, and what had lapsed was taken for leaving.
     this->lastTrouble = aNow;
   }
+  // Two threads look. What one read before the other's answer was taken over
+  // would bring a replica back that has said since that it leaves; its entry
+  // does not change again, so work went to it until it ended, seconds past the
+  // bound. Whoever answers for a later moment has all that the earlier one had.
+  if (aPoll.next < this->version) {
+    return;
+  }
   this->version = aPoll.next;
   this->changed = std::max(this->changed, aPoll.changed);
   std::set<std::string> listed;
--- a/tests/unit/fleet/ReplicaListTest.cpp
+++ b/tests/unit/fleet/ReplicaListTest.cpp
@@ -48,6 +48,26 @@
   EXPECT_EQ(this->list.size(), 1U);
 }
 
+TEST_F(ReplicaListTest, AnOlderLookDoesNotBringALeavingReplicaBack)
+{
+  // A replica says that it leaves. A whole read that another thread had begun
+  // before is taken over after that change: it shows the replica as ready.
+  // Taken for news, it drew work to the replica until that ended.
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(milliseconds{ 0 }));
+  ReplicaPoll change;
+  change.next = 7;
+  change.present.push_back(replicaOf("one", "a", "slow"));
+  change.present.back().draining = true;
+  this->list.onPoll(change, this->in(seconds{ 5 }));
+  ReplicaPoll older = wholeOf({ "one", "two" });
+  older.next = 6;
+  this->list.onPoll(older, this->in(milliseconds{ 5'010 }));
+  const ReplicaView view = this->list.view();
+  ASSERT_EQ(view.replicas.size(), 2U);
+  EXPECT_TRUE(view.replicas[0].draining);
+  EXPECT_EQ(view.version, 7U);
+}
+
 TEST_F(ReplicaListTest, EntriesThatLapsedInAnOutageAreKeptUntilTheyAreBack)
 {
   // Callers keep being served through an outage of the store in which every
