--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -17,10 +17,12 @@
  * callers give a silent stream up after two seconds. */
 constexpr Duration kResumePatience = std::chrono::milliseconds{ 1'500 };
 
-/** A request for which no path has memory waits this long, or half of its
- * objective: reading its prompt takes the other half at most. At 75 requests a
- * second some twenty answers end in this time. */
-constexpr Duration kQueuePatience = std::chrono::milliseconds{ 250 };
+/** A request for which no path has memory waits this long, or twice its
+ * objective, at most: callers leave a stream without an event after four
+ * objectives, and its prompt has to be read yet. Refused after 250 ms, callers
+ * came back once, late, and were refused again: 25 and 20 of 1,000 on two days
+ * with lost zones, 21 and 15 with this (four plays each). */
+constexpr Duration kQueuePatience = std::chrono::milliseconds{ 1'200 };
 
 /** A relay that was heard this lately still serves. */
 constexpr Duration kPeerServes = std::chrono::milliseconds{ 1'000 };
@@ -116,7 +118,7 @@
 RelayLoop::Impl::mayWait(Exchange& aExchange, ErrorKind aReason)
 {
   // The caller of a started stream has part of it. One that has nothing yet
-  // waits for memory that other answers free, while it can still be on time.
+  // waits for memory that other answers free.
   const bool started = aExchange.answering;
   if (!started && aReason != ErrorKind::Overloaded) {
     return false;
@@ -126,7 +128,7 @@
   }
   const Duration patience =
     started ? kResumePatience
-            : std::min(kQueuePatience, aExchange.route->objective / 2);
+            : std::min(kQueuePatience, aExchange.route->objective * 2);
   return this->now - *aExchange.waitingSince < patience;
 }
 
