--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -64,10 +64,12 @@
    *
    * @param aReplicas the service's replicas that live and stay
    * @param aInDoubt whether a listed replica is missing that may be well
+   * @param aBusy replicas through which requests pass
    */
   std::vector<LayerOrder> plan(const EngineProfile& aProfile,
                                std::span<const Replica> aReplicas,
                                bool aInDoubt,
+                               const std::set<std::string>& aBusy,
                                TimePoint aNow);
   /** An order was not accepted: it is not waited for. */
   void onRefused(const std::string& aReplica)
@@ -107,10 +109,28 @@
                  double aTokens);
   void repair(const EngineProfile& aProfile,
               Group& aGroup,
-              const std::string& aName);
+              const std::set<std::string>& aBusy);
+  /** The holders on both sides of a gap; null where there is none. */
+  struct Neighbours
+  {
+    Holder* before = nullptr;
+    Holder* behind = nullptr;
+  };
+  [[nodiscard]] static double tokensBeside(const EngineProfile& aProfile,
+                                           const Holder& aHolder,
+                                           std::uint32_t aLayers);
+  [[nodiscard]] static Neighbours neighboursOf(const EngineProfile& aProfile,
+                                               Group& aGroup,
+                                               LayerRange aGap);
+  bool shareGap(const EngineProfile& aProfile,
+                Group& aGroup,
+                Holder& aEmpty,
+                LayerRange aGap);
   void fillGap(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
   void stretch(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
-  void shrink(const EngineProfile& aProfile, Group& aGroup);
+  void shrink(const EngineProfile& aProfile,
+              Group& aGroup,
+              const std::set<std::string>& aBusy);
   void recut(const EngineProfile& aProfile, Group& aGroup);
   void rescue(const EngineProfile& aProfile, std::vector<Group>& aZones);
   void employ(const EngineProfile& aProfile, Group& aGroup, Holder& aEmpty);
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,11 @@
    * what its work waits for, to this relay or another one. */
   using LostReplicas = std::map<std::string, bool>;
   RcuBox<LostReplicas> lost{ std::make_shared<const LostReplicas>() };
+  /** Replicas through which requests of any relay pass, kept by the one that
+   * holds the placement lease. */
+  RcuBox<std::set<std::string>> busy{
+    std::make_shared<const std::set<std::string>>()
+  };
   /** Stopping: not ready, and answers close their connections. */
   std::atomic<bool> draining{ false };
   /** A request has come since the start. */
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -191,6 +191,7 @@
 LayerPlanner::plan(const EngineProfile& aProfile,
                    std::span<const Replica> aReplicas,
                    bool aInDoubt,
+                   const std::set<std::string>& aBusy,
                    TimePoint aNow)
 {
   this->now = aNow;
@@ -212,7 +213,7 @@
       this->draw(aProfile, group);
       continue;
     }
-    this->repair(aProfile, group, group.front().replica->zone);
+    this->repair(aProfile, group, aBusy);
   }
   this->rescue(aProfile, zones);
   return std::exchange(this->orders, {});
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -31,12 +31,115 @@
 
 } // namespace
 
+/** Tokens that the replica keeps memory for beside so many layers. */
+double
+LayerPlanner::tokensBeside(const EngineProfile& aProfile,
+                           const Holder& aHolder,
+                           std::uint32_t aLayers)
+{
+  const AcceleratorKind& kind = *kindOf(aProfile, *aHolder.replica);
+  const double free = kind.memoryMb - aProfile.layerMb * aLayers;
+  return free / (aProfile.tokenLayerMb() * aLayers);
+}
+
+/** The holders that end where a gap begins, and begin where it ends; of several
+ * the one with the most memory. */
+LayerPlanner::Neighbours
+LayerPlanner::neighboursOf(const EngineProfile& aProfile,
+                           Group& aGroup,
+                           LayerRange aGap)
+{
+  const auto better = [&](const Holder& aOne, const Holder* aOther) {
+    return aOther == nullptr ||
+           tokensBeside(aProfile, aOne, aOne.layers.size() + 1) >
+             tokensBeside(aProfile, *aOther, aOther->layers.size() + 1);
+  };
+  Neighbours found;
+  for (Holder& holder : aGroup) {
+    if (holder.layers.size() == 0 || holder.moving) {
+      continue;
+    }
+    if (holder.layers.to == aGap.from && better(holder, found.before)) {
+      found.before = &holder;
+    }
+    if (holder.layers.from == aGap.to && better(holder, found.behind)) {
+      found.behind = &holder;
+    }
+  }
+  return found;
+}
+
+/**
+ * Deals a gap to a newcomer and the neighbours together, so that the one with
+ * the least memory left has the most. A replica of a slow kind cannot take the
+ * part of a faster one alone: five of eight layers were filled, the last three
+ * stayed open, and the zone's other eleven replicas idle, until the next
+ * newcomer or the end of the day.
+ */
+bool
+LayerPlanner::shareGap(const EngineProfile& aProfile,
+                       Group& aGroup,
+                       Holder& aEmpty,
+                       LayerRange aGap)
+{
+  const Neighbours beside = neighboursOf(aProfile, aGroup, aGap);
+  double most = kStretchedCopy * tokenGoal(aProfile);
+  std::optional<LayerRange> best;
+  const auto tokensOf = [&](const Holder* aHolder, std::uint32_t aMore) {
+    if (aMore == 0) {
+      return std::numeric_limits<double>::infinity();
+    }
+    return aHolder == nullptr
+             ? 0.0
+             : tokensBeside(
+                 aProfile, *aHolder, aHolder->layers.size() + aMore);
+  };
+  for (std::uint32_t from = aGap.from; from < aGap.to; ++from) {
+    for (std::uint32_t to = from + 1; to <= aGap.to; ++to) {
+      const double least =
+        std::min({ tokensBeside(aProfile, aEmpty, to - from),
+                   tokensOf(beside.before, from - aGap.from),
+                   tokensOf(beside.behind, aGap.to - to) });
+      if (least > most) {
+        most = least;
+        best = LayerRange{ from, to };
+      }
+    }
+  }
+  if (!best) {
+    return false;
+  }
+  if (best->from > aGap.from) {
+    this->order(
+      *beside.before, { beside.before->layers.from, best->from }, "stretch");
+  }
+  if (best->to < aGap.to) {
+    this->order(
+      *beside.behind, { best->to, beside.behind->layers.to }, "stretch");
+  }
+  this->order(aEmpty, *best, "gap");
+  return true;
+}
+
 void
 LayerPlanner::fillGap(const EngineProfile& aProfile,
                       Group& aGroup,
                       LayerRange aGap)
 {
   const double goal = tokenGoal(aProfile);
+  std::uint32_t room = 0;
+  std::vector<Holder*> empty;
+  for (Holder& holder : aGroup) {
+    if (holder.layers.size() == 0 && !holder.moving) {
+      empty.push_back(&holder);
+      room += layersBeside(aProfile, *kindOf(aProfile, *holder.replica), goal);
+    }
+  }
+  const bool isShared = empty.size() == 1 && room < aGap.size() &&
+                        this->shareGap(aProfile, aGroup, *empty[0], aGap);
+  if (isShared) {
+    return;
+  }
   for (Holder& holder : aGroup) {
     if (holder.layers.size() > 0 || holder.moving || aGap.size() == 0) {
       continue;
@@ -69,21 +172,7 @@
     const bool free = !aHolder.moving && most > aHolder.layers.size();
     return free ? most - aHolder.layers.size() : 0U;
   };
-  Holder* before = nullptr;
-  Holder* behind = nullptr;
-  for (Holder& holder : aGroup) {
-    if (holder.layers.size() == 0) {
-      continue;
-    }
-    if (holder.layers.to == aGap.from &&
-        (before == nullptr || roomOf(holder) > roomOf(*before))) {
-      before = &holder;
-    }
-    if (holder.layers.from == aGap.to &&
-        (behind == nullptr || roomOf(holder) > roomOf(*behind))) {
-      behind = &holder;
-    }
-  }
+  const auto [before, behind] = neighboursOf(aProfile, aGroup, aGap);
   const std::uint32_t roomBefore = before == nullptr ? 0 : roomOf(*before);
   const std::uint32_t roomBehind = behind == nullptr ? 0 : roomOf(*behind);
   const std::uint32_t room = roomBefore + roomBehind;
@@ -102,15 +191,21 @@
 }
 
 /** Takes back what was stretched once others hold those layers again: memory
- * for requests is worth more than a second holder at the edge of a part. */
+ * for requests is worth more than a second holder at the edge of a part. Only
+ * from a replica through which nothing passes: it refuses all work until the
+ * last answer through the layers that it gives up ends. One that was told so
+ * under load refused 307 requests in 7 s, and its zone was out for as long. */
 void
-LayerPlanner::shrink(const EngineProfile& aProfile, Group& aGroup)
+LayerPlanner::shrink(const EngineProfile& aProfile,
+                     Group& aGroup,
+                     const std::set<std::string>& aBusy)
 {
   for (Holder& holder : aGroup) {
     const std::uint32_t most = layersBeside(aProfile,
                                             *kindOf(aProfile, *holder.replica),
                                             kKeptCopy * tokenGoal(aProfile));
-    if (holder.moving || holder.layers.size() <= most) {
+    if (holder.moving || holder.layers.size() <= most ||
+        aBusy.contains(holder.replica->id)) {
       continue;
     }
     LayerRange kept = holder.layers;
@@ -189,18 +284,19 @@
 void
 LayerPlanner::repair(const EngineProfile& aProfile,
                      Group& aGroup,
-                     const std::string& aName)
+                     const std::set<std::string>& aBusy)
 {
+  const std::string& name = aGroup.front().replica->zone;
   const auto gaps = gapsOf(aGroup, aProfile.layers);
   for (const LayerRange& gap : gaps) {
     this->fillGap(aProfile, aGroup, gap);
   }
   const auto left = gapsOf(aGroup, aProfile.layers);
   if (left.empty()) {
-    this->gapSince.erase(aName);
+    this->gapSince.erase(name);
   } else {
     const auto since =
-      this->gapSince.try_emplace(aName, this->now).first->second;
+      this->gapSince.try_emplace(name, this->now).first->second;
     if (this->now - since >= this->patience) {
       for (const LayerRange& gap : left) {
         this->stretch(aProfile, aGroup, gap);
@@ -218,7 +314,7 @@
       return aHolder.moving;
     });
   if (calm) {
-    this->shrink(aProfile, aGroup);
+    this->shrink(aProfile, aGroup, aBusy);
   }
 }
 
--- a/src/relay/PlacementDuty.cpp
+++ b/src/relay/PlacementDuty.cpp
@@ -59,7 +59,8 @@
     const std::scoped_lock lock{ this->guard };
     auto& planner =
       this->planners.try_emplace(aService, LayerPlannerPolicy{}).first->second;
-    orders = planner.plan(aEngine, staying, inDoubt, aNow);
+    orders = planner.plan(
+      aEngine, staying, inDoubt, *this->shared.busy.read(), aNow);
   }
   for (const LayerOrder& order : orders) {
     const auto replica = std::find_if(
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -271,6 +271,22 @@
   }
 }
 
+void
+RelayLoop::Impl::publishBusy()
+{
+  if (!this->shared.leads) {
+    return;
+  }
+  std::set<std::string> busy;
+  for (const Replica& replica : this->view->replicas) {
+    if (this->loads.at(replica.id).requests > 0) {
+      busy.insert(replica.id);
+    }
+  }
+  this->shared.busy.replace(
+    std::make_shared<const std::set<std::string>>(std::move(busy)));
+}
+
 void
 RelayLoop::Impl::regularWork()
 {
@@ -283,6 +299,7 @@
   this->shared.relaysHeard = this->peersHeard.size();
   this->reports.expire(this->now);
   this->publishLost();
+  this->publishBusy();
   this->budget.setRelays(
     std::max(this->shared.peers.read()->size() + 1, kFewRelays));
   this->askSlowOnes();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -90,6 +90,7 @@
   void regularWork();
   void refreshReplicas();
   void publishLost();
+  void publishBusy();
 
   // RelayCallers.cpp: connections of callers.
   void acceptCallers();
--- a/tests/unit/fleet/LayerPlannerTest.cpp
+++ b/tests/unit/fleet/LayerPlannerTest.cpp
@@ -25,7 +25,7 @@
   std::vector<LayerOrder> plan(bool aInDoubt = false)
   {
     return this->planner.plan(
-      this->profile, this->replicas, aInDoubt, this->clock.now());
+      this->profile, this->replicas, aInDoubt, this->busy, this->clock.now());
   }
   /** Plans after a pause. */
   std::vector<LayerOrder> planAfter(Duration aPause)
@@ -90,6 +90,7 @@
   ManualClock clock;
   LayerPlanner planner{ LayerPlannerPolicy{} };
   std::vector<Replica> replicas;
+  std::set<std::string> busy;
 };
 
 std::vector<Replica>
@@ -222,6 +223,29 @@
   EXPECT_EQ(orders[0].layers, lost);
 }
 
+TEST(LayerPlanner, ASlowReplicaAndTheNeighboursShareAFastOnesPart)
+{
+  // A zone loses the replica with the largest part and gets one of a slower
+  // kind. Alone it takes some of the layers with memory for all slots; the rest
+  // stayed open, and callers of the zone were refused while the others idled.
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  const LayerRange lost = *fleet.at("a0").layers;
+  ASSERT_GT(lost.size(), 5U);
+  fleet.lose("a0");
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  const auto orders = fleet.planAfter(milliseconds{ 10 });
+  ASSERT_EQ(orders.size(), 2U);
+  for (const LayerOrder& order : orders) {
+    if (fleet.at(order.replica).layers) {
+      EXPECT_TRUE(order.layers.contains(*fleet.at(order.replica).layers));
+    }
+  }
+  fleet.carryOut(orders);
+  EXPECT_TRUE(fleet.covered("a"));
+  EXPECT_TRUE(fleet.withinMemory());
+}
+
 TEST(LayerPlanner, WhatWasStretchedIsTakenBackOneAtATime)
 {
   Fleet fleet{ fourInEachOfTwoZones() };
@@ -239,6 +263,33 @@
   }
 }
 
+TEST(LayerPlanner, NothingIsTakenBackFromAReplicaAtWork)
+{
+  // A replica that was stretched over a lost part carries requests when others
+  // hold that part again. Told to give it up, it would refuse all work until
+  // the last answer through those layers ends, seconds later.
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  fleet.lose("a1");
+  fleet.lose("a2");
+  fleet.lose("a3");
+  fleet.planAfter(milliseconds{ 10 });
+  fleet.carryOut(fleet.planAfter(milliseconds{ 400 }));
+  ASSERT_TRUE(fleet.covered("a"));
+  fleet.replicas.push_back(replicaOf("a7", "a", "slow"));
+  fleet.replicas.push_back(replicaOf("a8", "a", "slow"));
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  fleet.carryOut(fleet.planAfter(milliseconds{ 100 }));
+  for (const Replica& replica : fleet.replicas) {
+    fleet.busy.insert(replica.id);
+  }
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(fleet.planAfter(seconds{ 1 }).empty());
+  }
+  fleet.busy.clear();
+  EXPECT_FALSE(fleet.planAfter(seconds{ 1 }).empty());
+}
+
 TEST(LayerPlanner, CutsACopyAnewWhenNobodyHoldsALayer)
 {
   // Every request is refused: both copies lost the same fast part, which is
