--- /dev/null
+++ b/include/poplartrack/fleet/CopyGap.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "poplartrack/fleet/LayerOrder.h"
+
+namespace poplartrack {
+
+/** Layers that no replica of a zone's copy holds, or will hold. */
+struct CopyGap
+{
+  std::string zone;
+  LayerRange layers;
+
+  friend bool operator==(const CopyGap&, const CopyGap&) = default;
+};
+
+} // namespace poplartrack
--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/CopyGap.h"
 #include "poplartrack/fleet/EngineProfile.h"
 #include "poplartrack/fleet/LayerOrder.h"
 #include "poplartrack/fleet/Replica.h"
@@ -71,6 +72,11 @@
                                bool aInDoubt,
                                const std::set<std::string>& aBusy,
                                TimePoint aNow);
+  /** What the last plan left open. */
+  [[nodiscard]] const std::vector<CopyGap>& gaps() const
+  {
+    return this->openGaps;
+  }
   /** An order was not accepted: it is not waited for. */
   void onRefused(const std::string& aReplica)
   {
@@ -128,6 +134,11 @@
                 LayerRange aGap);
   void fillGap(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
   void stretch(const EngineProfile& aProfile, Group& aGroup, LayerRange aGap);
+  [[nodiscard]] static bool isSecondHolder(const Group& aGroup,
+                                           const Holder& aHolder);
+  void moveSecondHolder(const EngineProfile& aProfile,
+                        Group& aGroup,
+                        LayerRange aGap);
   void shrink(const EngineProfile& aProfile,
               Group& aGroup,
               const std::set<std::string>& aBusy);
@@ -149,6 +160,7 @@
   TimePoint now{};
   Duration patience{ 0 };
   std::vector<LayerOrder> orders;
+  std::vector<CopyGap> openGaps;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -131,7 +131,8 @@
     if (this->configReachable.exchange(false)) {
       this->onStoreFailure("config", poll.error());
     }
-    return this->pace().retryPause(this->configFailures++, fleet_control::draw());
+    return this->pace().retryPause(this->configFailures++,
+                                   fleet_control::draw());
   }
   this->configFailures = 0;
   if (!this->configReachable.exchange(true)) {
@@ -205,7 +206,8 @@
     if (this->replicasReachable.exchange(false)) {
       this->onStoreFailure("replicas", poll.error());
     }
-    return this->pace().retryPause(this->replicasFailures++, fleet_control::draw());
+    return this->pace().retryPause(this->replicasFailures++,
+                                   fleet_control::draw());
   }
   this->replicasFailures = 0;
   if (!this->replicasReachable.exchange(true)) {
--- a/include/poplartrack/relay/PlacementDuty.h
+++ b/include/poplartrack/relay/PlacementDuty.h
@@ -34,6 +34,7 @@
              const EngineProfile& aEngine,
              const std::vector<std::size_t>& aListed,
              TimePoint aNow);
+  void logGaps(const std::string& aService, const std::vector<CopyGap>& aGaps);
   void give(const LayerOrder& aOrder, const Replica& aReplica);
   void onOrderDone(const Replica& aReplica, const Result<Done>& aDone);
 
@@ -42,6 +43,8 @@
   std::mutex guard;
   /** One planner for each model service. */
   std::map<std::string, LayerPlanner> planners;
+  /** Gaps of each service that were logged last. */
+  std::map<std::string, std::vector<CopyGap>> loggedGaps;
   std::uint64_t fence = 0;
 };
 
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -198,6 +198,7 @@
   this->patience =
     aInDoubt ? this->policy.doubtPatience : this->policy.gapPatience;
   this->orders.clear();
+  this->openGaps.clear();
   const bool ready = this->settled(aReplicas, aNow);
   this->settleOrders(aProfile, aReplicas, aNow);
   if (!ready) {
@@ -214,6 +215,9 @@
       continue;
     }
     this->repair(aProfile, group, aBusy);
+    for (const LayerRange& gap : gapsOf(group, aProfile.layers)) {
+      this->openGaps.push_back(CopyGap{ group.front().replica->zone, gap });
+    }
   }
   this->rescue(aProfile, zones);
   return std::exchange(this->orders, {});
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "LayerCopy.h"
 #include "LayerCut.h"
@@ -91,15 +92,13 @@
     }
     return aHolder == nullptr
              ? 0.0
-             : tokensBeside(
-                 aProfile, *aHolder, aHolder->layers.size() + aMore);
+             : tokensBeside(aProfile, *aHolder, aHolder->layers.size() + aMore);
   };
   for (std::uint32_t from = aGap.from; from < aGap.to; ++from) {
     for (std::uint32_t to = from + 1; to <= aGap.to; ++to) {
-      const double least =
-        std::min({ tokensBeside(aProfile, aEmpty, to - from),
-                   tokensOf(beside.before, from - aGap.from),
-                   tokensOf(beside.behind, aGap.to - to) });
+      const double least = std::min({ tokensBeside(aProfile, aEmpty, to - from),
+                                      tokensOf(beside.before, from - aGap.from),
+                                      tokensOf(beside.behind, aGap.to - to) });
       if (least > most) {
         most = least;
         best = LayerRange{ from, to };
@@ -190,6 +189,60 @@
   }
 }
 
+/** Whether other replicas of the copy hold all that this one holds. */
+bool
+LayerPlanner::isSecondHolder(const Group& aGroup, const Holder& aHolder)
+{
+  if (aHolder.layers.size() == 0 || aHolder.moving) {
+    return false;
+  }
+  for (auto layer = aHolder.layers.from; layer < aHolder.layers.to; ++layer) {
+    const bool held =
+      std::any_of(aGroup.begin(), aGroup.end(), [&](const Holder& aOther) {
+        return &aOther != &aHolder && !aOther.moving &&
+               aOther.layers.contains({ layer, layer + 1 });
+      });
+    if (!held) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/**
+ * Moves a replica to a gap that neighbours cannot fill, when others hold all
+ * that it holds. It is missing until the last answer through it ends, but its
+ * layers are not. On a day on which three zones of four lost parts of five and
+ * six layers, the neighbours had room for four; each of these zones had two
+ * replicas that doubled others, and stayed without a whole copy for the 26 s
+ * that were left: 5 of 6 requests were late or refused.
+ */
+void
+LayerPlanner::moveSecondHolder(const EngineProfile& aProfile,
+                               Group& aGroup,
+                               LayerRange aGap)
+{
+  Holder* chosen = nullptr;
+  double most = 0;
+  for (Holder& holder : aGroup) {
+    if (!isSecondHolder(aGroup, holder)) {
+      continue;
+    }
+    const double tokens = tokensBeside(aProfile, holder, aGap.size());
+    if (chosen == nullptr || tokens > most) {
+      chosen = &holder;
+      most = tokens;
+    }
+  }
+  if (chosen == nullptr) {
+    return;
+  }
+  const LayerRange before = std::exchange(chosen->layers, LayerRange{});
+  if (!this->shareGap(aProfile, aGroup, *chosen, aGap)) {
+    chosen->layers = before;
+  }
+}
+
 /** Takes back what was stretched once others hold those layers again: memory
  * for requests is worth more than a second holder at the edge of a part. Only
  * from a replica through which nothing passes: it refuses all work until the
@@ -301,6 +354,9 @@
       for (const LayerRange& gap : left) {
         this->stretch(aProfile, aGroup, gap);
       }
+      for (const LayerRange& gap : gapsOf(aGroup, aProfile.layers)) {
+        this->moveSecondHolder(aProfile, aGroup, gap);
+      }
     }
   }
   for (Holder& holder : aGroup) {
--- a/src/relay/PlacementDuty.cpp
+++ b/src/relay/PlacementDuty.cpp
@@ -59,8 +59,9 @@
     const std::scoped_lock lock{ this->guard };
     auto& planner =
       this->planners.try_emplace(aService, LayerPlannerPolicy{}).first->second;
-    orders = planner.plan(
-      aEngine, staying, inDoubt, *this->shared.busy.read(), aNow);
+    orders =
+      planner.plan(aEngine, staying, inDoubt, *this->shared.busy.read(), aNow);
+    this->logGaps(aService, planner.gaps());
   }
   for (const LayerOrder& order : orders) {
     const auto replica = std::find_if(
@@ -71,6 +72,30 @@
   }
 }
 
+/** Says once which layers a zone lacks: its callers' paths cross to another one
+ * for these, or are refused. */
+void
+PlacementDuty::logGaps(const std::string& aService,
+                       const std::vector<CopyGap>& aGaps)
+{
+  std::vector<CopyGap>& logged = this->loggedGaps[aService];
+  if (logged == aGaps) {
+    return;
+  }
+  logged = aGaps;
+  std::string text;
+  for (const CopyGap& gap : aGaps) {
+    text += (text.empty() ? "" : " ") + gap.zone + "=" +
+            std::to_string(gap.layers.from) + "-" +
+            std::to_string(gap.layers.to);
+  }
+  this->shared.metrics.set("placement_gaps",
+                           static_cast<std::int64_t>(aGaps.size()));
+  this->shared.log.write(LogLine{ LogPart::Placement, "gaps" }
+                           .with("service", aService)
+                           .with("open", text.empty() ? "none" : text));
+}
+
 void
 PlacementDuty::give(const LayerOrder& aOrder, const Replica& aReplica)
 {
--- a/tests/unit/fleet/LayerPlannerTest.cpp
+++ b/tests/unit/fleet/LayerPlannerTest.cpp
@@ -246,6 +246,26 @@
   EXPECT_TRUE(fleet.withinMemory());
 }
 
+TEST(LayerPlanner, ASecondHolderIsMovedToAGapThatNeighboursCannotFill)
+{
+  // A zone's largest part is lost while another replica only doubles what
+  // others hold. The gap's neighbour has room for less than the gap: callers
+  // would cross zones, or be refused, until a replica comes from outside.
+  Fleet fleet{ fourInEachOfTwoZones() };
+  fleet.start();
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  fleet.carryOut(fleet.planAfter(milliseconds{ 100 }));
+  ASSERT_TRUE(fleet.at("a9").layers);
+  fleet.lose("a0");
+  fleet.planAfter(milliseconds{ 10 });
+  const auto orders = fleet.planAfter(milliseconds{ 400 });
+  ASSERT_FALSE(orders.empty());
+  EXPECT_TRUE(fleet.planner.gaps().empty());
+  fleet.carryOut(orders);
+  EXPECT_TRUE(fleet.covered("a"));
+  EXPECT_TRUE(fleet.withinMemory());
+}
+
 TEST(LayerPlanner, WhatWasStretchedIsTakenBackOneAtATime)
 {
   Fleet fleet{ fourInEachOfTwoZones() };
