--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -128,6 +128,11 @@
   [[nodiscard]] static Neighbours neighboursOf(const EngineProfile& aProfile,
                                                Group& aGroup,
                                                LayerRange aGap);
+  [[nodiscard]] static std::optional<LayerRange> bestShare(
+    const EngineProfile& aProfile,
+    const Holder& aEmpty,
+    const Neighbours& aBeside,
+    LayerRange aGap);
   bool shareGap(const EngineProfile& aProfile,
                 Group& aGroup,
                 Holder& aEmpty,
