--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -93,7 +93,8 @@
   std::optional<TimePoint> listBehind;
   std::uint64_t listCaughtUp = 0;
   TimePoint leaseLooked{};
-  /** When the configuration was read for its proof alone. */
+  /** When the duty thread read the configuration last, beside the look that is
+   * under way. */
   TimePoint proofAsked{};
   std::atomic<bool> configReachable{ true };
   /** Looks in a row that failed. */
