--- a/include/poplartrack/fleet/FleetPolls.h
+++ b/include/poplartrack/fleet/FleetPolls.h
@@ -25,18 +25,29 @@
   std::vector<std::string> unreadable;
 };
 
+/** An entry of the replicas' list that names no replica to use. */
+struct UnreadableEntry
+{
+  std::string name;
+  /** Why it cannot be used, for the log. */
+  std::string reason;
+
+  friend bool operator==(const UnreadableEntry&,
+                         const UnreadableEntry&) = default;
+};
+
 /** The answer to one look at the replicas' list. */
 struct ReplicaPoll
 {
   /** It holds all of them; else only those that have changed. */
   bool whole = false;
   std::vector<Replica> present;
-  /** Ids of those that were removed. */
+  /** Names under which those were registered that were removed. */
   std::vector<std::string> gone;
   /** Version of the latest change among these. */
   std::uint64_t changed = 0;
   std::uint64_t next = 0;
-  std::vector<std::string> unreadable;
+  std::vector<UnreadableEntry> unreadable;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/fleet/LoadBook.h
+++ b/include/poplartrack/fleet/LoadBook.h
@@ -55,6 +55,9 @@
   [[nodiscard]] const LoadTable& own() const { return this->mine; }
 
 private:
+  /** Adds what a peer told to the sum over all of them, or takes it back. */
+  void addToPeers(const LoadTable& aTable);
+  void takeFromPeers(const LoadTable& aTable);
   void changeReading(const LayerPath& aPath, double aTokens);
 
   struct Peer
@@ -65,6 +68,11 @@
 
   LoadTable mine;
   std::map<std::string, Peer> others;
+  /** Sum over the others. It is read for every replica at every search for a
+   * path: summed up there, 56 replicas and 20 entries took 70 us of a relay
+   * that has 0.09 of a core. What is told are whole numbers, so that nothing is
+   * lost by adding and taking back. */
+  LoadTable othersSum;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/fleet/LossReports.h
+++ b/include/poplartrack/fleet/LossReports.h
@@ -59,7 +59,20 @@
     TimePoint heard;
   };
 
+  /** What all relays together tell of one replica. */
+  struct Verdict
+  {
+    bool named = false;
+    std::size_t unreachable = 0;
+    double slowdown = 1;
+  };
+
+  void sumUp();
+
   std::map<std::string, Peer> peers;
+  /** By replica; only those of which somebody tells. Asked for every replica at
+   * every search for a path, and changed seldom. */
+  std::map<std::string, Verdict> verdicts;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/fleet/ReplicaList.h
+++ b/include/poplartrack/fleet/ReplicaList.h
@@ -44,9 +44,10 @@
   [[nodiscard]] std::size_t size() const { return this->replicas.size(); }
 
 private:
-  void lose(const std::string& aId, TimePoint aNow);
+  void lose(const std::string& aName, TimePoint aNow);
   [[nodiscard]] bool troubled(TimePoint aNow) const;
 
+  /** By the names under which they are registered. */
   std::map<std::string, Replica> replicas;
   /** Entries that vanished around an outage, and since when. */
   std::map<std::string, TimePoint> missing;
--- a/include/poplartrack/fleet/StorePace.h
+++ b/include/poplartrack/fleet/StorePace.h
@@ -14,6 +14,10 @@
 class StorePace
 {
 public:
+  /** Longest time for a read beside a look that hangs. Slow stores were
+   * declared to take 300 ms. */
+  static constexpr Duration kProofRead = std::chrono::milliseconds{ 600 };
+
   /** aHeard: how many other relays are heard. */
   explicit StorePace(std::size_t aHeard)
     : heard(aHeard)
@@ -33,8 +37,11 @@
    * layers are placed by what the looks bring. */
   [[nodiscard]] static Duration gatherPause(bool aInUse);
   /** Whether the newest proof of the configuration's freshness is so old that a
-   * look beside the one under way is due, aSince after the last such look. */
-  [[nodiscard]] static bool wantsProof(Duration aAge, Duration aSince);
+   * look beside the one under way is due, aSince after the last such look.
+   * aDeadline: time until an accepted configuration must be in force. */
+  [[nodiscard]] static bool wantsProof(Duration aAge,
+                                       Duration aSince,
+                                       Duration aDeadline);
 
 private:
   std::size_t heard;
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -2,9 +2,12 @@
 
 #include <atomic>
 #include <concepts>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "poplartrack/base/PeriodicThread.h"
 #include "poplartrack/fleet/FleetPolls.h"
@@ -25,13 +28,13 @@
   requires(T& aStore, std::uint64_t aAfter, Duration aWait)
 {
   {
-    aStore.readConfig()
+    aStore.readConfig(aWait)
     } -> std::same_as<Result<ConfigPoll>>;
   {
     aStore.awaitConfig(aAfter, aWait)
     } -> std::same_as<Result<ConfigPoll>>;
   {
-    aStore.readReplicas()
+    aStore.readReplicas(aWait)
     } -> std::same_as<Result<ReplicaPoll>>;
   {
     aStore.awaitReplicas(aAfter, aWait)
@@ -40,10 +43,11 @@
 
 /**
  * The threads that keep a relay up to date and do its share of the common
- * duties: one follows the operator's configuration, one the replicas' list, one
+ * duties: one follows the operator's configuration, one the replicas' list; for
+ * each of these another one that reads it beside a look that hangs; one
  * contends for the placement lease and keeps the list of relays, one places
  * layers while the lease is held. Each but the last may wait for the store for
- * more than a second; placement goes on meanwhile.
+ * more than a second; the others go on meanwhile.
  */
 template<FleetStoreLike Store>
 class FleetControl
@@ -63,11 +67,14 @@
   Duration duty();
   Duration place();
   void onConfig(const ConfigPoll& aPoll);
+  void onConfigAnswer(const Result<ConfigPoll>& aPoll);
   void onStoreFailure(const char* aWhat, const Error& aError);
   void onStoreAnswer(const char* aWhat);
   void publishReplicas();
   void onReplicas(const ReplicaPoll& aPoll, TimePoint aNow);
-  void catchUp();
+  Duration catchUpConfig();
+  Duration catchUpReplicas();
+  void logUnreadable(const std::vector<UnreadableEntry>& aEntries);
   void dropLapsed();
   void pollLease();
   [[nodiscard]] StorePace pace() const;
@@ -88,13 +95,14 @@
   std::mutex listGuard;
   ReplicaList list;
   std::atomic<bool> uncertain{ false };
+  /** Entries that name no replica to use, and why, as they were logged. */
+  std::map<std::string, std::string> unreadable;
   /** Since when another relay has had something newer. */
   std::optional<TimePoint> configBehind;
   std::optional<TimePoint> listBehind;
   std::uint64_t listCaughtUp = 0;
   TimePoint leaseLooked{};
-  /** When the duty thread read the configuration last, beside the look that is
-   * under way. */
+  /** When the configuration was read last beside the look that is under way. */
   TimePoint proofAsked{};
   std::atomic<bool> configReachable{ true };
   /** Looks in a row that failed. */
@@ -111,6 +119,8 @@
   // Last: they use all the above.
   PeriodicThread configThread;
   PeriodicThread replicasThread;
+  PeriodicThread configCatchUpThread;
+  PeriodicThread replicasCatchUpThread;
   PeriodicThread dutyThread;
   PeriodicThread placeThread;
 };
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -18,6 +18,19 @@
 constexpr Duration kLeaderSilence = std::chrono::milliseconds{ 1'000 };
 constexpr Duration kLeaseLook = std::chrono::seconds{ 20 };
 
+/** Pause between two checks whether something newer must be read beside the
+ * look that is under way. */
+constexpr Duration kCatchUpPause = std::chrono::milliseconds{ 100 };
+
+/** Longest time for a whole read where nothing is known yet. Slow stores were
+ * declared to take 300 ms. */
+constexpr Duration kFirstRead = std::chrono::milliseconds{ 1'500 };
+
+/** ... and for one beside a look that hangs. It must end, in an answer or an
+ * error, before the age at which a configuration is not used any more without
+ * an error of the store: StorePace asks that much sooner. */
+constexpr Duration kCatchUpRead = StorePace::kProofRead;
+
 /** Pause between two rounds of duties. */
 constexpr Duration kDutyPause = std::chrono::milliseconds{ 250 };
 
@@ -64,6 +77,8 @@
   , directory(this->settings, aShared, aStore)
   , configThread([this] { return this->followConfig(); })
   , replicasThread([this] { return this->followReplicas(); })
+  , configCatchUpThread([this] { return this->catchUpConfig(); })
+  , replicasCatchUpThread([this] { return this->catchUpReplicas(); })
   , dutyThread([this] { return this->duty(); })
   , placeThread([this] { return this->place(); })
 {
@@ -121,25 +136,19 @@
     this->configStarted
       ? this->store.awaitConfig(this->configAfter,
                                 this->pace().configWait(fleet_control::draw()))
-      : this->store.readConfig();
+      : this->store.readConfig(fleet_control::kFirstRead);
+  this->onConfigAnswer(poll);
   if (!poll) {
     // History that is gone is no outage: the whole is read at once.
     const bool read = std::exchange(this->configStarted, false);
     if (poll.error().kind == ErrorKind::NotFound && read) {
       return Duration{ 0 };
     }
-    if (this->configReachable.exchange(false)) {
-      this->onStoreFailure("config", poll.error());
-    }
     return this->pace().retryPause(this->configFailures++,
                                    fleet_control::draw());
   }
   this->configFailures = 0;
-  if (!this->configReachable.exchange(true)) {
-    this->onStoreAnswer("config");
-  }
   this->configAfter = poll.value().next;
-  this->onConfig(poll.value());
   // Also where there is no configuration yet: it is a change like others. Read
   // again and again until the operator wrote the first one, it took 85 calls a
   // relay, half of all in the first 30 s.
@@ -147,6 +156,28 @@
   return poll.value().config ? this->gatherPause() : Duration{ 0 };
 }
 
+/** Takes over what a look at the configuration brought, or that it failed. */
+template<FleetStoreLike Store>
+void
+FleetControl<Store>::onConfigAnswer(const Result<ConfigPoll>& aPoll)
+{
+  const bool gone = !aPoll && aPoll.error().kind == ErrorKind::NotFound;
+  if (gone) {
+    return;
+  }
+  this->shared.storeFails = !aPoll;
+  if (!aPoll) {
+    if (this->configReachable.exchange(false)) {
+      this->onStoreFailure("config", aPoll.error());
+    }
+    return;
+  }
+  if (!this->configReachable.exchange(true)) {
+    this->onStoreAnswer("config");
+  }
+  this->onConfig(aPoll.value());
+}
+
 template<FleetStoreLike Store>
 void
 FleetControl<Store>::onConfig(const ConfigPoll& aPoll)
@@ -194,7 +225,7 @@
       ? this->store.awaitReplicas(
           this->replicasAfter,
           this->pace().replicasWait(this->uncertain, fleet_control::draw()))
-      : this->store.readReplicas();
+      : this->store.readReplicas(fleet_control::kFirstRead);
   const TimePoint now = this->clock.now();
   const std::scoped_lock lock{ this->listGuard };
   if (!poll) {
@@ -213,10 +244,6 @@
   if (!this->replicasReachable.exchange(true)) {
     this->onStoreAnswer("replicas");
   }
-  for (const std::string& problem : poll.value().unreadable) {
-    this->shared.log.write(
-      LogLine{ LogPart::Replicas, "unreadable" }.with("entry", problem));
-  }
   this->replicasAfter = poll.value().next;
   this->replicasStarted = true;
   this->onReplicas(poll.value(), now);
@@ -229,11 +256,12 @@
 void
 FleetControl<Store>::onReplicas(const ReplicaPoll& aPoll, TimePoint aNow)
 {
+  this->logUnreadable(aPoll.unreadable);
   this->list.onPoll(aPoll, aNow);
   const bool expired = this->list.expire(aNow);
   this->uncertain = this->list.uncertain();
-  const bool changed =
-    !aPoll.present.empty() || !aPoll.gone.empty() || aPoll.whole;
+  const bool changed = !aPoll.present.empty() || !aPoll.gone.empty() ||
+                       !aPoll.unreadable.empty() || aPoll.whole;
   if (changed) {
     this->shared.log.write(
       LogLine{ LogPart::Replicas, "listed" }
@@ -247,16 +275,36 @@
   }
 }
 
-/** Reads at once what another relay has had for a while and this one has not:
- * its own look may wait on a connection that has fallen silent. */
+/** Says once of each entry that it names no replica to use, and why. A whole
+ * read brings all of them again. */
 template<FleetStoreLike Store>
 void
-FleetControl<Store>::catchUp()
+FleetControl<Store>::logUnreadable(const std::vector<UnreadableEntry>& aEntries)
+{
+  for (const UnreadableEntry& entry : aEntries) {
+    std::string& known = this->unreadable[entry.name];
+    if (known == entry.reason) {
+      continue;
+    }
+    known = entry.reason;
+    this->shared.metrics.count("replica_entries_unreadable_total");
+    this->shared.log.write(LogLine{ LogPart::Replicas, "unreadable" }
+                             .with("entry", entry.name)
+                             .with("reason", entry.reason));
+  }
+}
+
+/** Reads the configuration when another relay has had a newer one for a while,
+ * or when no relay's proof is recent: the look that is under way may wait on a
+ * connection that has fallen silent. */
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::catchUpConfig()
 {
   const TimePoint now = this->clock.now();
   const auto config = this->shared.config.read();
-  const std::uint64_t configHeard = this->shared.configHeard;
-  if (config == nullptr || configHeard <= config->version) {
+  const std::uint64_t heard = this->shared.configHeard;
+  if (config == nullptr || heard <= config->version) {
     this->configBehind.reset();
   } else if (!this->configBehind) {
     this->configBehind = now;
@@ -264,32 +312,41 @@
   const bool behind =
     this->configBehind && now - *this->configBehind >= fleet_control::kBehind;
   // A thread whose look has failed asks again by itself.
-  const bool proofOld =
-    config != nullptr && this->configReachable &&
-    StorePace::wantsProof(this->shared.freshness.age(), now - this->proofAsked);
-  if (behind || proofOld) {
+  const bool proofOld = config != nullptr && this->configReachable &&
+                        StorePace::wantsProof(this->shared.freshness.age(),
+                                              now - this->proofAsked,
+                                              this->settings.configDeadline);
+  if (!this->leaving && (behind || proofOld)) {
     this->configBehind.reset();
     this->proofAsked = now;
-    const Result<ConfigPoll> poll = this->store.readConfig();
-    if (poll) {
-      this->onConfig(poll.value());
-    }
+    this->onConfigAnswer(this->store.readConfig(fleet_control::kCatchUpRead));
   }
-  const std::uint64_t listHeard = this->shared.listHeard;
-  if (listHeard <= this->shared.replicas.read()->changed ||
-      listHeard <= this->listCaughtUp) {
+  return fleet_control::kCatchUpPause;
+}
+
+/** Reads the list when another relay has had a newer one for a while. */
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::catchUpReplicas()
+{
+  const TimePoint now = this->clock.now();
+  const std::uint64_t heard = this->shared.listHeard;
+  if (heard <= this->shared.replicas.read()->changed ||
+      heard <= this->listCaughtUp) {
     this->listBehind.reset();
   } else if (!this->listBehind) {
     this->listBehind = now;
   } else if (now - *this->listBehind >= fleet_control::kBehind) {
     this->listBehind.reset();
-    const Result<ReplicaPoll> poll = this->store.readReplicas();
+    const Result<ReplicaPoll> poll =
+      this->store.readReplicas(fleet_control::kCatchUpRead);
     const std::scoped_lock lock{ this->listGuard };
     if (poll) {
-      this->listCaughtUp = listHeard;
+      this->listCaughtUp = heard;
       this->onReplicas(poll.value(), this->clock.now());
     }
   }
+  return fleet_control::kCatchUpPause;
 }
 
 /** Contends for the lease, or renews it. While its holder is heard there is
@@ -336,7 +393,6 @@
 {
   if (!this->leaving) {
     this->dropLapsed();
-    this->catchUp();
     this->pollLease();
     this->directory.refresh(this->clock.now());
   }
--- a/include/poplartrack/relay/RelaySettings.h
+++ b/include/poplartrack/relay/RelaySettings.h
@@ -37,6 +37,9 @@
   Duration grace = std::chrono::seconds{ 8 };
   /** A key that was taken away works no longer than this. */
   Duration revoke = std::chrono::milliseconds{ 5'000 };
+  /** After the store's acknowledgement of a configuration, requests are handled
+   * by it from then on at the latest. */
+  Duration configDeadline = std::chrono::milliseconds{ 2'000 };
   /** Whether the bound on keys holds also for an instance that is cut off. */
   bool strictRevoke = true;
   /** Bound on second tries, over all relays: ratio * requests + slack in any
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -32,6 +32,8 @@
   RcuBox<RelayConfig> config{ nullptr };
   RcuBox<ReplicaView> replicas{ std::make_shared<const ReplicaView>() };
   Freshness<SuspendAwareClock> freshness{ clock };
+  /** The latest look at the configuration failed. */
+  std::atomic<bool> storeFails{ false };
   /** Addresses of the other relays. */
   RcuBox<std::vector<Address>> peers{
     std::make_shared<const std::vector<Address>>()
--- a/include/poplartrack/relay/ReplicaCalls.h
+++ b/include/poplartrack/relay/ReplicaCalls.h
@@ -22,6 +22,8 @@
 struct ReplicaReport
 {
   bool reached = false;
+  /** When it started, in ms since 1970; 0: it does not say. */
+  std::uint64_t born = 0;
   /** How many times as long as declared its work takes. */
   double pace = 1;
   std::vector<StalledWork> stalled;
--- a/include/poplartrack/relay/RequestGate.h
+++ b/include/poplartrack/relay/RequestGate.h
@@ -34,9 +34,22 @@
   Duration patience{ 0 };
 };
 
+/** How far the configuration that a relay has can be trusted. */
+struct ConfigProof
+{
+  /** How long ago it was known to be the newest. */
+  Duration age{ 0 };
+  /** The store did not answer the latest look at it. */
+  bool storeFails = false;
+};
+
 /** Bounds on the age of the configuration. */
 struct GatePolicy
 {
+  /** While nothing says that the store is away, a configuration that was known
+   * to be the newest longer ago is not used: a look at it hangs, and a newer
+   * one may have been in force for that long. */
+  Duration configAge = std::chrono::milliseconds{ 1'700 };
   /** A request with a key is sent only while the configuration was known to
    * be the newest this long ago. */
   Duration keyAge = std::chrono::milliseconds{ 3'800 };
@@ -45,13 +58,26 @@
   Duration denyAge = std::chrono::milliseconds{ 3'800 };
 };
 
+/**
+ * Whether a request may be sent under the configuration that its relay has.
+ *
+ * A relay whose look at the store failed is cut off, or the store is away, and
+ * serves on for as long as a key that was taken away may work. One whose look
+ * hangs without an error believes itself in touch, and the deadline for a new
+ * configuration binds it: its connection had fallen silent, and 3.3 s after the
+ * operator's acknowledgement, bound 3 s, it sent a request with a key that the
+ * others had long refused.
+ */
+[[nodiscard]] bool
+isUsable(const ConfigProof& aProof, const GatePolicy& aPolicy, bool aKeyed);
+
 /**
  * Whether a request may be forwarded under a configuration of a certain age.
  * Pure. Errors: NoConfiguration, NotFound (no route), Unauthorized.
  */
 std::variant<Admitted, Error>
 admitRequest(const RelayConfig* aConfig,
-             Duration aConfigAge,
+             const ConfigProof& aProof,
              const GatePolicy& aPolicy,
              const GateRequest& aRequest);
 
--- a/src/fleet/LoadBook.cpp
+++ b/src/fleet/LoadBook.cpp
@@ -66,14 +66,46 @@
 void
 LoadBook::onPeer(const std::string& aPeer, LoadTable aTable, TimePoint aNow)
 {
-  this->others.insert_or_assign(aPeer, Peer{ std::move(aTable), aNow });
+  Peer& peer = this->others[aPeer];
+  this->takeFromPeers(peer.table);
+  this->addToPeers(aTable);
+  peer = Peer{ std::move(aTable), aNow };
+}
+
+void
+LoadBook::addToPeers(const LoadTable& aTable)
+{
+  for (const auto& [replica, load] : aTable) {
+    ReplicaLoad& sum = this->othersSum[replica];
+    sum.requests += load.requests;
+    sum.tokenLayers += load.tokenLayers;
+    sum.readingTokens += load.readingTokens;
+  }
+}
+
+void
+LoadBook::takeFromPeers(const LoadTable& aTable)
+{
+  for (const auto& [replica, load] : aTable) {
+    ReplicaLoad& sum = this->othersSum[replica];
+    sum.requests -= load.requests;
+    sum.tokenLayers -= load.tokenLayers;
+    sum.readingTokens -= load.readingTokens;
+    if (sum.requests == 0) {
+      this->othersSum.erase(replica);
+    }
+  }
 }
 
 void
 LoadBook::expirePeers(TimePoint aNow)
 {
-  std::erase_if(this->others, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second.heard > kPeerSilence;
+  std::erase_if(this->others, [&](const auto& aEntry) {
+    const bool silent = aNow - aEntry.second.heard > kPeerSilence;
+    if (silent) {
+      this->takeFromPeers(aEntry.second.table);
+    }
+    return silent;
   });
 }
 
@@ -91,9 +123,7 @@
     sum.readingTokens += found->second.readingTokens;
   };
   addFrom(this->mine);
-  for (const auto& [name, peer] : this->others) {
-    addFrom(peer.table);
-  }
+  addFrom(this->othersSum);
   return sum;
 }
 
--- a/src/fleet/LossReports.cpp
+++ b/src/fleet/LossReports.cpp
@@ -27,15 +27,38 @@
     return false;
   }
   peer.report = std::move(aReport);
+  this->sumUp();
   return true;
 }
 
 void
 LossReports::expire(TimePoint aNow)
 {
-  std::erase_if(this->peers, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second.heard > kSilence;
-  });
+  const std::size_t silent =
+    std::erase_if(this->peers, [aNow](const auto& aEntry) {
+      return aNow - aEntry.second.heard > kSilence;
+    });
+  if (silent > 0) {
+    this->sumUp();
+  }
+}
+
+void
+LossReports::sumUp()
+{
+  this->verdicts.clear();
+  for (const auto& [name, peer] : this->peers) {
+    for (const std::string& replica : peer.report.named) {
+      this->verdicts[replica].named = true;
+    }
+    for (const std::string& replica : peer.report.unreachable) {
+      ++this->verdicts[replica].unreachable;
+    }
+    for (const auto& [replica, pace] : peer.report.slow) {
+      double& slowdown = this->verdicts[replica].slowdown;
+      slowdown = std::max(slowdown, pace);
+    }
+  }
 }
 
 bool
@@ -43,37 +66,31 @@
                   bool aOwn,
                   std::size_t aRelays) const
 {
-  std::size_t votes = aOwn ? 1 : 0;
-  for (const auto& [name, peer] : this->peers) {
-    if (peer.report.named.contains(aReplica)) {
-      return true;
-    }
-    votes += peer.report.unreachable.contains(aReplica) ? 1 : 0;
+  const std::size_t needed = std::max(kLeastVotes, aRelays / kOneOf);
+  const std::size_t own = aOwn ? 1 : 0;
+  const auto found = this->verdicts.find(aReplica);
+  if (found == this->verdicts.end()) {
+    return own >= needed;
   }
-  return votes >= std::max(kLeastVotes, aRelays / kOneOf);
+  const Verdict& verdict = found->second;
+  return verdict.named || own + verdict.unreachable >= needed;
 }
 
 double
 LossReports::slowdown(const std::string& aReplica) const
 {
-  double most = 1;
-  for (const auto& [name, peer] : this->peers) {
-    const auto found = peer.report.slow.find(aReplica);
-    if (found != peer.report.slow.end()) {
-      most = std::max(most, found->second);
-    }
-  }
-  return most;
+  const auto found = this->verdicts.find(aReplica);
+  return found == this->verdicts.end() ? 1 : found->second.slowdown;
 }
 
 std::set<std::string>
 LossReports::suspects() const
 {
   std::set<std::string> names;
-  for (const auto& [name, peer] : this->peers) {
-    names.insert(peer.report.named.begin(), peer.report.named.end());
-    names.insert(peer.report.unreachable.begin(),
-                 peer.report.unreachable.end());
+  for (const auto& [replica, verdict] : this->verdicts) {
+    if (verdict.named || verdict.unreachable > 0) {
+      names.insert(replica);
+    }
   }
   return names;
 }
@@ -82,8 +99,8 @@
 LossReports::slow() const
 {
   std::set<std::string> names;
-  for (const auto& [name, peer] : this->peers) {
-    for (const auto& [replica, pace] : peer.report.slow) {
+  for (const auto& [replica, verdict] : this->verdicts) {
+    if (verdict.slowdown > 1) {
       names.insert(replica);
     }
   }
--- a/src/fleet/ReplicaList.cpp
+++ b/src/fleet/ReplicaList.cpp
@@ -27,18 +27,18 @@
 }
 
 void
-ReplicaList::lose(const std::string& aId, TimePoint aNow)
+ReplicaList::lose(const std::string& aName, TimePoint aNow)
 {
-  const auto found = this->replicas.find(aId);
+  const auto found = this->replicas.find(aName);
   if (found == this->replicas.end()) {
     return;
   }
   // One that had said that it is leaving has left.
   if (this->troubled(aNow) && !found->second.draining) {
-    this->missing.emplace(aId, aNow);
+    this->missing.emplace(aName, aNow);
     return;
   }
-  this->missing.erase(aId);
+  this->missing.erase(aName);
   this->replicas.erase(found);
 }
 
@@ -61,24 +61,30 @@
   this->changed = std::max(this->changed, aPoll.changed);
   std::set<std::string> listed;
   for (const Replica& replica : aPoll.present) {
-    this->missing.erase(replica.id);
-    this->replicas.insert_or_assign(replica.id, replica);
-    listed.insert(replica.id);
+    this->missing.erase(replica.registeredAs);
+    this->replicas.insert_or_assign(replica.registeredAs, replica);
+    listed.insert(replica.registeredAs);
   }
-  for (const std::string& id : aPoll.gone) {
-    this->lose(id, aNow);
+  for (const std::string& name : aPoll.gone) {
+    this->lose(name, aNow);
+  }
+  // What cannot be read may say that the replica leaves: it takes no new work
+  // until it can be read again.
+  for (const UnreadableEntry& entry : aPoll.unreadable) {
+    this->missing.erase(entry.name);
+    this->replicas.erase(entry.name);
   }
   if (!aPoll.whole) {
     return;
   }
   std::vector<std::string> absent;
-  for (const auto& [id, replica] : this->replicas) {
-    if (!listed.contains(id)) {
-      absent.push_back(id);
+  for (const auto& [name, replica] : this->replicas) {
+    if (!listed.contains(name)) {
+      absent.push_back(name);
     }
   }
-  for (const std::string& id : absent) {
-    this->lose(id, aNow);
+  for (const std::string& name : absent) {
+    this->lose(name, aNow);
   }
 }
 
--- a/src/fleet/StorePace.cpp
+++ b/src/fleet/StorePace.cpp
@@ -58,6 +58,12 @@
  * heard any more. A proof this old leaves 2.5 s of the 4 s for which keys are
  * trusted to get a newer one. */
 constexpr Duration kOldProof = milliseconds{ 1'500 };
+/** ... and one this much younger than the deadline for a new configuration
+ * leaves the time for a read beside the look, and the margin before a
+ * configuration without a proof is not used any more (300 ms, and 200 for what
+ * the threads wait). */
+constexpr Duration kBeforeDeadline =
+  StorePace::kProofRead + milliseconds{ 500 };
 constexpr Duration kProofPause = milliseconds{ 1'000 };
 
 /** A wait between the two, by the draw. A change ends the looks of all relays
@@ -121,9 +127,10 @@
 }
 
 bool
-StorePace::wantsProof(Duration aAge, Duration aSince)
+StorePace::wantsProof(Duration aAge, Duration aSince, Duration aDeadline)
 {
-  return aAge >= kOldProof && aSince >= kProofPause;
+  const Duration old = std::min(kOldProof, aDeadline - kBeforeDeadline);
+  return aAge >= old && aSince >= kProofPause;
 }
 
 } // namespace poplartrack
--- a/src/http/HttpTransfer.cpp
+++ b/src/http/HttpTransfer.cpp
@@ -1,5 +1,9 @@
 #include "HttpTransfer.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -15,6 +19,20 @@
   return std::max<long>(static_cast<long>(millis.count()), 1);
 }
 
+/** Bounds how long a connection may leave bytes and keep-alive probes without
+ * an answer; the kernel's own bound is minutes. */
+int
+boundSilence(void*, curl_socket_t aSocket, curlsocktype)
+{
+  constexpr int kMostSilenceMs = 2'000;
+  ::setsockopt(aSocket,
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &kMostSilenceMs,
+               sizeof kMostSilenceMs);
+  return CURL_SOCKOPT_OK;
+}
+
 bool
 isToken(std::string_view aText)
 {
@@ -162,6 +180,13 @@
 {
   curl_easy_setopt(
     this->easy, CURLOPT_TIMEOUT_MS, wholeMillis(this->call.timeout));
+  // A connection may fall silent for good, without a reset, and a long poll on
+  // it would hang until its own end, ten seconds later.
+  constexpr long kProbeAfterSeconds = 1;
+  curl_easy_setopt(this->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(this->easy, CURLOPT_TCP_KEEPIDLE, kProbeAfterSeconds);
+  curl_easy_setopt(this->easy, CURLOPT_TCP_KEEPINTVL, kProbeAfterSeconds);
+  curl_easy_setopt(this->easy, CURLOPT_SOCKOPTFUNCTION, boundSilence);
   curl_easy_setopt(this->easy,
                    CURLOPT_CONNECTTIMEOUT_MS,
                    wholeMillis(this->call.connectTimeout));
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -10,7 +10,7 @@
 namespace poplartrack {
 
 /** Version of the datagrams below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 6;
+constexpr std::uint32_t kPeerFormat = 7;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -47,6 +47,8 @@
   std::vector<LoadRow> loads;
   /** Replicas that another replica named as what its work waits for. */
   std::vector<std::string> lost;
+  /** Replicas that leave or have left, as the sender's list says. */
+  std::vector<std::string> leaving;
   /** Replicas that the sender itself cannot reach. */
   std::vector<std::string> unreachable;
   /** Replicas that are slow, with how slow. */
@@ -72,6 +74,7 @@
                  zone,
                  loads,
                  lost,
+                 leaving,
                  unreachable,
                  slow,
                  sentAt,
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -37,6 +37,17 @@
 
 } // namespace
 
+int
+urgencyOf(const Exchange& aExchange)
+{
+  constexpr int kLeastUrgent = 9;
+  const bool own =
+    aExchange.account != nullptr && aExchange.account->priority.has_value();
+  const int urgency =
+    own ? *aExchange.account->priority : aExchange.route->priority;
+  return std::clamp(urgency, 0, kLeastUrgent);
+}
+
 void
 RelayLoop::Impl::beginExchange(CallerConnection& aCaller, MessageHead aHead)
 {
@@ -107,7 +118,7 @@
                              headers.find(this->names.apiKey).value_or("") },
                            aExchange.deadline };
   const auto verdict = admitRequest(
-    aExchange.config.get(), this->shared.freshness.age(), this->gate, asked);
+    aExchange.config.get(), this->configProof(), this->gate, asked);
   if (const Error* error = std::get_if<Error>(&verdict)) {
     this->refuse(aExchange, *error, true);
     return;
@@ -125,10 +136,16 @@
   this->dispatch(aExchange);
 }
 
+ConfigProof
+RelayLoop::Impl::configProof() const
+{
+  return ConfigProof{ this->shared.freshness.age(), this->shared.storeFails };
+}
+
 bool
 RelayLoop::Impl::fresh(const Exchange& aExchange) const
 {
-  return !aExchange.keyed || this->shared.freshness.age() <= this->gate.keyAge;
+  return isUsable(this->configProof(), this->gate, aExchange.keyed);
 }
 
 std::string
@@ -163,7 +180,7 @@
       std::to_string(
         std::max<std::int64_t>((aExchange.giveUpAt - this->now).count(), 0) /
         kMicrosPerMs));
-  add(own.expectReplica, aTarget.replica);
+  add(own.expectReplica, aTarget.registeredAs);
   if (aExchange.account != nullptr) {
     add(own.account, aExchange.account->name);
   }
@@ -174,12 +191,7 @@
     add(own.path, own.pathText(aTarget.path));
   }
   if (aExchange.service->engine) {
-    const int urgency =
-      aExchange.account != nullptr && aExchange.account->priority
-        ? *aExchange.account->priority
-        : aExchange.route->priority;
-    constexpr int kLeastUrgent = 9;
-    add(own.urgency, std::to_string(std::clamp(urgency, 0, kLeastUrgent)));
+    add(own.urgency, std::to_string(urgencyOf(aExchange)));
   }
   if (!aExchange.body.empty() || head.headers.count("content-length") > 0 ||
       head.headers.count("transfer-encoding") > 0) {
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -12,16 +12,16 @@
 namespace poplartrack {
 namespace {
 
-/** Requests are booked with this many times the tokens that they are expected
- * to write: estimates are right at the median, and half of the answers are
- * longer. */
-constexpr double kAnswerMargin = 1.3;
-
 /** Part of the pipe between two zones that all relays may book together. Those
  * with little to send leave some of it; one that is booked in full has a queue
  * that grows with each stream that is told another path. */
 constexpr double kPipePart = 0.6;
 
+/** Requests are booked with this many times the tokens that they are expected
+ * to write: estimates are right at the median, and half of the answers are
+ * longer. */
+constexpr double kAnswerMargin = 1.3;
+
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
 std::vector<double>
@@ -146,6 +146,17 @@
   return nullptr;
 }
 
+const Replica*
+RelayLoop::Impl::replicaOf(const std::string& aId) const
+{
+  for (const Replica& replica : this->view->replicas) {
+    if (replica.id == aId) {
+      return &replica;
+    }
+  }
+  return nullptr;
+}
+
 Result<AttemptTarget>
 RelayLoop::Impl::choose(Exchange& aExchange)
 {
@@ -169,7 +180,8 @@
 bool
 RelayLoop::Impl::isLost(const std::string& aReplica) const
 {
-  return this->reports.lost(aReplica,
+  return this->ended.contains(aReplica) ||
+         this->reports.lost(aReplica,
                             this->health.dead(aReplica, this->now),
                             this->peersHeard.size() + 1);
 }
@@ -184,7 +196,7 @@
   }
   for (const std::size_t place : listed->second) {
     const Replica& replica = this->view->replicas[place];
-    if (replica.draining || this->isLost(replica.id) ||
+    if (this->leaves(replica) || this->isLost(replica.id) ||
         !this->health.usable(replica.id, this->now)) {
       continue;
     }
@@ -250,7 +262,13 @@
     return path.error();
   }
   const PathPart& first = path.value().parts.front();
-  return AttemptTarget{ first.replica, first.address, path.value() };
+  const Replica* replica = this->replicaOf(first.replica);
+  if (replica == nullptr) {
+    return fail(ErrorKind::NoRoute, "the path's first replica has left");
+  }
+  return AttemptTarget{
+    first.replica, replica->registeredAs, first.address, path.value()
+  };
 }
 
 Result<AttemptTarget>
@@ -263,7 +281,7 @@
   std::vector<PlainCandidate> candidates;
   for (const std::size_t place : listed->second) {
     const Replica& replica = this->view->replicas[place];
-    if (replica.draining) {
+    if (this->leaves(replica)) {
       continue;
     }
     const auto load = this->plainLoad.find(replica.id);
@@ -279,7 +297,7 @@
   if (chosen == nullptr) {
     return fail(ErrorKind::NoRoute, "no replica takes work");
   }
-  return AttemptTarget{ chosen->id, chosen->address, {} };
+  return AttemptTarget{ chosen->id, chosen->registeredAs, chosen->address, {} };
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -96,7 +96,7 @@
       aExchange.runs == 0);
     return;
   }
-  Result<AttemptTarget> target = this->choose(aExchange);
+  Result<AttemptTarget> target = this->chooseInLine(aExchange);
   if (target && aExchange.owesRetry && !this->budget.tryRetry(this->now)) {
     target = fail(ErrorKind::Overloaded, "the retry budget is used up");
   }
@@ -107,12 +107,78 @@
     return;
   }
   if (this->mayWait(aExchange, target.error().kind)) {
-    this->timers.arm(aExchange.id, this->now + kWaitPause);
+    if (this->waiting.empty()) {
+      this->timers.arm(kWaitingKey, this->now + kWaitPause);
+    }
+    this->waiting.join(this->waiterOf(aExchange));
     return;
   }
   this->refuse(aExchange, target.error(), aExchange.runs == 0);
 }
 
+Waiter
+RelayLoop::Impl::waiterOf(const Exchange& aExchange) const
+{
+  // Its prompt has to be read yet, which takes about half of the objective
+  // where replicas are busy.
+  constexpr int kReadingPart = 2;
+  Waiter waiter;
+  waiter.request = aExchange.id;
+  waiter.service = aExchange.service == nullptr ? "" : aExchange.service->name;
+  waiter.started = aExchange.answering;
+  waiter.urgency = urgencyOf(aExchange);
+  waiter.tokens = aExchange.need.prompt + aExchange.need.answer;
+  waiter.onTimeUntil =
+    aExchange.arrived + aExchange.route->objective / kReadingPart;
+  return waiter;
+}
+
+/** Chooses where the next attempt goes, unless one that needs no more has just
+ * been told that there is nothing. */
+Result<AttemptTarget>
+RelayLoop::Impl::chooseInLine(Exchange& aExchange)
+{
+  if (aExchange.service == nullptr || !aExchange.service->engine) {
+    return this->choose(aExchange);
+  }
+  if (this->now - this->roundAt >= kWaitPause) {
+    this->beginRound();
+  }
+  const Waiter waiter = this->waiterOf(aExchange);
+  if (!this->waiting.worthTrying(waiter)) {
+    this->shared.metrics.count("path_searches_saved_total");
+    return fail(ErrorKind::Overloaded, "no path has memory for the request");
+  }
+  Result<AttemptTarget> target = this->choose(aExchange);
+  if (!target) {
+    this->waiting.onRefused(waiter);
+  }
+  return target;
+}
+
+void
+RelayLoop::Impl::beginRound()
+{
+  this->waiting.beginRound();
+  this->roundAt = this->now;
+}
+
+/** Tries those again that wait for memory. */
+void
+RelayLoop::Impl::tryWaiting()
+{
+  this->beginRound();
+  for (const std::uint64_t id : this->waiting.order(this->now)) {
+    const auto found = this->exchanges.find(id);
+    if (found != this->exchanges.end()) {
+      this->dispatch(*found->second);
+    }
+  }
+  if (!this->waiting.empty()) {
+    this->timers.arm(kWaitingKey, this->now + kWaitPause);
+  }
+}
+
 /** Whether a request without a path waits for one, a little longer. */
 bool
 RelayLoop::Impl::mayWait(Exchange& aExchange, ErrorKind aReason)
@@ -152,6 +218,7 @@
   aExchange.lastProgress = this->now;
   aExchange.asking = false;
   ++aExchange.sends;
+  this->waiting.leave(aExchange.id);
   this->book(aExchange);
   this->payCrossings(aExchange, aTarget.path);
   this->armExchange(aExchange);
@@ -243,6 +310,7 @@
 RelayLoop::Impl::endExchange(Exchange& aExchange)
 {
   this->unbook(aExchange);
+  this->waiting.leave(aExchange.id);
   this->timers.cancel(aExchange.id);
   this->exchanges.erase(aExchange.id);
   --this->openCount;
--- a/src/relay/RelayLeaving.cpp
+++ b/src/relay/RelayLeaving.cpp
@@ -14,6 +14,11 @@
  * had the time to take its layers over. */
 constexpr int kLeavingNoticePart = 2;
 
+/** What another relay told of leaving replicas holds for this many times the
+ * bound on leaving replicas after it was told last: by then the own list has
+ * caught up, or the replica is gone. */
+constexpr int kLeavingHeardBounds = 2;
+
 /** By then it is gone, and with it all that it ran. */
 constexpr Duration kLeavingForgotten = std::chrono::seconds{ 20 };
 
@@ -26,17 +31,24 @@
 
 } // namespace
 
-/** Notes which replicas have begun to leave, or were taken off the list. */
+/** Notes which replicas have begun to leave, or were taken off the list. Those
+ * that started again are not among them: nothing of theirs is left to move in
+ * time. */
 void
 RelayLoop::Impl::noteLeaving(const ReplicaView& aLatest)
 {
   std::map<std::string, bool> drains;
   for (const Replica& replica : aLatest.replicas) {
     drains.emplace(replica.id, replica.draining);
+    if (!replica.draining) {
+      // It had lapsed while the store was away, and is back.
+      this->leavingSince.erase(replica.id);
+    }
   }
   for (const Replica& replica : this->view->replicas) {
     const auto found = drains.find(replica.id);
-    if (found == drains.end() || found->second) {
+    const bool leaves = found == drains.end() || found->second;
+    if (leaves && !this->ended.contains(replica.id)) {
       this->leavingSince.try_emplace(replica.id, this->now);
     }
   }
@@ -45,6 +57,96 @@
   });
 }
 
+/** Notes replicas whose endpoint is listed with a later start. */
+void
+RelayLoop::Impl::noteRestarted(const ReplicaView& aLatest)
+{
+  std::map<std::string_view, std::string_view> latest;
+  for (const Replica& replica : aLatest.replicas) {
+    latest.emplace(replica.registeredAs, replica.id);
+  }
+  for (const Replica& replica : this->view->replicas) {
+    const auto found = latest.find(replica.registeredAs);
+    if (found != latest.end() && found->second != replica.id) {
+      this->endLife(replica.id);
+    }
+  }
+}
+
+/**
+ * The endpoint has started again: the replica that it was is gone with all that
+ * ran there, and streams through it move at once. Taken for the one that it
+ * was, it was sent paths through layers that it does not hold, and streams
+ * stood still until the 2.5 s were over after which the others give them up.
+ */
+void
+RelayLoop::Impl::endLife(const std::string& aReplica)
+{
+  if (!this->ended.try_emplace(aReplica, this->now).second) {
+    return;
+  }
+  this->shared.metrics.count("replica_restarts_total");
+  this->shared.log.write(
+    LogLine{ LogPart::Replicas, "restarted" }.with("replica", aReplica));
+  this->leavingSince.erase(aReplica);
+  // Not from here: a request that looks for a path may have brought the list.
+  this->post([this, aReplica] { this->onCulprit(aReplica); });
+}
+
+/** Replicas that leave, or were taken off the list lately. */
+std::set<std::string>
+RelayLoop::Impl::leavingReplicas() const
+{
+  std::set<std::string> leaving;
+  for (const auto& [replica, since] : this->leavingSince) {
+    leaving.insert(replica);
+  }
+  for (const Replica& replica : this->view->replicas) {
+    if (replica.draining) {
+      leaving.insert(replica.id);
+    }
+  }
+  return leaving;
+}
+
+/**
+ * Takes over which replicas leave from a relay that has a newer list. A look at
+ * the list may wait on a connection that has fallen silent: one relay's list
+ * stood still for 5 s, and a plain replica that had left was sent a request
+ * 3.4 s after its word, bound 3 s. Others had the news and told only that they
+ * had some.
+ */
+void
+RelayLoop::Impl::hearLeaving(const PeerWord& aWord)
+{
+  if (aWord.list <= this->view->changed) {
+    return;
+  }
+  for (const std::string& replica : aWord.leaving) {
+    this->leavingHeard.insert_or_assign(replica,
+                                        LeavingWord{ aWord.list, this->now });
+  }
+}
+
+/** Drops what the own list tells by now, and what is too old. */
+void
+RelayLoop::Impl::expireLeavingHeard()
+{
+  std::erase_if(this->leavingHeard, [this](const auto& aEntry) {
+    const LeavingWord& word = aEntry.second;
+    return word.list <= this->view->changed ||
+           this->now - word.heard > this->settings.drain * kLeavingHeardBounds;
+  });
+}
+
+/** Whether the replica takes no new work, as this relay's list says or that of
+ * another one which has a newer list. */
+bool
+RelayLoop::Impl::leaves(const Replica& aReplica) const
+{
+  return aReplica.draining || this->leavingHeard.contains(aReplica.id);
+}
+
 /** Whether the request runs through a replica that will be gone before it has
  * ended, as far as can be told, and may be moved. */
 bool
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -23,11 +23,20 @@
 /** A relay that told nothing for this long is not heard any more. */
 constexpr Duration kPeerSilence = std::chrono::seconds{ 2 };
 
+/** A replica whose endpoint has started again is forgotten after this: no relay
+ * has an older list by then, and no stream through it is left. */
+constexpr Duration kEndedForgotten = std::chrono::seconds{ 20 };
+
 /** Margin between the bound on revoked keys and the age at which a relay stops
  * sending. It covers a store that answers for a second without what was changed
  * meanwhile, as it does before it drops its history. */
 constexpr Duration kRevokeMargin = std::chrono::milliseconds{ 1'000 };
 
+/** Margin between the deadline for a new configuration and the age at which one
+ * is not used any more: the way of a request to its replica, and a store whose
+ * clock ran a little late. */
+constexpr Duration kConfigMargin = std::chrono::milliseconds{ 300 };
+
 GatePolicy
 gatePolicy(const RelaySettings& aSettings)
 {
@@ -36,6 +45,7 @@
                     ? std::max(Duration{ 0 }, aSettings.revoke - kRevokeMargin)
                     : Duration::max();
   policy.denyAge = aSettings.revoke - kRevokeMargin;
+  policy.configAge = aSettings.configDeadline - kConfigMargin;
   return policy;
 }
 
@@ -193,6 +203,10 @@
 void
 RelayLoop::Impl::onTimer(std::uint64_t aKey)
 {
+  if (aKey == kWaitingKey) {
+    this->tryWaiting();
+    return;
+  }
   if (const auto exchange = this->exchanges.find(aKey);
       exchange != this->exchanges.end()) {
     this->onExchangeTimer(*exchange->second);
@@ -211,8 +225,10 @@
   if (latest == this->view) {
     return;
   }
+  this->noteRestarted(*latest);
   this->noteLeaving(*latest);
   this->view = latest;
+  this->expireLeavingHeard();
   std::set<std::string> listed;
   for (const Replica& replica : latest->replicas) {
     listed.insert(replica.id);
@@ -239,6 +255,9 @@
   for (const std::string& replica : this->reports.slow()) {
     lost.insert_or_assign(replica, true);
   }
+  for (const auto& [replica, since] : this->ended) {
+    lost.insert_or_assign(replica, true);
+  }
   for (const std::string& replica : this->reports.suspects()) {
     if (this->isLost(replica)) {
       lost.insert_or_assign(replica, true);
@@ -298,6 +317,10 @@
   });
   this->shared.relaysHeard = this->peersHeard.size();
   this->reports.expire(this->now);
+  this->expireLeavingHeard();
+  std::erase_if(this->ended, [this](const auto& aEntry) {
+    return this->now - aEntry.second > kEndedForgotten;
+  });
   this->publishLost();
   this->publishBusy();
   this->budget.setRelays(
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -22,6 +23,7 @@
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/PipeBudget.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
+#include "poplartrack/fleet/WaitingLine.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
 #include "poplartrack/retry/SharedRetryBudget.h"
@@ -38,6 +40,14 @@
  * relay that has just started must know. */
 constexpr Duration kWaitPause = std::chrono::milliseconds{ 25 };
 
+/** Timer of the requests that wait for memory. */
+constexpr std::uint64_t kWaitingKey = 3;
+
+/** How urgent a request is at a replica, 0 to 9; 0 goes first. The account's
+ * word goes before the route's. */
+int
+urgencyOf(const Exchange& aExchange);
+
 /** An order to move a running request to another path. */
 struct RepathOrder
 {
@@ -52,6 +62,9 @@
 struct AttemptTarget
 {
   std::string replica;
+  /** The name under which it is registered; it refuses work meant for another
+   * one. */
+  std::string registeredAs;
   Address address;
   /** Empty for plain services. */
   LayerPath path;
@@ -137,10 +150,15 @@
   void admit(Exchange& aExchange);
   [[nodiscard]] std::string requestHead(const Exchange& aExchange,
                                         const AttemptTarget& aTarget) const;
+  [[nodiscard]] ConfigProof configProof() const;
   [[nodiscard]] bool fresh(const Exchange& aExchange) const;
 
   // RelayExchange.cpp: the course of an admitted request.
   void dispatch(Exchange& aExchange);
+  [[nodiscard]] Waiter waiterOf(const Exchange& aExchange) const;
+  Result<AttemptTarget> chooseInLine(Exchange& aExchange);
+  void beginRound();
+  void tryWaiting();
   bool mayWait(Exchange& aExchange, ErrorKind aReason);
   void send(Exchange& aExchange, const AttemptTarget& aTarget);
   void onExchangeTimer(Exchange& aExchange);
@@ -181,6 +199,7 @@
     const Exchange& aExchange,
     bool aSlowToo) const;
   [[nodiscard]] const Replica* replicaAt(const Address& aAddress) const;
+  [[nodiscard]] const Replica* replicaOf(const std::string& aId) const;
   [[nodiscard]] TokenNeed needOf(const Exchange& aExchange) const;
   [[nodiscard]] Result<LayerPath> findPathFor(const Exchange& aExchange,
                                               PathDemand aDemand);
@@ -202,11 +221,19 @@
 
   // RelayRepair.cpp: moving requests off what was lost.
   void onCulprit(const std::string& aReplica);
+  [[nodiscard]] std::vector<std::uint64_t> requestsThrough(
+    const std::string& aReplica) const;
   void repair(Exchange& aExchange, bool aPlanned);
   void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
   // RelayLeaving.cpp: replicas that leave.
   void noteLeaving(const ReplicaView& aLatest);
+  void noteRestarted(const ReplicaView& aLatest);
+  void endLife(const std::string& aReplica);
+  [[nodiscard]] std::set<std::string> leavingReplicas() const;
+  void hearLeaving(const PeerWord& aWord);
+  void expireLeavingHeard();
+  [[nodiscard]] bool leaves(const Replica& aReplica) const;
   void moveOffLeaving();
   [[nodiscard]] bool leavesSoon(const Exchange& aExchange) const;
 
@@ -256,6 +283,9 @@
   LoadBook loads;
   SharedRetryBudget budget;
   PipeBudget pipes;
+  WaitingLine waiting;
+  /** When the present round of the line began. */
+  TimePoint roundAt{};
   /** This life of this process, as it names itself to other relays. */
   std::uint64_t ownLife;
   /** The latest word of another relay. */
@@ -271,6 +301,17 @@
   LossReports reports;
   /** Replicas that leave, and since when this relay knows. */
   std::map<std::string, TimePoint> leavingSince;
+  /** Replicas of which a relay with a newer list told that they leave. */
+  struct LeavingWord
+  {
+    /** Version of the teller's list. */
+    std::uint64_t list;
+    TimePoint heard;
+  };
+  std::map<std::string, LeavingWord> leavingHeard;
+  /** Replicas whose endpoint has started again, and since when this relay
+   * knows. */
+  std::map<std::string, TimePoint> ended;
   TimePoint now{};
   TimePoint startedAt{};
   TimePoint regularAt{};
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -65,6 +65,12 @@
   for (const std::string& replica : this->health.named(this->now)) {
     word.lost.push_back(replica);
   }
+  for (const auto& [replica, since] : this->ended) {
+    word.lost.push_back(replica);
+  }
+  for (const std::string& replica : this->leavingReplicas()) {
+    word.leaving.push_back(replica);
+  }
   for (const std::string& replica : this->health.lost(this->now)) {
     word.unreachable.push_back(replica);
   }
@@ -203,6 +209,7 @@
     this->shared.leaderHeard = 0;
   }
   this->learnFreshness(aWord, aEcho);
+  this->hearLeaving(aWord);
   const std::string peer = toText(aFrom);
   this->budget.onPeer(
     peer, RetryCounts{ aWord.requests, aWord.retries }, this->now);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -11,24 +11,31 @@
 RelayLoop::Impl::onCulprit(const std::string& aReplica)
 {
   this->publishLost();
+  for (const std::uint64_t id : this->requestsThrough(aReplica)) {
+    const auto found = this->exchanges.find(id);
+    if (found != this->exchanges.end()) {
+      this->repair(*found->second, false);
+    }
+  }
+}
+
+/** Requests that are at a replica now, or whose path leads through it. */
+std::vector<std::uint64_t>
+RelayLoop::Impl::requestsThrough(const std::string& aReplica) const
+{
   std::vector<std::uint64_t> affected;
   for (const auto& [id, exchange] : this->exchanges) {
     const auto& parts = exchange->path.parts;
     const bool through =
-      exchange->connection != 0 &&
+      exchange->replica == aReplica ||
       std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
         return aPart.replica == aReplica;
       });
-    if (through) {
+    if (exchange->connection != 0 && through) {
       affected.push_back(id);
     }
   }
-  for (const std::uint64_t id : affected) {
-    const auto found = this->exchanges.find(id);
-    if (found != this->exchanges.end()) {
-      this->repair(*found->second, false);
-    }
-  }
+  return affected;
 }
 
 /**
@@ -43,6 +50,11 @@
 void
 RelayLoop::Impl::repair(Exchange& aExchange, bool aPlanned)
 {
+  if (aExchange.path.parts.empty()) {
+    // A plain replica that has started again: nothing of it is left there.
+    this->onBroken(aExchange, ReplicaFailure::Refused, "replica restarted");
+    return;
+  }
   const PathPart first = aExchange.path.parts.front();
   // One that refused a request, as full, lives and runs what it has.
   const bool firstLives = !this->health.dead(first.replica, this->now) &&
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -60,6 +60,13 @@
               "",
               "5000",
               "a key that was taken away works no longer than this" },
+  SettingRow{ "bounds.config_deadline_ms",
+              Number,
+              500,
+              kMostMs,
+              "",
+              "2000",
+              "an accepted configuration is in force after this" },
   SettingRow{ "bounds.strict_revoke",
               Boolean,
               0,
@@ -137,6 +144,7 @@
   bindTime(bounds, "drain_ms", kMs, settings.drain);
   bindTime(bounds, "grace_s", kSecond, settings.grace);
   bindTime(bounds, "revoke_ms", kMs, settings.revoke);
+  bindTime(bounds, "config_deadline_ms", kMs, settings.configDeadline);
   bind(bounds, "strict_revoke", settings.strictRevoke);
   bind(bounds, "retry_ratio", settings.retryRatio);
   bindTime(bounds, "retry_window_s", kSecond, settings.retryWindow);
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -81,16 +81,8 @@
 void
 RelayLoop::Impl::hurryThrough(const std::string& aReplica)
 {
-  for (const auto& [id, exchange] : this->exchanges) {
-    const auto& parts = exchange->path.parts;
-    const bool through =
-      exchange->connection != 0 &&
-      std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
-        return aPart.replica == aReplica;
-      });
-    if (through) {
-      this->armExchange(*exchange);
-    }
+  for (const std::uint64_t id : this->requestsThrough(aReplica)) {
+    this->armExchange(*this->exchanges.at(id));
   }
 }
 
@@ -175,6 +167,13 @@
     this->onCulprit(aReplica);
     return;
   }
+  const Replica* listed = this->replicaOf(aReplica);
+  if (listed != nullptr && listed->born != 0 && aReport.born != 0 &&
+      listed->born != aReport.born) {
+    // It has started again, and the list does not tell yet.
+    this->endLife(aReplica);
+    return;
+  }
   // What runs there goes on, slower: moving hundreds of streams at once would
   // take the pipes between zones for longer than the slow part costs them.
   this->health.onPace(aReplica, aReport.pace);
--- a/src/relay/RequestGate.cpp
+++ b/src/relay/RequestGate.cpp
@@ -19,9 +19,16 @@
 
 } // namespace
 
+bool
+isUsable(const ConfigProof& aProof, const GatePolicy& aPolicy, bool aKeyed)
+{
+  const bool trusted = aProof.storeFails || aProof.age <= aPolicy.configAge;
+  return trusted && (!aKeyed || aProof.age <= aPolicy.keyAge);
+}
+
 std::variant<Admitted, Error>
 admitRequest(const RelayConfig* aConfig,
-             Duration aConfigAge,
+             const ConfigProof& aProof,
              const GatePolicy& aPolicy,
              const GateRequest& aRequest)
 {
@@ -31,7 +38,8 @@
   // "No" is said only by one who knows: a relay that is cut off from the store
   // may miss a route or a key that was added, and the caller would not ask
   // again after a 404 or 401.
-  const bool certain = aConfigAge <= aPolicy.denyAge;
+  const bool certain =
+    aProof.age <= aPolicy.denyAge && isUsable(aProof, aPolicy, false);
   const auto deny = [certain](ErrorKind aKind, const char* aWhy) {
     return certain ? Error{ aKind, aWhy }
                    : Error{ ErrorKind::NoConfiguration, aWhy };
@@ -49,9 +57,9 @@
   if (admitted.keyed && admitted.account == nullptr) {
     return deny(ErrorKind::Unauthorized, "no account has this key");
   }
-  if (admitted.keyed && aConfigAge > aPolicy.keyAge) {
+  if (!isUsable(aProof, aPolicy, admitted.keyed)) {
     return Error{ ErrorKind::NoConfiguration,
-                  "it cannot be told whether the key still holds" };
+                  "it cannot be told whether route and key still hold" };
   }
   admitted.patience = aRequest.deadline
                         ? std::min(*aRequest.deadline, route->timeout)
--- a/tests/unit/fleet/FleetSamples.h
+++ b/tests/unit/fleet/FleetSamples.h
@@ -40,6 +40,7 @@
 {
   Replica replica;
   replica.id = aId;
+  replica.registeredAs = aId;
   replica.service = "model";
   replica.address = Address{ "127.0.0.1", 1 };
   replica.zone = aZone;
--- a/tests/unit/fleet/ReplicaListTest.cpp
+++ b/tests/unit/fleet/ReplicaListTest.cpp
@@ -48,6 +48,43 @@
   EXPECT_EQ(this->list.size(), 1U);
 }
 
+TEST_F(ReplicaListTest, AnEndpointThatStartsAgainIsAnotherReplica)
+{
+  // An endpoint crashes and starts again under its name before its entry has
+  // lapsed. What was known of the old start must not be taken for the new one:
+  // the list has one replica of that name, under another id.
+  Replica replica = replicaOf("one", "a", "slow");
+  replica.id = replicaId("one", 1'000);
+  replica.layers = LayerRange{ 0, 5 };
+  ReplicaPoll before;
+  before.next = 1;
+  before.present.push_back(replica);
+  this->list.onPoll(before, this->in(milliseconds{ 0 }));
+  replica.id = replicaId("one", 2'000);
+  replica.layers.reset();
+  ReplicaPoll after;
+  after.next = 2;
+  after.present.push_back(replica);
+  this->list.onPoll(after, this->in(seconds{ 1 }));
+  ASSERT_EQ(this->list.size(), 1U);
+  EXPECT_NE(this->list.view().replicas[0].id, replicaId("one", 1'000));
+  EXPECT_FALSE(this->list.view().replicas[0].layers);
+}
+
+TEST_F(ReplicaListTest, AnEntryThatCannotBeReadDrawsNoWorkAndHarmsNoOther)
+{
+  // Another writer spoils the entry of a replica; it may have said that it
+  // leaves. Right after an outage, too, it is not kept as one that lapsed.
+  this->list.onPoll(wholeOf({ "one", "two" }), this->in(milliseconds{ 0 }));
+  this->list.onUnreachable(this->in(seconds{ 1 }));
+  ReplicaPoll poll;
+  poll.next = 3;
+  poll.unreadable.push_back({ "one", "no known state" });
+  this->list.onPoll(poll, this->in(seconds{ 2 }));
+  ASSERT_EQ(this->list.size(), 1U);
+  EXPECT_EQ(this->list.view().replicas[0].registeredAs, "two");
+}
+
 TEST_F(ReplicaListTest, AnOlderLookDoesNotBringALeavingReplicaBack)
 {
   // A replica says that it leaves. A whole read that another thread had begun
--- a/tests/unit/fleet/StorePaceTest.cpp
+++ b/tests/unit/fleet/StorePaceTest.cpp
@@ -52,10 +52,26 @@
 {
   // The look under way waits on a connection that fell silent, and the relays
   // whose proofs would do are gone. Keys are trusted for 4 s after a proof.
-  EXPECT_FALSE(StorePace::wantsProof(milliseconds{ 900 }, seconds{ 5 }));
-  EXPECT_TRUE(StorePace::wantsProof(milliseconds{ 1'500 }, seconds{ 5 }));
+  const Duration deadline = seconds{ 4 };
+  EXPECT_FALSE(
+    StorePace::wantsProof(milliseconds{ 900 }, seconds{ 5 }, deadline));
+  EXPECT_TRUE(
+    StorePace::wantsProof(milliseconds{ 1'500 }, seconds{ 5 }, deadline));
   // One call a second is enough, also where it brings no proof.
-  EXPECT_FALSE(StorePace::wantsProof(seconds{ 30 }, milliseconds{ 300 }));
+  EXPECT_FALSE(
+    StorePace::wantsProof(seconds{ 30 }, milliseconds{ 300 }, deadline));
+}
+
+TEST(StorePaceTest, AProofIsRenewedBeforeTheDeadlineOfANewConfiguration)
+{
+  // A configuration without a proof is not used from 300 ms before the deadline
+  // on. The read beside the look that hangs must have ended by then: asked for
+  // at the next check, 200 ms later at most, it takes up to 600 ms.
+  for (const Duration deadline : { seconds{ 2 }, seconds{ 3 } }) {
+    const Duration latest =
+      deadline - milliseconds{ 300 + 200 } - StorePace::kProofRead;
+    EXPECT_TRUE(StorePace::wantsProof(latest, seconds{ 5 }, deadline));
+  }
 }
 
 TEST(StorePaceTest, BurstsAreGatheredLongerBeforeTheFirstRequest)
--- /dev/null
+++ b/tests/unit/fleet/WaitingLineTest.cpp
@@ -0,0 +1,108 @@
+#include "poplartrack/fleet/WaitingLine.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+class WaitingLineTest : public ::testing::Test
+{
+protected:
+  static TimePoint in(Duration aTime) { return TimePoint{} + aTime; }
+  /** A request that came at aArrived and has 250 ms to be sent on time. */
+  static Waiter waiter(std::uint64_t aRequest,
+                       Duration aArrived,
+                       double aTokens = 1'000)
+  {
+    Waiter waiter;
+    waiter.request = aRequest;
+    waiter.service = "model";
+    waiter.tokens = aTokens;
+    waiter.onTimeUntil = in(aArrived + milliseconds{ 250 });
+    return waiter;
+  }
+
+  WaitingLine line;
+};
+
+TEST_F(WaitingLineTest, ThoseThatCanBeOnTimeGoFirst)
+{
+  // Memory is short for a while. The first two callers have waited so long that
+  // their answers are late whenever they begin; the two others can still be
+  // answered on time, and memory that frees itself now goes to them.
+  for (const auto& [request, arrived] :
+       { std::pair{ 1U, milliseconds{ 0 } },
+         std::pair{ 2U, milliseconds{ 100 } },
+         std::pair{ 3U, milliseconds{ 400 } },
+         std::pair{ 4U, milliseconds{ 450 } } }) {
+    this->line.join(waiter(request, arrived));
+  }
+  EXPECT_EQ(this->line.order(in(milliseconds{ 500 })),
+            (std::vector<std::uint64_t>{ 3, 4, 1, 2 }));
+}
+
+TEST_F(WaitingLineTest, StartedStreamsAndUrgentOnesGoBeforeOthers)
+{
+  this->line.join(waiter(1, milliseconds{ 0 }));
+  Waiter urgent = waiter(2, milliseconds{ 0 });
+  urgent.urgency = -1;
+  this->line.join(urgent);
+  Waiter started = waiter(3, milliseconds{ 0 });
+  started.started = true;
+  started.urgency = 9;
+  this->line.join(started);
+  EXPECT_EQ(this->line.order(in(milliseconds{ 1 })),
+            (std::vector<std::uint64_t>{ 3, 2, 1 }));
+  this->line.leave(3);
+  EXPECT_EQ(this->line.size(), 2U);
+}
+
+TEST_F(WaitingLineTest, JoiningAgainKeepsThePlace)
+{
+  this->line.join(waiter(1, milliseconds{ 0 }));
+  this->line.join(waiter(2, milliseconds{ 0 }));
+  this->line.join(waiter(1, milliseconds{ 0 }));
+  EXPECT_EQ(this->line.order(in(milliseconds{ 1 })),
+            (std::vector<std::uint64_t>{ 1, 2 }));
+}
+
+TEST_F(WaitingLineTest, SixtyThatWaitCostOneSearchARound)
+{
+  // A zone is lost and sixty callers wait for memory. Each of them searched for
+  // a path by itself every 25 ms, and the relay had no time left for the
+  // answers under way.
+  for (std::uint64_t request = 1; request <= 60; ++request) {
+    this->line.join(waiter(request, milliseconds{ 0 }));
+  }
+  for (int round = 0; round < 3; ++round) {
+    this->line.beginRound();
+    int searches = 0;
+    for (std::uint64_t request = 1; request <= 60; ++request) {
+      const Waiter one = waiter(request, milliseconds{ 0 });
+      if (this->line.worthTrying(one)) {
+        ++searches;
+        this->line.onRefused(one);
+      }
+    }
+    EXPECT_EQ(searches, 1);
+  }
+}
+
+TEST_F(WaitingLineTest, ASmallerRequestIsTriedWhereALargerOneFoundNothing)
+{
+  this->line.onRefused(waiter(1, milliseconds{ 0 }, 4'000));
+  EXPECT_TRUE(this->line.worthTrying(waiter(2, milliseconds{ 0 }, 800)));
+  EXPECT_FALSE(this->line.worthTrying(waiter(3, milliseconds{ 0 }, 5'000)));
+  Waiter other = waiter(4, milliseconds{ 0 }, 5'000);
+  other.service = "other model";
+  EXPECT_TRUE(this->line.worthTrying(other));
+  // A started stream may book more, so what the others found says nothing.
+  Waiter started = waiter(5, milliseconds{ 0 }, 5'000);
+  started.started = true;
+  EXPECT_TRUE(this->line.worthTrying(started));
+}
+
+} // namespace
+} // namespace poplartrack
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -44,21 +44,21 @@
     this->changed.notify_all();
   }
 
-  Result<ConfigPoll> readConfig()
+  Result<ConfigPoll> readConfig(Duration)
   {
     return this->next(this->configs, this->configsWaiting);
   }
   Result<ConfigPoll> awaitConfig(std::uint64_t, Duration)
   {
-    return this->readConfig();
+    return this->next(this->configs, this->configsWaiting);
   }
-  Result<ReplicaPoll> readReplicas()
+  Result<ReplicaPoll> readReplicas(Duration)
   {
     return this->next(this->lists, this->listsWaiting);
   }
   Result<ReplicaPoll> awaitReplicas(std::uint64_t, Duration)
   {
-    return this->readReplicas();
+    return this->next(this->lists, this->listsWaiting);
   }
   Result<std::optional<TableRow>> readRow(const std::string& aTable,
                                           const std::string& aKey)
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -285,6 +285,59 @@
   EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
 }
 
+TEST_F(RelayLoopTest, AStreamGoesOnElsewhereWhenItsReplicaHasStartedAgain)
+{
+  // The replica of a stream dies without a word and starts again under its
+  // name; the list shows the new start, which holds nothing. The connection is
+  // silent, and nobody names the old start as lost. The caller gets the rest of
+  // its stream from another replica, after the last event that it has.
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket first = this->one.accept();
+  first.readUntil("\r\n\r\n");
+  first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
+  caller.readUntil("id: 1");
+  this->world.addReplica("two", "model", this->two.address());
+  this->world.restartReplica("one");
+  this->world.publishReplicas(2);
+  RawSocket second = this->two.accept();
+  EXPECT_TRUE(has(second.readUntil("\r\n\r\n"), "Last-Event-Id: 1\r\n"));
+  second.send(RelayWorld::streamHead("id-1") + RelayWorld::event(2) +
+              RelayWorld::kLastChunk);
+  EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
+}
+
+TEST_F(RelayLoopTest, ARequestAtAReplicaThatHasStartedAgainIsNotCalledNotRun)
+{
+  // A request that must not run twice is at a replica that starts again under
+  // its name. It may have run there: the caller hears at once that this is not
+  // known, and the new start is not sent it.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = this->one.accept();
+  replica.readUntil("\r\n\r\n");
+  this->world.restartReplica("one");
+  this->world.publishReplicas(2);
+  EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "502 Bad Gateway"));
+}
+
+TEST_F(RelayLoopTest, ARestartedReplicaIsAskedForByItsRegisteredName)
+{
+  // The new start is another replica in all that is known of it, but answers
+  // only to the name under which it is registered.
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.restartReplica("one");
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = this->one.accept();
+  EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Expect: one\r\n"));
+}
+
 TEST_F(RelayLoopTest, AStreamWithoutAnotherReplicaIsCutNotEnded)
 {
   this->world.addReplica("one", "model", this->one.address());
@@ -441,6 +494,37 @@
   EXPECT_EQ(replica.readToEnd(), "");
 }
 
+TEST(RelayPeers, AReplicaThatAnotherRelayKnowsToLeaveGetsNoNewWork)
+{
+  // One relay's look at the list hangs: it still has a replica as ready that
+  // has said since that it leaves. Another relay has the newer list and tells
+  // so. A caller of the first relay is served by the replica that stays.
+  RawListener leaving;
+  RawListener staying;
+  RelayWorld knows;
+  RelayWorld behind;
+  for (RelayWorld* world : { &knows, &behind }) {
+    world->addReplica("one", "plain", leaving.address());
+    world->start();
+  }
+  knows.replicas["one"].draining = true;
+  knows.publishReplicas(7);
+  behind.addReplica("two", "plain", staying.address());
+  behind.replicas["two"].zone = "b";
+  behind.publishReplicas(2);
+  knows.shared.peers.replace(std::make_shared<const std::vector<Address>>(
+    std::vector<Address>{ behind.loop->peersAddress() }));
+  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+  while (behind.shared.listHeard < 7 && runtimeNow() < latest) {
+    std::this_thread::yield();
+  }
+  ASSERT_EQ(behind.shared.listHeard, 7U);
+  RawSocket caller = behind.caller();
+  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket replica = staying.accept();
+  EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Expect: two\r\n"));
+}
+
 TEST(RelayPeers, ARelayWithoutTheStoreTakesOverAnothersProof)
 {
   // One relay hears the store, the other does not. The second serves on with
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -80,6 +80,7 @@
   {
     Replica replica;
     replica.id = aId;
+    replica.registeredAs = aId;
     replica.service = aService;
     replica.address = aAddress;
     replica.zone = "a";
@@ -109,6 +110,8 @@
     RelaySettings settings;
     settings.name = "relay-1";
     settings.zone = "a";
+    // Above what any test takes, also on a busy machine.
+    settings.configDeadline = std::chrono::minutes{ 10 };
     settings.callers = { "127.0.0.1", 0 };
     settings.peers = { "127.0.0.1", 0 };
     ReplicaCalls calls;
@@ -127,8 +130,18 @@
   }
   void publishReplicas(std::uint64_t aVersion)
   {
-    this->shared.replicas.replace(std::make_shared<const ReplicaView>(
-      ReplicaView::of(aVersion, this->replicas)));
+    ReplicaView view = ReplicaView::of(aVersion, this->replicas);
+    view.changed = aVersion;
+    this->shared.replicas.replace(
+      std::make_shared<const ReplicaView>(std::move(view)));
+  }
+  /** The endpoint starts again under its name, and holds no layers. */
+  void restartReplica(const std::string& aName)
+  {
+    Replica& replica = this->replicas.at(aName);
+    ++replica.born;
+    replica.id = replicaId(aName, replica.born);
+    replica.layers.reset();
   }
   [[nodiscard]] RawSocket caller() const
   {
--- a/tests/unit/relay/RequestGateTest.cpp
+++ b/tests/unit/relay/RequestGateTest.cpp
@@ -38,8 +38,9 @@
                                     const std::string& aKey,
                                     Duration aAge = milliseconds{ 100 })
   {
+    // The store does not answer: the relay serves on by what it has.
     return admitRequest(&this->config,
-                        aAge,
+                        ConfigProof{ aAge, true },
                         GatePolicy{},
                         { "Shop.Example:80", aTarget, aKey, std::nullopt });
   }
@@ -82,11 +83,30 @@
             ErrorKind::NoConfiguration);
 }
 
+TEST_F(RequestGateTest, AHangingLookIsNoLeaveToUseAnOldConfiguration)
+{
+  // A relay's connection to the store falls silent, and its look hangs without
+  // an error. Meanwhile the operator takes a key away; all others know. A
+  // request with the key comes 2.5 s later: the bound on configurations, 2 s,
+  // binds a relay that is in touch for all it knows. With an error of the store
+  // the longer bound on keys holds.
+  const ConfigProof hangs{ milliseconds{ 2'500 }, false };
+  const ConfigProof fails{ milliseconds{ 2'500 }, true };
+  for (const char* target : { "/a/x", "/open/x" }) {
+    const GateRequest asked{ "shop.example", target, "secret", std::nullopt };
+    EXPECT_EQ(
+      this->errorOf(admitRequest(&this->config, hangs, GatePolicy{}, asked)),
+      ErrorKind::NoConfiguration);
+    EXPECT_TRUE(std::holds_alternative<Admitted>(
+      admitRequest(&this->config, fails, GatePolicy{}, asked)));
+  }
+}
+
 TEST_F(RequestGateTest, TheCallersDeadlineBoundsItsPatience)
 {
   const auto verdict =
     admitRequest(&this->config,
-                 milliseconds{ 1 },
+                 ConfigProof{ milliseconds{ 1 }, false },
                  GatePolicy{},
                  { "shop.example", "/a/", "secret", seconds{ 3 } });
   EXPECT_EQ(std::get<Admitted>(verdict).patience, seconds{ 3 });
--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "platform/Base64.h"
 #include "platform/ConfigDecoder.h"
@@ -69,14 +70,83 @@
   EXPECT_TRUE(listed.value().draining);
   EXPECT_EQ(listed.value().layers, (LayerRange{ 5, 9 }));
   EXPECT_EQ(listed.value().weights, 2);
-  const auto plain = decodeReplica(
-    "i-1", R"({"Address":"10.0.0.1:80","Layers":{"From":5,"Target":9}})");
+  const auto plain =
+    decodeReplica("i-1",
+                  R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a",
+        "Slots":4,"State":"ready",
+        "Layers":{"From":5,"Target":9,"Version":2}})");
+  ASSERT_TRUE(plain);
   EXPECT_EQ(plain.value().layers, (LayerRange{ 5, 9 }));
+  EXPECT_FALSE(plain.value().draining);
   const auto empty =
-    decodeReplica("i-1", R"({"Address":"10.0.0.1:80","Layers":null})");
+    decodeReplica("i-1",
+                  R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a",
+        "Slots":4,"State":"ready","Layers":null})");
+  ASSERT_TRUE(empty);
   EXPECT_FALSE(empty.value().layers);
 }
 
+TEST(ReplicaDecoder, TellsTheStartsOfAnEndpointApart)
+{
+  const auto at = [](const std::string& aBorn) {
+    return decodeReplica("i-1",
+                         R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a",
+        "Slots":4,"State":"ready","born":)" +
+                           aBorn + "}");
+  };
+  const auto before = at("1764734942123");
+  const auto after = at("1764734950456");
+  ASSERT_TRUE(before && after);
+  EXPECT_NE(before.value().id, after.value().id);
+  EXPECT_EQ(before.value().registeredAs, "i-1");
+  EXPECT_EQ(after.value().registeredAs, "i-1");
+  EXPECT_EQ(before.value().born, 1'764'734'942'123U);
+}
+
+TEST(ReplicaDecoder, AnEntryOfAnotherWriterNamesNoReplica)
+{
+  // Somebody else writes into the platform's list. Each of these was taken for
+  // a replica that is ready, with guesses for what it did not say.
+  const nlohmann::json good = nlohmann::json::parse(
+    R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a","Slots":4,
+        "State":"ready","Kind":"t4","Sequence":3,"born":1764734942123,
+        "Layers":{"From":5,"Target":9,"Version":2}})");
+  ASSERT_TRUE(decodeReplica("i-1", good.dump()));
+  for (const char* name : { "Service", "Address", "Zone", "Slots", "State" }) {
+    nlohmann::json lacking = good;
+    lacking.erase(name);
+    EXPECT_FALSE(decodeReplica("i-1", lacking.dump())) << name;
+    for (const char* other : { "null", "[]", "{}", "true", "\"\"", "-1" }) {
+      nlohmann::json odd = good;
+      odd[name] = nlohmann::json::parse(other);
+      EXPECT_FALSE(decodeReplica("i-1", odd.dump())) << name << " " << other;
+    }
+  }
+  for (const char* change :
+       { R"({"State":"retired"})",
+         R"({"Slots":0})",
+         R"({"Slots":1.5})",
+         R"({"Slots":"4"})",
+         R"({"born":"1764734942123"})",
+         R"({"born":1764734942123.5})",
+         R"({"born":-1})",
+         R"({"born":true})",
+         R"({"Layers":7})",
+         R"({"Layers":"5-9"})",
+         R"({"Layers":{"From":9,"Target":5,"Version":1}})",
+         R"({"Layers":{"From":-1,"Target":5,"Version":1}})",
+         R"({"Layers":{"From":0,"Target":1e300,"Version":1}})",
+         R"({"Layers":{"From":0,"Target":4294967300,"Version":1}})",
+         R"({"Kind":7})" }) {
+    nlohmann::json odd = good;
+    odd.merge_patch(nlohmann::json::parse(change));
+    EXPECT_FALSE(decodeReplica("i-1", odd.dump())) << change;
+  }
+  for (const char* bytes : { "", "null", "[]", "\xff\xfe", "{\"Service\":" }) {
+    EXPECT_FALSE(decodeReplica("i-1", bytes)) << bytes;
+  }
+}
+
 TEST(ReplicaDecoder, NamesAnEntryWithoutAnAddress)
 {
   EXPECT_FALSE(decodeReplica("i-1", R"({"Service":"s"})"));
--- a/tests/unit/users_platform/UsersStoreTest.cpp
+++ b/tests/unit/users_platform/UsersStoreTest.cpp
@@ -10,6 +10,9 @@
 using standins::UsersStoreStandin;
 using std::chrono::milliseconds;
 
+/** Above what any read takes, also on a busy machine. */
+constexpr Duration kTimeout = std::chrono::seconds{ 60 };
+
 const std::string kConfig = R"({"Version":7,"Routes":[],"Services":[]})";
 
 class UsersStoreTest : public ::testing::Test
@@ -66,7 +69,7 @@
 TEST_F(UsersStoreTest, ReadsTheConfigurationAndThenItsChanges)
 {
   this->standin.put("op", "config", kConfig);
-  const auto first = this->store.readConfig();
+  const auto first = this->store.readConfig(kTimeout);
   ASSERT_TRUE(first);
   ASSERT_TRUE(first.value().config);
   EXPECT_EQ(first.value().config->version, 7U);
@@ -85,7 +88,7 @@
 TEST_F(UsersStoreTest, AnUnreadableConfigurationIsNamedAndNothingIsLost)
 {
   this->standin.put("op", "config", kConfig);
-  const auto first = this->store.readConfig();
+  const auto first = this->store.readConfig(kTimeout);
   this->standin.put("op", "config", "{broken");
   const auto changed =
     this->store.awaitConfig(first.value().next, milliseconds{ 10 });
@@ -112,9 +115,10 @@
   for (int i = 0; i < kReplicas; ++i) {
     this->standin.put("servers",
                       "i-" + std::to_string(i),
-                      R"({"Service":"s","Address":"127.0.0.1:80"})");
+                      R"({"Service":"s","Address":"127.0.0.1:80","Zone":"a",
+                          "Slots":4,"State":"ready"})");
   }
-  const auto poll = this->store.readReplicas();
+  const auto poll = this->store.readReplicas(kTimeout);
   ASSERT_TRUE(poll);
   EXPECT_TRUE(poll.value().whole);
   EXPECT_EQ(poll.value().present.size(), 1'100U);
