--- a/include/poplartrack/relay/PlacementDuty.h
+++ b/include/poplartrack/relay/PlacementDuty.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
              const EngineProfile& aEngine,
              const std::vector<std::size_t>& aListed,
              TimePoint aNow);
+  std::set<std::string> endedAmong(const ReplicaView& aView);
   void logGaps(const std::string& aService, const std::vector<CopyGap>& aGaps);
   void give(const LayerOrder& aOrder, const Replica& aReplica);
   void onOrderDone(const Replica& aReplica, const Result<Done>& aDone);
@@ -43,6 +45,12 @@
   std::mutex guard;
   /** One planner for each model service. */
   std::map<std::string, LayerPlanner> planners;
+  /** Replicas that are listed and have ended: another one answered an order
+   * that was meant for them. A dead replica's entry stays for three heartbeats,
+   * and a restarted endpoint has its address meanwhile. Ordered from it again
+   * and again, a gap of five layers stayed open for 6 s, and 16 in 100 requests
+   * of the day were refused. */
+  std::set<std::string> ended;
   /** Gaps of each service that were logged last. */
   std::map<std::string, std::vector<CopyGap>> loggedGaps;
   std::uint64_t fence = 0;
--- a/src/relay/PlacementDuty.cpp
+++ b/src/relay/PlacementDuty.cpp
@@ -45,12 +45,13 @@
   const auto lost = this->shared.lost.read();
   std::vector<Replica> staying;
   bool inDoubt = false;
+  const std::set<std::string> gone = this->endedAmong(*view);
   for (const std::size_t place : aListed) {
     const Replica& replica = view->replicas[place];
     const auto found = lost->find(replica.id);
     const bool dead = found != lost->end();
     inDoubt = inDoubt || (dead && !found->second && !replica.draining);
-    if (!replica.draining && !dead) {
+    if (!replica.draining && !dead && !gone.contains(replica.id)) {
       staying.push_back(replica);
     }
   }
@@ -72,6 +73,21 @@
   }
 }
 
+/** Replicas that are listed, but at whose address another one answered. */
+std::set<std::string>
+PlacementDuty::endedAmong(const ReplicaView& aView)
+{
+  const std::scoped_lock lock{ this->guard };
+  std::set<std::string> listed;
+  for (const Replica& replica : aView.replicas) {
+    listed.insert(replica.id);
+  }
+  std::erase_if(this->ended, [&](const std::string& aReplica) {
+    return !listed.contains(aReplica);
+  });
+  return this->ended;
+}
+
 /** Says once which layers a zone lacks: its callers' paths cross to another one
  * for these, or are refused. */
 void
@@ -131,6 +147,9 @@
     return;
   }
   const std::scoped_lock lock{ this->guard };
+  if (aDone.error().kind == ErrorKind::NotFound) {
+    this->ended.insert(aReplica.id);
+  }
   const auto planner = this->planners.find(aReplica.service);
   if (planner != this->planners.end()) {
     planner->second.onRefused(aReplica.id);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -224,6 +224,7 @@
   [[nodiscard]] std::vector<std::uint64_t> requestsThrough(
     const std::string& aReplica) const;
   void repair(Exchange& aExchange, bool aPlanned);
+  void leaveFirst(Exchange& aExchange);
   void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
   // RelayLeaving.cpp: replicas that leave.
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -60,12 +60,7 @@
   const bool firstLives = !this->health.dead(first.replica, this->now) &&
                           !this->isLost(first.replica);
   if (this->leavingSince.contains(first.replica)) {
-    const bool mayMove = aExchange.route->resumable &&
-                         aExchange.runs + 1 < aExchange.route->attempts &&
-                         this->choosePath(aExchange, {}).ok();
-    if (mayMove) {
-      this->onBroken(aExchange, ReplicaFailure::Refused, "replica leaves");
-    }
+    this->leaveFirst(aExchange);
     return;
   }
   if (!firstLives) {
@@ -118,6 +113,29 @@
     });
 }
 
+/**
+ * Moves a stream off its first replica, which leaves and still serves. Only
+ * with a retry to spend: without one the attempt was ended all the same,
+ * waited 1.5 s for the budget, and the caller's stream was cut while its
+ * replica had work to do and time to do it.
+ */
+void
+RelayLoop::Impl::leaveFirst(Exchange& aExchange)
+{
+  const bool mayMove = aExchange.route->resumable &&
+                       aExchange.runs + 1 < aExchange.route->attempts;
+  if (!mayMove) {
+    return;
+  }
+  if (!this->budget.open(this->now)) {
+    this->shared.metrics.count("planned_moves_without_budget_total");
+    return;
+  }
+  if (this->choosePath(aExchange, {}).ok()) {
+    this->onBroken(aExchange, ReplicaFailure::Refused, "replica leaves");
+  }
+}
+
 void
 RelayLoop::Impl::onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome)
 {
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -285,6 +285,37 @@
   EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
 }
 
+TEST_F(RelayLoopTest, AStreamStaysAtALeavingReplicaWhileThereIsNoRetry)
+{
+  // The first replica of a long stream says that it leaves, and serves on. All
+  // retries have been spent. Another replica has a whole copy, but taking the
+  // stream there would be one more: the caller gets the rest from where it
+  // runs.
+  this->world.drain = Duration{ 0 };
+  this->world.retryRatio = 0;
+  this->world.retrySlack = 0;
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send(RelayWorld::request(
+    "/stream/x", "id-1", "X-Tokens: 5,50000\r\nX-Hint: 50000\r\n"));
+  RawSocket first = this->one.accept();
+  first.readUntil("\r\n\r\n");
+  first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
+  caller.readUntil("id: 1");
+  this->world.addReplica("two", "model", this->two.address());
+  this->world.replicas["one"].draining = true;
+  this->world.publishReplicas(2);
+  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+  while (!has(this->world.shared.metrics.render(),
+              "planned_moves_without_budget_total") &&
+         runtimeNow() < latest) {
+    std::this_thread::yield();
+  }
+  first.send(RelayWorld::event(2) + RelayWorld::kLastChunk);
+  EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
+}
+
 TEST_F(RelayLoopTest, AStreamGoesOnElsewhereWhenItsReplicaHasStartedAgain)
 {
   // The replica of a stream dies without a word and starts again under its
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -112,6 +112,9 @@
     settings.zone = "a";
     // Above what any test takes, also on a busy machine.
     settings.configDeadline = std::chrono::minutes{ 10 };
+    settings.drain = this->drain;
+    settings.retryRatio = this->retryRatio;
+    settings.retrySlack = this->retrySlack;
     settings.callers = { "127.0.0.1", 0 };
     settings.peers = { "127.0.0.1", 0 };
     ReplicaCalls calls;
@@ -189,6 +192,10 @@
   std::map<std::string, Replica> replicas;
   /** Orders to move a request that replicas were given; all are refused. */
   std::atomic<int> repaths{ 0 };
+  /** Settings that tests change before the start. */
+  Duration drain = std::chrono::milliseconds{ 2'000 };
+  double retryRatio = 0.2;
+  double retrySlack = 100;
   std::unique_ptr<RelayLoop> loop;
 
 private:
--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -124,6 +124,7 @@
   }
   for (const char* change :
        { R"({"State":"retired"})",
+         R"({"Address":"10.0.0.1:0"})",
          R"({"Slots":0})",
          R"({"Slots":1.5})",
          R"({"Slots":"4"})",
