--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -127,4 +127,5 @@
 
 } // namespace poplartrack
 
+#include "poplartrack/relay/FleetCatchUp.inl.h"
 #include "poplartrack/relay/FleetControl.inl.h"
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <utility>
 
+#include "PathCosts.h"
+
 namespace poplartrack {
 namespace {
 
@@ -13,9 +15,6 @@
 
 constexpr const char* kNoMemory = "no path has memory for the request";
 
-/** A token waits on average half a pass until the replica takes it up. */
-constexpr double kPassWait = 1.5;
-
 /** Most replicas that the engines accept on one path. */
 constexpr std::size_t kMaxParts = 32;
 
@@ -48,33 +47,6 @@
  * another zone's copy rather than behind some 1,800 tokens. */
 constexpr double kBacklogWeight = 8.0;
 
-/** Part of a replica's memory that paths may book. A request is booked with all
- * tokens that it is expected to have at its end, and holds half of its answer
- * on average: what is left over is for those that write more. With 0.92, and
- * three tenths more for each answer, requests were refused while a quarter of
- * the memory was free: 17 in 1,000 against 12 on 15 days with losses. Of some
- * 5,000 requests a day 0 to 86 are preempted now, 4 at the median. */
-constexpr double kBookable = 1.0;
-
-/** ... and that a stream may book that goes on elsewhere. */
-constexpr double kBookableStarted = 1.2;
-
-/** A candidate with its costs worked out. */
-struct Node
-{
-  const PathCandidate* candidate = nullptr;
-  std::size_t zone = 0;
-  LayerRange layers;
-  /** Time of one token through one layer, in ms. */
-  double stepMs = 0;
-  /** Time to read the whole prompt through one layer, in ms. */
-  double readMs = 0;
-  /** ... and the prompts that are under way there. */
-  double backlogMs = 0;
-  /** Layers of the request for which there is memory. */
-  std::uint32_t room = 0;
-};
-
 /** The best way found to one (layer, zone). */
 struct Reached
 {
@@ -82,35 +54,11 @@
   double firstMs = 0;
   double tokenMs = 0;
   std::size_t parts = 0;
-  const Node* node = nullptr;
+  const PathNode* node = nullptr;
   std::uint32_t fromLayer = 0;
   std::size_t fromZone = 0;
 };
 
-double
-delayMs(const EngineProfile& aProfile,
-        const std::string& aFrom,
-        const std::string& aTo)
-{
-  const auto found = aProfile.delays.find(zonePair(aFrom, aTo));
-  return found == aProfile.delays.end()
-           ? 0
-           : std::chrono::duration<double, std::milli>(found->second).count();
-}
-
-/** Time that a prompt's activations take over the pipe between zones, in ms. */
-double
-transferMs(const EngineProfile& aProfile, double aTokens)
-{
-  if (aProfile.pipeMbps <= 0) {
-    return 0;
-  }
-  constexpr double kBitsPerByte = 8;
-  constexpr double kBitsPerMsAndMbps = 1000;
-  return aTokens * aProfile.activationBytes * kBitsPerByte /
-         (aProfile.pipeMbps * kBitsPerMsAndMbps);
-}
-
 class Search
 {
 public:
@@ -130,14 +78,14 @@
   void tryEdge(const Reached& aAt,
                std::uint32_t aFrom,
                std::size_t aFromZone,
-               const Node& aNode,
+               const PathNode& aNode,
                std::uint32_t aTo);
   [[nodiscard]] bool covered(std::uint32_t aLeastRoom) const;
   [[nodiscard]] bool open(std::size_t aFrom, std::size_t aTo) const
   {
     return this->crossOpen[aFrom * this->zones.size() + aTo];
   }
-  [[nodiscard]] bool uses(const Reached& aAt, const Node& aNode) const;
+  [[nodiscard]] bool uses(const Reached& aAt, const PathNode& aNode) const;
   [[nodiscard]] LayerPath trace(const Reached& aLast) const;
   Reached& reached(std::uint32_t aLayer, std::size_t aZone)
   {
@@ -152,7 +100,7 @@
   const EngineProfile& profile;
   const PathDemand& demand;
   std::vector<std::string> zones;
-  std::vector<Node> nodes;
+  std::vector<PathNode> nodes;
   std::vector<bool> boundary;
   std::vector<Reached> table;
   /** Cost of the first token and of each token between two zones. */
@@ -183,35 +131,11 @@
   if (!replica.layers || kind == this->profile.kinds.end()) {
     return;
   }
-  Node node;
-  node.candidate = &aCandidate;
-  node.zone = this->zoneIndex(replica.zone);
-  node.layers = { replica.layers->from,
-                  std::min(replica.layers->to, this->profile.layers) };
-  const double tokens = this->demand.promptTokens + this->demand.answerTokens;
-  const double others = aCandidate.load.requests;
-  const double passMs =
-    this->profile.stepMs +
-    (others + 1) * (this->profile.perRequestMs +
-                    this->profile.contextMsPerK * tokens / 1000);
-  node.stepMs = kPassWait * passMs * kind->second.stepFactor *
-                aCandidate.slowdown / this->profile.layers;
-  constexpr double kMsPerSecond = 1000;
-  const double tokenReadMs = kMsPerSecond / this->profile.readPerSecond *
-                             kind->second.readFactor * aCandidate.slowdown /
-                             this->profile.layers;
-  node.readMs = this->demand.promptTokens * tokenReadMs;
-  node.backlogMs = aCandidate.load.readingTokens * tokenReadMs;
-  const double bookable = this->demand.started ? kBookableStarted : kBookable;
-  const double free = bookable * tokenLayerCapacity(this->profile, replica) -
-                      aCandidate.load.tokenLayers;
-  if (free <= 0) {
-    node.room = 0;
-  } else {
-    node.room = static_cast<std::uint32_t>(
-      std::min<double>(free / std::max(tokens, 1.0), this->profile.layers));
-  }
-  this->nodes.push_back(node);
+  this->nodes.push_back(pathNode(this->profile,
+                                 this->demand,
+                                 kind->second,
+                                 aCandidate,
+                                 this->zoneIndex(replica.zone)));
 }
 
 void
@@ -243,7 +167,7 @@
 Search::covered(std::uint32_t aLeastRoom) const
 {
   std::vector<bool> held(this->profile.layers, false);
-  for (const Node& node : this->nodes) {
+  for (const PathNode& node : this->nodes) {
     if (node.room < aLeastRoom) {
       continue;
     }
@@ -258,7 +182,7 @@
 Search::tryEdge(const Reached& aAt,
                 std::uint32_t aFrom,
                 std::size_t aFromZone,
-                const Node& aNode,
+                const PathNode& aNode,
                 std::uint32_t aTo)
 {
   const bool begins = aFromZone == this->zones.size();
@@ -297,7 +221,7 @@
  * path that names a replica twice; one could, where a replica with memory for
  * only some of its layers is left and met again. */
 bool
-Search::uses(const Reached& aAt, const Node& aNode) const
+Search::uses(const Reached& aAt, const PathNode& aNode) const
 {
   const Reached* at = &aAt;
   while (at->node != nullptr) {
@@ -313,7 +237,7 @@
 Search::extendFrom(std::uint32_t aLayer, std::size_t aZone, const Reached& aAt)
 {
   const bool start = aAt.parts == 0;
-  for (const Node& node : this->nodes) {
+  for (const PathNode& node : this->nodes) {
     if (aLayer < node.layers.from || aLayer >= node.layers.to ||
         this->uses(aAt, node)) {
       continue;
@@ -374,7 +298,7 @@
   this->prepareCrossings();
   this->boundary.assign(layers + 1, false);
   this->boundary[layers] = true;
-  for (const Node& node : this->nodes) {
+  for (const PathNode& node : this->nodes) {
     this->boundary[node.layers.from] = true;
     this->boundary[node.layers.to] = true;
   }
@@ -407,18 +331,6 @@
 
 } // namespace
 
-double
-tokenLayerCapacity(const EngineProfile& aProfile, const Replica& aReplica)
-{
-  const auto kind = aProfile.kinds.find(aReplica.kind);
-  if (kind == aProfile.kinds.end() || aProfile.tokenBytes <= 0) {
-    return 0;
-  }
-  const double held = aReplica.layers ? aReplica.layers->size() : 0;
-  const double free = kind->second.memoryMb - held * aProfile.layerMb;
-  return std::max(0.0, free / aProfile.tokenLayerMb());
-}
-
 Result<LayerPath>
 findPath(const EngineProfile& aProfile,
          std::span<const PathCandidate> aCandidates,
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -155,11 +155,6 @@
 
   // RelayExchange.cpp: the course of an admitted request.
   void dispatch(Exchange& aExchange);
-  [[nodiscard]] Waiter waiterOf(const Exchange& aExchange) const;
-  Result<AttemptTarget> chooseInLine(Exchange& aExchange);
-  void beginRound();
-  void tryWaiting();
-  bool mayWait(Exchange& aExchange, ErrorKind aReason);
   void send(Exchange& aExchange, const AttemptTarget& aTarget);
   void onExchangeTimer(Exchange& aExchange);
   void armExchange(Exchange& aExchange);
@@ -169,6 +164,13 @@
   void refuse(Exchange& aExchange, const Error& aError, bool aNotRun);
   [[nodiscard]] bool mayHaveRun(const Exchange& aExchange) const;
 
+  // RelayWaiting.cpp: requests without a path.
+  [[nodiscard]] Waiter waiterOf(const Exchange& aExchange) const;
+  Result<AttemptTarget> chooseInLine(Exchange& aExchange);
+  void beginRound();
+  void tryWaiting();
+  bool mayWait(Exchange& aExchange, ErrorKind aReason);
+
   // RelayAnswer.cpp: what replicas answer.
   void onAnswerHead(Exchange& aExchange, ReplicaConnection& aConnection);
   void onAnswerBody(Exchange& aExchange, ReplicaConnection& aConnection);
