--- a/include/poplartrack/relay/PlacementDuty.h
+++ b/include/poplartrack/relay/PlacementDuty.h
@@ -47,9 +47,8 @@
   std::map<std::string, LayerPlanner> planners;
   /** Replicas that are listed and have ended: another one answered an order
    * that was meant for them. A dead replica's entry stays for three heartbeats,
-   * and a restarted endpoint has its address meanwhile. Ordered from it again
-   * and again, a gap of five layers stayed open for 6 s, and 16 in 100 requests
-   * of the day were refused. */
+   * and a restarted endpoint has its address meanwhile: a gap of five layers
+   * was ordered from a dead one four times in 6 s, and stayed open. */
   std::set<std::string> ended;
   /** Gaps of each service that were logged last. */
   std::map<std::string, std::vector<CopyGap>> loggedGaps;
