Count retries a service, book the pipes between zones together

Cause, retries: the bound holds for the attempts that reach one service, by the requests for it. A relay that started again at its address also took back what it had spent. Now one budget a service, and what a process spent counts for its life, beside its successor.

Cause, pipes: each relay had an even share of 0.6 of a pipe. With twenty relays and pipes of 500 Mbit/s that is one prompt in 8 s a pipe; callers were refused beside pipes that stood empty, with memory named as the reason. Relays now tell each other what they sent, each knows how long a pipe is busy, and paths go where it is free. A fresh request crosses no more pipes than its objective leaves time for, unless the layers need it.

--- a/include/poplartrack/fleet/PathFinder.h
+++ b/include/poplartrack/fleet/PathFinder.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -38,12 +40,21 @@
   std::string firstReplica;
   /** Availability zones between which the path may not change. */
   std::set<ZonePair> closed;
+  /** Most times that the path may change zones, unless no path of these
+   * replicas does with so few. */
+  std::uint32_t mostCrossings = std::numeric_limits<std::uint32_t>::max();
+  /** How long a prompt would stand before a pipe between two zones. */
+  std::map<ZonePair, Duration> waits;
 };
 
 /** Memory of a replica for requests, in tokens times layers. */
 double
 tokenLayerCapacity(const EngineProfile& aProfile, const Replica& aReplica);
 
+/** Time that a prompt's activations take over the pipe between zones, in ms. */
+double
+transferMs(const EngineProfile& aProfile, double aTokens);
+
 /**
  * The path with the least expected time for the whole answer that covers each
  * layer once and has memory for the request at every part.
--- a/include/poplartrack/fleet/PipeBudget.h
+++ b/include/poplartrack/fleet/PipeBudget.h
@@ -1,16 +1,24 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/fleet/ZonePair.h"
 
 namespace poplartrack {
 
+/** Bytes that one relay has sent between zones since its start. */
+using PipeTotals = std::map<ZonePair, std::uint64_t>;
+
 /**
- * A relay's share of the pipes between availability zones, as a bucket of bytes
- * for each two zones that refills at the share's rate.
+ * What all relays send over the pipes between availability zones, as a bucket
+ * of bytes for each two zones that refills at the pipe's rate. Each relay tells
+ * the others what it has sent. Dealt out evenly beforehand, the pipe's rate
+ * allowed a relay of twenty one prompt in several seconds, and callers were
+ * refused beside pipes that stood empty.
  *
  * A pipe carries one transfer after another, and the tokens of every stream
  * that crosses wait behind the prompts. When a zone lost a layer, seventy
@@ -25,13 +33,24 @@
 class PipeBudget
 {
 public:
-  /** Sets the share of each pipe; what is in the buckets stays, up to the new
+  /** Sets the rate of each pipe; what is in the buckets stays, up to the new
    * depth. */
-  void setShare(double aBytesPerSecond);
+  void setRate(double aBytesPerSecond);
   /** The zones between which nothing more may be sent now. */
   [[nodiscard]] std::set<ZonePair> closed(TimePoint aNow);
+  /** How long bytes would stand before a pipe now; pipes that are free are left
+   * out. */
+  [[nodiscard]] std::map<ZonePair, Duration> waits(TimePoint aNow);
   /** Books bytes that pass between two zones. */
   void take(const ZonePair& aZones, double aBytes, TimePoint aNow);
+  /** What another relay has sent; counted from the first word of its life. */
+  void onPeer(const std::string& aPeer,
+              const PipeTotals& aTotals,
+              TimePoint aNow);
+  /** Forgets a relay that is not heard any more. */
+  void forget(const std::string& aPeer) { this->peers.erase(aPeer); }
+  /** What this relay has sent. */
+  [[nodiscard]] const PipeTotals& own() const { return this->sent; }
 
 private:
   struct Bucket
@@ -41,11 +60,14 @@
   };
 
   void refill(Bucket& aBucket, TimePoint aNow) const;
+  void charge(const ZonePair& aZones, double aBytes, TimePoint aNow);
   [[nodiscard]] double depth() const;
 
   double bytesPerSecond = 0;
   /** Those that are not full. */
   std::map<ZonePair, Bucket> buckets;
+  PipeTotals sent;
+  std::map<std::string, PipeTotals> peers;
 };
 
 } // namespace poplartrack
--- a/src/fleet/PathCosts.h
+++ b/src/fleet/PathCosts.h
@@ -39,8 +39,4 @@
         const std::string& aFrom,
         const std::string& aTo);
 
-/** Time that a prompt's activations take over the pipe between zones, in ms. */
-double
-transferMs(const EngineProfile& aProfile, double aTokens);
-
 } // namespace poplartrack
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -54,6 +54,7 @@
   double firstMs = 0;
   double tokenMs = 0;
   std::size_t parts = 0;
+  std::uint32_t crossings = 0;
   const PathNode* node = nullptr;
   std::uint32_t fromLayer = 0;
   std::size_t fromZone = 0;
@@ -74,6 +75,8 @@
 private:
   std::size_t zoneIndex(const std::string& aZone);
   void prepareCrossings();
+  void prepareZones();
+  [[nodiscard]] std::uint32_t fewestCrossings() const;
   void extendFrom(std::uint32_t aLayer, std::size_t aZone, const Reached& aAt);
   void tryEdge(const Reached& aAt,
                std::uint32_t aFrom,
@@ -106,8 +109,13 @@
   /** Cost of the first token and of each token between two zones. */
   std::vector<double> crossFirst;
   std::vector<double> crossToken;
+  /** What stands before the pipe between them, in ms. */
+  std::vector<double> crossWait;
   /** Time for which one crossing takes a pipe. */
   double crossTransferMs = 0;
+  /** Whether a zone holds a layer, by both. */
+  std::vector<bool> held;
+  std::uint32_t mostCrossings = 0;
   /** Whether a path may cross between two zones. */
   std::vector<bool> crossOpen;
 };
@@ -144,6 +152,7 @@
   const std::size_t count = this->zones.size();
   this->crossFirst.assign(count * count, 0);
   this->crossToken.assign(count * count, 0);
+  this->crossWait.assign(count * count, 0);
   this->crossOpen.assign(count * count, false);
   this->crossTransferMs = transferMs(this->profile, this->demand.promptTokens);
   for (std::size_t from = 0; from < count; ++from) {
@@ -151,31 +160,81 @@
       if (from == to) {
         continue;
       }
+      const ZonePair pair = zonePair(this->zones[from], this->zones[to]);
       const double delay =
         delayMs(this->profile, this->zones[from], this->zones[to]);
-      this->crossFirst[from * count + to] = delay + this->crossTransferMs;
+      const auto wait = this->demand.waits.find(pair);
+      const double waitMs =
+        wait == this->demand.waits.end()
+          ? 0
+          : std::chrono::duration<double, std::milli>(wait->second).count();
+      this->crossFirst[from * count + to] =
+        delay + this->crossTransferMs + waitMs;
       this->crossToken[from * count + to] = delay;
-      this->crossOpen[from * count + to] = !this->demand.closed.contains(
-        zonePair(this->zones[from], this->zones[to]));
+      this->crossWait[from * count + to] = waitMs;
+      this->crossOpen[from * count + to] = !this->demand.closed.contains(pair);
     }
   }
 }
 
+/** Finds out what each zone holds, and how often paths may cross. */
+void
+Search::prepareZones()
+{
+  const std::size_t count = this->zones.size();
+  const std::uint32_t layers = this->profile.layers;
+  this->held.assign(count * layers, false);
+  for (const PathNode& node : this->nodes) {
+    const auto row =
+      this->held.begin() + static_cast<std::ptrdiff_t>(node.zone * layers);
+    std::fill(row + node.layers.from, row + node.layers.to, true);
+  }
+  this->mostCrossings =
+    std::max(this->demand.mostCrossings, this->fewestCrossings());
+}
+
+/** How often a path crosses at least, whatever its replicas have in flight: it
+ * stays in the zone that holds the most layers from where it is. */
+std::uint32_t
+Search::fewestCrossings() const
+{
+  const std::uint32_t layers = this->profile.layers;
+  std::uint32_t stays = 0;
+  std::uint32_t at = 0;
+  while (at < layers) {
+    std::uint32_t farthest = at;
+    for (std::size_t zone = 0; zone < this->zones.size(); ++zone) {
+      std::uint32_t to = at;
+      while (to < layers && this->held[zone * layers + to]) {
+        ++to;
+      }
+      farthest = std::max(farthest, to);
+    }
+    if (farthest == at) {
+      break;
+    }
+    at = farthest;
+    ++stays;
+  }
+  return stays > 0 ? stays - 1 : 0;
+}
+
 /** Whether each layer is held by a replica with memory for the request in this
  * many layers at least. */
 bool
 Search::covered(std::uint32_t aLeastRoom) const
 {
-  std::vector<bool> held(this->profile.layers, false);
+  std::vector<bool> reachable(this->profile.layers, false);
   for (const PathNode& node : this->nodes) {
     if (node.room < aLeastRoom) {
       continue;
     }
     for (std::uint32_t i = node.layers.from; i < node.layers.to; ++i) {
-      held[i] = true;
+      reachable[i] = true;
     }
   }
-  return std::find(held.begin(), held.end(), false) == held.end();
+  return std::find(reachable.begin(), reachable.end(), false) ==
+         reachable.end();
 }
 
 void
@@ -187,7 +246,9 @@
 {
   const bool begins = aFromZone == this->zones.size();
   const bool crosses = !begins && aFromZone != aNode.zone;
-  if (crosses && !this->open(aFromZone, aNode.zone)) {
+  const std::uint32_t crossings = aAt.crossings + (crosses ? 1 : 0);
+  if (crosses &&
+      (crossings > this->mostCrossings || !this->open(aFromZone, aNode.zone))) {
     return;
   }
   const double layers = aTo - aFrom;
@@ -201,6 +262,7 @@
     firstMs += kHopMs + this->crossFirst[cross];
     tokenMs += kHopMs + this->crossToken[cross];
     extra += crosses ? kCrossingTransfers * this->crossTransferMs : 0;
+    extra += (kBacklogWeight - 1) * this->crossWait[cross];
   }
   const double cost =
     aAt.cost + firstMs + tokenMs * this->demand.answerTokens + extra;
@@ -212,6 +274,7 @@
                    aAt.firstMs + firstMs,
                    aAt.tokenMs + tokenMs,
                    aAt.parts + 1,
+                   crossings,
                    &aNode,
                    aFrom,
                    aFromZone };
@@ -296,6 +359,7 @@
     return fail(ErrorKind::Overloaded, kNoMemory);
   }
   this->prepareCrossings();
+  this->prepareZones();
   this->boundary.assign(layers + 1, false);
   this->boundary[layers] = true;
   for (const PathNode& node : this->nodes) {
--- a/src/fleet/PipeBudget.cpp
+++ b/src/fleet/PipeBudget.cpp
@@ -5,9 +5,9 @@
 namespace poplartrack {
 namespace {
 
-/** What may gather in a bucket, in seconds of the share. A relay that sent
- * nothing across for long must not send a burst that holds the pipe for longer
- * than the pauses that callers accept, 200 ms. */
+/** What may gather in a bucket, in seconds of the rate. After a while without
+ * transfers no burst may hold the pipe for longer than the pauses that callers
+ * accept: tokens of running streams stand behind it. */
 constexpr double kDepthSeconds = 0.2;
 
 } // namespace
@@ -19,7 +19,7 @@
 }
 
 void
-PipeBudget::setShare(double aBytesPerSecond)
+PipeBudget::setRate(double aBytesPerSecond)
 {
   this->bytesPerSecond = aBytesPerSecond;
 }
@@ -50,8 +50,52 @@
   return pairs;
 }
 
+std::map<ZonePair, Duration>
+PipeBudget::waits(TimePoint aNow)
+{
+  std::map<ZonePair, Duration> waits;
+  for (auto& [zones, bucket] : this->buckets) {
+    this->refill(bucket, aNow);
+    const double behind = this->depth() - bucket.balance;
+    if (behind > 0 && this->bytesPerSecond > 0) {
+      waits.emplace(
+        zones,
+        std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(behind / this->bytesPerSecond)));
+    }
+  }
+  return waits;
+}
+
 void
 PipeBudget::take(const ZonePair& aZones, double aBytes, TimePoint aNow)
+{
+  this->sent[aZones] += static_cast<std::uint64_t>(aBytes);
+  this->charge(aZones, aBytes, aNow);
+}
+
+void
+PipeBudget::onPeer(const std::string& aPeer,
+                   const PipeTotals& aTotals,
+                   TimePoint aNow)
+{
+  const auto known = this->peers.find(aPeer);
+  if (known == this->peers.end()) {
+    // What it sent before has passed.
+    this->peers.emplace(aPeer, aTotals);
+    return;
+  }
+  for (const auto& [zones, total] : aTotals) {
+    std::uint64_t& before = known->second[zones];
+    if (total > before) {
+      this->charge(zones, static_cast<double>(total - before), aNow);
+      before = total;
+    }
+  }
+}
+
+void
+PipeBudget::charge(const ZonePair& aZones, double aBytes, TimePoint aNow)
 {
   Bucket& bucket =
     this->buckets.try_emplace(aZones, Bucket{ this->depth(), aNow })
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -10,7 +10,7 @@
 namespace poplartrack {
 
 /** Version of the datagrams below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 7;
+constexpr std::uint32_t kPeerFormat = 8;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -22,6 +22,24 @@
   MSGPACK_DEFINE(replica, requests, tokenLayers, readingTokens);
 };
 
+/** What the sender has sent between two availability zones, in kB. */
+struct PipeRow
+{
+  std::string one;
+  std::string other;
+  std::uint64_t kilobytes = 0;
+  MSGPACK_DEFINE(one, other, kilobytes);
+};
+
+/** What the sender counted for a service's retry budget. */
+struct RetryRow
+{
+  std::string service;
+  std::uint32_t requests = 0;
+  std::uint32_t retries = 0;
+  MSGPACK_DEFINE(service, requests, retries);
+};
+
 /** The latest word of the addressed relay that the sender has. It follows the
  * word in the datagram: all else is the same for everybody. With the echoes for
  * all in each word, and words to all zones alike, 23 relays sent 0.224 GB
@@ -63,9 +81,10 @@
   std::uint64_t list = 0;
   /** The sender holds the placement lease. */
   bool leads = false;
-  /** What it counted over the window of the retry budget. */
-  std::uint32_t requests = 0;
-  std::uint32_t retries = 0;
+  /** What it counted over the window of the retry budgets. */
+  std::vector<RetryRow> retries;
+  /** What it sent between zones since its start. */
+  std::vector<PipeRow> pipes;
   /** Fencing number of the placement lease that it held and gave up; 0: none.
    */
   std::uint64_t gaveUp = 0;
@@ -82,8 +101,8 @@
                  configAge,
                  list,
                  leads,
-                 requests,
                  retries,
+                 pipes,
                  gaveUp);
 };
 
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -71,7 +71,6 @@
   this->exchanges.emplace(exchange.id, std::move(owned));
   this->shared.called = true;
   ++this->openCount;
-  this->budget.onRequest(this->now);
   this->admit(exchange);
 }
 
@@ -129,6 +128,7 @@
   aExchange.keyed = admitted.keyed;
   aExchange.giveUpAt = aExchange.arrived + admitted.patience;
   aExchange.service = this->pickService(aExchange);
+  this->budgetOf(aExchange).onRequest(this->now);
   aExchange.need = this->needOf(aExchange);
   if (const auto last = numberIn(headers.find(this->names.lastEventId))) {
     aExchange.lastEvent = static_cast<std::uint64_t>(*last);
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -191,7 +191,7 @@
     const bool again = exchange.route->rule == RepeatRule::Idempotent &&
                        exchange.runs + 1 < exchange.route->attempts &&
                        exchange.sends < kMostSends &&
-                       this->budget.tryRetry(this->now);
+                       this->budgetOf(exchange).tryRetry(this->now);
     if (again) {
       this->shared.metrics.countRetry(RetryReason::ReplicaFailed);
       exchange.avoid.insert(exchange.replica);
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -12,13 +12,31 @@
 namespace poplartrack {
 namespace {
 
-/** Part of the pipe between two zones that all relays may book together. Those
- * with little to send leave some of it; one that is booked in full has a queue
- * that grows with each stream that is told another path. */
-constexpr double kPipePart = 0.6;
+/** Part of the pipe between two zones that all relays book together. One that
+ * is booked in full has a queue that grows with each stream that is told
+ * another path, and with each booking of which the others have not heard yet.
+ */
+constexpr double kPipePart = 0.95;
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
+/** How often a prompt may cross pipes and take half of the objective for that:
+ * with more, its first event is late, and others that could be on time wait for
+ * the pipes. */
+std::uint32_t
+crossingsInTime(const Exchange& aExchange, const PathDemand& aDemand)
+{
+  constexpr double kPart = 0.5;
+  const double objectiveMs =
+    std::chrono::duration<double, std::milli>(aExchange.route->objective)
+      .count();
+  const double transfer =
+    transferMs(*aExchange.service->engine, aDemand.promptTokens);
+  constexpr double kMost = 1'000;
+  return static_cast<std::uint32_t>(
+    std::min(kPart * objectiveMs / std::max(transfer, 1e-3), kMost));
+}
+
 std::vector<double>
 numbersIn(std::string_view aText)
 {
@@ -211,10 +229,17 @@
 {
   const EngineProfile& engine = *aExchange.service->engine;
   if (engine.pipeMbps > 0) {
-    const std::size_t relays = this->shared.peers.read()->size() + 1;
-    this->pipes.setShare(kPipePart * engine.pipeMbps * kBytesPerMegabit /
-                         static_cast<double>(relays));
+    // Relays that are not heard send too: their part is left to them.
+    const auto heard = static_cast<double>(this->peersHeard.size() + 1);
+    const auto known =
+      static_cast<double>(this->shared.peers.read()->size() + 1);
+    this->pipes.setRate(kPipePart * engine.pipeMbps * kBytesPerMegabit *
+                        std::min(heard / known, 1.0));
     aDemand.closed = this->pipes.closed(this->now);
+    aDemand.waits = this->pipes.waits(this->now);
+    if (!aDemand.started) {
+      aDemand.mostCrossings = crossingsInTime(aExchange, aDemand);
+    }
   }
   Result<LayerPath> path = fail(ErrorKind::NoRoute, "");
   for (const bool slowToo : { false, true }) {
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -86,7 +86,8 @@
     return;
   }
   Result<AttemptTarget> target = this->chooseInLine(aExchange);
-  if (target && aExchange.owesRetry && !this->budget.tryRetry(this->now)) {
+  if (target && aExchange.owesRetry &&
+      !this->budgetOf(aExchange).tryRetry(this->now)) {
     target = fail(ErrorKind::Overloaded, "the retry budget is used up");
   }
   if (target) {
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -79,7 +79,7 @@
   , nextId(kFirstId)
   , view(std::make_shared<const ReplicaView>())
   , health(this->settings.heartbeat)
-  , budget(retryPolicy(this->settings))
+  , budgets(retryPolicy(this->settings))
   , ownLife(randomRequestId().low)
 {
 }
@@ -313,7 +313,11 @@
   this->refreshReplicas();
   this->loads.expirePeers(this->now);
   std::erase_if(this->peersHeard, [this](const auto& aEntry) {
-    return this->now - aEntry.second.heard > kPeerSilence;
+    const bool silent = this->now - aEntry.second.heard > kPeerSilence;
+    if (silent) {
+      this->pipes.forget(lifeName(aEntry.first, aEntry.second.echo.life));
+    }
+    return silent;
   });
   this->shared.relaysHeard = this->peersHeard.size();
   this->reports.expire(this->now);
@@ -323,7 +327,7 @@
   });
   this->publishLost();
   this->publishBusy();
-  this->budget.setRelays(
+  this->budgets.setRelays(
     std::max(this->shared.peers.read()->size() + 1, kFewRelays));
   this->askSlowOnes();
   this->moveOffLeaving();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -26,7 +26,7 @@
 #include "poplartrack/fleet/WaitingLine.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
-#include "poplartrack/retry/SharedRetryBudget.h"
+#include "poplartrack/retry/RetryBudgets.h"
 
 namespace poplartrack {
 
@@ -48,6 +48,10 @@
 int
 urgencyOf(const Exchange& aExchange);
 
+/** Names one life of a relay's process. */
+std::string
+lifeName(const Address& aPeer, std::uint64_t aLife);
+
 /** An order to move a running request to another path. */
 struct RepathOrder
 {
@@ -251,6 +255,7 @@
   void onPeerWord(const PeerWord& aWord,
                   const PeerEcho& aEcho,
                   const Address& aFrom);
+  [[nodiscard]] SharedRetryBudget& budgetOf(const Exchange& aExchange);
   void learnFreshness(const PeerWord& aWord, const PeerEcho& aEcho);
 
   void logRequest(const Exchange& aExchange,
@@ -284,7 +289,7 @@
   std::shared_ptr<const ReplicaView> view;
   ReplicaHealth health;
   LoadBook loads;
-  SharedRetryBudget budget;
+  RetryBudgets budgets;
   PipeBudget pipes;
   WaitingLine waiting;
   /** When the present round of the line began. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -24,6 +24,8 @@
 /** Largest datagram that is sent and taken in. */
 constexpr std::size_t kMostBytes = std::size_t{ 8 } * 1024;
 
+constexpr std::uint64_t kBytesPerKilobyte = 1'000;
+
 } // namespace
 
 Result<Done>
@@ -82,9 +84,15 @@
   word.list = this->view->changed;
   word.leads = this->shared.leads;
   word.gaveUp = this->shared.fenceGivenUp;
-  const RetryCounts counts = this->budget.own(this->now);
-  word.requests = counts.requests;
-  word.retries = counts.retries;
+  for (auto& [service, budget] : this->budgets.all()) {
+    const RetryCounts counts = budget.own(this->now);
+    word.retries.push_back(
+      RetryRow{ service, counts.requests, counts.retries });
+  }
+  for (const auto& [zones, bytes] : this->pipes.own()) {
+    word.pipes.push_back(
+      PipeRow{ zones.first, zones.second, bytes / kBytesPerKilobyte });
+  }
   return word;
 }
 
@@ -184,6 +192,19 @@
   this->shared.freshness.prove(std::min(proved, this->shared.clock.now()));
 }
 
+std::string
+lifeName(const Address& aPeer, std::uint64_t aLife)
+{
+  return toText(aPeer) + "/" + std::to_string(aLife);
+}
+
+SharedRetryBudget&
+RelayLoop::Impl::budgetOf(const Exchange& aExchange)
+{
+  return this->budgets.of(
+    aExchange.service == nullptr ? "" : aExchange.service->name);
+}
+
 void
 RelayLoop::Impl::onPeerWord(const PeerWord& aWord,
                             const PeerEcho& aEcho,
@@ -211,8 +232,19 @@
   this->learnFreshness(aWord, aEcho);
   this->hearLeaving(aWord);
   const std::string peer = toText(aFrom);
-  this->budget.onPeer(
-    peer, RetryCounts{ aWord.requests, aWord.retries }, this->now);
+  // A process that starts again at an address has counted nothing yet. What the
+  // one before it spent still counts.
+  const std::string life = lifeName(aFrom, aWord.life);
+  for (const RetryRow& row : aWord.retries) {
+    this->budgets.of(row.service)
+      .onPeer(life, RetryCounts{ row.requests, row.retries }, this->now);
+  }
+  PipeTotals totals;
+  for (const PipeRow& row : aWord.pipes) {
+    totals.emplace(zonePair(row.one, row.other),
+                   row.kilobytes * kBytesPerKilobyte);
+  }
+  this->pipes.onPeer(life, totals, this->now);
   LoadTable table;
   for (const LoadRow& row : aWord.loads) {
     table.emplace(row.replica,
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -132,6 +132,47 @@
   EXPECT_TRUE(narrow.value().crossings.empty());
 }
 
+TEST(PathFinder, CrossesNoMoreThanItMayUnlessTheLayersNeedIt)
+{
+  // Each zone lacks a stretch. From a, a path could also cross to b and back;
+  // its prompt would take the pipe twice for what one crossing does.
+  const std::vector<Replica> replicas{
+    holding("a1", "a", { 0, 6 }),   holding("a2", "a", { 10, 15 }),
+    holding("a3", "a", { 15, 20 }), holding("b1", "b", { 4, 12 }),
+    holding("c1", "c", { 6, 13 }),  holding("c2", "c", { 13, 20 })
+  };
+  PathDemand demand = demandIn("a");
+  demand.mostCrossings = 1;
+  auto candidates = candidatesOf(replicas);
+  candidates[4].load.readingTokens = 9'000;
+  const auto path = findPath(smallProfile(), candidates, demand);
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().crossings.size(), 1U);
+  // Without c, every path crosses twice: it may.
+  candidates.resize(4);
+  const auto twice = findPath(smallProfile(), candidates, demand);
+  ASSERT_TRUE(twice);
+  EXPECT_EQ(twice.value().crossings.size(), 2U);
+}
+
+TEST(PathFinder, TakesThePipeThatIsFree)
+{
+  const std::vector<Replica> replicas{
+    holding("a1", "a", { 0, 5 }),   holding("a2", "a", { 5, 10 }),
+    holding("b1", "b", { 10, 15 }), holding("b2", "b", { 15, 20 }),
+    holding("c1", "c", { 10, 15 }), holding("c2", "c", { 15, 20 })
+  };
+  PathDemand demand = demandIn("a");
+  for (const std::string busy : { "b", "c" }) {
+    demand.waits = { { zonePair("a", busy),
+                       std::chrono::milliseconds{ 100 } } };
+    const auto path = findPath(smallProfile(), candidatesOf(replicas), demand);
+    ASSERT_TRUE(path);
+    EXPECT_EQ(path.value().crossings,
+              std::vector<ZonePair>{ zonePair("a", busy == "b" ? "c" : "b") });
+  }
+}
+
 TEST(PathFinder, FillsTheMemoryThatRequestsUseAndNotMore)
 {
   // Callers come until one is refused. Their answers are as long as expected
--- a/tests/unit/fleet/PipeBudgetTest.cpp
+++ b/tests/unit/fleet/PipeBudgetTest.cpp
@@ -15,7 +15,7 @@
 TEST(PipeBudgetTest, APipeIsClosedUntilWhatWasSentIsPaidFor)
 {
   PipeBudget budget;
-  budget.setShare(kShare);
+  budget.setRate(kShare);
   EXPECT_TRUE(budget.closed(kStart).empty());
   // Twice the share of a second, less what stood ready for 200 ms of it.
   budget.take(kPipe, 2 * kShare, kStart);
@@ -27,7 +27,7 @@
 TEST(PipeBudgetTest, EachPipeHasABucketOfItsOwn)
 {
   PipeBudget budget;
-  budget.setShare(kShare);
+  budget.setRate(kShare);
   budget.take(kPipe, 2 * kShare, kStart);
   EXPECT_FALSE(budget.closed(kStart).contains(kOther));
 }
@@ -38,7 +38,7 @@
   // another zone in the same instant; all of them would hold the pipe for
   // seconds. No more may start than are paid for within a second.
   PipeBudget budget;
-  budget.setShare(kShare);
+  budget.setRate(kShare);
   constexpr double kPrompt = kShare / 4;
   TimePoint now = kStart;
   int sent = 0;
@@ -55,5 +55,36 @@
   EXPECT_LE(sent * kPrompt, 1.5 * kShare);
 }
 
+TEST(PipeBudgetTest, WhatAnotherRelaySentIsBookedOnceAndFromItsFirstWordOn)
+{
+  // Two relays send across one pipe. A word may be lost or come twice; each
+  // tells the total since the start, so the next one brings what was missed.
+  PipeBudget budget;
+  budget.setRate(kShare);
+  const auto total = [](double aSeconds) {
+    return PipeTotals{ { kPipe,
+                         static_cast<std::uint64_t>(aSeconds * kShare) } };
+  };
+  budget.onPeer("other", total(100), kStart);
+  EXPECT_TRUE(budget.closed(kStart).empty());
+  budget.onPeer("other", total(102), kStart);
+  budget.onPeer("other", total(102), kStart);
+  EXPECT_TRUE(budget.closed(kStart + milliseconds{ 1'790 }).contains(kPipe));
+  EXPECT_TRUE(budget.closed(kStart + milliseconds{ 1'810 }).empty());
+  EXPECT_TRUE(budget.own().empty());
+}
+
+TEST(PipeBudgetTest, TellsHowLongAPipeIsBusy)
+{
+  PipeBudget budget;
+  budget.setRate(kShare);
+  EXPECT_TRUE(budget.waits(kStart).empty());
+  budget.take(kPipe, kShare / 10, kStart);
+  EXPECT_EQ(budget.waits(kStart).at(kPipe), milliseconds{ 100 });
+  EXPECT_EQ(budget.waits(kStart + milliseconds{ 60 }).at(kPipe),
+            milliseconds{ 40 });
+  EXPECT_EQ(budget.own().at(kPipe), 100'000U);
+}
+
 } // namespace
 } // namespace poplartrack
