Let zones too small for a copy leave out a stretch each

Cause: where no zone holds a copy, all shared some, cut with the fastest kind first and zones only as a tie-break: about ten crossings a path. Change: each zone holds all that it can but for one stretch, and the stretches lie apart, so that any two zones serve a request with one crossing over their own pipe. Memory left for requests and the places of the stretches are those with which the zones carry most together, by a flow over zones, layers and pipes; a zone that just holds the model keeps it when pipes are slow. Newcomers take what their own zone lacks.

A drawn prompt that crosses is late as a rule: a token waits behind each prompt on the pipe.

--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -46,12 +46,13 @@
  * Decides which layers each replica of one model service holds.
  *
  * Each availability zone gets a whole copy of the model where its memory
- * allows, so that no token crosses zones; zones that are too small share a
- * copy. Within a copy the layers are cut so that every replica keeps memory
- * for the same number of tokens, and fast accelerators take as many layers as
- * that allows. Later changes move as little as possible: an empty replica
- * takes what is missing or doubles the part with the least memory; a part
- * that stays away is taken over by the others with the least loading.
+ * allows, so that no token crosses zones; zones that are too small leave out a
+ * stretch each that others hold, so that a request crosses once. Within a copy
+ * the layers are cut so that every replica keeps memory for the same number of
+ * tokens, and fast accelerators take as many layers as that allows. Later
+ * changes move as little as possible: an empty replica takes what is missing or
+ * doubles the part with the least memory; a part that stays away is taken over
+ * by the others with the least loading.
  *
  * Pure: it is given the time and keeps only its own open orders. Not
  * thread-safe.
@@ -114,6 +115,8 @@
     const EngineProfile& aProfile,
     std::span<const Replica> aReplicas) const;
   void draw(const EngineProfile& aProfile, Group& aGroup);
+  bool drawStaggered(const EngineProfile& aProfile,
+                     const std::vector<Holder*>& aFastFirst);
   void drawChain(const EngineProfile& aProfile, std::vector<Holder*>& aChain);
   void repair(const EngineProfile& aProfile,
               Group& aGroup,
@@ -153,6 +156,10 @@
                                        Group& aGroup);
   void recut(const EngineProfile& aProfile, Group& aGroup);
   void rescue(const EngineProfile& aProfile, std::vector<Group>& aZones);
+  bool completeZone(const EngineProfile& aProfile,
+                    const Group& aGroup,
+                    Holder& aEmpty,
+                    std::optional<LayerRange> aMissing);
   void employ(const EngineProfile& aProfile, Group& aGroup, Holder& aEmpty);
   void order(Holder& aHolder, LayerRange aLayers, const char* aReason);
 
--- a/src/fleet/LayerCut.cpp
+++ b/src/fleet/LayerCut.cpp
@@ -65,29 +65,6 @@
 constexpr double kLeastMemory = 0.3;
 constexpr int kMemorySteps = 14;
 
-/** Answers that a copy gives in a second when its memory is full of usual
- * requests: each token takes one pass through every part. */
-double
-answersPerSecond(const EngineProfile& aProfile,
-                 const std::vector<const AcceleratorKind*>& aReplicas,
-                 const std::vector<std::uint32_t>& aCounts,
-                 double aTokens)
-{
-  const double perRequest = aProfile.usualPrompt + aProfile.usualAnswer;
-  const double requests = aTokens / std::max(perRequest, 1.0);
-  constexpr double kTokensPerK = 1000;
-  const double passMs =
-    aProfile.stepMs +
-    requests * (aProfile.perRequestMs +
-                aProfile.contextMsPerK * perRequest / kTokensPerK);
-  double slowness = 0;
-  for (std::size_t i = 0; i < aReplicas.size(); ++i) {
-    slowness += aReplicas[i]->stepFactor * aCounts[i] / aProfile.layers;
-  }
-  const double answerMs = passMs * slowness * aProfile.usualAnswer;
-  return answerMs > 0 ? requests / answerMs : 0;
-}
-
 /** What a member at its most costs, in layers loaded. A load of one layer takes
  * a fraction of a second once; memory that is missing refuses requests for as
  * long as the cut stands. */
@@ -117,6 +94,27 @@
     std::min<double>(std::floor(most), aProfile.layers));
 }
 
+double
+answersPerSecond(const EngineProfile& aProfile,
+                 const std::vector<const AcceleratorKind*>& aReplicas,
+                 const std::vector<std::uint32_t>& aCounts,
+                 double aTokens)
+{
+  const double perRequest = aProfile.usualPrompt + aProfile.usualAnswer;
+  const double requests = aTokens / std::max(perRequest, 1.0);
+  constexpr double kTokensPerK = 1000;
+  const double passMs =
+    aProfile.stepMs +
+    requests * (aProfile.perRequestMs +
+                aProfile.contextMsPerK * perRequest / kTokensPerK);
+  double slowness = 0;
+  for (std::size_t i = 0; i < aReplicas.size(); ++i) {
+    slowness += aReplicas[i]->stepFactor * aCounts[i] / aProfile.layers;
+  }
+  const double answerMs = passMs * slowness * aProfile.usualAnswer;
+  return answerMs > 0 ? requests / answerMs : 0;
+}
+
 double
 tokensOfCopy(const EngineProfile& aProfile,
              const std::vector<const AcceleratorKind*>& aReplicas,
@@ -141,7 +139,8 @@
 std::vector<std::uint32_t>
 cutLayers(const EngineProfile& aProfile,
           const std::vector<const AcceleratorKind*>& aReplicas,
-          double aTokens)
+          double aTokens,
+          std::uint32_t aLayers)
 {
   double slowest = 0;
   for (const AcceleratorKind* kind : aReplicas) {
@@ -155,17 +154,17 @@
     const bool isFast = aReplicas[i]->stepFactor < kFastPart * slowest;
     (isFast ? fast : slow).push_back(i);
   }
-  if (std::accumulate(most.begin(), most.end(), 0U) < aProfile.layers) {
+  if (std::accumulate(most.begin(), most.end(), 0U) < aLayers) {
     return {};
   }
   std::uint32_t onFast = 0;
   for (const std::size_t place : fast) {
     onFast += most[place];
   }
-  onFast = std::min(onFast, aProfile.layers);
+  onFast = std::min(onFast, aLayers);
   std::vector<std::uint32_t> counts(aReplicas.size(), 0);
   deal(counts, fast, most, onFast);
-  deal(counts, slow, most, aProfile.layers - onFast);
+  deal(counts, slow, most, aLayers - onFast);
   return counts;
 }
 
@@ -180,7 +179,7 @@
   for (int step = kMemorySteps; step >= 0; --step) {
     const double part = kLeastMemory + (1 - kLeastMemory) * step / kMemorySteps;
     const double tokens = part * most;
-    const auto counts = cutLayers(aProfile, aReplicas, tokens);
+    const auto counts = cutLayers(aProfile, aReplicas, tokens, aProfile.layers);
     const double answers =
       counts.empty() ? 0
                      : answersPerSecond(aProfile, aReplicas, counts, tokens);
--- a/src/fleet/LayerCut.h
+++ b/src/fleet/LayerCut.h
@@ -21,12 +21,21 @@
              const std::vector<const AcceleratorKind*>& aReplicas,
              double aMost);
 
-/** Layers for each replica of one copy, in its order; they add up to all
- * layers. Empty when the replicas cannot hold them beside aTokens. */
+/** Layers for each replica of one copy, in its order; they add up to aLayers.
+ * Empty when the replicas cannot hold them beside aTokens. */
 std::vector<std::uint32_t>
 cutLayers(const EngineProfile& aProfile,
           const std::vector<const AcceleratorKind*>& aReplicas,
-          double aTokens);
+          double aTokens,
+          std::uint32_t aLayers);
+
+/** Answers that replicas with so many layers each give in a second when they
+ * keep aTokens of usual requests: each token takes one pass of every part. */
+double
+answersPerSecond(const EngineProfile& aProfile,
+                 const std::vector<const AcceleratorKind*>& aReplicas,
+                 const std::vector<std::uint32_t>& aCounts,
+                 double aTokens);
 
 /**
  * Tokens that a copy of these replicas is best cut for, at most aMost: those
--- a/src/fleet/LayerGap.cpp
+++ b/src/fleet/LayerGap.cpp
@@ -129,6 +129,12 @@
                       Group& aGroup,
                       LayerRange aGap)
 {
+  for (Holder& holder : aGroup) {
+    const bool free = holder.layers.size() == 0 && !holder.moving;
+    if (free && this->completeZone(aProfile, aGroup, holder, aGap)) {
+      return;
+    }
+  }
   // A newcomer may hold as much as a copy of these replicas is cut for; by the
   // goal a fast one took less than the one before it had held, and a neighbour
   // had to stretch over the rest.
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -6,6 +6,7 @@
 
 #include "LayerCopy.h"
 #include "LayerCut.h"
+#include "StaggeredCopies.h"
 
 namespace poplartrack {
 
@@ -133,8 +134,11 @@
                         std::vector<Holder*>& aChain)
 {
   const auto kinds = kindsOf(aProfile, aChain);
-  const auto counts = cutLayers(
-    aProfile, kinds, bestTokens(aProfile, kinds, tokenGoal(aProfile)));
+  const auto counts =
+    cutLayers(aProfile,
+              kinds,
+              bestTokens(aProfile, kinds, tokenGoal(aProfile)),
+              aProfile.layers);
   if (counts.empty()) {
     return;
   }
@@ -145,6 +149,37 @@
   }
 }
 
+/** Draws a group of several zones, each too small for a copy of its own; false
+ * when it is one zone, or together they hold not every layer. */
+bool
+LayerPlanner::drawStaggered(const EngineProfile& aProfile,
+                            const std::vector<Holder*>& aFastFirst)
+{
+  std::map<std::string, std::vector<Holder*>> byZone;
+  for (Holder* holder : aFastFirst) {
+    byZone[holder->replica->zone].push_back(holder);
+  }
+  if (byZone.size() < 2) {
+    return false;
+  }
+  std::vector<std::vector<const AcceleratorKind*>> kinds;
+  for (const auto& [zone, holders] : byZone) {
+    kinds.push_back(kindsOf(aProfile, holders));
+  }
+  const StaggeredCopies copies = staggerCopies(aProfile, kinds);
+  if (copies.rate <= 0) {
+    return false;
+  }
+  auto layers = copies.layers.begin();
+  for (const auto& [zone, holders] : byZone) {
+    for (std::size_t i = 0; i < holders.size(); ++i) {
+      this->order(*holders[i], (*layers)[i], "first plan");
+    }
+    ++layers;
+  }
+  return true;
+}
+
 void
 LayerPlanner::draw(const EngineProfile& aProfile, Group& aGroup)
 {
@@ -160,6 +195,9 @@
       };
       return rank(aLeft) < rank(aRight);
     });
+  if (this->drawStaggered(aProfile, all)) {
+    return;
+  }
   const double goal = tokenGoal(aProfile);
   std::vector<std::vector<Holder*>> best{ all };
   for (std::size_t copies = 2; copies <= all.size(); ++copies) {
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-/** Takes back what was stretched once others hold those layers again: memory
+/** Takes back what was stretched once others of the zone hold those layers
+ * again: memory
  * for requests is worth more than a second holder at the edge of a part. Only
  * from a replica through which nothing passes: it refuses all work until the
  * last answer through the layers that it gives up ends. One that was told so
@@ -48,6 +49,7 @@
       return std::any_of(
         aGroup.begin(), aGroup.end(), [&](const Holder& aOther) {
           return &aOther != &holder && !aOther.moving &&
+                 aOther.replica->zone == holder.replica->zone &&
                  aOther.layers.contains({ aLayer, aLayer + 1 });
         });
     };
@@ -111,11 +113,66 @@
   }
 }
 
+/**
+ * Gives a newcomer what its zone lacks where several zones share the layers:
+ * what the one before it held, as a rule. Doubled elsewhere, each layer of the
+ * model had a holder in some zone, but paths had to cross twice for the part
+ * that was lost. Of several stretches it takes the largest that it closes, of
+ * those with layers that nobody holds if some are named. False when there is
+ * none.
+ */
+bool
+LayerPlanner::completeZone(const EngineProfile& aProfile,
+                           const Group& aGroup,
+                           Holder& aEmpty,
+                           std::optional<LayerRange> aMissing)
+{
+  Group zone;
+  double tokens = tokenGoal(aProfile);
+  for (const Holder& holder : aGroup) {
+    if (holder.replica->zone != aEmpty.replica->zone) {
+      continue;
+    }
+    zone.push_back(holder);
+    if (holder.layers.size() > 0) {
+      tokens =
+        std::min(tokens, tokensBeside(aProfile, holder, holder.layers.size()));
+    }
+  }
+  if (zone.size() == aGroup.size()) {
+    return false;
+  }
+  const std::uint32_t most = std::max(
+    layersBeside(aProfile, *kindOf(aProfile, *aEmpty.replica), tokens), 1U);
+  LayerRange best;
+  for (const LayerRange& gap : gapsOf(zone, aProfile.layers)) {
+    const bool closes = gap.size() <= most;
+    if (aMissing && !(closes && gap.contains(*aMissing))) {
+      continue;
+    }
+    const bool bestCloses = best.size() > 0 && best.size() <= most;
+    const bool better =
+      closes == bestCloses ? gap.size() > best.size() : closes;
+    if (best.size() == 0 || better) {
+      best = gap;
+    }
+  }
+  if (best.size() == 0) {
+    return false;
+  }
+  this->order(
+    aEmpty, { best.from, best.from + std::min(most, best.size()) }, "zone");
+  return true;
+}
+
 void
 LayerPlanner::employ(const EngineProfile& aProfile,
                      Group& aGroup,
                      Holder& aEmpty)
 {
+  if (this->completeZone(aProfile, aGroup, aEmpty, std::nullopt)) {
+    return;
+  }
   // The weakest layer bounds the copy.
   const std::vector<double> tokens = tokensByLayer(aProfile, aGroup);
   const auto weakest = static_cast<std::uint32_t>(
--- a/tests/unit/fleet/LayerCutTest.cpp
+++ b/tests/unit/fleet/LayerCutTest.cpp
@@ -17,7 +17,7 @@
 {
   const EngineProfile profile = smallProfile();
   const AcceleratorKind& slow = profile.kinds.at("slow");
-  EXPECT_TRUE(cutLayers(profile, { &slow }, 0).empty());
+  EXPECT_TRUE(cutLayers(profile, { &slow }, 0, profile.layers).empty());
   EXPECT_EQ(tokensOfCopy(profile, { &slow }, 1'000), 0);
 }
 
@@ -30,7 +30,7 @@
                                             &profile.kinds.at("fast"));
   kinds.insert(kinds.end(), aSlow % 8, &profile.kinds.at("slow"));
   const double tokens = tokensOfCopy(profile, kinds, 4'000);
-  const auto counts = cutLayers(profile, kinds, tokens);
+  const auto counts = cutLayers(profile, kinds, tokens, profile.layers);
   RC_PRE(!counts.empty());
   RC_ASSERT(std::accumulate(counts.begin(), counts.end(), 0U) ==
             profile.layers);
--- a/tests/unit/fleet/LayerPlannerTest.cpp
+++ b/tests/unit/fleet/LayerPlannerTest.cpp
@@ -381,6 +381,30 @@
   EXPECT_TRUE(fleet.withinMemory());
 }
 
+TEST(LayerPlanner, ANewcomerTakesWhatItsOwnZoneLacks)
+{
+  // Three zones share the layers, each without a stretch of its own. One loses
+  // a replica: all layers still have holders in the other two, but its paths
+  // would cross twice. The newcomer there holds what the lost one held.
+  Fleet fleet{ {} };
+  fleet.profile.kinds["slow"].memoryMb = 900;
+  for (const std::string zone : { "a", "b", "c" }) {
+    for (int i = 0; i < 2; ++i) {
+      fleet.replicas.push_back(
+        replicaOf(zone + std::to_string(i), zone, "slow"));
+    }
+  }
+  fleet.start();
+  ASSERT_FALSE(fleet.covered("a"));
+  const LayerRange before = fleet.at("a0").layers.value();
+  fleet.lose("a0");
+  fleet.carryOut(fleet.planAfter(seconds{ 2 }));
+  fleet.replicas.push_back(replicaOf("a9", "a", "slow"));
+  fleet.carryOut(fleet.planAfter(seconds{ 2 }));
+  EXPECT_EQ(fleet.at("a9").layers, before);
+  EXPECT_TRUE(fleet.withinMemory());
+}
+
 TEST(LayerPlanner, AReplicaThatRefusedIsLeftAloneForASecond)
 {
   // It carries out an earlier order; asking it four times a second for eight
--- /dev/null
+++ b/tests/unit/fleet/StaggeredCopiesTest.cpp
@@ -0,0 +1,142 @@
+#include "../../../src/fleet/StaggeredCopies.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "FleetSamples.h"
+#include "poplartrack/fleet/PathFinder.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace fleettest;
+
+/** Replicas with the layers that they were dealt, one zone after the other. */
+std::vector<Replica>
+dealt(const StaggeredCopies& aCopies, const std::string& aKind)
+{
+  std::vector<Replica> replicas;
+  for (std::size_t zone = 0; zone < aCopies.layers.size(); ++zone) {
+    for (const LayerRange& range : aCopies.layers[zone]) {
+      const std::string name = "z" + std::to_string(zone);
+      Replica replica =
+        replicaOf(name + "-" + std::to_string(replicas.size()), name, aKind);
+      if (range.size() > 0) {
+        replica.layers = range;
+      }
+      replicas.push_back(replica);
+    }
+  }
+  return replicas;
+}
+
+Result<LayerPath>
+pathFrom(const EngineProfile& aProfile,
+         const std::vector<Replica>& aReplicas,
+         const std::string& aZone)
+{
+  std::vector<PathCandidate> candidates;
+  for (const Replica& replica : aReplicas) {
+    candidates.push_back(PathCandidate{ &replica, {}, 1 });
+  }
+  PathDemand demand;
+  demand.promptTokens = aProfile.usualPrompt;
+  demand.answerTokens = aProfile.usualAnswer;
+  demand.zone = aZone;
+  return findPath(aProfile, candidates, demand);
+}
+
+TEST(StaggeredCopies, ARequestCrossesOnceWhereNoZoneHoldsAWholeCopy)
+{
+  // Five zones of two replicas that hold nine of twenty layers each. One copy
+  // dealt over all zones had its callers cross at every part; pipes that carry
+  // a prompt in 200 ms were full at a third of the load and the rest was
+  // refused beside free memory.
+  EngineProfile profile = smallProfile();
+  profile.kinds["slow"].memoryMb = 950;
+  profile.pipeMbps = 640;
+  const std::vector<const AcceleratorKind*> zone(2, &profile.kinds["slow"]);
+  const StaggeredCopies copies = staggerCopies(
+    profile, std::vector<std::vector<const AcceleratorKind*>>(5, zone));
+  ASSERT_GT(copies.rate, 0);
+  const auto replicas = dealt(copies, "slow");
+  const auto path = pathFrom(profile, replicas, "z0");
+  ASSERT_TRUE(path);
+  EXPECT_TRUE(isProper(path.value(), replicas, profile.layers));
+  EXPECT_EQ(path.value().crossings.size(), 1U);
+}
+
+TEST(StaggeredCopies, AZoneThatJustHoldsACopyKeepsItWhenPipesAreSlow)
+{
+  // With memory for two requests beside all layers, a zone serves these
+  // without a pipe; the other two zones share a copy beside it.
+  EngineProfile profile = smallProfile();
+  profile.kinds["slow"].memoryMb = 1'250;
+  profile.pipeMbps = 640;
+  const AcceleratorKind* slow = &profile.kinds["slow"];
+  const StaggeredCopies copies =
+    staggerCopies(profile, { { slow, slow }, { slow }, { slow } });
+  ASSERT_EQ(copies.layers.size(), 3U);
+  EXPECT_EQ(copies.layers[0][0].size() + copies.layers[0][1].size(), 20U);
+  const auto replicas = dealt(copies, "slow");
+  const auto path = pathFrom(profile, replicas, "z0");
+  ASSERT_TRUE(path);
+  EXPECT_TRUE(path.value().crossings.empty());
+}
+
+TEST(StaggeredCopies, NothingWhereAllZonesTogetherCannotHoldTheModel)
+{
+  EngineProfile profile = smallProfile();
+  profile.kinds["slow"].memoryMb = 450;
+  const AcceleratorKind* slow = &profile.kinds["slow"];
+  EXPECT_EQ(staggerCopies(profile, { { slow, slow }, { slow } }).rate, 0);
+}
+
+RC_GTEST_PROP(StaggeredCopies,
+              WhatIsDealtFitsAndCoversAllLayers,
+              (const std::vector<std::uint8_t>& aZones, std::uint8_t aPipes))
+{
+  // Fleets of one to eight zones with up to four replicas of two kinds each,
+  // and pipes from 500 Mbit/s on.
+  constexpr std::size_t kMostZones = 8;
+  EngineProfile profile = smallProfile();
+  profile.pipeMbps = 500.0 * (1 + aPipes % 16);
+  std::vector<std::vector<const AcceleratorKind*>> zones;
+  for (const std::uint8_t draw : aZones) {
+    std::vector<const AcceleratorKind*> kinds;
+    for (int i = 0; i < 1 + draw % 4; ++i) {
+      const bool fast = (draw >> (2 + i)) % 2 != 0;
+      kinds.push_back(&profile.kinds[fast ? "fast" : "slow"]);
+    }
+    std::sort(
+      kinds.begin(), kinds.end(), [](const auto* aOne, const auto* aTwo) {
+        return aOne->stepFactor < aTwo->stepFactor;
+      });
+    zones.push_back(kinds);
+    if (zones.size() == kMostZones) {
+      break;
+    }
+  }
+  RC_PRE(!zones.empty());
+  const StaggeredCopies copies = staggerCopies(profile, zones);
+  RC_PRE(copies.rate > 0);
+  std::set<std::uint32_t> held;
+  for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+    RC_ASSERT(copies.layers[zone].size() == zones[zone].size());
+    for (std::size_t i = 0; i < zones[zone].size(); ++i) {
+      const LayerRange range = copies.layers[zone][i];
+      RC_ASSERT(range.to <= profile.layers);
+      RC_ASSERT(range.size() * profile.layerMb <= zones[zone][i]->memoryMb);
+      for (std::uint32_t layer = range.from; layer < range.to; ++layer) {
+        held.insert(layer);
+      }
+    }
+  }
+  RC_ASSERT(held.size() == profile.layers);
+}
+
+} // namespace
+} // namespace poplartrack
