Let two relays of each zone look at the store for all

Cause: each relay looked at configuration, list and lease for itself. At 370 relays it cannot stand. Change: the first two relays of a zone by address look, of those whose looks succeed; they tell the zone what changed in the list, and words bring proofs of freshness, with their age, and the newest versions. A relay that misses news hears of the version and reads; one that hears of nobody's good looks looks itself. What the readers learn of an outage holds for all. Only readers contend for the lease. Waits of looks go by the number of readers.

--- a/include/poplartrack/fleet/ReplicaList.h
+++ b/include/poplartrack/fleet/ReplicaList.h
@@ -41,6 +41,8 @@
     view.changed = this->changed;
     return view;
   }
+  /** Version up to which it has all changes. */
+  [[nodiscard]] std::uint64_t known() const { return this->version; }
   [[nodiscard]] std::size_t size() const { return this->replicas.size(); }
 
 private:
--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -9,6 +9,10 @@
  * way will not bring it. An answer of the store takes some ms. */
 constexpr Duration kBehind = std::chrono::milliseconds{ 300 };
 
+/** An outage of the store that others told of lasts until nobody has spoken of
+ * it for this long: three words between zones. */
+constexpr Duration kOutageLasts = std::chrono::milliseconds{ 1'200 };
+
 /** Pause between two checks whether something newer must be read beside the
  * look that is under way. */
 constexpr Duration kCatchUpPause = std::chrono::milliseconds{ 100 };
@@ -20,6 +24,16 @@
 
 } // namespace fleet_control
 
+/** How long a newer list may be known elsewhere before it is read here. Those
+ * who look pause after each change, so one zone may have it that much before
+ * those who look in the next one do, and tell. */
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::behindPatience() const
+{
+  return fleet_control::kBehind + this->gatherPause();
+}
+
 /** Reads the configuration when another relay has had a newer one for a while,
  * or when no relay's proof is recent: the look that is under way may wait on a
  * connection that has fallen silent. */
@@ -37,6 +51,14 @@
   }
   const bool behind =
     this->configBehind && now - *this->configBehind >= fleet_control::kBehind;
+  const TimePoint outage{ Duration{ this->shared.outageHeard.load() } };
+  const bool away = now - outage < fleet_control::kOutageLasts;
+  if (!this->shared.looks) {
+    // What those that look learn of the store holds for this relay too; asked
+    // by each, a store that is away was asked by all of them every second.
+    this->configReachable = !away;
+    this->shared.storeFails = away;
+  }
   // A thread whose look has failed asks again by itself.
   const bool proofOld = config != nullptr && this->configReachable &&
                         StorePace::wantsProof(this->shared.freshness.age(),
@@ -62,7 +84,7 @@
     this->listBehind.reset();
   } else if (!this->listBehind) {
     this->listBehind = now;
-  } else if (now - *this->listBehind >= fleet_control::kBehind) {
+  } else if (now - *this->listBehind >= this->behindPatience()) {
     this->listBehind.reset();
     const Result<ReplicaPoll> poll =
       this->store.readReplicas(fleet_control::kCatchUpRead);
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -64,6 +64,7 @@
 private:
   Duration followConfig();
   Duration followReplicas();
+  Duration hearReplicas();
   Duration duty();
   Duration place();
   void onConfig(const ConfigPoll& aPoll);
@@ -79,6 +80,7 @@
   void pollLease();
   [[nodiscard]] StorePace pace() const;
   [[nodiscard]] Duration gatherPause() const;
+  [[nodiscard]] Duration behindPatience() const;
 
   RelaySettings settings;
   RelayShared& shared;
@@ -88,7 +90,11 @@
 
   std::uint64_t configAfter = 0;
   bool configStarted = false;
-  std::uint64_t replicasAfter = 0;
+  /** The latest outage of the store that others told of. */
+  TimePoint outageSeen{};
+  bool outageOpen = false;
+  /** When the latest look at the list ended. */
+  TimePoint lookedAt{};
   bool replicasStarted = false;
   /** Two threads may bring answers of the store. */
   std::mutex configGuard;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -18,6 +18,15 @@
  * declared to take 300 ms. */
 constexpr Duration kFirstRead = std::chrono::milliseconds{ 1'500 };
 
+/** Pause of a relay that does not look at the store between two looks at what
+ * others told it. */
+constexpr Duration kHearPause = std::chrono::milliseconds{ 100 };
+
+/** A relay whose look failed is not asked to look for this long: the store may
+ * turn it alone away. After that it may be asked again, or a zone would run out
+ * of relays to ask. */
+constexpr Duration kFailureCounts = std::chrono::seconds{ 5 };
+
 /** Pause between two rounds of duties. */
 constexpr Duration kDutyPause = std::chrono::milliseconds{ 250 };
 
@@ -105,7 +114,7 @@
 StorePace
 FleetControl<Store>::pace() const
 {
-  return StorePace{ this->shared.relaysHeard };
+  return StorePace{ this->shared.readersHeard };
 }
 
 template<FleetStoreLike Store>
@@ -119,6 +128,10 @@
 Duration
 FleetControl<Store>::followConfig()
 {
+  const bool known = this->shared.config.read() != nullptr;
+  if (known && !this->shared.looks) {
+    return fleet_control::kHearPause;
+  }
   const Result<ConfigPoll> poll =
     this->configStarted
       ? this->store.awaitConfig(this->configAfter,
@@ -207,14 +220,24 @@
 Duration
 FleetControl<Store>::followReplicas()
 {
+  std::uint64_t after = 0;
+  {
+    const std::scoped_lock lock{ this->listGuard };
+    after = this->list.known();
+  }
+  if (after > 0 && !this->shared.looks) {
+    return this->hearReplicas();
+  }
   const Result<ReplicaPoll> poll =
     this->replicasStarted
       ? this->store.awaitReplicas(
-          this->replicasAfter,
+          after,
           this->pace().replicasWait(this->uncertain, fleet_control::draw()))
       : this->store.readReplicas(fleet_control::kFirstRead);
   const TimePoint now = this->clock.now();
   const std::scoped_lock lock{ this->listGuard };
+  this->shared.looksFail = !poll && poll.error().kind != ErrorKind::NotFound;
+  this->lookedAt = now;
   if (!poll) {
     const bool read = std::exchange(this->replicasStarted, false);
     if (poll.error().kind == ErrorKind::NotFound && read) {
@@ -231,13 +254,50 @@
   if (!this->replicasReachable.exchange(true)) {
     this->onStoreAnswer("replicas");
   }
-  this->replicasAfter = poll.value().next;
   this->replicasStarted = true;
+  this->shared.listInbox.take();
   this->onReplicas(poll.value(), now);
   const bool quiet = poll.value().present.empty() && poll.value().gone.empty();
+  if (!quiet && !poll.value().whole && this->shared.tellList) {
+    this->shared.tellList(ListNews{ after, poll.value() });
+  }
   return quiet ? Duration{ 0 } : this->gatherPause();
 }
 
+/** Takes over what relays that look at the store tell of the list. News that do
+ * not join what is known are left: the list is read when their version is heard
+ * of for a while. */
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::hearReplicas()
+{
+  const TimePoint now = this->clock.now();
+  const std::scoped_lock lock{ this->listGuard };
+  if (now - this->lookedAt >= fleet_control::kFailureCounts) {
+    this->shared.looksFail = false;
+  }
+  const TimePoint outage{ Duration{ this->shared.outageHeard.load() } };
+  if (outage > this->outageSeen) {
+    // Entries lapse while the store is away: what vanishes now may come back.
+    this->outageSeen = outage;
+    this->outageOpen = true;
+    this->list.onUnreachable(outage);
+  } else if (this->outageOpen && now - outage >= fleet_control::kOutageLasts) {
+    // It is over: what vanishes from now on leaves, and takes no more work.
+    this->outageOpen = false;
+    ReplicaPoll nothing;
+    nothing.next = this->list.known();
+    this->list.onPoll(nothing, now);
+  }
+  for (const ListNews& news : this->shared.listInbox.take()) {
+    const bool joins = news.after <= this->list.known();
+    if (joins && news.poll.next > this->list.known()) {
+      this->onReplicas(news.poll, now);
+    }
+  }
+  return fleet_control::kHearPause;
+}
+
 /** Takes an answer about the replicas over; the list's guard is held. */
 template<FleetStoreLike Store>
 void
@@ -293,7 +353,7 @@
   // The two other threads look again soon; asked by each relay too, the lease
   // was 200 calls for nothing in 8 s without the store, 24 relays.
   const bool away = !this->configReachable && !this->replicasReachable;
-  if (away && this->leading == 0) {
+  if ((away || !this->shared.looks) && this->leading == 0) {
     return;
   }
   if (led && this->leading == 0 &&
--- a/include/poplartrack/relay/RelayDirectory.h
+++ b/include/poplartrack/relay/RelayDirectory.h
@@ -37,11 +37,12 @@
     if (!this->joined) {
       this->join();
     }
-    if (!this->listed || aNow - this->readAt >= kReadPause) {
+    const Duration pause = this->shared.looks ? kReadPause : kReadPauseOthers;
+    if (!this->listed || aNow - this->readAt >= pause) {
       this->read(aNow);
     }
     const bool done =
-      this->joined && this->listed && aNow - this->readAt < kReadPause;
+      this->joined && this->listed && aNow - this->readAt < pause;
     this->nextTry = done ? aNow : aNow + kRetryPause;
   }
 
@@ -49,13 +50,17 @@
   /** The list is read again this often: a relay that joins is heard by the
    * others from its own words, and hears them after this long at most. */
   static constexpr Duration kReadPause = std::chrono::seconds{ 20 };
+  /** ... and by those that do not look at the store for others: they are told
+   * of what they miss by the words of those that do. */
+  static constexpr Duration kReadPauseOthers = std::chrono::seconds{ 60 };
   /** Pause after a call that failed. Tried in every round of duties, four times
    * a second, the list was most of what relays asked of a store that was away:
    * up to 770 calls in 8 s, 24 relays. */
   static constexpr Duration kRetryPause = std::chrono::milliseconds{ 1'500 };
   static constexpr const char* kTable = "relays";
-  /** Relays of one region that tell each other their load. */
-  static constexpr std::size_t kMost = 64;
+  /** Most relays of one region. Those left out would not hear each other, and
+   * each would take the retry budget's slack for its own. */
+  static constexpr std::size_t kMost = 1'000;
 
   void join();
   void read(TimePoint aNow);
@@ -74,11 +79,18 @@
 RelayDirectory<Store>::join()
 {
   const std::string key = this->settings.region + "/" + this->settings.name;
+  const std::string own = toText(this->settings.peers);
+  // A fleet that starts anew has no rows: written at once, each relay's first
+  // calls are one fewer.
+  this->joined =
+    this->store.transact({ TableWrite{ kTable, key, 0, own } }).ok();
+  if (this->joined) {
+    return;
+  }
   const Result<std::optional<TableRow>> row = this->store.readRow(kTable, key);
   if (!row) {
     return;
   }
-  const std::string own = toText(this->settings.peers);
   if (row.value() && row.value()->value == own) {
     this->joined = true;
     return;
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -10,6 +11,7 @@
 #include "poplartrack/base/Address.h"
 #include "poplartrack/base/RcuBox.h"
 #include "poplartrack/fleet/Freshness.h"
+#include "poplartrack/fleet/ListNews.h"
 #include "poplartrack/fleet/RelayConfig.h"
 #include "poplartrack/fleet/ReplicaView.h"
 #include "poplartrack/observe/EventLog.h"
@@ -60,8 +62,8 @@
   std::atomic<std::uint64_t> fenceGivenUp{ 0 };
   /** The highest of which another relay told so. */
   std::atomic<std::uint64_t> fenceFreed{ 0 };
-  /** Relays that are heard. */
-  std::atomic<std::size_t> relaysHeard{ 0 };
+  /** Relays that are heard and look at the store, without this one. */
+  std::atomic<std::size_t> readersHeard{ 0 };
   /** Newest configuration of which another relay spoke. */
   std::atomic<std::uint64_t> configHeard{ 0 };
   /** Newest change of the replicas' list of which another relay spoke. */
@@ -70,6 +72,18 @@
    * connections that were kept open, is refused at once. Taken in, a stream
    * would be cut by the end of the grace time. */
   std::atomic<bool> refusing{ false };
+  /** This relay looks at the store; else others do and tell. */
+  std::atomic<bool> looks{ true };
+  /** Its latest look at the list of replicas failed. */
+  std::atomic<bool> looksFail{ false };
+  /** When all relays that look last said that the store is away, in
+   * microseconds of the clock; 0: never. */
+  std::atomic<std::int64_t> outageHeard{ 0 };
+  /** Tells the relays of the zone what a look at the list brought; empty where
+   * there is nobody to tell. */
+  std::function<void(const ListNews&)> tellList;
+  /** What others told of the list. */
+  ListInbox listInbox;
   Metrics metrics;
   EventLog log;
 };
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -10,7 +10,7 @@
 namespace poplartrack {
 
 /** Version of the datagrams below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 8;
+constexpr std::uint32_t kPeerFormat = 9;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -79,6 +79,9 @@
   std::int64_t configAge = -1;
   /** Latest change of the replicas' list that the sender has. */
   std::uint64_t list = 0;
+  /** The sender looks at the store, and whether its latest look failed. */
+  bool looks = false;
+  bool looksFail = false;
   /** The sender holds the placement lease. */
   bool leads = false;
   /** What it counted over the window of the retry budgets. */
@@ -100,6 +103,8 @@
                  config,
                  configAge,
                  list,
+                 looks,
+                 looksFail,
                  leads,
                  retries,
                  pipes,
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -118,6 +118,9 @@
 void
 RelayLoop::Impl::start()
 {
+  this->shared.tellList = [this](const ListNews& aNews) {
+    this->post([this, aNews] { this->tellList(aNews); });
+  };
   this->thread = std::thread([this] { this->run(); });
 }
 
@@ -319,7 +322,7 @@
     }
     return silent;
   });
-  this->shared.relaysHeard = this->peersHeard.size();
+  this->chooseReaders();
   this->reports.expire(this->now);
   this->expireLeavingHeard();
   std::erase_if(this->ended, [this](const auto& aEntry) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -23,6 +23,7 @@
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/PipeBudget.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
+#include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitingLine.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
@@ -256,6 +257,8 @@
                   const PeerEcho& aEcho,
                   const Address& aFrom);
   [[nodiscard]] SharedRetryBudget& budgetOf(const Exchange& aExchange);
+  void chooseReaders();
+  void tellList(const ListNews& aNews);
   void learnFreshness(const PeerWord& aWord, const PeerEcho& aEcho);
 
   void logRequest(const Exchange& aExchange,
@@ -302,6 +305,8 @@
     PeerEcho echo;
     std::string zone;
     TimePoint heard;
+    bool looks = false;
+    bool looksFail = false;
   };
   std::map<Address, PeerHeard> peersHeard;
   /** Some relay knows its configuration to be the newest. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -13,6 +13,7 @@
 
 #include <msgpack.hpp>
 
+#include "ListWord.h"
 #include "PeerWord.h"
 #include "RelayLoopImpl.h"
 #include "poplartrack/base/TcpSocket.h"
@@ -22,10 +23,23 @@
 namespace {
 
 /** Largest datagram that is sent and taken in. */
-constexpr std::size_t kMostBytes = std::size_t{ 8 } * 1024;
+constexpr std::size_t kMostBytes = std::size_t{ 32 } * 1024;
 
 constexpr std::uint64_t kBytesPerKilobyte = 1'000;
 
+/** A relay that looks at the store and was not heard for this long, three words
+ * of its zone, does not count: another one looks in its place. */
+constexpr Duration kReaderSilence = std::chrono::milliseconds{ 700 };
+
+/** The number with which each datagram begins. */
+std::uint32_t
+formatOf(const msgpack::object& aDatagram)
+{
+  const bool named =
+    aDatagram.type == msgpack::type::ARRAY && aDatagram.via.array.size > 0;
+  return named ? aDatagram.via.array.ptr[0].as<std::uint32_t>() : 0;
+}
+
 } // namespace
 
 Result<Done>
@@ -82,6 +96,8 @@
   word.config = config ? config->version : 0;
   word.configAge = age == Duration::max() ? -1 : age.count();
   word.list = this->view->changed;
+  word.looks = this->shared.looks;
+  word.looksFail = this->shared.looksFail;
   word.leads = this->shared.leads;
   word.gaveUp = this->shared.fenceGivenUp;
   for (auto& [service, budget] : this->budgets.all()) {
@@ -145,6 +161,51 @@
                              sizeof *address));
 }
 
+/** Decides whether this relay looks at the store, and notices that nobody who
+ * looks reaches it. */
+void
+RelayLoop::Impl::chooseReaders()
+{
+  std::vector<StoreReader> heard;
+  for (const auto& [address, peer] : this->peersHeard) {
+    if (this->now - peer.heard < kReaderSilence) {
+      heard.push_back(
+        StoreReader{ address, peer.zone, peer.looks, peer.looksFail });
+    }
+  }
+  const StoreReader own{ this->localPeers,
+                         this->settings.zone,
+                         this->shared.looks,
+                         this->shared.looksFail };
+  this->shared.looks = shallLook(own, heard);
+  this->shared.readersHeard = static_cast<std::size_t>(
+    std::count_if(heard.begin(), heard.end(), [](const StoreReader& aOther) {
+      return aOther.looks;
+    }));
+  if (storeIsAway(heard)) {
+    this->shared.outageHeard =
+      this->shared.clock.now().time_since_epoch().count();
+  }
+}
+
+/** Tells the relays of the own zone what changed in the list: in each zone some
+ * relay looks. One that misses it hears of the version and reads the list. */
+void
+RelayLoop::Impl::tellList(const ListNews& aNews)
+{
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, listWord(aNews));
+  if (bytes.size() > kMostBytes) {
+    this->shared.metrics.count("list_words_too_large_total");
+    return;
+  }
+  for (const auto& [address, peer] : this->peersHeard) {
+    if (peer.zone == this->settings.zone) {
+      this->sendWord(address, { bytes.data(), bytes.size() });
+    }
+  }
+}
+
 /** Answers a relay that is not on the list yet: one that started later read the
  * list with this relay on it. Until all hear each other, each looks at the
  * lease and at the configuration more often: a third of the calls of the first
@@ -210,8 +271,11 @@
                             const PeerEcho& aEcho,
                             const Address& aFrom)
 {
-  this->peersHeard[aFrom] =
-    PeerHeard{ { aWord.life, aWord.sentAt }, aWord.zone, this->now };
+  this->peersHeard[aFrom] = PeerHeard{ { aWord.life, aWord.sentAt },
+                                       aWord.zone,
+                                       this->now,
+                                       aWord.looks,
+                                       aWord.looksFail };
   if (aWord.leads) {
     this->shared.leaderHeard =
       this->shared.clock.now().time_since_epoch().count();
@@ -270,7 +334,14 @@
   PeerEcho echo;
   try {
     std::size_t at = 0;
-    msgpack::unpack(aBytes, aSize, at).get().convert(word);
+    const msgpack::object_handle first = msgpack::unpack(aBytes, aSize, at);
+    if (formatOf(first.get()) == kListFormat) {
+      if (auto news = newsOf(first.get().as<ListWord>())) {
+        this->shared.listInbox.push(std::move(*news));
+      }
+      return;
+    }
+    first.get().convert(word);
     msgpack::unpack(aBytes, aSize, at).get().convert(echo);
   } catch (const std::exception&) {
     this->shared.metrics.count("peer_words_unreadable_total");
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -5,6 +5,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -184,6 +185,37 @@
     this->store.end();
   }
 
+  /** Runs the threads, does something once a replica is listed, and gives how
+   * many are listed when there are as many as wanted. Bounded, so that a fault
+   * ends the test. */
+  template<typename Act>
+  std::size_t listedAfter(Act aAct, std::size_t aWanted)
+  {
+    FleetControl<ScriptedStore> control{
+      this->settings,
+      this->shared,
+      this->store,
+      [](const Replica&,
+         LayerRange,
+         std::uint64_t,
+         const std::function<void(Result<Done>)>&) {}
+    };
+    const auto listed = [this] {
+      return this->shared.replicas.read()->replicas.size();
+    };
+    const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+    while (listed() == 0 && runtimeNow() < latest) {
+      std::this_thread::yield();
+    }
+    aAct();
+    while (listed() < aWanted && runtimeNow() < latest) {
+      std::this_thread::yield();
+    }
+    const std::size_t count = listed();
+    this->store.end();
+    return count;
+  }
+
   int logFd;
   RelayShared shared;
   RelaySettings settings;
@@ -235,5 +267,56 @@
   EXPECT_EQ(this->shared.freshness.age(), Duration::max());
 }
 
+TEST_F(FleetControlTest, ARelayThatDoesNotLookTakesOverWhatOthersTell)
+{
+  // Another relay of the zone looks at the store and tells of a new replica.
+  // This one lists it without a call of its own; its script has no second
+  // answer. News with a hole before them are left alone: what is missing could
+  // be that a replica leaves.
+  ReplicaPoll first = listOf("one");
+  first.next = 5;
+  this->store.willAnswer(pollOf(5));
+  this->store.willList(first);
+  ListNews hole{ 8, listOf("three") };
+  hole.poll.whole = false;
+  hole.poll.next = 9;
+  ListNews joined{ 5, listOf("two") };
+  joined.poll.whole = false;
+  joined.poll.next = 6;
+  this->shared.looks = false;
+  const auto count = this->listedAfter(
+    [&] {
+      this->shared.listInbox.push(hole);
+      this->shared.listInbox.push(joined);
+    },
+    2);
+  EXPECT_EQ(count, 2U);
+  EXPECT_EQ(this->shared.replicas.read()->replicas[1].id, "two");
+}
+
+TEST_F(FleetControlTest, WhatVanishesInAnOutageThatOthersTellOfIsKept)
+{
+  // All relays that look say that the store is away; entries lapse meanwhile.
+  // One that does not look hears first of the outage, then that an entry is
+  // gone and one is new. The replica of the first serves on.
+  ReplicaPoll first = listOf("one");
+  first.next = 5;
+  this->store.willAnswer(pollOf(5));
+  this->store.willList(first);
+  ListNews lapsed{ 5, listOf("two") };
+  lapsed.poll.whole = false;
+  lapsed.poll.next = 6;
+  lapsed.poll.gone = { "one" };
+  this->shared.looks = false;
+  const auto count = this->listedAfter(
+    [&] {
+      this->shared.outageHeard =
+        SuspendAwareClock{}.now().time_since_epoch().count();
+      this->shared.listInbox.push(lapsed);
+    },
+    2);
+  EXPECT_EQ(count, 2U);
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -556,6 +556,46 @@
   EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Expect: two\r\n"));
 }
 
+TEST(RelayPeers, WhatALookBroughtReachesTheRelaysOfTheZone)
+{
+  // One relay's look finds that a replica leaves. The other does not look: it
+  // hears of it, with all that the entry says.
+  RelayWorld looks;
+  RelayWorld hears;
+  looks.start();
+  hears.start();
+  looks.shared.peers.replace(std::make_shared<const std::vector<Address>>(
+    std::vector<Address>{ hears.loop->peersAddress() }));
+  Replica replica;
+  replica.registeredAs = "one";
+  replica.born = 7;
+  replica.id = replicaId("one", 7);
+  replica.address = { "127.0.0.1", 9 };
+  replica.zone = "a";
+  replica.kind = "fast";
+  replica.layers = LayerRange{ 3, 5 };
+  replica.draining = true;
+  ListNews told;
+  told.after = 4;
+  told.poll.next = 5;
+  told.poll.present.push_back(replica);
+  told.poll.gone = { "two" };
+  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+  std::vector<ListNews> heard;
+  while (heard.empty() && runtimeNow() < latest) {
+    // Told to relays that are heard; a word comes each 200 ms.
+    looks.shared.tellList(told);
+    std::this_thread::yield();
+    heard = hears.shared.listInbox.take();
+  }
+  ASSERT_FALSE(heard.empty());
+  EXPECT_EQ(heard[0].after, 4U);
+  EXPECT_EQ(heard[0].poll.next, 5U);
+  EXPECT_EQ(heard[0].poll.gone, std::vector<std::string>{ "two" });
+  ASSERT_EQ(heard[0].poll.present.size(), 1U);
+  EXPECT_EQ(heard[0].poll.present[0], replica);
+}
+
 TEST(RelayPeers, ARelayWithoutTheStoreTakesOverAnothersProof)
 {
   // One relay hears the store, the other does not. The second serves on with
