--- a/include/poplartrack/fleet/LoadBook.h
+++ b/include/poplartrack/fleet/LoadBook.h
@@ -69,9 +69,8 @@
   LoadTable mine;
   std::map<std::string, Peer> others;
   /** Sum over the others. It is read for every replica at every search for a
-   * path: summed up there, 56 replicas and 20 entries took 70 us of a relay
-   * that has 0.09 of a core. What is told are whole numbers, so that nothing is
-   * lost by adding and taking back. */
+   * path: summed up there, it was most of a search's time. What is told are
+   * whole numbers, so that nothing is lost by adding and taking back. */
   LoadTable othersSum;
 };
 
--- a/include/poplartrack/fleet/LossReports.h
+++ b/include/poplartrack/fleet/LossReports.h
@@ -26,8 +26,8 @@
  * What the other relays tell of replicas. A replica that one relay alone cannot
  * reach may be well, and the relay the one that is cut off: it counts as lost
  * when several say so. The first replica of a path is named by nobody; without
- * the count the leader, which had no work there, ordered a dead neighbour to
- * take layers over, and a zone stayed incomplete for 4 s. Not thread-safe.
+ * the count the leader, which has no work there, orders a dead neighbour to
+ * take layers over, and the zone stays incomplete. Not thread-safe.
  */
 class LossReports
 {
--- a/include/poplartrack/fleet/PathFinder.h
+++ b/include/poplartrack/fleet/PathFinder.h
@@ -62,8 +62,7 @@
  * Shortest path over (layer, availability zone): an edge is one replica that
  * runs a contiguous part of what it holds. A change of zone costs the delay
  * for each token and the transfer of the prompt's activations over the shared
- * pipe; with 22,900 B a token that transfer alone is 18 ms for a prompt of 770
- * tokens, which is why paths stay in one zone while it has memory.
+ * pipe, which is why paths stay in one zone while it has memory.
  *
  * Errors: NoRoute (some layer is held by no candidate), Overloaded (held, but
  * without memory for the request).
--- a/include/poplartrack/fleet/PipeBudget.h
+++ b/include/poplartrack/fleet/PipeBudget.h
@@ -16,19 +16,19 @@
 /**
  * What all relays send over the pipes between availability zones, as a bucket
  * of bytes for each two zones that refills at the pipe's rate. Each relay tells
- * the others what it has sent. Dealt out evenly beforehand, the pipe's rate
- * allowed a relay of twenty one prompt in several seconds, and callers were
- * refused beside pipes that stood empty.
+ * the others what it has sent. Dealt out evenly beforehand, the rate of a slow
+ * pipe allows each relay a prompt in several seconds, and callers are refused
+ * beside pipes that stand empty.
  *
  * A pipe carries one transfer after another, and the tokens of every stream
- * that crosses wait behind the prompts. When a zone lost a layer, seventy
- * streams at once were told paths through other zones: at 15 MB each they held
- * a pipe of 2,500 Mbit/s for seconds, callers left after 2.4 s without an event
- * and their successors queued behind transfers that nobody wanted. A request
- * that does not fit is refused at once instead, or waits for its own zone.
+ * that crosses wait behind the prompts. When a zone loses a layer, all its
+ * streams are told paths through other zones at once: they would hold a pipe
+ * for seconds, callers would leave without an event and their successors queue
+ * behind transfers that nobody wants. A request that does not fit is refused at
+ * once instead, or waits for its own zone.
  *
  * A path may be taken while its bucket is not in debt, and is paid for in full:
- * one prompt may be larger than the share of a second. Pure; not thread-safe.
+ * one prompt may be larger than what gathers. Pure; not thread-safe.
  */
 class PipeBudget
 {
--- a/include/poplartrack/retry/SharedRetryBudget.h
+++ b/include/poplartrack/retry/SharedRetryBudget.h
@@ -23,12 +23,11 @@
 /**
  * This process's part of a retry budget that all relays share.
  *
- * Dealt out evenly beforehand, the budget of 23 relays was ten retries each:
- * when two replicas died, those with many streams cut half of them (133 of
- * 259) while the others' shares lay unused. Here each relay knows what the
- * others have counted, at most a fifth of a second old, and takes what is left
- * in proportion to its requests. The parts add up to the whole, so relays that
- * retry at the same moment do not pass the bound together.
+ * Dealt out evenly beforehand, the budget of many relays is a few retries each:
+ * when replicas die, those with many streams cut them while the others' shares
+ * lie unused. Here each relay knows what the others have counted, and takes
+ * what is left in proportion to its requests. The parts add up to the whole, so
+ * relays that retry at the same moment do not pass the bound together.
  *
  * The slack counts only for relays that are heard: one that is cut off from
  * the others uses its own part of it. Pure; not thread-safe.
--- a/src/fleet/LayerCopy.h
+++ b/src/fleet/LayerCopy.h
@@ -17,11 +17,8 @@
 
 /** Tokens that each replica of a copy is to keep memory for: the usual requests
  * of all its slots. A zone's copy then takes the work of a neighbour zone that
- * lost a part. With memory for half of the slots, and one more layer in six on
- * fast accelerators for it, the quiet day of 100 requests a second, 3 s each,
- * booked 90 in 100 of all memory, and the loss of one replica had requests
- * refused to the end of the day. Benefit over five days with trouble, 59
- * replicas in four zones: 0.04 before, 0.28 with all slots. */
+ * lost a part. With less, nearly all memory is booked on a quiet day, and the
+ * loss of one replica has requests refused until it is back. */
 inline double
 tokenGoal(const EngineProfile& aProfile)
 {
--- a/src/fleet/LayerCut.cpp
+++ b/src/fleet/LayerCut.cpp
@@ -59,9 +59,8 @@
 
 /** Least memory that a copy is cut for, as a part of the most that it could
  * keep, and how many amounts between the two are tried. Cut for the most, slow
- * accelerators held as many layers as their memory took. Cut for the most
- * answers in a second, callers got 0.874 of the benefit instead of 0.831 (15
- * days with losses, 38 replicas, 104 requests a second). */
+ * accelerators held as many layers as their memory took, and each token waited
+ * for them. */
 constexpr double kLeastMemory = 0.3;
 constexpr int kMemorySteps = 14;
 
--- a/src/fleet/LayerGap.cpp
+++ b/src/fleet/LayerGap.cpp
@@ -16,9 +16,9 @@
 namespace {
 
 /** A replica whose neighbours are missing takes over layers while it keeps
- * memory for this part of the goal: some forty requests, a third of what a zone
- * has in flight. At twice as much the neighbours of a usual part could not take
- * it over, and the zone was out until the replica came back. */
+ * memory for this part of the goal. With a larger part the neighbours of a
+ * usual gap have no room for it, and the zone is out until the replica is back.
+ */
 constexpr double kStretchedCopy = 0.22;
 
 } // namespace
@@ -226,10 +226,8 @@
 /**
  * Moves a replica to a gap that neighbours cannot fill, when others hold all
  * that it holds. It is missing until the last answer through it ends, but its
- * layers are not. On a day on which three zones of four lost parts of five and
- * six layers, the neighbours had room for four; each of these zones had two
- * replicas that doubled others, and stayed without a whole copy for the 26 s
- * that were left: 5 of 6 requests were late or refused.
+ * layers are not. Without it a zone stays out for want of a few layers, beside
+ * replicas that only double others.
  */
 void
 LayerPlanner::moveSecondHolder(const EngineProfile& aProfile,
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -26,11 +26,10 @@
 } // namespace
 
 /** Takes back what was stretched once others of the zone hold those layers
- * again: memory
- * for requests is worth more than a second holder at the edge of a part. Only
- * from a replica through which nothing passes: it refuses all work until the
- * last answer through the layers that it gives up ends. One that was told so
- * under load refused 307 requests in 7 s, and its zone was out for as long. */
+ * again: memory for requests is worth more than a second holder at the edge of
+ * a part. Only from a replica through which nothing passes: it refuses all work
+ * until the last answer through the layers that it gives up ends, and its zone
+ * is out for as long. */
 void
 LayerPlanner::shrink(const EngineProfile& aProfile,
                      Group& aGroup,
@@ -70,10 +69,9 @@
 /**
  * Whether a copy that nothing else makes whole is cut anew over those that are
  * left. Its parts are missing until the last answers through them end, but only
- * paths that cross zones lead through them. A zone of eleven replicas lost a
- * part of twelve layers, more than its neighbours had room for, and stayed out
- * for the 24 s that were left of a day: 4 in 100 requests were refused for want
- * of memory in the other zones.
+ * paths that cross zones lead through them. Left as it is, a zone whose
+ * neighbours of the gap have no room for it stays out, and the others' memory
+ * is too little for its callers.
  */
 bool
 LayerPlanner::worthRecut(const EngineProfile& aProfile, Group& aGroup)
--- a/src/fleet/PathCosts.cpp
+++ b/src/fleet/PathCosts.cpp
@@ -11,10 +11,8 @@
 
 /** Part of a replica's memory that paths may book. A request is booked with all
  * tokens that it is expected to have at its end, and holds half of its answer
- * on average: what is left over is for those that write more. With 0.92, and
- * three tenths more for each answer, requests were refused while a quarter of
- * the memory was free: 17 in 1,000 against 12 on 15 days with losses. Of some
- * 5,000 requests a day 0 to 86 are preempted now, 4 at the median. */
+ * on average: what is left over is for those that write more. Booked with a
+ * margin beside that, requests are refused while memory is free. */
 constexpr double kBookable = 1.0;
 
 /** ... and that a stream may book that goes on elsewhere. */
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -23,28 +23,24 @@
 constexpr double kHopMs = 0.2;
 
 /** What it is worth to enter the path in the entry's own availability zone, in
- * ms of the whole answer. The events of an answer, about 11 KB, would cross
- * zones else; and all relays would crowd into the fastest zone, whose loss
- * would then hit every request. */
+ * ms of the whole answer. The events of an answer would cross zones else; and
+ * all relays would crowd into the fastest zone, whose loss would then hit every
+ * request. */
 constexpr double kForeignEntryMs = 300.0;
 
 /** What it is worth that a path does not change zones, beside its time: so many
- * times as long as the prompt's activations take the shared pipe from others,
- * 11 to 73 ms on pipes of 16,000 to 2,500 Mbit/s. One crossing costs more than
- * entering a path that lies whole in another zone: where it cost less, a busy
- * zone's requests began at home and crossed, and the longest pause of those
- * streams was 199 ms on average against 95. Looked for only where no whole path
- * had memory left, and at 900 ms on any pipe, crossings came too late: the
- * copies that losses had left whole were crowded first, and the rest of a
- * broken one stood idle. Callers got 0.816 of the benefit instead of 0.787 (15
- * days with losses, pipes of 16,000 Mbit/s). */
+ * times as long as the prompt's activations take the shared pipe from others.
+ * One crossing costs more than entering a path that lies whole in another zone:
+ * where it costs less, a busy zone's requests begin at home and cross, and
+ * their tokens wait behind prompts. Taken only where no whole path has memory
+ * left, crossings come too late: the copies that losses left whole are crowded
+ * first, and the rest of a broken one stands idle. */
 constexpr double kCrossingTransfers = 50.0;
 
 /** Weight of the time that prompts under way take before this one is read.
- * Tokens of running answers travel in the same passes: two prompts of 2,280
- * tokens at once held up every stream of a copy for 150 ms, where 200 ms is
- * the longest pause that counts as on time. With this weight a request goes to
- * another zone's copy rather than behind some 1,800 tokens. */
+ * Tokens of running answers travel in the same passes, so two long prompts at
+ * once hold up every stream of a copy beyond the pauses that callers accept.
+ * With this weight a request goes to another zone's copy instead. */
 constexpr double kBacklogWeight = 8.0;
 
 /** The best way found to one (layer, zone). */
--- a/src/fleet/StorePace.cpp
+++ b/src/fleet/StorePace.cpp
@@ -17,11 +17,9 @@
 constexpr Duration kConfigWaitAlone = milliseconds{ 1'000 };
 
 /** ... and while others are: relays tell each other their proofs five times a
- * second, so the waits grow with their number. Each relay of R looks once in
- * (1 s + 0.5 s x R) / 2, so that one of them has a proof every 0.3 s. 22 relays
- * made 2,114 calls of all kinds on a quiet day with 2.5 s as the longest. Five
- * relays with 0.6 s each, 3 s at most, had no proof for the last 1.2 s before
- * the store went away, and stopped serving that much sooner. */
+ * second, so the waits grow with the number of those that look, and some relay
+ * has a recent proof all the same. The least is what keeps a few relays from
+ * having an old one when the store goes away. */
 constexpr Duration kConfigWaitFew = milliseconds{ 2'500 };
 constexpr Duration kConfigWaitEach = milliseconds{ 500 };
 
@@ -42,9 +40,8 @@
  * bounds of two seconds on both. */
 constexpr Duration kGatherInUse = milliseconds{ 150 };
 
-/** Before the first request nothing hangs on the newest list but placement: 65
- * replicas register over five seconds, in 26 looks a relay with the pause
- * above, in 10 with this one. */
+/** Before the first request nothing hangs on the newest list but placement, and
+ * all replicas register: the next look brings more of them. */
 constexpr Duration kGatherBefore = milliseconds{ 600 };
 
 /** While the store is away each look is a call for nothing; which relay's look
@@ -55,8 +52,8 @@
 constexpr Duration kRetryMostAlone = milliseconds{ 500 };
 
 /** A look may wait on a connection that fell silent while no other relay is
- * heard any more. A proof this old leaves 2.5 s of the 4 s for which keys are
- * trusted to get a newer one. */
+ * heard any more. A proof of this age leaves time to get a newer one before
+ * keys are not trusted any more. */
 constexpr Duration kOldProof = milliseconds{ 1'500 };
 /** ... and one this much younger than the deadline for a new configuration
  * leaves the time for a read beside the look, and the margin before a
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -42,8 +42,7 @@
 
 /** The latest word of the addressed relay that the sender has. It follows the
  * word in the datagram: all else is the same for everybody. With the echoes for
- * all in each word, and words to all zones alike, 23 relays sent 0.224 GB
- * across zones in 48 quiet seconds instead of 0.047. */
+ * all in each word, words would grow with the relays. */
 struct PeerEcho
 {
   /** The addressed relay's life; 0: not heard yet. */
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -76,8 +76,7 @@
 
 /** Whether a request that came right after the start waits for what the relay
  * needs to know. Refused, it would have spent its caller's one return: after
- * all relays died, 140 callers came back to relays that had started 0.2 s
- * before they had read the configuration. */
+ * all relays died, callers come back to relays that have just started. */
 bool
 RelayLoop::Impl::waitsForStart(const Exchange& aExchange)
 {
--- a/src/relay/RelayWaiting.cpp
+++ b/src/relay/RelayWaiting.cpp
@@ -13,9 +13,8 @@
 
 /** A request for which no path has memory waits this long, or twice its
  * objective, at most: callers leave a stream without an event after four
- * objectives, and its prompt has to be read yet. Refused after 250 ms, callers
- * came back once, late, and were refused again: 25 and 20 of 1,000 on two days
- * with lost zones, 21 and 15 with this (four plays each). */
+ * objectives, and its prompt has to be read yet. Refused sooner, callers come
+ * back once, late, and are refused again. */
 constexpr Duration kQueuePatience = std::chrono::milliseconds{ 1'200 };
 
 } // namespace
--- a/src/relay/RetryAdvice.cpp
+++ b/src/relay/RetryAdvice.cpp
@@ -19,9 +19,8 @@
 
 /** A replica that crashed is back after three to five seconds, and what nobody
  * else can hold is loaded again two to four seconds later. A caller has one
- * return: where they came back after 0.9 to 2.9 s, 17 in 1,000 requests were
- * refused in the end on 15 days with losses, and 12 with this. The answer is
- * late in either case. */
+ * return: before that time it is refused again. The answer is late in either
+ * case. */
 constexpr Window kCrowded{ std::chrono::milliseconds{ 2'500 },
                            std::chrono::milliseconds{ 3'500 } };
 
