Book three tenths of a pipe on which streams are on time

Tokens of streams that cross wait behind prompts. Change: 0.3 of a pipe on which a single prompt holds nobody up for long; of slower ones 0.95, where streams are late in any case and what is carried counts.

--- a/src/fleet/StaggeredCopies.cpp
+++ b/src/fleet/StaggeredCopies.cpp
@@ -25,11 +25,6 @@
 /** Times that each zone is placed anew beside the others. */
 constexpr int kRounds = 2;
 
-/** A pipe that carries so many prompts a second or more holds up no stream that
- * crosses it for long: each stands behind one of them for 50 ms at most, and
- * callers accept pauses of some such. */
-constexpr double kSteadyCrossings = 20;
-
 /** One way to lay a zone's replicas over the layers. */
 using Layout = std::vector<LayerRange>;
 
--- a/src/fleet/ZoneFlow.h
+++ b/src/fleet/ZoneFlow.h
@@ -4,6 +4,7 @@
 
 #include "poplartrack/base/LayerRange.h"
 #include "poplartrack/fleet/EngineProfile.h"
+#include "poplartrack/fleet/PipeRate.h"
 
 namespace poplartrack {
 
@@ -16,11 +17,6 @@
   double rate = 0;
 };
 
-/** Requests in a second that a pipe between two zones carries when each crosses
- * it once; infinite where pipes are not bounded. */
-double
-crossingRate(const EngineProfile& aProfile);
-
 /**
  * Requests in a second that the zones carry together, with each request on one
  * path of zones that hold its layers in order. Bounded by the zones' rates and
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -7,16 +7,20 @@
 
 #include "RelayLoopImpl.h"
 #include "poplartrack/fleet/PathFinder.h"
+#include "poplartrack/fleet/PipeRate.h"
 #include "poplartrack/fleet/PlainChoice.h"
 
 namespace poplartrack {
 namespace {
 
-/** Part of the pipe between two zones that all relays book together. One that
- * is booked in full has a queue that grows with each stream that is told
- * another path, and with each booking of which the others have not heard yet.
- */
-constexpr double kPipePart = 0.95;
+/** Part of the pipe between two zones that all relays book together. Tokens of
+ * the streams that cross wait behind prompts: on a pipe that is mostly free
+ * they are on time. */
+constexpr double kCalmPart = 0.3;
+
+/** ... and of a pipe so slow that a prompt alone holds streams up: they are
+ * late in any case, and what it carries at all counts. */
+constexpr double kSlowPipePart = 0.95;
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
@@ -233,7 +237,8 @@
     const auto heard = static_cast<double>(this->peersHeard.size() + 1);
     const auto known =
       static_cast<double>(this->shared.peers.read()->size() + 1);
-    this->pipes.setRate(kPipePart * engine.pipeMbps * kBytesPerMegabit *
+    const double part = crossesSteadily(engine) ? kCalmPart : kSlowPipePart;
+    this->pipes.setRate(part * engine.pipeMbps * kBytesPerMegabit *
                         std::min(heard / known, 1.0));
     aDemand.closed = this->pipes.closed(this->now);
     aDemand.waits = this->pipes.waits(this->now);
