Compare what zones and pipes carry in the same unit, place six zones at a time

Cause: what a zone's memory serves was reckoned in requests a millisecond, what a pipe carries in requests a second: pipes never bound a layout, and one was taken whose paths cross twice. The placing of eight zones also took 0.4 s of a core, of sixteen 6 s. Change: requests a second for both; zones beyond six are dealt into sets, with fewer amounts of memory and steps of load.

--- a/src/fleet/LayerCut.cpp
+++ b/src/fleet/LayerCut.cpp
@@ -111,7 +111,8 @@
     slowness += aReplicas[i]->stepFactor * aCounts[i] / aProfile.layers;
   }
   const double answerMs = passMs * slowness * aProfile.usualAnswer;
-  return answerMs > 0 ? requests / answerMs : 0;
+  constexpr double kMsPerSecond = 1000;
+  return answerMs > 0 ? kMsPerSecond * requests / answerMs : 0;
 }
 
 double
--- a/src/fleet/StaggeredCopies.cpp
+++ b/src/fleet/StaggeredCopies.cpp
@@ -15,8 +15,7 @@
 
 /** Memory for requests that is tried, as parts of the goal. The least serves
  * fleets that just hold the model. */
-constexpr std::array<double, 8> kMemoryParts{ 0.03, 0.05, 0.08, 0.12,
-                                              0.18, 0.27, 0.4,  0.6 };
+constexpr std::array<double, 5> kMemoryParts{ 0.03, 0.07, 0.15, 0.3, 0.6 };
 
 /** Places of a zone's layers that are tried, beside those around a stretch that
  * it leaves out in the middle. */
@@ -25,6 +24,11 @@
 /** Times that each zone is placed anew beside the others. */
 constexpr int kRounds = 2;
 
+/** Zones that are placed beside each other. The work grows with the fourth
+ * power of their number; more of them are dealt into sets, each with all
+ * layers. */
+constexpr std::size_t kMostTogether = 6;
+
 /** One way to lay a zone's replicas over the layers. */
 using Layout = std::vector<LayerRange>;
 
@@ -224,18 +228,50 @@
   return best;
 }
 
-} // namespace
-
+/** Zones that are few enough to be placed beside each other. */
 StaggeredCopies
-staggerCopies(const EngineProfile& aProfile, const std::vector<Kinds>& aZones)
+staggerTogether(const EngineProfile& aProfile, const std::vector<Kinds>& aZones)
 {
   std::vector<std::optional<ZoneChoices>> whole(aZones.size());
   StaggeredCopies best = stagger(aProfile, aZones, whole);
+  bool anyWhole = false;
   for (std::size_t i = 0; i < aZones.size(); ++i) {
     whole[i] = wholeCopy(aProfile, aZones[i]);
+    anyWhole = anyWhole || whole[i].has_value();
+  }
+  if (!anyWhole) {
+    return best;
   }
   StaggeredCopies own = stagger(aProfile, aZones, whole);
   return own.rate > best.rate ? own : best;
 }
 
+} // namespace
+
+StaggeredCopies
+staggerCopies(const EngineProfile& aProfile, const std::vector<Kinds>& aZones)
+{
+  const std::size_t sets = (aZones.size() + kMostTogether - 1) / kMostTogether;
+  if (sets <= 1) {
+    return staggerTogether(aProfile, aZones);
+  }
+  StaggeredCopies all;
+  all.layers.resize(aZones.size());
+  for (std::size_t set = 0; set < sets; ++set) {
+    std::vector<Kinds> zones;
+    for (std::size_t i = set; i < aZones.size(); i += sets) {
+      zones.push_back(aZones[i]);
+    }
+    const StaggeredCopies some = staggerTogether(aProfile, zones);
+    if (some.rate <= 0) {
+      return {};
+    }
+    all.rate += some.rate;
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+      all.layers[set + i * sets] = some.layers[i];
+    }
+  }
+  return all;
+}
+
 } // namespace poplartrack
--- a/src/fleet/ZoneFlow.cpp
+++ b/src/fleet/ZoneFlow.cpp
@@ -10,7 +10,7 @@
 
 /** Equal steps in which the load is dealt: each resource is known to this part
  * of what it carries. */
-constexpr int kSteps = 32;
+constexpr int kSteps = 16;
 
 /** Keeps paths from crossing for nothing where pipes are not bounded. */
 constexpr double kCrossingCost = 1e-9;
