--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -54,8 +54,8 @@
   const TimePoint outage{ Duration{ this->shared.outageHeard.load() } };
   const bool away = now - outage < fleet_control::kOutageLasts;
   if (!this->shared.looks) {
-    // What those that look learn of the store holds for this relay too; asked
-    // by each, a store that is away was asked by all of them every second.
+    // What those that look learn of the store holds for this relay too: nobody
+    // else need ask a store that is away.
     this->configReachable = !away;
     this->shared.storeFails = away;
   }
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -177,7 +177,14 @@
                          this->settings.zone,
                          this->shared.looks,
                          this->shared.looksFail };
-  this->shared.looks = shallLook(own, heard);
+  const bool looks = shallLook(own, heard);
+  if (this->shared.looks.exchange(looks) != looks) {
+    this->shared.metrics.set("store_reader", looks ? 1 : 0);
+    this->shared.log.write(
+      LogLine{ LogPart::Store, looks ? "reads" : "hears" }
+        .with("relays", static_cast<std::int64_t>(heard.size()))
+        .with("last_look_failed", own.fails ? 1 : 0));
+  }
   this->shared.readersHeard = static_cast<std::size_t>(
     std::count_if(heard.begin(), heard.end(), [](const StoreReader& aOther) {
       return aOther.looks;
