Deal the load of a layout in steps that like resources share evenly

Cause: with 16 steps, made fewer for speed, one of three pipes took a step more than the others and counted as the bound of all: 8 requests where 9 pass. ZoneFlow.ZonesThatLeaveOutStretchesApartUseAllPipesBetweenThem failed; its bound stays. Change: 24 steps.

--- a/src/fleet/ZoneFlow.cpp
+++ b/src/fleet/ZoneFlow.cpp
@@ -8,9 +8,10 @@
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
-/** Equal steps in which the load is dealt: each resource is known to this part
- * of what it carries. */
-constexpr int kSteps = 16;
+/** Equal steps in which the load is dealt. A number that two, three, four or
+ * six like resources share without a rest: one step more on one of them would
+ * count as the bound of all. */
+constexpr int kSteps = 24;
 
 /** Keeps paths from crossing for nothing where pipes are not bounded. */
 constexpr double kCrossingCost = 1e-9;
