Begin paths where a slot is free

Cause: a replica takes as many requests as it has slots as the first of their paths; the search looked at memory alone.

Change: relays count, and tell each other, the requests whose path begins at a replica; a fresh request begins only where a slot is free. Running requests and streams that go on elsewhere are not held back. The refusal names both memory and slots.

LoadBook's test of sums expects the new count too.

--- a/include/poplartrack/fleet/LoadBook.h
+++ b/include/poplartrack/fleet/LoadBook.h
@@ -19,6 +19,8 @@
   double tokenLayers = 0;
   /** Prompt tokens that are being read: no event has come of them yet. */
   double readingTokens = 0;
+  /** Requests whose path begins here: each of them takes a slot. */
+  std::uint32_t entered = 0;
 
   friend bool operator==(const ReplicaLoad&, const ReplicaLoad&) = default;
 };
--- a/src/fleet/LoadBook.cpp
+++ b/src/fleet/LoadBook.cpp
@@ -21,6 +21,9 @@
     ++load.requests;
     load.tokenLayers += aTokens * part.layers.size();
   }
+  if (!aPath.parts.empty()) {
+    ++this->mine[aPath.parts.front().replica].entered;
+  }
 }
 
 void
@@ -37,6 +40,13 @@
     }
     found->second.tokenLayers -= aTokens * part.layers.size();
   }
+  if (aPath.parts.empty()) {
+    return;
+  }
+  const auto first = this->mine.find(aPath.parts.front().replica);
+  if (first != this->mine.end() && first->second.entered > 0) {
+    --first->second.entered;
+  }
 }
 
 void
@@ -78,6 +88,7 @@
   for (const auto& [replica, load] : aTable) {
     ReplicaLoad& sum = this->othersSum[replica];
     sum.requests += load.requests;
+    sum.entered += load.entered;
     sum.tokenLayers += load.tokenLayers;
     sum.readingTokens += load.readingTokens;
   }
@@ -89,6 +100,7 @@
   for (const auto& [replica, load] : aTable) {
     ReplicaLoad& sum = this->othersSum[replica];
     sum.requests -= load.requests;
+    sum.entered -= load.entered;
     sum.tokenLayers -= load.tokenLayers;
     sum.readingTokens -= load.readingTokens;
     if (sum.requests == 0) {
@@ -119,6 +131,7 @@
       return;
     }
     sum.requests += found->second.requests;
+    sum.entered += found->second.entered;
     sum.tokenLayers += found->second.tokenLayers;
     sum.readingTokens += found->second.readingTokens;
   };
--- a/src/fleet/PathCosts.cpp
+++ b/src/fleet/PathCosts.cpp
@@ -46,6 +46,7 @@
                              aProfile.layers;
   node.readMs = aDemand.promptTokens * tokenReadMs;
   node.backlogMs = aCandidate.load.readingTokens * tokenReadMs;
+  node.mayEnter = aDemand.started || aCandidate.load.entered < replica.slots;
   const double bookable = aDemand.started ? kBookableStarted : kBookable;
   const double free = bookable * tokenLayerCapacity(aProfile, replica) -
                       aCandidate.load.tokenLayers;
--- a/src/fleet/PathCosts.h
+++ b/src/fleet/PathCosts.h
@@ -20,6 +20,8 @@
   double readMs = 0;
   /** ... and the prompts that are under way there. */
   double backlogMs = 0;
+  /** It takes one more request as the first of its path. */
+  bool mayEnter = true;
   /** Layers of the request for which there is memory. */
   std::uint32_t room = 0;
 };
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -13,7 +13,7 @@
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
-constexpr const char* kNoMemory = "no path has memory for the request";
+constexpr const char* kNoRoom = "no path has memory and a slot for the request";
 
 /** Most replicas that the engines accept on one path. */
 constexpr std::size_t kMaxParts = 32;
@@ -84,6 +84,7 @@
   {
     return this->crossOpen[aFrom * this->zones.size() + aTo];
   }
+  [[nodiscard]] bool mayBeginAt(const PathNode& aNode) const;
   [[nodiscard]] bool uses(const Reached& aAt, const PathNode& aNode) const;
   [[nodiscard]] LayerPath trace(const Reached& aLast) const;
   Reached& reached(std::uint32_t aLayer, std::size_t aZone)
@@ -292,6 +293,16 @@
   return false;
 }
 
+/** Whether the path may begin at the node: at the named first replica of a
+ * running request, else where a slot is free. */
+bool
+Search::mayBeginAt(const PathNode& aNode) const
+{
+  return this->demand.firstReplica.empty()
+           ? aNode.mayEnter
+           : aNode.candidate->replica->id == this->demand.firstReplica;
+}
+
 void
 Search::extendFrom(std::uint32_t aLayer, std::size_t aZone, const Reached& aAt)
 {
@@ -301,8 +312,7 @@
         this->uses(aAt, node)) {
       continue;
     }
-    if (start && !this->demand.firstReplica.empty() &&
-        node.candidate->replica->id != this->demand.firstReplica) {
+    if (start && !this->mayBeginAt(node)) {
       continue;
     }
     const std::uint32_t last = std::min(node.layers.to, aLayer + node.room);
@@ -352,7 +362,7 @@
   // Most searches that find nothing do so because a part is full. Requests that
   // wait for memory, and streams for another path, search again and again.
   if (!this->covered(1)) {
-    return fail(ErrorKind::Overloaded, kNoMemory);
+    return fail(ErrorKind::Overloaded, kNoRoom);
   }
   this->prepareCrossings();
   this->prepareZones();
@@ -384,7 +394,7 @@
     }
   }
   if (best == nullptr) {
-    return fail(ErrorKind::Overloaded, kNoMemory);
+    return fail(ErrorKind::Overloaded, kNoRoom);
   }
   return this->trace(*best);
 }
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -10,7 +10,7 @@
 namespace poplartrack {
 
 /** Version of the datagrams below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 9;
+constexpr std::uint32_t kPeerFormat = 10;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -19,7 +19,8 @@
   std::uint32_t requests = 0;
   std::uint32_t tokenLayers = 0;
   std::uint32_t readingTokens = 0;
-  MSGPACK_DEFINE(replica, requests, tokenLayers, readingTokens);
+  std::uint32_t entered = 0;
+  MSGPACK_DEFINE(replica, requests, tokenLayers, readingTokens, entered);
 };
 
 /** What the sender has sent between two availability zones, in kB. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -76,7 +76,8 @@
       LoadRow{ replica,
                load.requests,
                static_cast<std::uint32_t>(std::max(0.0, load.tokenLayers)),
-               static_cast<std::uint32_t>(load.readingTokens) });
+               static_cast<std::uint32_t>(load.readingTokens),
+               load.entered });
   }
   for (const std::string& replica : this->health.named(this->now)) {
     word.lost.push_back(replica);
@@ -321,7 +322,8 @@
     table.emplace(row.replica,
                   ReplicaLoad{ row.requests,
                                static_cast<double>(row.tokenLayers),
-                               static_cast<double>(row.readingTokens) });
+                               static_cast<double>(row.readingTokens),
+                               row.entered });
   }
   this->loads.onPeer(peer, std::move(table), this->now);
   LossReport report{ { aWord.lost.begin(), aWord.lost.end() },
--- a/src/relay/RelayWaiting.cpp
+++ b/src/relay/RelayWaiting.cpp
@@ -50,7 +50,8 @@
   const Waiter waiter = this->waiterOf(aExchange);
   if (!this->waiting.worthTrying(waiter)) {
     this->shared.metrics.count("path_searches_saved_total");
-    return fail(ErrorKind::Overloaded, "no path has memory for the request");
+    return fail(ErrorKind::Overloaded,
+                "no path has memory and a slot for the request");
   }
   Result<AttemptTarget> target = this->choose(aExchange);
   if (!target) {
--- a/tests/unit/fleet/LoadBookTest.cpp
+++ b/tests/unit/fleet/LoadBookTest.cpp
@@ -30,12 +30,25 @@
   EXPECT_TRUE(book.own().empty());
 }
 
+// Guards against a first part that is booked by its memory alone while its
+// slots are taken.
+TEST(LoadBook, CountsRequestsWhereTheirPathsBegin)
+{
+  LoadBook book;
+  book.add(pathOf("one", "two"), 10);
+  book.onPeer("other", { { "one", ReplicaLoad{ 3, 50, 7, 2 } } }, kStart);
+  EXPECT_EQ(book.at("one").entered, 3U);
+  EXPECT_EQ(book.at("two").entered, 0U);
+  book.remove(pathOf("one", "two"), 10);
+  EXPECT_EQ(book.at("one").entered, 2U);
+}
+
 TEST(LoadBook, AddsWhatOtherRelaysToldUntilTheyFallSilent)
 {
   LoadBook book;
   book.add(pathOf("one", "two"), 10);
   book.onPeer("other", { { "one", ReplicaLoad{ 3, 50, 7 } } }, kStart);
-  EXPECT_EQ(book.at("one"), (ReplicaLoad{ 4, 90, 7 }));
+  EXPECT_EQ(book.at("one"), (ReplicaLoad{ 4, 90, 7, 1 }));
   book.expirePeers(kStart + seconds{ 3 });
   EXPECT_EQ(book.at("one").requests, 1U);
 }
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -52,6 +52,30 @@
   EXPECT_EQ(path.value().parts[2].replica, "b3");
 }
 
+// Guards against requests that queue for a slot of a replica with free memory,
+// and are refused by it after a while, beside another zone's free slots.
+TEST(PathFinder, BeginsWhereASlotIsFree)
+{
+  const auto replicas = twoZones();
+  auto candidates = candidatesOf(replicas);
+  ReplicaLoad full;
+  full.requests = 8;
+  full.entered = 8;
+  candidates[0].load = full;
+  const auto path = findPath(smallProfile(), candidates, demandIn("a"));
+  ASSERT_TRUE(path);
+  EXPECT_EQ(path.value().parts[0].replica, "b1");
+
+  candidates[3].load = full;
+  const auto none = findPath(smallProfile(), candidates, demandIn("a"));
+  ASSERT_FALSE(none);
+  EXPECT_EQ(none.error().kind, ErrorKind::Overloaded);
+
+  PathDemand running = demandIn("a");
+  running.firstReplica = "a1";
+  EXPECT_TRUE(findPath(smallProfile(), candidates, running));
+}
+
 /** How often a path changes its zone. */
 std::size_t
 crossingsOf(const LayerPath& aPath)
