Put newcomers where only slower replicas hold the layers

Cause: a replica that came back empty was given the layers with the least memory. In a release the new replica starts before the old one leaves: it was put elsewhere, and missing where the old one had been.

Change: a newcomer takes the range in which it shortens a token's way most, up to what the zone's fastest copy would be cut for; one that would only double others waits three seconds for a part to come free.

--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -35,6 +35,10 @@
    * do, is cut anew. Replicas that crash are back, empty, after three to five
    * seconds; what they held is loaded again soonest by them. */
   Duration recutPatience = std::chrono::seconds{ 6 };
+  /** A newcomer that would only double others waits this long for a part to
+   * come free. In a release the new replica starts before the old one leaves:
+   * put elsewhere meanwhile, it was missing where the old one had been. */
+  Duration doublePatience = std::chrono::seconds{ 3 };
   /** A replica that refused an order is given none for this long. */
   Duration refusedRest = std::chrono::milliseconds{ 1'000 };
   /** An order that shows no effect for this long is given again, beyond the
@@ -161,6 +165,9 @@
                     Holder& aEmpty,
                     std::optional<LayerRange> aMissing);
   void employ(const EngineProfile& aProfile, Group& aGroup, Holder& aEmpty);
+  bool placeFaster(const EngineProfile& aProfile,
+                   Group& aGroup,
+                   Holder& aHolder);
   void order(Holder& aHolder, LayerRange aLayers, const char* aReason);
 
   LayerPlannerPolicy policy;
@@ -170,7 +177,8 @@
   std::map<std::string, TimePoint> gapSince;
   /** Since when some layer is held by no replica of any copy. */
   std::optional<TimePoint> nowhereSince;
-  std::set<std::string> known;
+  /** Replicas that are listed, and since when. */
+  std::map<std::string, TimePoint> known;
   TimePoint firstSeen{};
   TimePoint lastJoined{};
   TimePoint now{};
--- a/src/fleet/LayerCopy.h
+++ b/src/fleet/LayerCopy.h
@@ -100,6 +100,26 @@
   return cut;
 }
 
+/** Step factor of the fastest member that holds each layer, or will once its
+ * order is done; that of aNobody where none does. */
+template<typename Group>
+std::vector<double>
+fastestByLayer(const EngineProfile& aProfile,
+               const Group& aGroup,
+               double aNobody)
+{
+  std::vector<double> fastest(aProfile.layers, aNobody);
+  for (const auto& holder : aGroup) {
+    const double step = kindOf(aProfile, *holder.replica)->stepFactor;
+    for (auto i = holder.layers.from;
+         i < holder.layers.to && i < aProfile.layers;
+         ++i) {
+      fastest[i] = std::min(fastest[i], step);
+    }
+  }
+  return fastest;
+}
+
 /** Tokens that the group can keep at each layer, over all that hold it. */
 template<typename Group>
 std::vector<double>
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -23,12 +23,14 @@
 bool
 LayerPlanner::settled(std::span<const Replica> aReplicas, TimePoint aNow)
 {
-  std::set<std::string> present;
+  std::map<std::string, TimePoint> present;
   bool anyHolds = false;
   for (const Replica& replica : aReplicas) {
-    present.insert(replica.id);
+    const auto before = this->known.find(replica.id);
+    const bool isNew = before == this->known.end();
+    present.emplace(replica.id, isNew ? aNow : before->second);
     anyHolds = anyHolds || replica.layers.has_value();
-    if (!this->known.contains(replica.id)) {
+    if (isNew) {
       this->lastJoined = aNow;
     }
   }
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -168,7 +168,14 @@
                      Group& aGroup,
                      Holder& aEmpty)
 {
-  if (this->completeZone(aProfile, aGroup, aEmpty, std::nullopt)) {
+  if (this->completeZone(aProfile, aGroup, aEmpty, std::nullopt) ||
+      this->placeFaster(aProfile, aGroup, aEmpty)) {
+    return;
+  }
+  const auto joined = this->known.find(aEmpty.replica->id);
+  const bool waits = joined != this->known.end() &&
+                     this->now - joined->second < this->policy.doublePatience;
+  if (waits) {
     return;
   }
   // The weakest layer bounds the copy.
