Keep a part of the retry budget for streams that have started

The budget is used up, and a stream that then loses a part of its path waits 1.5 s for a retry and is cut.

Ruled out: that the released replicas were not moved off in time (the streams had been told another path, which a full replica refused).

Change: a retry says what it is for. Planned moves may take 0.6 of what the budget allows, fresh requests 0.7, started streams all of it: a fresh one that is refused has not run and can come back.

Ways weighed: moves that cost no attempt (the bound counts every arrival beyond a request's first); admission that slows down as the budget runs low (refuses requests that most often need no retry).

Test: StartedStreamsHaveAPartOfTheirOwn; tests of the budget as a whole spend as started streams do, with their bounds as they were.

--- a/include/poplartrack/retry/SharedRetryBudget.h
+++ b/include/poplartrack/retry/SharedRetryBudget.h
@@ -7,6 +7,7 @@
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/retry/RetryCounts.h"
+#include "poplartrack/retry/RetryNeed.h"
 
 namespace poplartrack {
 
@@ -29,6 +30,10 @@
  * what is left in proportion to its requests. The parts add up to the whole, so
  * relays that retry at the same moment do not pass the bound together.
  *
+ * Part of the budget is kept for streams that have started: releases and full
+ * replicas, with a retry for each refused request, used all of it up, and
+ * streams that lost a part of their path then were cut.
+ *
  * The slack counts only for relays that are heard: one that is cut off from
  * the others uses its own part of it. Pure; not thread-safe.
  */
@@ -47,9 +52,9 @@
   /** What another relay counted. */
   void onPeer(const std::string& aPeer, RetryCounts aCounts, TimePoint aNow);
   /** Whether one retry may be made now. */
-  [[nodiscard]] bool open(TimePoint aNow);
+  [[nodiscard]] bool open(RetryNeed aNeed, TimePoint aNow);
   /** ... and takes it from the budget if so. */
-  bool tryRetry(TimePoint aNow);
+  bool tryRetry(RetryNeed aNeed, TimePoint aNow);
   /** What this relay counted in the window that ends now. */
   [[nodiscard]] RetryCounts own(TimePoint aNow);
 
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -188,10 +188,11 @@
   const bool stream = exchange.streaming && isSuccess(head.status);
   if (!isSuccess(head.status) && head.status >= kInternalError) {
     this->health.onFailure(exchange.replica, ReplicaFailure::Faulty, this->now);
-    const bool again = exchange.route->rule == RepeatRule::Idempotent &&
-                       exchange.runs + 1 < exchange.route->attempts &&
-                       exchange.sends < kMostSends &&
-                       this->budgetOf(exchange).tryRetry(this->now);
+    const bool again =
+      exchange.route->rule == RepeatRule::Idempotent &&
+      exchange.runs + 1 < exchange.route->attempts &&
+      exchange.sends < kMostSends &&
+      this->budgetOf(exchange).tryRetry(retryNeedOf(exchange), this->now);
     if (again) {
       this->shared.metrics.countRetry(RetryReason::ReplicaFailed);
       exchange.avoid.insert(exchange.replica);
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -25,6 +25,12 @@
 
 } // namespace
 
+RetryNeed
+retryNeedOf(const Exchange& aExchange)
+{
+  return aExchange.answering ? RetryNeed::Started : RetryNeed::Fresh;
+}
+
 void
 RelayLoop::Impl::logRequest(const Exchange& aExchange,
                             std::string_view aEvent,
@@ -87,7 +93,7 @@
   }
   Result<AttemptTarget> target = this->chooseInLine(aExchange);
   if (target && aExchange.owesRetry &&
-      !this->budgetOf(aExchange).tryRetry(this->now)) {
+      !this->budgetOf(aExchange).tryRetry(retryNeedOf(aExchange), this->now)) {
     target = fail(ErrorKind::Overloaded, "the retry budget is used up");
   }
   if (target) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -49,6 +49,10 @@
 int
 urgencyOf(const Exchange& aExchange);
 
+/** What a retry of the request would be for. */
+RetryNeed
+retryNeedOf(const Exchange& aExchange);
+
 /** Names one life of a relay's process. */
 std::string
 lifeName(const Address& aPeer, std::uint64_t aLife);
--- a/src/retry/SharedRetryBudget.cpp
+++ b/src/retry/SharedRetryBudget.cpp
@@ -17,6 +17,10 @@
  * the others know: for half a second at least, in which two words are sent. */
 constexpr std::int64_t kUntoldSlices = 1;
 
+/** Part of what is used that retries of each need may take, in the order of the
+ * needs. */
+constexpr std::array<double, 3> kPartOfNeed{ 0.6, 0.7, 1.0 };
+
 } // namespace
 
 std::int64_t
@@ -74,7 +78,7 @@
 }
 
 bool
-SharedRetryBudget::open(TimePoint aNow)
+SharedRetryBudget::open(RetryNeed aNeed, TimePoint aNow)
 {
   const RetryCounts mine = this->own(aNow);
   RetryCounts latest;
@@ -95,7 +99,8 @@
   }
   const double known = static_cast<double>(std::max(this->relays, heard));
   const double slack = this->policy.slack * static_cast<double>(heard) / known;
-  const double left = kUsed * (this->policy.ratio * requests + slack) - told;
+  const double used = kUsed * kPartOfNeed.at(static_cast<std::size_t>(aNeed));
+  const double left = used * (this->policy.ratio * requests + slack) - told;
   // Requests that the others may not know of yet would make the parts more
   // than the whole. One more each, so that a relay without any has a part too.
   const double settled =
@@ -105,9 +110,9 @@
 }
 
 bool
-SharedRetryBudget::tryRetry(TimePoint aNow)
+SharedRetryBudget::tryRetry(RetryNeed aNeed, TimePoint aNow)
 {
-  if (!this->open(aNow)) {
+  if (!this->open(aNeed, aNow)) {
     return false;
   }
   ++this->slices[static_cast<std::size_t>(this->newest) % kSlices].retries;
--- a/tests/unit/retry/SharedRetryBudgetTest.cpp
+++ b/tests/unit/retry/SharedRetryBudgetTest.cpp
@@ -29,7 +29,7 @@
 retriesNow(SharedRetryBudget& aBudget, TimePoint aNow)
 {
   int count = 0;
-  while (aBudget.tryRetry(aNow)) {
+  while (aBudget.tryRetry(RetryNeed::Started, aNow)) {
     ++count;
   }
   return count;
@@ -52,15 +52,41 @@
   EXPECT_GE(retriesNow(budget, loss), 120);
 }
 
+// Guards against streams that are cut because a release and full replicas have
+// taken every retry.
+TEST(SharedRetryBudgetTest, StartedStreamsHaveAPartOfTheirOwn)
+{
+  SharedRetryBudget budget{ policy() };
+  budget.setRelays(1);
+  for (int i = 0; i < 400; ++i) {
+    budget.onRequest(kStart);
+  }
+  const auto spend = [&](RetryNeed aNeed) {
+    int count = 0;
+    while (budget.tryRetry(aNeed, kStart + std::chrono::seconds{ 2 })) {
+      ++count;
+    }
+    return count;
+  };
+  const int planned = spend(RetryNeed::Planned);
+  const int fresh = spend(RetryNeed::Fresh);
+  const int started = spend(RetryNeed::Started);
+  EXPECT_GT(planned, 0);
+  EXPECT_GT(fresh, 0);
+  EXPECT_GE(started, (planned + fresh + started) / 4);
+  EXPECT_LE(planned + fresh + started, 0.2 * 400 + 230);
+}
+
 TEST(SharedRetryBudgetTest, WhatOthersHaveSpentIsGone)
 {
   SharedRetryBudget budget{ policy() };
   budget.setRelays(2);
   budget.onRequest(kStart);
   budget.onPeer("other", RetryCounts{ 10, 300 }, kStart);
-  EXPECT_FALSE(budget.open(kStart));
+  EXPECT_FALSE(budget.open(RetryNeed::Started, kStart));
   // ... until the window has passed.
-  EXPECT_TRUE(budget.open(kStart + std::chrono::seconds{ 11 }));
+  EXPECT_TRUE(
+    budget.open(RetryNeed::Started, kStart + std::chrono::seconds{ 11 }));
 }
 
 TEST(SharedRetryBudgetTest, ARelayThatHearsNobodyUsesItsOwnSlackOnly)
@@ -101,7 +127,7 @@
       moment.requests += requests;
       const int wanted = burst ? 100 : static_cast<int>(random() % 3);
       for (int k = 0; k < wanted; ++k) {
-        moment.retries += budgets[i].tryRetry(now) ? 1 : 0;
+        moment.retries += budgets[i].tryRetry(RetryNeed::Started, now) ? 1 : 0;
       }
     }
     for (std::size_t i = 0; i < relays; ++i) {
