Look for a cut only where a newcomer would make a copy faster

Change: the cheap question goes first, whether any layer is held by slower replicas alone. Orders are the same.

--- a/src/fleet/LayerSpeed.cpp
+++ b/src/fleet/LayerSpeed.cpp
@@ -62,8 +62,14 @@
                           Holder& aHolder)
 {
   const AcceleratorKind& kind = *kindOf(aProfile, *aHolder.replica);
+  const auto fastest = fastestByLayer(aProfile, aGroup, stepOfNobody(aProfile));
+  // The cut of a large zone takes long: most newcomers have nothing to gain,
+  // and ask in each round.
+  if (!fasterRange(fastest, kind.stepFactor, 1)) {
+    return false;
+  }
   const auto range = fasterRange(
-    fastestByLayer(aProfile, aGroup, stepOfNobody(aProfile)),
+    fastest,
     kind.stepFactor,
     layersBeside(aProfile, kind, tokensOfFastest(aProfile, aGroup)));
   if (!range) {
