Say in the log which broken attempts had the same content, and for how long

On-call could not tell from the logs whether the streams that broke with their replica were one request under many ids or a herd: no line said so. path: event=attempt_broken now has content (a hash of client account, host, method, path and body) and there_ms. The hash is taken only where an attempt breaks. Tests: Fingerprint.*; 35 tests of the relay loop, its peers and the fingerprint pass.

--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -48,6 +48,17 @@
   return std::clamp(urgency, 0, kLeastUrgent);
 }
 
+Fingerprint
+contentOf(const Exchange& aExchange)
+{
+  const bool known = aExchange.account != nullptr;
+  return fingerprintOf({ known ? aExchange.account->name : std::string_view{},
+                         aExchange.head.headers.find("host").value_or(""),
+                         aExchange.head.method,
+                         aExchange.head.target,
+                         aExchange.body });
+}
+
 void
 RelayLoop::Impl::beginExchange(CallerConnection& aCaller, MessageHead aHead)
 {
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -294,14 +294,18 @@
                           ReplicaFailure aFailure,
                           std::string_view aCause)
 {
+  constexpr std::int64_t kMicrosPerMs = 1000;
   const bool ran = this->mayHaveRun(aExchange);
   this->health.onFailure(aExchange.replica, aFailure, this->now);
-  this->shared.log.write(LogLine{ LogPart::Path, "attempt_broken" }
-                           .with("id", aExchange.requestId)
-                           .with("replica", aExchange.replica)
-                           .with("cause", aCause)
-                           .with("sent", ran ? 1 : 0)
-                           .with("events", aExchange.events));
+  this->shared.log.write(
+    LogLine{ LogPart::Path, "attempt_broken" }
+      .with("id", aExchange.requestId)
+      .with("replica", aExchange.replica)
+      .with("cause", aCause)
+      .with("sent", ran ? 1 : 0)
+      .with("events", aExchange.events)
+      .with("content", toText(contentOf(aExchange)))
+      .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs));
   aExchange.avoid.insert(aExchange.replica);
   this->dropAttempt(aExchange, ran);
   const RelayRoute& route = *aExchange.route;
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -27,6 +27,7 @@
 #include "poplartrack/fleet/WaitingLine.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
+#include "poplartrack/retry/Fingerprint.h"
 #include "poplartrack/retry/RetryBudgets.h"
 
 namespace poplartrack {
@@ -49,6 +50,10 @@
 int
 urgencyOf(const Exchange& aExchange);
 
+/** What the request asks for, the same for each id under which it comes. */
+Fingerprint
+contentOf(const Exchange& aExchange);
+
 /** What a retry of the request would be for. */
 RetryNeed
 retryNeedOf(const Exchange& aExchange);
