--- /dev/null
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -0,0 +1,145 @@
+// Requests under which replicas end.
+
+#include <atomic>
+#include <thread>
+
+#include "RelayWorld.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace relaytest;
+
+/** What the users allow: replicas that end under a request before it is known
+ * for that, and times that it is sent to one afterwards. */
+constexpr int kMostEnds = 3;
+constexpr int kMostSentAfter = 3;
+
+/** Replicas of a plain service, each of which ends when it begins to run a
+ * request. The list tells that it has ended before the next request comes. */
+class EndingReplicas
+{
+public:
+  explicit EndingReplicas(std::vector<RelayWorld*> aWorlds)
+    : worlds(std::move(aWorlds))
+  {
+    constexpr int kReplicas = 40;
+    for (int i = 0; i < kReplicas; ++i) {
+      for (RelayWorld* world : this->worlds) {
+        world->addReplica(
+          "r" + std::to_string(i), "plain", this->listener.address());
+      }
+    }
+  }
+  EndingReplicas(const EndingReplicas&) = delete;
+  EndingReplicas& operator=(const EndingReplicas&) = delete;
+  ~EndingReplicas()
+  {
+    this->stopping = true;
+    RawSocket::connectTo(this->listener.address());
+    this->thread.join();
+  }
+
+  void start()
+  {
+    this->thread = std::thread([this] { this->run(); });
+  }
+  /** Takes those that have ended off the list of all relays. */
+  void publish()
+  {
+    const std::scoped_lock lock{ this->guard };
+    ++this->version;
+    for (RelayWorld* world : this->worlds) {
+      for (const std::string& replica : this->ended) {
+        world->replicas.erase(replica);
+      }
+      world->publishReplicas(this->version);
+    }
+  }
+  [[nodiscard]] std::uint64_t listVersion() const { return this->version; }
+  [[nodiscard]] int sent() const { return this->runs; }
+
+private:
+  void run()
+  {
+    while (true) {
+      RawSocket connection = this->listener.accept();
+      if (this->stopping) {
+        return;
+      }
+      const std::string head = connection.readUntil("\r\n\r\n");
+      const std::size_t at = head.find("X-Expect: ");
+      const std::size_t from = at + std::string_view{ "X-Expect: " }.size();
+      const std::scoped_lock lock{ this->guard };
+      this->ended.push_back(head.substr(from, head.find("\r\n", from) - from));
+      ++this->runs;
+    }
+  }
+
+  std::vector<RelayWorld*> worlds;
+  RawListener listener;
+  std::mutex guard;
+  std::vector<std::string> ended;
+  std::uint64_t version = 1;
+  std::atomic<int> runs{ 0 };
+  std::atomic<bool> stopping{ false };
+  std::thread thread;
+};
+
+/** Sends the same content under another id; returns the head of the answer. */
+std::string
+callOnce(const RelayWorld& aWorld, int aNumber)
+{
+  RawSocket caller = aWorld.caller();
+  caller.send(RelayWorld::request(
+    "/again/x", "id-" + std::to_string(aNumber), "", "content"));
+  return caller.readUntil("}\n");
+}
+
+TEST(RelayCrash, ARequestUnderWhichReplicasEndIsNotSentOnAndOn)
+{
+  RelayWorld world;
+  EndingReplicas replicas{ { &world } };
+  world.start();
+  replicas.start();
+  std::string answer;
+  constexpr int kCalls = 10;
+  for (int i = 0; i < kCalls; ++i) {
+    answer = callOnce(world, i);
+    replicas.publish();
+  }
+  EXPECT_LE(replicas.sent(), kMostEnds + kMostSentAfter);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+}
+
+TEST(RelayCrash, WhatEndedReplicasAtOneRelayIsNotSentOnByAnother)
+{
+  RelayWorld first;
+  RelayWorld second;
+  EndingReplicas replicas{ { &first, &second } };
+  first.start();
+  second.start();
+  first.shared.peers.replace(std::make_shared<const std::vector<Address>>(
+    std::vector<Address>{ second.loop->peersAddress() }));
+  replicas.start();
+  for (int i = 0; i < kMostEnds; ++i) {
+    callOnce(first, i);
+    replicas.publish();
+  }
+  // Its first word after that tells the latest version of the list.
+  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+  while (second.shared.listHeard < replicas.listVersion() &&
+         runtimeNow() < latest) {
+    std::this_thread::yield();
+  }
+  ASSERT_EQ(second.shared.listHeard, replicas.listVersion());
+  constexpr int kCalls = 10;
+  for (int i = 0; i < kCalls; ++i) {
+    callOnce(second, kMostEnds + i);
+    replicas.publish();
+  }
+  EXPECT_LE(replicas.sent(), kMostEnds + kMostSentAfter);
+}
+
+} // namespace
+} // namespace poplartrack
