Keep requests under which replicas end away from replicas

What callers saw: from 37 s on a replica ended every 0.6 s with all its streams; more than a tenth of the requests of three routes was not served. One content came under ever new ids and reached 12 to 16 replicas after the third had ended under it.

Cause: what is known of a request (replicas to avoid, runs) ends with its id. A content that ends each replica that begins to run it is sent twice under each id, by each relay, for as long as it comes: a retry storm of one poisonous request. Evidence: histories name the same route and caller for the request that began last before each end; RelayCrash.* fail on the code before with 20 and 26 replicas ended, bound 6.

Change: a fingerprint of client account, host, method, path and body; CrashWatch keeps what broke off until the replica is known to have ended (list, restart, or two relays that miss it); CrashLedger, a merge of what all relays saw, puts a request into quarantine after two replicas that ended just after it began or three at any time, and takes it out again when a replica runs it to a good end. Relays tell each other in their words; rows of the store keep it over the loss of all relays. Refused at once as quarantined (503, not run), with what is left of the hour as Retry-After; attempts that have not begun elsewhere are taken back. Why it works: the third end puts it there at the latest, words take 0.2 to 0.4 s, and every way to a replica passes dispatch.

Weighed: three ends always (one more replica with all its streams each time); the id alone with fewer attempts (cuts what victims of a crash need); each broken answer as an end (replicas lose single answers and live: RelayCrash.ABrokenAnswerOfAReplicaThatLivesIsNoCrash).

--- a/include/poplartrack/base/ErrorKind.h
+++ b/include/poplartrack/base/ErrorKind.h
@@ -59,6 +59,8 @@
   // What the caller sent, as HTTP.
   HeadTooLarge,
   HeadTimeout,
+  // What replicas ended under.
+  Quarantined,
 };
 
 /** What an answer says about whether the work ran. */
@@ -99,7 +101,7 @@
 };
 
 constexpr std::size_t kErrorKindCount =
-  static_cast<std::size_t>(ErrorKind::HeadTimeout) + 1;
+  static_cast<std::size_t>(ErrorKind::Quarantined) + 1;
 
 /** The row of a kind. */
 const ErrorRow&
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -14,6 +14,7 @@
 #include "poplartrack/fleet/ReplicaList.h"
 #include "poplartrack/fleet/StorePace.h"
 #include "poplartrack/relay/PlacementDuty.h"
+#include "poplartrack/relay/QuarantineRows.h"
 #include "poplartrack/relay/RelayDirectory.h"
 #include "poplartrack/relay/RelaySettings.h"
 #include "poplartrack/relay/RelayShared.h"
@@ -118,6 +119,7 @@
 
   PlacementDuty placement;
   RelayDirectory<Store> directory;
+  QuarantineRows<Store> quarantine;
   /** The lease under which layers are placed; 0: none. */
   std::atomic<std::uint64_t> leading{ 0 };
   std::atomic<bool> leaving{ false };
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -71,6 +71,7 @@
   , lease(aStore, this->clock, fleet_control::leaseSettings(aSettings))
   , placement(aShared, std::move(aPlace))
   , directory(this->settings, aShared, aStore)
+  , quarantine(aShared, aStore)
   , configThread([this] { return this->followConfig(); })
   , replicasThread([this] { return this->followReplicas(); })
   , configCatchUpThread([this] { return this->catchUpConfig(); })
@@ -387,6 +388,7 @@
     this->dropLapsed();
     this->pollLease();
     this->directory.refresh(this->clock.now());
+    this->quarantine.refresh(this->clock.now());
   }
   return fleet_control::kDutyPause;
 }
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -16,6 +16,8 @@
 #include "poplartrack/fleet/ReplicaView.h"
 #include "poplartrack/observe/EventLog.h"
 #include "poplartrack/observe/Metrics.h"
+#include "poplartrack/retry/Fingerprint.h"
+#include "poplartrack/retry/QuarantineRecord.h"
 
 namespace poplartrack {
 
@@ -49,6 +51,14 @@
   RcuBox<std::set<std::string>> busy{
     std::make_shared<const std::set<std::string>>()
   };
+  /** Requests that are sent to no replica. */
+  RcuBox<std::vector<QuarantineRecord>> quarantine{
+    std::make_shared<const std::vector<QuarantineRecord>>()
+  };
+  /** ... as the store was last seen to keep them. */
+  RcuBox<std::vector<Fingerprint>> quarantineStored{
+    std::make_shared<const std::vector<Fingerprint>>()
+  };
   /** Stopping: not ready, and answers close their connections. */
   std::atomic<bool> draining{ false };
   /** A request has come since the start. */
--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -170,6 +170,12 @@
     408,
     NotRun,
     0 },
+  { Quarantined,
+    "quarantined",
+    "Replicas ended under this request.",
+    503,
+    NotRun,
+    0 },
 } };
 
 constexpr bool
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -11,6 +11,7 @@
 #include "poplartrack/fleet/LayerPath.h"
 #include "poplartrack/fleet/RelayConfig.h"
 #include "poplartrack/relay/EventSplitter.h"
+#include "poplartrack/retry/Fingerprint.h"
 
 namespace poplartrack {
 
@@ -29,6 +30,8 @@
   MessageHead head;
   std::string body;
   std::string requestId;
+  /** What it asks for, once somebody wanted to know; see contentOf. */
+  std::optional<Fingerprint> content;
   /** Keeps route and account alive. */
   std::shared_ptr<const RelayConfig> config;
   const RelayRoute* route = nullptr;
@@ -58,6 +61,8 @@
   /** Replicas that refused or failed it already. */
   std::set<std::string> avoid;
   TimePoint sentAt{};
+  /** When the first event of the present attempt came. */
+  std::optional<TimePoint> runningSince;
   /** Its next attempt is a retry that the budget has not paid for yet. */
   bool owesRetry = false;
   /** Waits for a path or for the retry budget since then. */
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -7,10 +7,12 @@
 
 #include <msgpack.hpp>
 
+#include "poplartrack/retry/Fingerprint.h"
+
 namespace poplartrack {
 
 /** Version of the datagrams below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 10;
+constexpr std::uint32_t kPeerFormat = 11;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -41,6 +43,24 @@
   MSGPACK_DEFINE(service, requests, retries);
 };
 
+/** A replica that ended under a request. */
+struct CrashRow
+{
+  Fingerprint request;
+  std::string replica;
+  bool early = false;
+  MSGPACK_DEFINE(request, replica, early);
+};
+
+/** A request that is sent to no replica. */
+struct QuarantineRow
+{
+  Fingerprint request;
+  /** How long it has been so, in microseconds. */
+  std::int64_t age = 0;
+  MSGPACK_DEFINE(request, age);
+};
+
 /** The latest word of the addressed relay that the sender has. It follows the
  * word in the datagram: all else is the same for everybody. With the echoes for
  * all in each word, words would grow with the relays. */
@@ -91,6 +111,13 @@
   /** Fencing number of the placement lease that it held and gave up; 0: none.
    */
   std::uint64_t gaveUp = 0;
+  /** Replicas that ended under requests lately, as far as the sender knows. */
+  std::vector<CrashRow> crashes;
+  /** All requests that are sent to no replica. */
+  std::vector<QuarantineRow> quarantine;
+  /** Requests that a replica ran to a good end lately, and that replicas had
+   * ended under before. */
+  std::vector<Fingerprint> served;
   MSGPACK_DEFINE(format,
                  life,
                  zone,
@@ -108,7 +135,10 @@
                  leads,
                  retries,
                  pipes,
-                 gaveUp);
+                 gaveUp,
+                 crashes,
+                 quarantine,
+                 served);
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -48,15 +48,19 @@
   return std::clamp(urgency, 0, kLeastUrgent);
 }
 
-Fingerprint
-contentOf(const Exchange& aExchange)
+const Fingerprint&
+contentOf(Exchange& aExchange)
 {
-  const bool known = aExchange.account != nullptr;
-  return fingerprintOf({ known ? aExchange.account->name : std::string_view{},
-                         aExchange.head.headers.find("host").value_or(""),
-                         aExchange.head.method,
-                         aExchange.head.target,
-                         aExchange.body });
+  if (!aExchange.content) {
+    const bool known = aExchange.account != nullptr;
+    aExchange.content =
+      fingerprintOf({ known ? aExchange.account->name : std::string_view{},
+                      aExchange.head.headers.find("host").value_or(""),
+                      aExchange.head.method,
+                      aExchange.head.target,
+                      aExchange.body });
+  }
+  return *aExchange.content;
 }
 
 void
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -143,6 +143,9 @@
       std::max(aExchange.longestPause, this->now - aExchange.lastProgress);
   }
   if (!out.empty()) {
+    if (!aExchange.runningSince) {
+      aExchange.runningSince = this->now;
+    }
     this->endReading(aExchange);
     this->noteRepaired(aExchange);
     text.append(chunkOf(out));
@@ -215,6 +218,9 @@
   if (stream) {
     this->passEvents(exchange, body, true);
   }
+  if (isSuccess(head.status)) {
+    this->noteServed(exchange);
+  }
   exchange.connection = 0;
   this->releaseReplica(connection);
   if (!stream) {
@@ -314,6 +320,7 @@
   const bool allowed = !ran || (repeatable && aExchange.runs < route.attempts);
   if (aFailure == ReplicaFailure::Unreachable) {
     this->publishLost();
+    this->confirmCrashes();
   }
   if (allowed && maySendAgain(aExchange)) {
     this->shared.metrics.countRetry(aExchange.answering
--- /dev/null
+++ b/src/relay/RelayCrashes.cpp
@@ -0,0 +1,216 @@
+// Requests under which replicas end: noticing them, telling the other relays,
+// and sending them to no replica any more.
+
+#include <algorithm>
+
+#include "RelayLoopImpl.h"
+
+namespace poplartrack {
+namespace {
+
+/** A request whose first event came no longer ago than this had just begun. */
+constexpr Duration kJustBegun = std::chrono::milliseconds{ 1'000 };
+
+/** Ends of replicas that one word tells of. */
+constexpr std::size_t kMostCrashRows = 64;
+
+/** Records of the quarantine that one word tells of. */
+constexpr std::size_t kMostQuarantineRows = 256;
+
+} // namespace
+
+/** The connection under an attempt has ended. If its replica has too, the
+ * request may have done that. A replica that leaves ends as planned. */
+void
+RelayLoop::Impl::watchCrash(Exchange& aExchange)
+{
+  const bool planned = this->leavingSince.contains(aExchange.replica);
+  if (planned || !this->mayHaveRun(aExchange)) {
+    return;
+  }
+  const bool early =
+    !aExchange.runningSince || this->now - *aExchange.runningSince < kJustBegun;
+  this->crashWatch.onBroken(
+    CrashReport{ contentOf(aExchange), aExchange.replica, early }, this->now);
+}
+
+/**
+ * Whether a replica has certainly ended. This relay alone may be the one that
+ * is cut off: what breaks off then is nobody's doing, so another relay has to
+ * miss the replica too, or the list.
+ */
+bool
+RelayLoop::Impl::hasEnded(const std::string& aReplica) const
+{
+  if (this->isLost(aReplica) || this->replicaOf(aReplica) == nullptr) {
+    return true;
+  }
+  return this->health.dead(aReplica, this->now) &&
+         this->reports.suspects().contains(aReplica);
+}
+
+/** Enters the ends that are certain by now. */
+void
+RelayLoop::Impl::confirmCrashes()
+{
+  for (const std::string& replica : this->crashWatch.replicas()) {
+    if (!this->hasEnded(replica)) {
+      continue;
+    }
+    for (const CrashReport& report : this->crashWatch.onEnded(replica)) {
+      this->shared.metrics.count("requests_at_ended_replicas_total");
+      if (this->crashes.onCrash(report, CrashSource::Own, this->now)) {
+        this->onQuarantine(report.request, true);
+      }
+    }
+  }
+  this->crashWatch.expire(this->now);
+}
+
+/** A request is in quarantine from now on. */
+void
+RelayLoop::Impl::onQuarantine(const Fingerprint& aRequest, bool aOwn)
+{
+  this->shared.log.write(LogLine{ LogPart::Path, "quarantined" }
+                           .with("content", toText(aRequest))
+                           .with("own", aOwn ? 1 : 0));
+  this->publishQuarantine();
+  // Not from here: a request that looks for a path may have brought the news.
+  this->post([this, aRequest, aOwn] {
+    if (aOwn) {
+      this->tellPeers(true);
+    }
+    this->stopQuarantined(aRequest);
+  });
+}
+
+/** Takes a request off the replicas that have not begun to run it yet. */
+void
+RelayLoop::Impl::stopQuarantined(const Fingerprint& aRequest)
+{
+  std::vector<std::uint64_t> notBegun;
+  for (const auto& [id, exchange] : this->exchanges) {
+    const bool begun = exchange->runningSince.has_value();
+    if (exchange->connection != 0 && !begun &&
+        contentOf(*exchange) == aRequest) {
+      notBegun.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : notBegun) {
+    Exchange& exchange = *this->exchanges.at(id);
+    this->dropAttempt(exchange, this->mayHaveRun(exchange));
+    this->refuseQuarantined(exchange);
+  }
+}
+
+/** How long the request is sent to no replica; nothing when it may be. */
+std::optional<Duration>
+RelayLoop::Impl::quarantineLeft(Exchange& aExchange) const
+{
+  if (this->crashes.empty()) {
+    return std::nullopt;
+  }
+  return this->crashes.quarantineLeft(contentOf(aExchange), this->now);
+}
+
+void
+RelayLoop::Impl::refuseQuarantined(Exchange& aExchange)
+{
+  this->refuse(aExchange,
+               Error{ ErrorKind::Quarantined, toText(contentOf(aExchange)) },
+               aExchange.runs == 0);
+}
+
+/** A replica has run the request to a good end. */
+void
+RelayLoop::Impl::noteServed(Exchange& aExchange)
+{
+  if (this->crashes.empty()) {
+    return;
+  }
+  const Fingerprint& request = contentOf(aExchange);
+  if (this->crashes.onServed(request, this->now)) {
+    this->onReleased(request);
+  }
+}
+
+void
+RelayLoop::Impl::onReleased(const Fingerprint& aRequest)
+{
+  this->shared.log.write(
+    LogLine{ LogPart::Path, "released" }.with("content", toText(aRequest)));
+  this->publishQuarantine();
+}
+
+/** For the thread that keeps the quarantine in the store. */
+void
+RelayLoop::Impl::publishQuarantine()
+{
+  auto records = std::make_shared<const std::vector<QuarantineRecord>>(
+    this->crashes.quarantine(this->now));
+  this->shared.metrics.set("requests_quarantined",
+                           static_cast<std::int64_t>(records->size()));
+  this->shared.quarantine.replace(std::move(records));
+}
+
+/** Takes over what the store keeps, and forgets what is over. */
+void
+RelayLoop::Impl::refreshQuarantine()
+{
+  const auto stored = this->shared.quarantineStored.read();
+  if (stored != this->quarantineRead) {
+    this->quarantineRead = stored;
+    for (const Fingerprint& request : *stored) {
+      if (this->crashes.onQuarantined(request, Duration{ 0 }, this->now)) {
+        this->onQuarantine(request, false);
+      }
+    }
+  }
+  this->confirmCrashes();
+  const std::size_t before = this->shared.quarantine.read()->size();
+  this->crashes.expire(this->now);
+  if (this->crashes.quarantine(this->now).size() != before) {
+    this->publishQuarantine();
+  }
+}
+
+void
+RelayLoop::Impl::tellCrashes(PeerWord& aWord) const
+{
+  for (CrashReport& report :
+       this->crashes.latestCrashes(this->now, kMostCrashRows)) {
+    aWord.crashes.push_back(
+      CrashRow{ report.request, std::move(report.replica), report.early });
+  }
+  for (const QuarantineRecord& record : this->crashes.quarantine(this->now)) {
+    if (aWord.quarantine.size() < kMostQuarantineRows) {
+      aWord.quarantine.push_back(
+        QuarantineRow{ record.request, record.age.count() });
+    }
+  }
+  aWord.served = this->crashes.latestServed(this->now);
+}
+
+void
+RelayLoop::Impl::hearCrashes(const PeerWord& aWord)
+{
+  for (const Fingerprint& request : aWord.served) {
+    if (this->crashes.onServed(request, this->now)) {
+      this->onReleased(request);
+    }
+  }
+  for (const CrashRow& row : aWord.crashes) {
+    const CrashReport report{ row.request, row.replica, row.early };
+    if (this->crashes.onCrash(report, CrashSource::Peer, this->now)) {
+      this->onQuarantine(row.request, false);
+    }
+  }
+  for (const QuarantineRow& row : aWord.quarantine) {
+    if (this->crashes.onQuarantined(
+          row.request, Duration{ row.age }, this->now)) {
+      this->onQuarantine(row.request, false);
+    }
+  }
+}
+
+} // namespace poplartrack
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -91,6 +91,10 @@
       aExchange.runs == 0);
     return;
   }
+  if (this->quarantineLeft(aExchange)) {
+    this->refuseQuarantined(aExchange);
+    return;
+  }
   Result<AttemptTarget> target = this->chooseInLine(aExchange);
   if (target && aExchange.owesRetry &&
       !this->budgetOf(aExchange).tryRetry(retryNeedOf(aExchange), this->now)) {
@@ -129,6 +133,7 @@
   aExchange.replica = aTarget.replica;
   aExchange.path = aTarget.path;
   aExchange.sentAt = this->now;
+  aExchange.runningSince.reset();
   aExchange.lastProgress = this->now;
   aExchange.asking = false;
   ++aExchange.sends;
@@ -274,6 +279,7 @@
   state.othersServe = this->now - this->peerFreshAt <= kPeerServes;
   state.timeLeft = aExchange.giveUpAt - this->now;
   state.spread = hashOf(requestId);
+  state.lasts = this->quarantineLeft(aExchange).value_or(Duration{ 0 });
   this->endExchange(aExchange);
   if (found == this->callers.end()) {
     return;
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -60,6 +60,10 @@
   return policy;
 }
 
+/** Heartbeats after which the list tells that a replica has ended: it misses
+ * three, and the news take a while. */
+constexpr int kHeartbeatsToTell = 4;
+
 /** Relays of a deployment until their list has been read. */
 constexpr std::size_t kFewRelays = 4;
 
@@ -80,6 +84,7 @@
   , view(std::make_shared<const ReplicaView>())
   , health(this->settings.heartbeat)
   , budgets(retryPolicy(this->settings))
+  , crashWatch(this->settings.heartbeat * kHeartbeatsToTell)
   , ownLife(randomRequestId().low)
 {
 }
@@ -240,6 +245,7 @@
   std::erase_if(this->askedAt, [&](const auto& aEntry) {
     return !listed.contains(aEntry.first);
   });
+  this->confirmCrashes();
 }
 
 void
@@ -329,6 +335,7 @@
     return this->now - aEntry.second > kEndedForgotten;
   });
   this->publishLost();
+  this->refreshQuarantine();
   this->publishBusy();
   this->budgets.setRelays(
     std::max(this->shared.peers.read()->size() + 1, kFewRelays));
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -27,6 +28,8 @@
 #include "poplartrack/fleet/WaitingLine.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
+#include "poplartrack/retry/CrashLedger.h"
+#include "poplartrack/retry/CrashWatch.h"
 #include "poplartrack/retry/Fingerprint.h"
 #include "poplartrack/retry/RetryBudgets.h"
 
@@ -51,8 +54,8 @@
 urgencyOf(const Exchange& aExchange);
 
 /** What the request asks for, the same for each id under which it comes. */
-Fingerprint
-contentOf(const Exchange& aExchange);
+const Fingerprint&
+contentOf(Exchange& aExchange);
 
 /** What a retry of the request would be for. */
 RetryNeed
@@ -254,6 +257,22 @@
   void moveOffLeaving();
   [[nodiscard]] bool leavesSoon(const Exchange& aExchange) const;
 
+  // RelayCrashes.cpp: requests under which replicas end.
+  void watchCrash(Exchange& aExchange);
+  [[nodiscard]] bool hasEnded(const std::string& aReplica) const;
+  void confirmCrashes();
+  void onQuarantine(const Fingerprint& aRequest, bool aOwn);
+  void stopQuarantined(const Fingerprint& aRequest);
+  [[nodiscard]] std::optional<Duration> quarantineLeft(
+    Exchange& aExchange) const;
+  void refuseQuarantined(Exchange& aExchange);
+  void noteServed(Exchange& aExchange);
+  void onReleased(const Fingerprint& aRequest);
+  void publishQuarantine();
+  void refreshQuarantine();
+  void tellCrashes(PeerWord& aWord) const;
+  void hearCrashes(const PeerWord& aWord);
+
   // RelayPeers.cpp: datagrams between relays.
   Result<Done> openPeers();
   void readPeers();
@@ -304,6 +323,10 @@
   RetryBudgets budgets;
   PipeBudget pipes;
   WaitingLine waiting;
+  CrashWatch crashWatch;
+  CrashLedger crashes;
+  /** What was last taken over of the quarantine in the store. */
+  std::shared_ptr<const std::vector<Fingerprint>> quarantineRead;
   /** When the present round of the line began. */
   TimePoint roundAt{};
   /** This life of this process, as it names itself to other relays. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -110,6 +110,7 @@
     word.pipes.push_back(
       PipeRow{ zones.first, zones.second, bytes / kBytesPerKilobyte });
   }
+  this->tellCrashes(word);
   return word;
 }
 
@@ -303,6 +304,7 @@
   }
   this->learnFreshness(aWord, aEcho);
   this->hearLeaving(aWord);
+  this->hearCrashes(aWord);
   const std::string peer = toText(aFrom);
   // A process that starts again at an address has counted nothing yet. What the
   // one before it spent still counts.
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -324,6 +324,7 @@
   }
   const bool connecting =
     connection.state == ReplicaConnection::State::Connecting;
+  this->watchCrash(*exchange->second);
   this->onBroken(
     *exchange->second, failureOf(connecting, connection.headSeen), aCause);
 }
--- a/src/relay/RetryAdvice.cpp
+++ b/src/relay/RetryAdvice.cpp
@@ -50,6 +50,9 @@
 Duration
 retryAdvice(const RefusalState& aState)
 {
+  if (aState.kind == ErrorKind::Quarantined) {
+    return aState.lasts;
+  }
   const Window window = windowOf(aState);
   const Duration most = aState.timeLeft / kPartOfTime;
   // A caller with little time gets the same spread in less of it.
--- a/src/relay/RetryAdvice.h
+++ b/src/relay/RetryAdvice.h
@@ -17,10 +17,13 @@
   Duration timeLeft{ 0 };
   /** Spreads callers that were refused together; the same for one request. */
   std::uint64_t spread = 0;
+  /** How long what it is refused for is known to last; 0: not known. */
+  Duration lasts{ 0 };
 };
 
 /**
- * When a caller that was refused should come back. Callers come back once or
+ * When a caller that was refused should come back. Where the reason is known
+ * to last, then. Callers come back once or
  * twice, through another relay as a rule, and wait for a third of their time at
  * most; a second refusal is their last.
  */
--- /dev/null
+++ b/tests/unit/relay/QuarantineRowsTest.cpp
@@ -0,0 +1,184 @@
+#include "poplartrack/relay/QuarantineRows.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+constexpr Fingerprint kRequest{ 1, 2 };
+
+/** One table of rows that may be out of reach. */
+class RowStore
+{
+public:
+  Result<std::optional<TableRow>> readRow(const std::string&,
+                                          const std::string& aKey)
+  {
+    ++this->calls;
+    const auto found = this->rows.find(aKey);
+    return found == this->rows.end() ? std::optional<TableRow>{}
+                                     : std::optional{ found->second };
+  }
+  Result<std::vector<TableRow>> scanRows(const std::string&,
+                                         const std::string&,
+                                         const std::string&,
+                                         std::size_t)
+  {
+    ++this->calls;
+    if (this->away) {
+      return fail(ErrorKind::PlatformUnavailable);
+    }
+    std::vector<TableRow> all;
+    for (const auto& [key, row] : this->rows) {
+      all.push_back(row);
+    }
+    return all;
+  }
+  Result<std::vector<std::uint64_t>> transact(
+    const std::vector<TableWrite>& aWrites)
+  {
+    ++this->calls;
+    if (this->away) {
+      return fail(ErrorKind::PlatformUnavailable);
+    }
+    const TableWrite& write = aWrites.front();
+    const auto found = this->rows.find(write.key);
+    const std::uint64_t version =
+      found == this->rows.end() ? 0 : found->second.version;
+    if (version != write.expect) {
+      return fail(ErrorKind::Conflict);
+    }
+    if (write.value) {
+      this->rows[write.key] = TableRow{ write.key, *write.value, ++this->next };
+    } else {
+      this->rows.erase(write.key);
+    }
+    return std::vector<std::uint64_t>{ this->next };
+  }
+  Result<Done> putObject(const std::string&, const std::string&)
+  {
+    return Done{};
+  }
+  Result<std::string> getObject(const std::string&)
+  {
+    return fail(ErrorKind::NotFound);
+  }
+  Result<std::vector<InstanceInfo>> listInstances()
+  {
+    return std::vector<InstanceInfo>{};
+  }
+
+  std::map<std::string, TableRow> rows;
+  std::uint64_t next = 0;
+  int calls = 0;
+  bool away = false;
+};
+
+class QuarantineRowsTest : public ::testing::Test
+{
+protected:
+  QuarantineRowsTest()
+    : logFd(::open("/dev/null", O_WRONLY))
+    , shared(logFd)
+  {
+  }
+  ~QuarantineRowsTest() override { ::close(this->logFd); }
+
+  void hold(bool aOwn)
+  {
+    this->shared.quarantine.replace(
+      std::make_shared<const std::vector<QuarantineRecord>>(
+        1, QuarantineRecord{ kRequest, Duration{ 0 }, aOwn }));
+  }
+  void release()
+  {
+    this->shared.quarantine.replace(
+      std::make_shared<const std::vector<QuarantineRecord>>());
+  }
+
+  int logFd;
+  RelayShared shared;
+  RowStore store;
+};
+
+TEST_F(QuarantineRowsTest, WhatOneRelayFoundOutlastsAllRelays)
+{
+  QuarantineRows<RowStore> finder{ this->shared, this->store };
+  finder.refresh(kStart);
+  this->hold(true);
+  finder.refresh(kStart + milliseconds{ 250 });
+  EXPECT_EQ(this->store.rows.count(toText(kRequest)), 1U);
+  RelayShared nextLife{ this->logFd };
+  QuarantineRows<RowStore> reader{ nextLife, this->store };
+  reader.refresh(kStart + seconds{ 5 });
+  reader.refresh(kStart + seconds{ 6 });
+  EXPECT_EQ(*nextLife.quarantineStored.read(),
+            std::vector<Fingerprint>{ kRequest });
+  // What was read has not been taken over yet: it is not over.
+  reader.refresh(kStart + seconds{ 7 });
+  EXPECT_EQ(this->store.rows.count(toText(kRequest)), 1U);
+}
+
+TEST_F(QuarantineRowsTest, WhatOthersToldIsWrittenByTheLeaderAlone)
+{
+  QuarantineRows<RowStore> rows{ this->shared, this->store };
+  this->hold(false);
+  rows.refresh(kStart);
+  EXPECT_TRUE(this->store.rows.empty());
+  this->shared.leads = true;
+  rows.refresh(kStart + milliseconds{ 250 });
+  EXPECT_EQ(this->store.rows.size(), 1U);
+  // Written once.
+  const int calls = this->store.calls;
+  rows.refresh(kStart + milliseconds{ 500 });
+  EXPECT_EQ(this->store.calls, calls);
+}
+
+TEST_F(QuarantineRowsTest, IsWrittenOnceTheStoreIsBack)
+{
+  QuarantineRows<RowStore> rows{ this->shared, this->store };
+  this->hold(true);
+  this->store.away = true;
+  rows.refresh(kStart);
+  rows.refresh(kStart + milliseconds{ 250 });
+  EXPECT_EQ(this->store.calls, 1);
+  this->store.away = false;
+  rows.refresh(kStart + seconds{ 2 });
+  EXPECT_EQ(this->store.rows.size(), 1U);
+}
+
+TEST_F(QuarantineRowsTest, ARowGoesWhenItsQuarantineIsOver)
+{
+  QuarantineRows<RowStore> rows{ this->shared, this->store };
+  this->hold(true);
+  rows.refresh(kStart);
+  EXPECT_EQ(this->store.rows.size(), 1U);
+  this->release();
+  rows.refresh(kStart + milliseconds{ 250 });
+  EXPECT_TRUE(this->store.rows.empty());
+}
+
+TEST_F(QuarantineRowsTest, ARelayThatHearsNobodyReadsAgain)
+{
+  // It is cut off from the other relays and not from the store: nobody tells
+  // it what they find, and it would go on sending it to replicas.
+  this->shared.peers.replace(std::make_shared<const std::vector<Address>>(
+    std::vector<Address>{ { "127.0.0.1", 9 } }));
+  QuarantineRows<RowStore> rows{ this->shared, this->store };
+  rows.refresh(kStart);
+  rows.refresh(kStart + seconds{ 1 });
+  this->store.rows[toText(kRequest)] = TableRow{ toText(kRequest), "", 7 };
+  rows.refresh(kStart + seconds{ 2 });
+  EXPECT_EQ(*this->shared.quarantineStored.read(),
+            std::vector<Fingerprint>{ kRequest });
+}
+
+} // namespace
+} // namespace poplartrack
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -141,5 +141,61 @@
   EXPECT_LE(replicas.sent(), kMostEnds + kMostSentAfter);
 }
 
+TEST(RelayCrash, ABrokenAnswerOfAReplicaThatLivesIsNoCrash)
+{
+  // Replicas lose answers and live on. The same lookup is lost four times in a
+  // row; the fifth caller is still served.
+  RelayWorld world;
+  RawListener listener;
+  world.addReplica("one", "plain", listener.address());
+  world.addReplica("two", "plain", listener.address());
+  world.start();
+  for (int i = 0; i < 2; ++i) {
+    RawSocket caller = world.caller();
+    caller.send(RelayWorld::request(
+      "/again/x", "id-" + std::to_string(i), "", "content"));
+    for (int attempt = 0; attempt < 2; ++attempt) {
+      RawSocket replica = listener.accept();
+      replica.readUntil("content");
+    }
+    EXPECT_TRUE(caller.readUntil("}\n").starts_with("HTTP/1.1 502 "));
+    world.publishReplicas(static_cast<std::uint64_t>(i) + 2);
+  }
+  RawSocket caller = world.caller();
+  caller.send(RelayWorld::request("/again/x", "id-9", "", "content"));
+  RawSocket replica = listener.accept();
+  replica.readUntil("content");
+  replica.send(RelayWorld::answer("id-9", "whole"));
+  EXPECT_TRUE(caller.readUntil("whole").starts_with("HTTP/1.1 200 "));
+}
+
+TEST(RelayCrash, WhatTheStoreKeepsInQuarantineIsRefusedAtOnce)
+{
+  RelayWorld world;
+  RawListener listener;
+  world.addReplica("one", "plain", listener.address());
+  const Fingerprint content =
+    fingerprintOf({ "shop", "shop.example", "POST", "/again/x", "content" });
+  world.shared.quarantineStored.replace(
+    std::make_shared<const std::vector<Fingerprint>>(1, content));
+  world.start();
+  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+  while (world.shared.quarantine.read()->empty() && runtimeNow() < latest) {
+    std::this_thread::yield();
+  }
+  ASSERT_FALSE(world.shared.quarantine.read()->empty());
+  const std::string refused = callOnce(world, 1);
+  EXPECT_TRUE(refused.starts_with("HTTP/1.1 503 ")) << refused;
+  EXPECT_NE(refused.find("quarantined"), std::string::npos) << refused;
+  EXPECT_EQ(world.shared.metrics.refusals(ErrorKind::Quarantined), 1U);
+  // Another content of the same caller is served.
+  RawSocket caller = world.caller();
+  caller.send(RelayWorld::request("/again/x", "id-2", "", "other"));
+  RawSocket replica = listener.accept();
+  replica.readUntil("other");
+  replica.send(RelayWorld::answer("id-2", "whole"));
+  EXPECT_TRUE(caller.readUntil("whole").starts_with("HTTP/1.1 200 "));
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RetryAdviceTest.cpp
+++ b/tests/unit/relay/RetryAdviceTest.cpp
@@ -76,5 +76,15 @@
   }
 }
 
+TEST(RetryAdvice, AQuarantineSaysHowLongItLasts)
+{
+  // Sooner the caller would only be refused again.
+  RefusalState state;
+  state.kind = ErrorKind::Quarantined;
+  state.timeLeft = seconds{ 20 };
+  state.lasts = seconds{ 1'800 };
+  EXPECT_EQ(retryAdvice(state), seconds{ 1'800 });
+}
+
 } // namespace
 } // namespace poplartrack
--- /dev/null
+++ b/tests/unit/retry/CrashLedgerTest.cpp
@@ -0,0 +1,165 @@
+#include "poplartrack/retry/CrashLedger.h"
+
+#include <algorithm>
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ hours{ 1 } };
+constexpr Fingerprint kRequest{ 1, 2 };
+constexpr Fingerprint kOther{ 3, 4 };
+
+CrashReport
+report(const Fingerprint& aRequest, const std::string& aReplica, bool aEarly)
+{
+  return CrashReport{ aRequest, aReplica, aEarly };
+}
+
+TEST(CrashLedger, TwoReplicasThatEndUnderABeginningRequestAreEnough)
+{
+  CrashLedger ledger;
+  EXPECT_FALSE(
+    ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart));
+  EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart));
+  EXPECT_TRUE(
+    ledger.onCrash(report(kRequest, "b", true), CrashSource::Own, kStart));
+  EXPECT_TRUE(ledger.quarantineLeft(kRequest, kStart));
+  EXPECT_FALSE(ledger.quarantineLeft(kOther, kStart));
+}
+
+TEST(CrashLedger, OneEndThatIsToldTwiceCountsOnce)
+{
+  CrashLedger ledger;
+  for (int i = 0; i < 5; ++i) {
+    ledger.onCrash(report(kRequest, "a", true), CrashSource::Peer, kStart);
+  }
+  EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart));
+}
+
+TEST(CrashLedger, RequestsThatHadBeenThereForAWhileNeedAThirdEnd)
+{
+  CrashLedger ledger;
+  ledger.onCrash(report(kRequest, "a", false), CrashSource::Own, kStart);
+  ledger.onCrash(report(kRequest, "b", false), CrashSource::Own, kStart);
+  EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart));
+  ledger.onCrash(report(kRequest, "c", false), CrashSource::Own, kStart);
+  EXPECT_TRUE(ledger.quarantineLeft(kRequest, kStart));
+}
+
+TEST(CrashLedger, ARequestThatARelayServedStartsAnew)
+{
+  // A lookup that many callers make was at two replicas that crashed by
+  // themselves. Its next run ends well: it is served on, and one more crash
+  // does not count with the earlier ones.
+  CrashLedger ledger;
+  ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart);
+  ledger.onCrash(report(kRequest, "b", true), CrashSource::Own, kStart);
+  EXPECT_TRUE(ledger.onServed(kRequest, kStart));
+  EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart));
+  ledger.onCrash(report(kRequest, "c", true), CrashSource::Own, kStart);
+  EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart));
+  ledger.onCrash(report(kRequest, "d", true), CrashSource::Own, kStart);
+  EXPECT_TRUE(ledger.quarantineLeft(kRequest, kStart));
+}
+
+TEST(CrashLedger, ARelayThatHasNotHeardOfTheGoodEndDoesNotUndoIt)
+{
+  CrashLedger ledger;
+  ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart);
+  ledger.onServed(kRequest, kStart);
+  EXPECT_FALSE(ledger.onQuarantined(
+    kRequest, milliseconds{ 100 }, kStart + milliseconds{ 200 }));
+  EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart + milliseconds{ 200 }));
+  EXPECT_EQ(ledger.latestServed(kStart + milliseconds{ 200 }),
+            std::vector<Fingerprint>{ kRequest });
+}
+
+TEST(CrashLedger, AQuarantineEndsWithTheOldestWordOfIt)
+{
+  CrashLedger ledger;
+  ledger.onQuarantined(kRequest, Duration{ 0 }, kStart);
+  ledger.onQuarantined(kRequest, seconds{ 1'800 }, kStart);
+  ledger.onQuarantined(kRequest, Duration{ 0 }, kStart);
+  EXPECT_EQ(ledger.quarantineLeft(kRequest, kStart), seconds{ 1'800 });
+  ledger.expire(kStart + seconds{ 1'800 });
+  EXPECT_TRUE(ledger.empty());
+  EXPECT_FALSE(ledger.onQuarantined(kRequest, hours{ 1 }, kStart));
+}
+
+TEST(CrashLedger, NewsAreToldForAWhileAndAQuarantineWhileItLasts)
+{
+  CrashLedger ledger;
+  ledger.onCrash(report(kOther, "z", false), CrashSource::Own, kStart);
+  ledger.onCrash(report(kRequest, "a", true), CrashSource::Peer, kStart);
+  ledger.onCrash(report(kRequest, "b", true), CrashSource::Peer, kStart);
+  const auto latest = ledger.latestCrashes(kStart + seconds{ 1 }, 2);
+  ASSERT_EQ(latest.size(), 2U);
+  EXPECT_TRUE(latest[0].early);
+  EXPECT_TRUE(latest[1].early);
+  const TimePoint later = kStart + seconds{ 30 };
+  EXPECT_TRUE(ledger.latestCrashes(later, 64).empty());
+  ASSERT_EQ(ledger.quarantine(later).size(), 1U);
+  EXPECT_EQ(ledger.quarantine(later)[0].request, kRequest);
+  EXPECT_EQ(ledger.quarantine(later)[0].age, seconds{ 30 });
+  EXPECT_FALSE(ledger.quarantine(later)[0].own);
+}
+
+TEST(CrashLedger, LedgersThatHeardTheSameAgree)
+{
+  std::vector<CrashReport> reports;
+  for (std::uint64_t request = 0; request < 20; ++request) {
+    for (std::uint64_t replica = 0; replica < 4; ++replica) {
+      if ((request >> replica) % 2 == 0) {
+        reports.push_back(report(Fingerprint{ request, 0 },
+                                 std::to_string(replica),
+                                 (request + replica) % 3 == 0));
+      }
+    }
+  }
+  const auto verdicts = [&](unsigned aSeed) {
+    std::mt19937 random{ aSeed };
+    std::vector<CrashReport> told = reports;
+    told.insert(told.end(), reports.begin(), reports.end());
+    std::shuffle(told.begin(), told.end(), random);
+    CrashLedger ledger;
+    for (const CrashReport& one : told) {
+      ledger.onCrash(one, CrashSource::Peer, kStart);
+    }
+    std::vector<Fingerprint> held;
+    for (const QuarantineRecord& record : ledger.quarantine(kStart)) {
+      held.push_back(record.request);
+    }
+    return held;
+  };
+  const std::vector<Fingerprint> first = verdicts(1);
+  EXPECT_FALSE(first.empty());
+  EXPECT_LT(first.size(), 20U);
+  for (unsigned seed = 2; seed < 50; ++seed) {
+    EXPECT_EQ(verdicts(seed), first);
+  }
+}
+
+TEST(CrashLedger, StaysBoundedAndKeepsTheQuarantine)
+{
+  CrashLedger ledger;
+  ledger.onQuarantined(kRequest, Duration{ 0 }, kStart);
+  constexpr std::uint64_t kMany = 10'000;
+  for (std::uint64_t i = 0; i < kMany; ++i) {
+    ledger.onCrash(report(Fingerprint{ 10 + i, 0 }, "a", false),
+                   CrashSource::Peer,
+                   kStart + milliseconds{ i });
+  }
+  const TimePoint end = kStart + milliseconds{ kMany };
+  EXPECT_TRUE(ledger.quarantineLeft(kRequest, end));
+  EXPECT_LE(ledger.latestCrashes(end, kMany).size(), 4'096U);
+}
+
+} // namespace
+} // namespace poplartrack
--- /dev/null
+++ b/tests/unit/retry/CrashWatchTest.cpp
@@ -0,0 +1,38 @@
+#include "poplartrack/retry/CrashWatch.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+constexpr Fingerprint kRequest{ 1, 2 };
+
+TEST(CrashWatch, ABrokenAnswerIsNoEndOfItsReplica)
+{
+  CrashWatch watch{ seconds{ 4 } };
+  watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
+  EXPECT_EQ(watch.replicas(), std::set<std::string>{ "a" });
+  EXPECT_TRUE(watch.onEnded("b").empty());
+  watch.expire(kStart + milliseconds{ 4'001 });
+  EXPECT_TRUE(watch.replicas().empty());
+  EXPECT_TRUE(watch.onEnded("a").empty());
+}
+
+TEST(CrashWatch, AnEndTellsOfEachRequestThereOnce)
+{
+  CrashWatch watch{ seconds{ 4 } };
+  watch.onBroken(CrashReport{ kRequest, "a", false }, kStart);
+  watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
+  watch.onBroken(CrashReport{ Fingerprint{ 5, 6 }, "a", false }, kStart);
+  const auto reports = watch.onEnded("a");
+  ASSERT_EQ(reports.size(), 2U);
+  EXPECT_EQ(reports[0], (CrashReport{ kRequest, "a", true }));
+  EXPECT_TRUE(watch.onEnded("a").empty());
+}
+
+} // namespace
+} // namespace poplartrack
