--- a/include/poplartrack/relay/RelayHeaderNames.h
+++ b/include/poplartrack/relay/RelayHeaderNames.h
@@ -33,6 +33,9 @@
   std::string urgency;
   /** On a refusal: address of the replica at fault. */
   std::string faultyReplica;
+  /** On an answer: requests a second that the replica takes from all relays
+   * together, a decimal number, for as long as its answers say so. */
+  std::string rateLimit;
   /** Last event that the receiver of a stream has. */
   std::string lastEventId;
   /** Proves that an answer came from a replica. */
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -34,6 +34,7 @@
   names.path = "X-Path";
   names.urgency = "X-Urgency";
   names.faultyReplica = "X-Faulty";
+  names.rateLimit = "X-Limit";
   names.lastEventId = "Last-Event-Id";
   names.stamp = "X-Stamp";
   names.pathText = [](const LayerPath& aPath) {
