--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -68,6 +68,10 @@
   /** Waits for a path or for the retry budget since then. */
   std::optional<TimePoint> waitingSince;
 
+  /** Requests a second to which the present attempt's replica limits all
+   * relays, as its answer says. */
+  std::optional<double> namedLimit;
+
   /** The head of the answer went to the caller. */
   bool answering = false;
   bool streaming = false;
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -65,6 +65,11 @@
     line.with("crossings",
               static_cast<std::int64_t>(aExchange.path.crossings.size()));
   }
+  if (aExchange.namedLimit) {
+    constexpr double kMilli = 1'000;
+    line.with("limit_milli",
+              static_cast<std::int64_t>(*aExchange.namedLimit * kMilli));
+  }
   if (aExchange.streaming) {
     line.with("events", aExchange.events);
     line.with("first_ms", aExchange.firstEvent.count() / kMicrosPerMs);
@@ -134,6 +139,7 @@
   aExchange.path = aTarget.path;
   aExchange.sentAt = this->now;
   aExchange.runningSince.reset();
+  aExchange.namedLimit.reset();
   aExchange.lastProgress = this->now;
   aExchange.asking = false;
   ++aExchange.sends;
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -205,6 +205,9 @@
                                        const MessageHead& aHead,
                                        std::string_view aFraming) const;
 
+  // RelayLimits.cpp: replicas that limit what they take.
+  void noteLimit(Exchange& aExchange, const HeaderList& aHeaders);
+
   // RelayChoice.cpp: where an attempt goes.
   Result<AttemptTarget> choose(Exchange& aExchange);
   Result<AttemptTarget> choosePath(const Exchange& aExchange,
