Keep, all relays together, to the limit that a replica names

What callers saw: nothing yet, each was served; a replica in need that named 1.4 requests a second went on getting four to six of them, 22 in four seconds where the users allow 13.

Cause: no relay knew of limits; the field passed through with the others. Evidence: arrivals at the replica do not change when it names its limit; the relay of its zone alone sent 11 of the 14 answered in the next four seconds, each for the first time.

Change: ReplicaLimits. As many relays as the limit allows one request a second each have their turn, those of the replica's zone first; the turn moves on while no answer comes; a part is earned while the turn lasts. Relays tell each other what answers to them said. Paths do not begin at a replica that has had its limit, streams that move included; plain requests go to others, or are refused when none has room.

Weighed: an equal part for each relay (a request in a minute for each of a hundred; or, with one request saved, a hundred at once); a budget of what all have sent in the window, as for retries (with so small numbers a relay may send one request in four seconds).

--- a/include/poplartrack/fleet/PathFinder.h
+++ b/include/poplartrack/fleet/PathFinder.h
@@ -23,6 +23,9 @@
   ReplicaLoad load;
   /** How many times as long as declared its work takes; 1 when healthy. */
   double slowdown = 1;
+  /** Whether a path may begin there: a replica may limit the requests that it
+   * takes. */
+  bool takesRequests = true;
 };
 
 /** What a request asks of its path. */
--- a/include/poplartrack/fleet/PlainChoice.h
+++ b/include/poplartrack/fleet/PlainChoice.h
@@ -20,13 +20,16 @@
   bool usable = true;
   /** It has refused or failed this very request. */
   bool tried = false;
+  /** False while it limits what it takes and has had that. */
+  bool takesRequests = true;
 };
 
 /**
  * The replica with the least load in flight that answers without errors, in
  * the relay's own availability zone when there is nothing else between them.
  * One that is not usable is taken only if there is no other, since what is
- * known of it may be old. Null when there is none that has not been tried.
+ * known of it may be old. Null when there is none
+ * that has not been tried and takes requests.
  */
 const Replica*
 choosePlainReplica(std::span<const PlainCandidate> aCandidates,
--- /dev/null
+++ b/include/poplartrack/fleet/ReplicaLimits.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "poplartrack/base/Address.h"
+#include "poplartrack/base/Clock.h"
+
+namespace poplartrack {
+
+/** A relay that may send requests to a replica that limits them. */
+struct LimitSharer
+{
+  Address address;
+  std::string zone;
+
+  friend bool operator==(const LimitSharer&, const LimitSharer&) = default;
+};
+
+/** What a replica's latest answer said of its limit. */
+struct LimitWord
+{
+  std::string replica;
+  /** Requests a second from all relays; nothing: it limits them no more. */
+  std::optional<double> perSecond;
+  /** How long ago it said so. */
+  Duration age{ 0 };
+};
+
+/**
+ * This relay's part of what replicas in need take from all relays together.
+ *
+ * As many relays as the limit allows one request a second each take turns,
+ * those of the replica's availability zone first; the others send it nothing.
+ * Dealt out to all of them, a limit of two a second would be one request in a
+ * minute for each of a hundred relays, and one request of each at the same
+ * moment fifty times too much. Where those whose turn it is have nothing to
+ * send, no answer comes, and the turn goes on to the next: else nobody would
+ * hear that the limit is over.
+ *
+ * A part is earned while it is this relay's turn and not kept beyond it. Pure;
+ * not thread-safe.
+ */
+class ReplicaLimits
+{
+public:
+  /** This relay's own place. */
+  void setSelf(LimitSharer aSelf) { this->self = std::move(aSelf); }
+  /** The other relays that are heard, and how many there are, this one
+   * included; the part of those that are not heard is left to them. */
+  void setOthers(std::vector<LimitSharer> aHeard, std::size_t aKnown);
+  /** An answer to this relay named a limit, or none; true when that is new. */
+  bool onAnswer(const std::string& aReplica,
+                const std::string& aZone,
+                std::optional<double> aPerSecond,
+                TimePoint aNow);
+  /** Another relay tells what an answer said. */
+  void onPeer(const LimitWord& aWord, const std::string& aZone, TimePoint aNow);
+  /** A request goes there. */
+  void onSent(const std::string& aReplica, TimePoint aNow);
+  /** Drops replicas that are no longer listed, and limits long over. */
+  void keepOnly(const std::set<std::string>& aListed);
+  void expire(TimePoint aNow);
+
+  /** Whether this relay may send a request there now. */
+  [[nodiscard]] bool open(const std::string& aReplica, TimePoint aNow);
+  /** Whether the replica limits requests. */
+  [[nodiscard]] bool limited(const std::string& aReplica) const;
+  [[nodiscard]] std::size_t limitedCount() const;
+  /** What answers to this relay said, for the others. */
+  [[nodiscard]] std::vector<LimitWord> own(TimePoint aNow) const;
+
+private:
+  struct Limit
+  {
+    std::string zone;
+    std::optional<double> perSecond;
+    TimePoint saidAt;
+    bool heardHere = false;
+    /** This relay's place among all that take turns. */
+    std::size_t position = 0;
+    /** Requests that it may send, as of earnedAt. */
+    double earned = 0;
+    TimePoint earnedAt;
+  };
+
+  [[nodiscard]] std::size_t sharers() const { return this->others.size() + 1; }
+  [[nodiscard]] std::size_t atOnce(double aPerSecond) const;
+  [[nodiscard]] bool hasTurn(const Limit& aLimit, TimePoint aNow) const;
+  void say(Limit& aLimit, std::optional<double> aPerSecond, TimePoint aAt);
+  void earn(Limit& aLimit, TimePoint aNow) const;
+  void place(const std::string& aReplica, Limit& aLimit) const;
+
+  LimitSharer self;
+  std::vector<LimitSharer> others;
+  std::size_t known = 1;
+  std::map<std::string, Limit> limits;
+};
+
+} // namespace poplartrack
--- a/src/fleet/PathCosts.cpp
+++ b/src/fleet/PathCosts.cpp
@@ -46,7 +46,9 @@
                              aProfile.layers;
   node.readMs = aDemand.promptTokens * tokenReadMs;
   node.backlogMs = aCandidate.load.readingTokens * tokenReadMs;
-  node.mayEnter = aDemand.started || aCandidate.load.entered < replica.slots;
+  const bool hasSlot =
+    aDemand.started || aCandidate.load.entered < replica.slots;
+  node.mayEnter = hasSlot && aCandidate.takesRequests;
   const double bookable = aDemand.started ? kBookableStarted : kBookable;
   const double free = bookable * tokenLayerCapacity(aProfile, replica) -
                       aCandidate.load.tokenLayers;
--- a/src/fleet/PlainChoice.cpp
+++ b/src/fleet/PlainChoice.cpp
@@ -30,7 +30,7 @@
 {
   const PlainCandidate* best = nullptr;
   for (const PlainCandidate& candidate : aCandidates) {
-    if (candidate.tried) {
+    if (candidate.tried || !candidate.takesRequests) {
       continue;
     }
     if (best == nullptr || costOf(candidate, aZone) < costOf(*best, aZone)) {
--- a/src/relay/PeerWord.h
+++ b/src/relay/PeerWord.h
@@ -12,7 +12,7 @@
 namespace poplartrack {
 
 /** Version of the datagrams below; another one is ignored. */
-constexpr std::uint32_t kPeerFormat = 11;
+constexpr std::uint32_t kPeerFormat = 12;
 
 /** One replica's load in a datagram. */
 struct LoadRow
@@ -61,6 +61,17 @@
   MSGPACK_DEFINE(request, age);
 };
 
+/** What a replica's latest answer to the sender said of its limit. */
+struct LimitRow
+{
+  std::string replica;
+  /** Requests a second from all relays; negative: it limits them no more. */
+  double perSecond = -1;
+  /** How long ago, in microseconds. */
+  std::int64_t age = 0;
+  MSGPACK_DEFINE(replica, perSecond, age);
+};
+
 /** The latest word of the addressed relay that the sender has. It follows the
  * word in the datagram: all else is the same for everybody. With the echoes for
  * all in each word, words would grow with the relays. */
@@ -118,6 +129,8 @@
   /** Requests that a replica ran to a good end lately, and that replicas had
    * ended under before. */
   std::vector<Fingerprint> served;
+  /** Replicas that limit what they take, or have done so until lately. */
+  std::vector<LimitRow> limits;
   MSGPACK_DEFINE(format,
                  life,
                  zone,
@@ -138,7 +151,8 @@
                  gaveUp,
                  crashes,
                  quarantine,
-                 served);
+                 served,
+                 limits);
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -81,7 +81,7 @@
                               ReplicaConnection& aConnection)
 {
   const MessageHead& head = aConnection.parser->head();
-  this->noteLimit(aExchange, head.headers);
+  this->noteLimit(aExchange, head);
   const bool notRun = head.headers.find(this->names.notRun).has_value() ||
                       head.status == kMisdirected;
   if (notRun) {
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -204,7 +204,7 @@
 }
 
 std::vector<PathCandidate>
-RelayLoop::Impl::candidatesFor(const Exchange& aExchange, bool aSlowToo) const
+RelayLoop::Impl::candidatesFor(const Exchange& aExchange, bool aSlowToo)
 {
   std::vector<PathCandidate> candidates;
   const auto listed = this->view->byService.find(aExchange.service->name);
@@ -219,8 +219,10 @@
     }
     const double slowdown = this->slowdownOf(replica.id);
     if (slowdown < kCrippled || aSlowToo) {
-      candidates.push_back(
-        PathCandidate{ &replica, this->loads.at(replica.id), slowdown });
+      candidates.push_back(PathCandidate{ &replica,
+                                          this->loads.at(replica.id),
+                                          slowdown,
+                                          this->takesRequests(replica.id) });
     }
   }
   return candidates;
@@ -300,6 +302,7 @@
     return fail(ErrorKind::NoRoute, "no replica is registered");
   }
   std::vector<PlainCandidate> candidates;
+  bool limited = false;
   for (const std::size_t place : listed->second) {
     const Replica& replica = this->view->replicas[place];
     if (this->leaves(replica)) {
@@ -312,9 +315,14 @@
     candidate.errorRate = this->health.errorRate(replica.id);
     candidate.usable = this->health.usable(replica.id, this->now);
     candidate.tried = aExchange.avoid.contains(replica.id);
+    candidate.takesRequests = this->takesRequests(replica.id);
+    limited = limited || (!candidate.takesRequests && !candidate.tried);
     candidates.push_back(candidate);
   }
   const Replica* chosen = choosePlainReplica(candidates, this->settings.zone);
+  if (chosen == nullptr && limited) {
+    return fail(ErrorKind::Overloaded, "the replicas limit what they take");
+  }
   if (chosen == nullptr) {
     return fail(ErrorKind::NoRoute, "no replica takes work");
   }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -66,9 +66,7 @@
               static_cast<std::int64_t>(aExchange.path.crossings.size()));
   }
   if (aExchange.namedLimit) {
-    constexpr double kMilli = 1'000;
-    line.with("limit_milli",
-              static_cast<std::int64_t>(*aExchange.namedLimit * kMilli));
+    line.with("limit_milli", milliOf(*aExchange.namedLimit));
   }
   if (aExchange.streaming) {
     line.with("events", aExchange.events);
@@ -144,6 +142,7 @@
   aExchange.asking = false;
   ++aExchange.sends;
   this->waiting.leave(aExchange.id);
+  this->replicaLimits.onSent(aTarget.replica, this->now);
   this->book(aExchange);
   this->payCrossings(aExchange, aTarget.path);
   this->armExchange(aExchange);
--- a/src/relay/RelayLimits.cpp
+++ b/src/relay/RelayLimits.cpp
@@ -23,18 +23,94 @@
 
 } // namespace
 
-/** Takes over whether the replica's answer names a limit. */
+std::int64_t
+milliOf(double aPerSecond)
+{
+  constexpr double kMilli = 1'000;
+  return static_cast<std::int64_t>(aPerSecond * kMilli);
+}
+
+/** Takes over whether the replica's answer names a limit. Errors and refusals
+ * may come without it while it holds. */
 void
-RelayLoop::Impl::noteLimit(Exchange& aExchange, const HeaderList& aHeaders)
+RelayLoop::Impl::noteLimit(Exchange& aExchange, const MessageHead& aHead)
 {
-  const auto field = aHeaders.find(this->names.rateLimit);
-  if (!field) {
+  constexpr int kOk = 200;
+  constexpr int kMultiple = 300;
+  const bool success = aHead.status >= kOk && aHead.status < kMultiple;
+  const auto field = aHead.headers.find(this->names.rateLimit);
+  if (field) {
+    aExchange.namedLimit = decimalIn(*field);
+    this->shared.metrics.count(aExchange.namedLimit
+                                 ? "answers_with_limit_total"
+                                 : "answers_with_unreadable_limit_total");
+  }
+  const Replica* replica = this->replicaOf(aExchange.replica);
+  const bool tells = field ? aExchange.namedLimit.has_value() : success;
+  if (replica == nullptr || !tells ||
+      !this->replicaLimits.onAnswer(
+        replica->id, replica->zone, aExchange.namedLimit, this->now)) {
     return;
   }
-  aExchange.namedLimit = decimalIn(*field);
-  this->shared.metrics.count(aExchange.namedLimit
-                               ? "answers_with_limit_total"
-                               : "answers_with_unreadable_limit_total");
+  LogLine line{ LogPart::Replicas,
+                aExchange.namedLimit ? "limits" : "limits_no_more" };
+  line.with("replica", replica->id);
+  if (aExchange.namedLimit) {
+    line.with("limit_milli", milliOf(*aExchange.namedLimit));
+  }
+  this->shared.log.write(line);
+  this->tellPeers(true);
+}
+
+/** Whether a request may go to a replica, as far as it limits them. */
+bool
+RelayLoop::Impl::takesRequests(const std::string& aReplica)
+{
+  return this->replicaLimits.open(aReplica, this->now);
+}
+
+/** Deals the limits out to the relays that are heard. */
+void
+RelayLoop::Impl::shareLimits()
+{
+  std::vector<LimitSharer> heard;
+  heard.reserve(this->peersHeard.size());
+  for (const auto& [address, peer] : this->peersHeard) {
+    heard.push_back(LimitSharer{ address, peer.zone });
+  }
+  this->replicaLimits.setOthers(std::move(heard),
+                                this->shared.peers.read()->size() + 1);
+  this->replicaLimits.expire(this->now);
+  this->shared.metrics.set(
+    "replicas_limited",
+    static_cast<std::int64_t>(this->replicaLimits.limitedCount()));
+}
+
+void
+RelayLoop::Impl::tellLimits(PeerWord& aWord) const
+{
+  constexpr double kNone = -1;
+  for (const LimitWord& word : this->replicaLimits.own(this->now)) {
+    aWord.limits.push_back(LimitRow{
+      word.replica, word.perSecond.value_or(kNone), word.age.count() });
+  }
+}
+
+void
+RelayLoop::Impl::hearLimits(const PeerWord& aWord)
+{
+  for (const LimitRow& row : aWord.limits) {
+    const Replica* replica = this->replicaOf(row.replica);
+    if (replica != nullptr) {
+      this->replicaLimits.onPeer(LimitWord{ row.replica,
+                                            row.perSecond < 0
+                                              ? std::optional<double>{}
+                                              : std::optional{ row.perSecond },
+                                            Duration{ row.age } },
+                                 replica->zone,
+                                 this->now);
+    }
+  }
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -117,6 +117,7 @@
     return peers.error();
   }
   this->poller.add(this->peerSocket.get(), kPeersKey, false);
+  this->replicaLimits.setSelf({ this->localPeers, this->settings.zone });
   return Done{};
 }
 
@@ -242,6 +243,7 @@
     listed.insert(replica.id);
   }
   this->health.keepOnly(listed);
+  this->replicaLimits.keepOnly(listed);
   std::erase_if(this->askedAt, [&](const auto& aEntry) {
     return !listed.contains(aEntry.first);
   });
@@ -328,6 +330,7 @@
     }
     return silent;
   });
+  this->shareLimits();
   this->chooseReaders();
   this->reports.expire(this->now);
   this->expireLeavingHeard();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -24,6 +24,7 @@
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/PipeBudget.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
+#include "poplartrack/fleet/ReplicaLimits.h"
 #include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitingLine.h"
 #include "poplartrack/relay/RelayLoop.h"
@@ -57,6 +58,11 @@
 const Fingerprint&
 contentOf(Exchange& aExchange);
 
+/** A rate for the log, which holds whole numbers: thousandths of a request a
+ * second. */
+std::int64_t
+milliOf(double aPerSecond);
+
 /** What a retry of the request would be for. */
 RetryNeed
 retryNeedOf(const Exchange& aExchange);
@@ -206,7 +212,11 @@
                                        std::string_view aFraming) const;
 
   // RelayLimits.cpp: replicas that limit what they take.
-  void noteLimit(Exchange& aExchange, const HeaderList& aHeaders);
+  void noteLimit(Exchange& aExchange, const MessageHead& aHead);
+  [[nodiscard]] bool takesRequests(const std::string& aReplica);
+  void shareLimits();
+  void tellLimits(PeerWord& aWord) const;
+  void hearLimits(const PeerWord& aWord);
 
   // RelayChoice.cpp: where an attempt goes.
   Result<AttemptTarget> choose(Exchange& aExchange);
@@ -219,7 +229,7 @@
   [[nodiscard]] bool isLost(const std::string& aReplica) const;
   [[nodiscard]] std::vector<PathCandidate> candidatesFor(
     const Exchange& aExchange,
-    bool aSlowToo) const;
+    bool aSlowToo);
   [[nodiscard]] const Replica* replicaAt(const Address& aAddress) const;
   [[nodiscard]] const Replica* replicaOf(const std::string& aId) const;
   [[nodiscard]] TokenNeed needOf(const Exchange& aExchange) const;
@@ -325,6 +335,7 @@
   LoadBook loads;
   RetryBudgets budgets;
   PipeBudget pipes;
+  ReplicaLimits replicaLimits;
   WaitingLine waiting;
   CrashWatch crashWatch;
   CrashLedger crashes;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -111,6 +111,7 @@
       PipeRow{ zones.first, zones.second, bytes / kBytesPerKilobyte });
   }
   this->tellCrashes(word);
+  this->tellLimits(word);
   return word;
 }
 
@@ -305,6 +306,7 @@
   this->learnFreshness(aWord, aEcho);
   this->hearLeaving(aWord);
   this->hearCrashes(aWord);
+  this->hearLimits(aWord);
   const std::string peer = toText(aFrom);
   // A process that starts again at an address has counted nothing yet. What the
   // one before it spent still counts.
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -76,6 +76,25 @@
   EXPECT_TRUE(findPath(smallProfile(), candidates, running));
 }
 
+TEST(PathFinder, DoesNotBeginWhereAReplicaTakesNoMoreRequests)
+{
+  // The replica limits what it is sent. Its copy stands idle for a moment, and
+  // streams that have started are sent elsewhere too; what runs there stays.
+  const auto replicas = twoZones();
+  auto candidates = candidatesOf(replicas);
+  candidates[0].takesRequests = false;
+  for (const bool started : { false, true }) {
+    PathDemand demand = demandIn("a");
+    demand.started = started;
+    const auto path = findPath(smallProfile(), candidates, demand);
+    ASSERT_TRUE(path);
+    EXPECT_EQ(path.value().parts[0].replica, "b1");
+  }
+  PathDemand running = demandIn("a");
+  running.firstReplica = "a1";
+  EXPECT_TRUE(findPath(smallProfile(), candidates, running));
+}
+
 /** How often a path changes its zone. */
 std::size_t
 crossingsOf(const LayerPath& aPath)
