Take an end for a crash when two relays miss the replica, and silence for less

A replica that falls silent is rather cut off than crashed: that counts as a late end, of which three are needed. A replica that says that it leaves ends as planned, also where the word came after the break (RelayCrash.ReplicasThatLeaveAreNoCrash). Words tell the latest records of the quarantine first. 71 tests of the relay, its crashes and limits pass.

--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -14,39 +14,43 @@
 /** Ends of replicas that one word tells of. */
 constexpr std::size_t kMostCrashRows = 64;
 
-/** Records of the quarantine that one word tells of. */
-constexpr std::size_t kMostQuarantineRows = 256;
+/** Records of the quarantine that one word tells of, the latest first: older
+ * ones have been told, and the store keeps them. */
+constexpr std::size_t kMostQuarantineRows = 64;
 
 } // namespace
 
 /** The connection under an attempt has ended. If its replica has too, the
- * request may have done that. A replica that leaves ends as planned. */
+ * request may have done that. A replica that leaves ends as planned; one that
+ * falls silent is rather cut off. */
 void
-RelayLoop::Impl::watchCrash(Exchange& aExchange)
+RelayLoop::Impl::watchCrash(Exchange& aExchange, ConnectionEnd aEnd)
 {
   const bool planned = this->leavingSince.contains(aExchange.replica);
   if (planned || !this->mayHaveRun(aExchange)) {
     return;
   }
-  const bool early =
+  const bool justBegun =
     !aExchange.runningSince || this->now - *aExchange.runningSince < kJustBegun;
+  const bool early = justBegun && aEnd == ConnectionEnd::Closed;
   this->crashWatch.onBroken(
     CrashReport{ contentOf(aExchange), aExchange.replica, early }, this->now);
 }
 
 /**
  * Whether a replica has certainly ended. This relay alone may be the one that
- * is cut off: what breaks off then is nobody's doing, so another relay has to
- * miss the replica too, or the list.
+ * is cut off: what breaks off then is nobody's doing, so two relays have to
+ * miss the replica, or the list.
  */
 bool
 RelayLoop::Impl::hasEnded(const std::string& aReplica) const
 {
-  if (this->isLost(aReplica) || this->replicaOf(aReplica) == nullptr) {
-    return true;
-  }
-  return this->health.dead(aReplica, this->now) &&
-         this->reports.suspects().contains(aReplica);
+  // However many relays there are, two decide.
+  constexpr std::size_t kAsOfFew = 1;
+  return this->ended.contains(aReplica) ||
+         this->replicaOf(aReplica) == nullptr ||
+         this->reports.lost(
+           aReplica, this->health.dead(aReplica, this->now), kAsOfFew);
 }
 
 /** Enters the ends that are certain by now. */
@@ -54,6 +58,12 @@
 RelayLoop::Impl::confirmCrashes()
 {
   for (const std::string& replica : this->crashWatch.replicas()) {
+    const Replica* listed = this->replicaOf(replica);
+    if (listed != nullptr && listed->draining) {
+      // It ends as planned.
+      this->crashWatch.onEnded(replica);
+      continue;
+    }
     if (!this->hasEnded(replica)) {
       continue;
     }
@@ -182,11 +192,16 @@
     aWord.crashes.push_back(
       CrashRow{ report.request, std::move(report.replica), report.early });
   }
-  for (const QuarantineRecord& record : this->crashes.quarantine(this->now)) {
-    if (aWord.quarantine.size() < kMostQuarantineRows) {
-      aWord.quarantine.push_back(
-        QuarantineRow{ record.request, record.age.count() });
-    }
+  std::vector<QuarantineRecord> records = this->crashes.quarantine(this->now);
+  std::sort(records.begin(),
+            records.end(),
+            [](const QuarantineRecord& aLeft, const QuarantineRecord& aRight) {
+              return aLeft.age < aRight.age;
+            });
+  records.resize(std::min(records.size(), kMostQuarantineRows));
+  for (const QuarantineRecord& record : records) {
+    aWord.quarantine.push_back(
+      QuarantineRow{ record.request, record.age.count() });
   }
   aWord.served = this->crashes.latestServed(this->now);
 }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -67,6 +67,15 @@
 RetryNeed
 retryNeedOf(const Exchange& aExchange);
 
+/** How the connection under an attempt ended. */
+enum class ConnectionEnd : std::uint8_t
+{
+  /** The replica's instance closed or reset it. */
+  Closed,
+  /** Nothing came from there any more. */
+  Silent,
+};
+
 /** Names one life of a relay's process. */
 std::string
 lifeName(const Address& aPeer, std::uint64_t aLife);
@@ -159,7 +168,8 @@
   bool feedOnce(ReplicaConnection& aConnection);
   void onReplicaEnd(std::uint64_t aConnection,
                     bool aClean,
-                    std::string_view aCause);
+                    std::string_view aCause,
+                    ConnectionEnd aEnd = ConnectionEnd::Closed);
   void flushReplica(ReplicaConnection& aConnection);
   void watchReplica(ReplicaConnection& aConnection, bool aWrite);
   void releaseReplica(ReplicaConnection& aConnection);
@@ -271,7 +281,7 @@
   [[nodiscard]] bool leavesSoon(const Exchange& aExchange) const;
 
   // RelayCrashes.cpp: requests under which replicas end.
-  void watchCrash(Exchange& aExchange);
+  void watchCrash(Exchange& aExchange, ConnectionEnd aEnd);
   [[nodiscard]] bool hasEnded(const std::string& aReplica) const;
   void confirmCrashes();
   void onQuarantine(const Fingerprint& aRequest, bool aOwn);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -52,7 +52,7 @@
 {
   if (aExchange.path.parts.empty()) {
     // A plain replica that has started again: nothing of it is left there.
-    this->watchCrash(aExchange);
+    this->watchCrash(aExchange, ConnectionEnd::Silent);
     this->onBroken(aExchange, ReplicaFailure::Refused, "replica restarted");
     return;
   }
@@ -65,7 +65,7 @@
     return;
   }
   if (!firstLives) {
-    this->watchCrash(aExchange);
+    this->watchCrash(aExchange, ConnectionEnd::Silent);
     this->onBroken(
       aExchange, ReplicaFailure::Unreachable, "first replica lost");
     return;
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -205,6 +205,10 @@
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
     return;
   }
+  if (count < 0 && errno == ETIMEDOUT) {
+    this->onReplicaEnd(aConnection.id, false, "silent", ConnectionEnd::Silent);
+    return;
+  }
   if (count <= 0) {
     this->onReplicaEnd(
       aConnection.id, count == 0, count == 0 ? "closed" : "reset");
@@ -296,7 +300,8 @@
 void
 RelayLoop::Impl::onReplicaEnd(std::uint64_t aConnection,
                               bool aClean,
-                              std::string_view aCause)
+                              std::string_view aCause,
+                              ConnectionEnd aEnd)
 {
   const auto found = this->connections.find(aConnection);
   if (found == this->connections.end()) {
@@ -324,7 +329,7 @@
   }
   const bool connecting =
     connection.state == ReplicaConnection::State::Connecting;
-  this->watchCrash(*exchange->second);
+  this->watchCrash(*exchange->second, aEnd);
   this->onBroken(
     *exchange->second, failureOf(connecting, connection.headSeen), aCause);
 }
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -197,5 +197,47 @@
   EXPECT_TRUE(caller.readUntil("whole").starts_with("HTTP/1.1 200 "));
 }
 
+TEST(RelayCrash, ReplicasThatLeaveAreNoCrash)
+{
+  // Both replicas of a lookup say that they leave, and end with it. The next
+  // caller with the same lookup is served by the one that is new.
+  RelayWorld world;
+  RawListener leaving;
+  RawListener staying;
+  for (const char* name : { "one", "two" }) {
+    world.addReplica(name, "plain", leaving.address());
+  }
+  world.start();
+  std::vector<RawSocket> callers;
+  std::vector<RawSocket> replicas;
+  for (int i = 0; i < 2; ++i) {
+    callers.push_back(world.caller());
+    callers.back().send(RelayWorld::request(
+      "/again/x", "id-" + std::to_string(i), "", "content"));
+    replicas.push_back(leaving.accept());
+    replicas.back().readUntil("content");
+  }
+  world.replicas["one"].draining = true;
+  world.replicas["two"].draining = true;
+  world.publishReplicas(2);
+  // A request that comes now is admitted with the latest list.
+  RawSocket other = world.caller();
+  other.send(RelayWorld::request("/unknown/", "id-8"));
+  EXPECT_NE(other.readUntil("}\n").find("404"), std::string::npos);
+  for (int i = 0; i < 2; ++i) {
+    replicas[static_cast<std::size_t>(i)].close();
+    callers[static_cast<std::size_t>(i)].readUntil("}\n");
+  }
+  world.replicas.clear();
+  world.addReplica("three", "plain", staying.address());
+  world.publishReplicas(3);
+  RawSocket caller = world.caller();
+  caller.send(RelayWorld::request("/again/x", "id-9", "", "content"));
+  RawSocket replica = staying.accept();
+  replica.readUntil("content");
+  replica.send(RelayWorld::answer("id-9", "whole"));
+  EXPECT_TRUE(caller.readUntil("whole").starts_with("HTTP/1.1 200 "));
+}
+
 } // namespace
 } // namespace poplartrack
