Give the quarantine a log part of its own

Crashes fill the bounded lines of the part path, so that the one line that says what was put into quarantine could be left out with them. Also: a request that another one's end has ended is not looked up. 28 tests of crashes, quarantine, log and stories pass, then those of the loop, limits and advice.

--- a/include/poplartrack/observe/EventLog.h
+++ b/include/poplartrack/observe/EventLog.h
@@ -24,14 +24,15 @@
   Peers,
   Request,
   Path,
+  Quarantine,
 };
 
 constexpr std::size_t kLogPartCount =
-  static_cast<std::size_t>(LogPart::Path) + 1;
+  static_cast<std::size_t>(LogPart::Quarantine) + 1;
 
 constexpr std::array<std::string_view, kLogPartCount> kLogPartNames{
   "process", "config", "replicas", "lease", "placement",
-  "store",   "peers",  "request",  "path",
+  "store",   "peers",  "request",  "path",  "quarantine",
 };
 
 /** The part's prefix. */
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -81,7 +81,7 @@
 void
 RelayLoop::Impl::onQuarantine(const Fingerprint& aRequest, bool aOwn)
 {
-  this->shared.log.write(LogLine{ LogPart::Path, "quarantined" }
+  this->shared.log.write(LogLine{ LogPart::Quarantine, "began" }
                            .with("content", toText(aRequest))
                            .with("own", aOwn ? 1 : 0));
   this->publishQuarantine();
@@ -107,7 +107,12 @@
     }
   }
   for (const std::uint64_t id : notBegun) {
-    Exchange& exchange = *this->exchanges.at(id);
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end()) {
+      // The end of another one has ended it too.
+      continue;
+    }
+    Exchange& exchange = *found->second;
     this->dropAttempt(exchange, this->mayHaveRun(exchange));
     this->refuseQuarantined(exchange);
   }
@@ -147,8 +152,8 @@
 void
 RelayLoop::Impl::onReleased(const Fingerprint& aRequest)
 {
-  this->shared.log.write(
-    LogLine{ LogPart::Path, "released" }.with("content", toText(aRequest)));
+  this->shared.log.write(LogLine{ LogPart::Quarantine, "released" }.with(
+    "content", toText(aRequest)));
   this->publishQuarantine();
 }
 
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -284,7 +284,9 @@
   state.othersServe = this->now - this->peerFreshAt <= kPeerServes;
   state.timeLeft = aExchange.giveUpAt - this->now;
   state.spread = hashOf(requestId);
-  state.lasts = this->quarantineLeft(aExchange).value_or(Duration{ 0 });
+  if (state.kind == ErrorKind::Quarantined) {
+    state.lasts = this->quarantineLeft(aExchange).value_or(Duration{ 0 });
+  }
   this->endExchange(aExchange);
   if (found == this->callers.end()) {
     return;
