Do not blame what was served meanwhile, and try what was served before once more

Read again: a lookup that many callers make is in flight at each replica that crashes by itself. Where all replicas of a service crash at once it came into quarantine, and nothing could take it out for an hour; and an end that is certain only seconds later was entered although other callers had been served since.

Change: ServedContents remembers for a minute what was served and when. An end that lies before that is not entered. What had been served before its quarantine is tried once by each relay that served it, five seconds later and five apart, while fewer than five replicas have ended under it. Ruled out: to excuse for good whatever was served once (a version that a request ends comes with a release); trials for all (each costs a replica with its streams where it was to blame).

--- a/include/poplartrack/retry/CrashLedger.h
+++ b/include/poplartrack/retry/CrashLedger.h
@@ -50,6 +50,11 @@
   /** A replica ran the request to its end: no end so far was its doing. True
    * when that ends a quarantine. */
   bool onServed(const Fingerprint& aRequest, TimePoint aNow);
+  /** The request was served before it came into quarantine: from that moment
+   * on it may run once more, unless too many replicas have ended under it. */
+  void allowTrial(const Fingerprint& aRequest, TimePoint aFrom);
+  /** Whether it may run once now; takes the trial if so. */
+  bool takeTrial(const Fingerprint& aRequest, TimePoint aNow);
   /** Forgets what is over. */
   void expire(TimePoint aNow);
 
@@ -92,6 +97,7 @@
     std::optional<TimePoint> quarantinedSince;
     bool own = false;
     std::optional<TimePoint> servedAt;
+    std::optional<TimePoint> trialFrom;
   };
 
   [[nodiscard]] static bool convicts(const Suspect& aSuspect);
--- a/include/poplartrack/retry/CrashWatch.h
+++ b/include/poplartrack/retry/CrashWatch.h
@@ -7,6 +7,7 @@
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/retry/CrashReport.h"
+#include "poplartrack/retry/ServedContents.h"
 
 namespace poplartrack {
 
@@ -28,8 +29,13 @@
   void onBroken(CrashReport aReport, TimePoint aNow);
   /** The replicas of which an end would tell something. */
   [[nodiscard]] std::set<std::string> replicas() const;
-  /** The replica has ended: what broke off there, each request once. */
-  std::vector<CrashReport> onEnded(const std::string& aReplica);
+  /** The replica has ended: what broke off there, each request once, but for
+   * what was served elsewhere since. */
+  std::vector<CrashReport> onEnded(const std::string& aReplica,
+                                   const ServedContents& aServed,
+                                   TimePoint aNow);
+  /** The replica ends as planned, or lives. */
+  void forget(const std::string& aReplica) { this->waiting.erase(aReplica); }
   void expire(TimePoint aNow);
 
 private:
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -11,6 +11,11 @@
 /** A request whose first event came no longer ago than this had just begun. */
 constexpr Duration kJustBegun = std::chrono::milliseconds{ 1'000 };
 
+/** What was served before is tried again once replicas that crashed are back;
+ * one relay after the other, so that few replicas end if it was to blame. */
+constexpr Duration kTrialAfter = std::chrono::seconds{ 5 };
+constexpr Duration kTrialApart = std::chrono::seconds{ 5 };
+
 /** Ends of replicas that one word tells of. */
 constexpr std::size_t kMostCrashRows = 64;
 
@@ -61,13 +66,14 @@
     const Replica* listed = this->replicaOf(replica);
     if (listed != nullptr && listed->draining) {
       // It ends as planned.
-      this->crashWatch.onEnded(replica);
+      this->crashWatch.forget(replica);
       continue;
     }
     if (!this->hasEnded(replica)) {
       continue;
     }
-    for (const CrashReport& report : this->crashWatch.onEnded(replica)) {
+    for (const CrashReport& report :
+         this->crashWatch.onEnded(replica, this->servedContents, this->now)) {
       this->shared.metrics.count("requests_at_ended_replicas_total");
       if (this->crashes.onCrash(report, CrashSource::Own, this->now)) {
         this->onQuarantine(report.request, true);
@@ -84,6 +90,12 @@
   this->shared.log.write(LogLine{ LogPart::Quarantine, "began" }
                            .with("content", toText(aRequest))
                            .with("own", aOwn ? 1 : 0));
+  if (this->servedContents.lastServed(aRequest, this->now)) {
+    const std::size_t before = this->placeInLine(aRequest);
+    this->crashes.allowTrial(aRequest,
+                             this->now + kTrialAfter +
+                               kTrialApart * static_cast<int>(before));
+  }
   this->publishQuarantine();
   // Not from here: a request that looks for a path may have brought the news.
   this->post([this, aRequest, aOwn] {
@@ -94,6 +106,21 @@
   });
 }
 
+/** How many relays come before this one, in an order for the request that all
+ * agree on. */
+std::size_t
+RelayLoop::Impl::placeInLine(const Fingerprint& aRequest) const
+{
+  const auto rank = [&](const Address& aRelay) {
+    return std::hash<std::string>{}(toText(aRelay) + toText(aRequest));
+  };
+  const std::size_t own = rank(this->localPeers);
+  return static_cast<std::size_t>(std::count_if(
+    this->peersHeard.begin(), this->peersHeard.end(), [&](const auto& aEntry) {
+      return rank(aEntry.first) < own;
+    }));
+}
+
 /** Takes a request off the replicas that have not begun to run it yet. */
 void
 RelayLoop::Impl::stopQuarantined(const Fingerprint& aRequest)
@@ -140,10 +167,8 @@
 void
 RelayLoop::Impl::noteServed(Exchange& aExchange)
 {
-  if (this->crashes.empty()) {
-    return;
-  }
   const Fingerprint& request = contentOf(aExchange);
+  this->servedContents.onServed(request, this->now);
   if (this->crashes.onServed(request, this->now)) {
     this->onReleased(request);
   }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -94,7 +94,8 @@
       aExchange.runs == 0);
     return;
   }
-  if (this->quarantineLeft(aExchange)) {
+  if (this->quarantineLeft(aExchange) &&
+      !this->crashes.takeTrial(contentOf(aExchange), this->now)) {
     this->refuseQuarantined(aExchange);
     return;
   }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -33,6 +33,7 @@
 #include "poplartrack/retry/CrashWatch.h"
 #include "poplartrack/retry/Fingerprint.h"
 #include "poplartrack/retry/RetryBudgets.h"
+#include "poplartrack/retry/ServedContents.h"
 
 namespace poplartrack {
 
@@ -286,6 +287,7 @@
   void confirmCrashes();
   void onQuarantine(const Fingerprint& aRequest, bool aOwn);
   void stopQuarantined(const Fingerprint& aRequest);
+  [[nodiscard]] std::size_t placeInLine(const Fingerprint& aRequest) const;
   [[nodiscard]] std::optional<Duration> quarantineLeft(
     Exchange& aExchange) const;
   void refuseQuarantined(Exchange& aExchange);
@@ -349,6 +351,7 @@
   WaitingLine waiting;
   CrashWatch crashWatch;
   CrashLedger crashes;
+  ServedContents servedContents;
   /** What was last taken over of the quarantine in the store. */
   std::shared_ptr<const std::vector<Fingerprint>> quarantineRead;
   /** When the present round of the line began. */
--- a/src/retry/CrashLedger.cpp
+++ b/src/retry/CrashLedger.cpp
@@ -14,6 +14,10 @@
 /** ... and replicas that end under it at any time. */
 constexpr std::size_t kEnds = 3;
 
+/** With this many ends no trial is made any more: whoever asks for it, few
+ * replicas end under one request. */
+constexpr std::size_t kEndsWithoutTrial = 5;
+
 /** A quarantine lasts this long: after that the replicas may run another
  * version, which the request does not end. */
 constexpr Duration kQuarantineTime = std::chrono::hours{ 1 };
@@ -139,6 +143,31 @@
   return ends;
 }
 
+void
+CrashLedger::allowTrial(const Fingerprint& aRequest, TimePoint aFrom)
+{
+  const auto found = this->suspects.find(aRequest);
+  if (found != this->suspects.end()) {
+    found->second.trialFrom = aFrom;
+  }
+}
+
+bool
+CrashLedger::takeTrial(const Fingerprint& aRequest, TimePoint aNow)
+{
+  const auto found = this->suspects.find(aRequest);
+  if (found == this->suspects.end()) {
+    return false;
+  }
+  Suspect& suspect = found->second;
+  const bool allowed = suspect.trialFrom && *suspect.trialFrom <= aNow &&
+                       suspect.ends.size() < kEndsWithoutTrial;
+  if (allowed) {
+    suspect.trialFrom.reset();
+  }
+  return allowed;
+}
+
 void
 CrashLedger::expire(TimePoint aNow)
 {
--- a/src/retry/CrashWatch.cpp
+++ b/src/retry/CrashWatch.cpp
@@ -28,12 +28,18 @@
 }
 
 std::vector<CrashReport>
-CrashWatch::onEnded(const std::string& aReplica)
+CrashWatch::onEnded(const std::string& aReplica,
+                    const ServedContents& aServed,
+                    TimePoint aNow)
 {
   std::vector<CrashReport> reports;
   auto found = this->waiting.extract(aReplica);
-  if (!found.empty()) {
-    for (Broken& broken : found.mapped()) {
+  if (found.empty()) {
+    return reports;
+  }
+  for (Broken& broken : found.mapped()) {
+    const auto served = aServed.lastServed(broken.report.request, aNow);
+    if (!served || *served < broken.at) {
       reports.push_back(std::move(broken.report));
     }
   }
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -239,5 +239,39 @@
   EXPECT_TRUE(caller.readUntil("whole").starts_with("HTTP/1.1 200 "));
 }
 
+TEST(RelayCrash, ALookupThatIsServedElsewhereMeanwhileIsServedOn)
+{
+  // Two of three replicas crash by themselves under a lookup that many callers
+  // make. The third serves it before the list tells that they are gone.
+  RelayWorld world;
+  RawListener crashing;
+  RawListener staying;
+  world.addReplica("one", "plain", crashing.address());
+  world.addReplica("two", "plain", crashing.address());
+  world.addReplica("three", "plain", staying.address());
+  world.replicas["three"].zone = "b";
+  world.start();
+  RawSocket unlucky = world.caller();
+  unlucky.send(RelayWorld::request("/again/x", "id-0", "", "content"));
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    RawSocket replica = crashing.accept();
+    replica.readUntil("content");
+  }
+  EXPECT_TRUE(unlucky.readUntil("}\n").starts_with("HTTP/1.1 502 "));
+  for (int i = 1; i < 3; ++i) {
+    const std::string id = "id-" + std::to_string(i);
+    RawSocket caller = world.caller();
+    caller.send(RelayWorld::request("/again/x", id, "", "content"));
+    RawSocket replica = staying.accept();
+    replica.readUntil("content");
+    replica.send(RelayWorld::answer(
+      id, "whole", "200 OK", "X-Stamp: s\r\nConnection: close\r\n"));
+    EXPECT_TRUE(caller.readUntil("whole").starts_with("HTTP/1.1 200 "));
+    world.replicas.erase("one");
+    world.replicas.erase("two");
+    world.publishReplicas(2);
+  }
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/retry/CrashLedgerTest.cpp
+++ b/tests/unit/retry/CrashLedgerTest.cpp
@@ -161,5 +161,25 @@
   EXPECT_LE(ledger.latestCrashes(end, kMany).size(), 4'096U);
 }
 
+TEST(CrashLedger, WhatWasServedBeforeIsTriedOnceMore)
+{
+  // All replicas of a service crash at once, with a lookup that everybody makes
+  // at each of them. It is tried once they are back, not refused for an hour;
+  // and a few times at most, should it be to blame after all.
+  CrashLedger ledger;
+  ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart);
+  ledger.onCrash(report(kRequest, "b", true), CrashSource::Own, kStart);
+  EXPECT_FALSE(ledger.takeTrial(kRequest, kStart + seconds{ 60 }));
+  ledger.allowTrial(kRequest, kStart + seconds{ 5 });
+  EXPECT_FALSE(ledger.takeTrial(kRequest, kStart + seconds{ 4 }));
+  EXPECT_TRUE(ledger.takeTrial(kRequest, kStart + seconds{ 5 }));
+  EXPECT_FALSE(ledger.takeTrial(kRequest, kStart + seconds{ 6 }));
+  for (const char* replica : { "c", "d", "e" }) {
+    ledger.onCrash(report(kRequest, replica, true), CrashSource::Peer, kStart);
+  }
+  ledger.allowTrial(kRequest, kStart + seconds{ 7 });
+  EXPECT_FALSE(ledger.takeTrial(kRequest, kStart + seconds{ 8 }));
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/retry/CrashWatchTest.cpp
+++ b/tests/unit/retry/CrashWatchTest.cpp
@@ -10,16 +10,17 @@
 
 constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
 constexpr Fingerprint kRequest{ 1, 2 };
+const ServedContents kNone;
 
 TEST(CrashWatch, ABrokenAnswerIsNoEndOfItsReplica)
 {
   CrashWatch watch{ seconds{ 4 } };
   watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
   EXPECT_EQ(watch.replicas(), std::set<std::string>{ "a" });
-  EXPECT_TRUE(watch.onEnded("b").empty());
+  EXPECT_TRUE(watch.onEnded("b", kNone, kStart).empty());
   watch.expire(kStart + milliseconds{ 4'001 });
   EXPECT_TRUE(watch.replicas().empty());
-  EXPECT_TRUE(watch.onEnded("a").empty());
+  EXPECT_TRUE(watch.onEnded("a", kNone, kStart).empty());
 }
 
 TEST(CrashWatch, AnEndTellsOfEachRequestThereOnce)
@@ -28,10 +29,25 @@
   watch.onBroken(CrashReport{ kRequest, "a", false }, kStart);
   watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
   watch.onBroken(CrashReport{ Fingerprint{ 5, 6 }, "a", false }, kStart);
-  const auto reports = watch.onEnded("a");
+  const auto reports = watch.onEnded("a", kNone, kStart);
   ASSERT_EQ(reports.size(), 2U);
   EXPECT_EQ(reports[0], (CrashReport{ kRequest, "a", true }));
-  EXPECT_TRUE(watch.onEnded("a").empty());
+  EXPECT_TRUE(watch.onEnded("a", kNone, kStart).empty());
+}
+
+TEST(CrashWatch, WhatWasServedElsewhereSinceIsNotToBlame)
+{
+  // The end is certain only seconds later, and other callers with the same
+  // lookup have been served meanwhile.
+  CrashWatch watch{ seconds{ 4 } };
+  watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
+  watch.onBroken(CrashReport{ Fingerprint{ 5, 6 }, "a", true }, kStart);
+  ServedContents served;
+  served.onServed(Fingerprint{ 5, 6 }, kStart - seconds{ 1 });
+  served.onServed(kRequest, kStart + milliseconds{ 20 });
+  const auto reports = watch.onEnded("a", served, kStart + seconds{ 2 });
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].request, (Fingerprint{ 5, 6 }));
 }
 
 } // namespace
--- /dev/null
+++ b/tests/unit/retry/ServedContentsTest.cpp
@@ -0,0 +1,45 @@
+#include "poplartrack/retry/ServedContents.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+constexpr Fingerprint kContent{ 1, 2 };
+
+TEST(ServedContents, RemembersTheLastTimeForAMinute)
+{
+  ServedContents served;
+  EXPECT_FALSE(served.lastServed(kContent, kStart));
+  served.onServed(kContent, kStart);
+  served.onServed(kContent, kStart + seconds{ 20 });
+  served.onServed(Fingerprint{ 3, 4 }, kStart + seconds{ 45 });
+  EXPECT_EQ(served.lastServed(kContent, kStart + seconds{ 50 }),
+            kStart + seconds{ 20 });
+  EXPECT_FALSE(served.lastServed(kContent, kStart + seconds{ 80 }));
+}
+
+TEST(ServedContents, StaysBounded)
+{
+  ServedContents served;
+  served.onServed(kContent, kStart);
+  std::size_t known = 0;
+  constexpr std::uint64_t kMany = 20'000;
+  for (std::uint64_t i = 0; i < kMany; ++i) {
+    served.onServed(Fingerprint{ 10, i }, kStart);
+  }
+  for (std::uint64_t i = 0; i < kMany; ++i) {
+    known += served.lastServed(Fingerprint{ 10, i }, kStart) ? 1 : 0;
+  }
+  EXPECT_LE(known, 4'096U);
+  // What is noted stays up to date.
+  served.onServed(kContent, kStart + seconds{ 10 });
+  EXPECT_EQ(served.lastServed(kContent, kStart + seconds{ 10 }),
+            kStart + seconds{ 10 });
+}
+
+} // namespace
+} // namespace poplartrack
