Let relays that start together not all read the quarantine

Read from the code: relays that have just started hear nobody yet, and each read the quarantine's rows, once a second. Now a relay counts as cut off after 2.5 s in which it hears none of the others that look; those that start wait until they do, and only readers read.

--- a/include/poplartrack/relay/QuarantineRows.h
+++ b/include/poplartrack/relay/QuarantineRows.h
@@ -38,6 +38,7 @@
   {
     if (this->startedAt == TimePoint{}) {
       this->startedAt = aNow;
+      this->heardAt = aNow;
     }
     if (aNow < this->nextTry) {
       return;
@@ -56,21 +57,26 @@
   /** By then it is known who looks at the store for the others, and they tell
    * what they read. */
   static constexpr Duration kSettle = std::chrono::milliseconds{ 1'000 };
-  /** A relay that hears none of the others that look reads this often: nobody
-   * tells it what is new. */
+  /** A relay that has heard none of the others that look for this long is cut
+   * off from them. Those that have just started do not hear each other yet. */
+  static constexpr Duration kAlone = std::chrono::milliseconds{ 2'500 };
+  /** It reads this often: nobody tells it what is new. */
   static constexpr Duration kAlonePause = std::chrono::milliseconds{ 1'000 };
   static constexpr Duration kRetryPause = std::chrono::milliseconds{ 1'500 };
   static constexpr const char* kTable = "quarantine";
   static constexpr std::size_t kMost = 4'096;
 
-  [[nodiscard]] bool wantsRead(TimePoint aNow) const
+  [[nodiscard]] bool wantsRead(TimePoint aNow)
   {
+    if (this->shared.readersHeard > 0 || this->shared.peers.read()->empty()) {
+      this->heardAt = aNow;
+    }
     if (!this->shared.looks || aNow - this->startedAt < kSettle) {
       return false;
     }
-    const bool alone =
-      this->shared.readersHeard == 0 && !this->shared.peers.read()->empty();
-    return !this->wasRead || (alone && aNow - this->readAt >= kAlonePause);
+    const bool alone = aNow - this->heardAt >= kAlone;
+    return alone ? aNow - this->readAt >= kAlonePause
+                 : !this->wasRead && this->heardAt == aNow;
   }
   bool read(TimePoint aNow);
   bool write();
@@ -79,6 +85,8 @@
   RelayShared& shared;
   Store& store;
   TimePoint startedAt{};
+  /** When others that look were heard last, or there were none to hear. */
+  TimePoint heardAt{};
   TimePoint nextTry{};
   TimePoint readAt{};
   bool wasRead = false;
