Open callers, and listeners of replicas, in one place in the tests; one line a test

RelayLoopTest repeated the opening of a caller 27 times, the two new tests an accept loop each: callerOf and AcceptLoop. Comments of the new tests and classes say in a line what they guard against.

--- a/include/poplartrack/fleet/ReplicaLimits.h
+++ b/include/poplartrack/fleet/ReplicaLimits.h
@@ -34,13 +34,11 @@
 /**
  * This relay's part of what replicas in need take from all relays together.
  *
- * As many relays as the limit allows one request a second each take turns,
- * those of the replica's availability zone first; the others send it nothing.
- * Dealt out to all of them, a limit of two a second would be one request in a
- * minute for each of a hundred relays, and one request of each at the same
- * moment fifty times too much. Where those whose turn it is have nothing to
- * send, no answer comes, and the turn goes on to the next: else nobody would
- * hear that the limit is over.
+ * As many relays as the limit allows one request a second each have their turn,
+ * those of the replica's availability zone first; the others send nothing. An
+ * equal part for each of many relays would pass a small limit as soon as all of
+ * them send one request at the same moment. Without an answer the turn goes on:
+ * else nobody would hear that the limit is over.
  *
  * A part is earned while it is this relay's turn and not kept beyond it. Pure;
  * not thread-safe.
--- a/include/poplartrack/relay/QuarantineRows.h
+++ b/include/poplartrack/relay/QuarantineRows.h
@@ -14,13 +14,10 @@
 namespace poplartrack {
 
 /**
- * The quarantine as rows of the store, so that it outlasts all relays: without
- * them a request would end two replicas more after each time that all relays
- * are lost together.
- *
- * A row is written by the relays that saw the end that decided it, or else by
- * the one that holds the placement lease, which also deletes it when it is
- * over. One thread calls.
+ * The quarantine as rows of the store, so that it outlasts the loss of all
+ * relays. A row is written by the relays that saw the end that decided it, or
+ * else by the one that holds the placement lease, which also deletes it when it
+ * is over. One thread calls.
  */
 template<PlatformLike Store>
 class QuarantineRows
--- a/include/poplartrack/retry/CrashLedger.h
+++ b/include/poplartrack/retry/CrashLedger.h
@@ -23,18 +23,15 @@
 
 /**
  * Which requests replicas ended under, as all relays know it together, and
- * which of them are therefore in quarantine: sent to no replica.
+ * which of them are therefore in quarantine: sent to no replica. Two ends just
+ * after the request began are enough, or three at any time; a run that ends
+ * well clears it.
  *
- * A request may end each replica that begins to run it, and comes again under
- * new ids, to any relay. Known only by its id, it takes one replica after the
- * other, and all that runs there. Those that merely ran beside it are told
- * apart by what they do elsewhere: they end well, and start anew here.
+ * A request that crashes replicas comes again under new ids, to any relay:
+ * known by its id alone, it takes one replica after the other.
  *
- * Two ends just after the request began are enough, or three whenever they
- * came: most requests that are lost with a replica had been there for a while.
- *
- * Ledgers agree once they have heard the same, in any order and however often,
- * so words may be lost and pass through others. Pure; not thread-safe.
+ * Ledgers agree once they have heard the same, in any order and however often.
+ * Pure; not thread-safe.
  */
 class CrashLedger
 {
@@ -66,11 +63,11 @@
     TimePoint aNow) const;
   /** All requests in quarantine. */
   [[nodiscard]] std::vector<QuarantineRecord> quarantine(TimePoint aNow) const;
-  /** What was entered lately, for the others: ends, those first that came just
-   * after the beginning... */
+  /** Ends that were entered lately, for the others; first those just after the
+   * request began. */
   [[nodiscard]] std::vector<CrashReport> latestCrashes(TimePoint aNow,
                                                        std::size_t aMost) const;
-  /** ... and requests that ended well. */
+  /** Requests that were cleared lately. */
   [[nodiscard]] std::vector<Fingerprint> latestServed(TimePoint aNow) const;
 
 private:
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -78,8 +78,7 @@
 
 TEST(PathFinder, DoesNotBeginWhereAReplicaTakesNoMoreRequests)
 {
-  // The replica limits what it is sent. Its copy stands idle for a moment, and
-  // streams that have started are sent elsewhere too; what runs there stays.
+  // Streams that move to a replica that has had its limit already.
   const auto replicas = twoZones();
   auto candidates = candidatesOf(replicas);
   candidates[0].takesRequests = false;
--- a/tests/unit/fleet/ReplicaLimitsTest.cpp
+++ b/tests/unit/fleet/ReplicaLimitsTest.cpp
@@ -149,8 +149,7 @@
 
 TEST(ReplicaLimits, TheTurnGoesToARelayThatHasSomethingToSend)
 {
-  // Only one relay has callers for the replica, and it is not the first in
-  // turn: it hears of the limit's end all the same.
+  // A limit that is over and kept for good, since those in turn had no callers.
   for (std::size_t busy = 0; busy < 4; ++busy) {
     Relays fleet{ 4 };
     fleet.limits[0].onAnswer(kReplica, kZone, 1.4, fleet.now);
@@ -191,7 +190,6 @@
 
 TEST(ReplicaLimits, ARelayThatHearsFewOthersLeavesThemTheirPart)
 {
-  // Cut off from the three others, which go on with the replica.
   ReplicaLimits limits;
   limits.setOthers({}, 4);
   limits.onAnswer(kReplica, kZone, 8, kStart);
--- a/tests/unit/relay/QuarantineRowsTest.cpp
+++ b/tests/unit/relay/QuarantineRowsTest.cpp
@@ -121,7 +121,6 @@
   reader.refresh(kStart + seconds{ 6 });
   EXPECT_EQ(*nextLife.quarantineStored.read(),
             std::vector<Fingerprint>{ kRequest });
-  // What was read has not been taken over yet: it is not over.
   reader.refresh(kStart + seconds{ 7 });
   EXPECT_EQ(this->store.rows.count(toText(kRequest)), 1U);
 }
@@ -135,7 +134,6 @@
   this->shared.leads = true;
   rows.refresh(kStart + milliseconds{ 250 });
   EXPECT_EQ(this->store.rows.size(), 1U);
-  // Written once.
   const int calls = this->store.calls;
   rows.refresh(kStart + milliseconds{ 500 });
   EXPECT_EQ(this->store.calls, calls);
@@ -167,8 +165,7 @@
 
 TEST_F(QuarantineRowsTest, ARelayThatHearsNobodyReadsAgain)
 {
-  // It is cut off from the other relays and not from the store: nobody tells
-  // it what they find, and it would go on sending it to replicas.
+  // Cut off from the other relays alone, it sent on what they had found.
   this->shared.peers.replace(std::make_shared<const std::vector<Address>>(
     std::vector<Address>{ { "127.0.0.1", 9 } }));
   QuarantineRows<RowStore> rows{ this->shared, this->store };
@@ -182,8 +179,7 @@
 
 TEST_F(QuarantineRowsTest, RelaysThatStartTogetherDoNotAllRead)
 {
-  // Hundreds of relays start at once and do not hear each other yet. Each would
-  // ask the store, once a second, for what two of each zone read for all.
+  // Hundreds of reads at the store when all relays start again.
   this->shared.peers.replace(std::make_shared<const std::vector<Address>>(
     std::vector<Address>{ { "127.0.0.1", 9 } }));
   QuarantineRows<RowStore> rows{ this->shared, this->store };
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -1,8 +1,10 @@
 // Requests under which replicas end.
 
 #include <atomic>
+#include <mutex>
 #include <thread>
 
+#include "AcceptLoop.h"
 #include "RelayWorld.h"
 
 namespace poplartrack {
@@ -27,22 +29,21 @@
     for (int i = 0; i < kReplicas; ++i) {
       for (RelayWorld* world : this->worlds) {
         world->addReplica(
-          "r" + std::to_string(i), "plain", this->listener.address());
+          "r" + std::to_string(i), "plain", this->loop.address());
       }
     }
   }
   EndingReplicas(const EndingReplicas&) = delete;
   EndingReplicas& operator=(const EndingReplicas&) = delete;
-  ~EndingReplicas()
-  {
-    this->stopping = true;
-    RawSocket::connectTo(this->listener.address());
-    this->thread.join();
-  }
 
   void start()
   {
-    this->thread = std::thread([this] { this->run(); });
+    this->loop.start([this](RawSocket& aConnection) {
+      const std::string head = aConnection.readUntil("\r\n\r\n");
+      const std::scoped_lock lock{ this->guard };
+      this->ended.push_back(fieldIn(head, "X-Expect"));
+      ++this->runs;
+    });
   }
   /** Takes those that have ended off the list of all relays. */
   void publish()
@@ -60,39 +61,21 @@
   [[nodiscard]] int sent() const { return this->runs; }
 
 private:
-  void run()
-  {
-    while (true) {
-      RawSocket connection = this->listener.accept();
-      if (this->stopping) {
-        return;
-      }
-      const std::string head = connection.readUntil("\r\n\r\n");
-      const std::size_t at = head.find("X-Expect: ");
-      const std::size_t from = at + std::string_view{ "X-Expect: " }.size();
-      const std::scoped_lock lock{ this->guard };
-      this->ended.push_back(head.substr(from, head.find("\r\n", from) - from));
-      ++this->runs;
-    }
-  }
-
   std::vector<RelayWorld*> worlds;
-  RawListener listener;
   std::mutex guard;
   std::vector<std::string> ended;
   std::uint64_t version = 1;
   std::atomic<int> runs{ 0 };
-  std::atomic<bool> stopping{ false };
-  std::thread thread;
+  // Last: its thread uses all the above.
+  AcceptLoop loop;
 };
 
 /** Sends the same content under another id; returns the head of the answer. */
 std::string
 callOnce(const RelayWorld& aWorld, int aNumber)
 {
-  RawSocket caller = aWorld.caller();
-  caller.send(RelayWorld::request(
-    "/again/x", "id-" + std::to_string(aNumber), "", "content"));
+  RawSocket caller =
+    aWorld.callerOf("/again/x", "id-" + std::to_string(aNumber), "", "content");
   return caller.readUntil("}\n");
 }
 
@@ -143,17 +126,14 @@
 
 TEST(RelayCrash, ABrokenAnswerOfAReplicaThatLivesIsNoCrash)
 {
-  // Replicas lose answers and live on. The same lookup is lost four times in a
-  // row; the fifth caller is still served.
   RelayWorld world;
   RawListener listener;
   world.addReplica("one", "plain", listener.address());
   world.addReplica("two", "plain", listener.address());
   world.start();
   for (int i = 0; i < 2; ++i) {
-    RawSocket caller = world.caller();
-    caller.send(RelayWorld::request(
-      "/again/x", "id-" + std::to_string(i), "", "content"));
+    RawSocket caller =
+      world.callerOf("/again/x", "id-" + std::to_string(i), "", "content");
     for (int attempt = 0; attempt < 2; ++attempt) {
       RawSocket replica = listener.accept();
       replica.readUntil("content");
@@ -161,8 +141,7 @@
     EXPECT_TRUE(caller.readUntil("}\n").starts_with("HTTP/1.1 502 "));
     world.publishReplicas(static_cast<std::uint64_t>(i) + 2);
   }
-  RawSocket caller = world.caller();
-  caller.send(RelayWorld::request("/again/x", "id-9", "", "content"));
+  RawSocket caller = world.callerOf("/again/x", "id-9", "", "content");
   RawSocket replica = listener.accept();
   replica.readUntil("content");
   replica.send(RelayWorld::answer("id-9", "whole"));
@@ -188,9 +167,7 @@
   EXPECT_TRUE(refused.starts_with("HTTP/1.1 503 ")) << refused;
   EXPECT_NE(refused.find("quarantined"), std::string::npos) << refused;
   EXPECT_EQ(world.shared.metrics.refusals(ErrorKind::Quarantined), 1U);
-  // Another content of the same caller is served.
-  RawSocket caller = world.caller();
-  caller.send(RelayWorld::request("/again/x", "id-2", "", "other"));
+  RawSocket caller = world.callerOf("/again/x", "id-2", "", "other");
   RawSocket replica = listener.accept();
   replica.readUntil("other");
   replica.send(RelayWorld::answer("id-2", "whole"));
@@ -199,8 +176,7 @@
 
 TEST(RelayCrash, ReplicasThatLeaveAreNoCrash)
 {
-  // Both replicas of a lookup say that they leave, and end with it. The next
-  // caller with the same lookup is served by the one that is new.
+  // A lookup refused as quarantined after a release of its two replicas.
   RelayWorld world;
   RawListener leaving;
   RawListener staying;
@@ -221,8 +197,7 @@
   world.replicas["two"].draining = true;
   world.publishReplicas(2);
   // A request that comes now is admitted with the latest list.
-  RawSocket other = world.caller();
-  other.send(RelayWorld::request("/unknown/", "id-8"));
+  RawSocket other = world.callerOf("/unknown/", "id-8");
   EXPECT_NE(other.readUntil("}\n").find("404"), std::string::npos);
   for (int i = 0; i < 2; ++i) {
     replicas[static_cast<std::size_t>(i)].close();
@@ -231,8 +206,7 @@
   world.replicas.clear();
   world.addReplica("three", "plain", staying.address());
   world.publishReplicas(3);
-  RawSocket caller = world.caller();
-  caller.send(RelayWorld::request("/again/x", "id-9", "", "content"));
+  RawSocket caller = world.callerOf("/again/x", "id-9", "", "content");
   RawSocket replica = staying.accept();
   replica.readUntil("content");
   replica.send(RelayWorld::answer("id-9", "whole"));
@@ -241,8 +215,8 @@
 
 TEST(RelayCrash, ALookupThatIsServedElsewhereMeanwhileIsServedOn)
 {
-  // Two of three replicas crash by themselves under a lookup that many callers
-  // make. The third serves it before the list tells that they are gone.
+  // A popular lookup quarantined since two of three replicas crashed by
+  // themselves.
   RelayWorld world;
   RawListener crashing;
   RawListener staying;
@@ -251,8 +225,7 @@
   world.addReplica("three", "plain", staying.address());
   world.replicas["three"].zone = "b";
   world.start();
-  RawSocket unlucky = world.caller();
-  unlucky.send(RelayWorld::request("/again/x", "id-0", "", "content"));
+  RawSocket unlucky = world.callerOf("/again/x", "id-0", "", "content");
   for (int attempt = 0; attempt < 2; ++attempt) {
     RawSocket replica = crashing.accept();
     replica.readUntil("content");
@@ -260,8 +233,7 @@
   EXPECT_TRUE(unlucky.readUntil("}\n").starts_with("HTTP/1.1 502 "));
   for (int i = 1; i < 3; ++i) {
     const std::string id = "id-" + std::to_string(i);
-    RawSocket caller = world.caller();
-    caller.send(RelayWorld::request("/again/x", id, "", "content"));
+    RawSocket caller = world.callerOf("/again/x", id, "", "content");
     RawSocket replica = staying.accept();
     replica.readUntil("content");
     replica.send(RelayWorld::answer(
--- a/tests/unit/relay/RelayLimitTest.cpp
+++ b/tests/unit/relay/RelayLimitTest.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <thread>
 
+#include "AcceptLoop.h"
 #include "RelayWorld.h"
 
 namespace poplartrack {
@@ -27,58 +28,34 @@
 class LimitingReplica
 {
 public:
-  explicit LimitingReplica(std::string aLimit)
-    : limit(std::move(aLimit))
-    , thread([this] { this->run(); })
+  explicit LimitingReplica(const std::string& aLimit)
   {
-  }
-  LimitingReplica(const LimitingReplica&) = delete;
-  LimitingReplica& operator=(const LimitingReplica&) = delete;
-  ~LimitingReplica()
-  {
-    this->stopping = true;
-    RawSocket::connectTo(this->listener.address());
-    this->thread.join();
-  }
-
-  [[nodiscard]] Address address() const { return this->listener.address(); }
-  [[nodiscard]] int requests() const { return this->count; }
-
-private:
-  void run()
-  {
-    while (true) {
-      RawSocket connection = this->listener.accept();
-      if (this->stopping) {
-        return;
-      }
-      const std::string head = connection.readUntil("\r\n\r\n");
-      const std::size_t from =
-        head.find("X-Id: ") + std::string_view{ "X-Id: " }.size();
-      const std::string id = head.substr(from, head.find("\r\n", from) - from);
+    this->loop.start([this, aLimit](RawSocket& aConnection) {
+      const std::string head = aConnection.readUntil("\r\n\r\n");
       ++this->count;
-      connection.send(RelayWorld::answer(
-        id,
+      aConnection.send(RelayWorld::answer(
+        fieldIn(head, "X-Id"),
         "{}\n",
         "200 OK",
-        "X-Stamp: s\r\nConnection: close\r\nX-Limit: " + this->limit + "\r\n"));
-    }
+        "X-Stamp: s\r\nConnection: close\r\nX-Limit: " + aLimit + "\r\n"));
+    });
   }
 
-  std::string limit;
-  RawListener listener;
+  [[nodiscard]] Address address() const { return this->loop.address(); }
+  [[nodiscard]] int requests() const { return this->count; }
+
+private:
   std::atomic<int> count{ 0 };
-  std::atomic<bool> stopping{ false };
-  std::thread thread;
+  // Last: its thread uses the count.
+  AcceptLoop loop;
 };
 
 /** A caller that waits for a short while. */
 void
 callOnce(const RelayWorld& aWorld, int aNumber)
 {
-  RawSocket caller = aWorld.caller();
-  caller.send(RelayWorld::request(
-    "/again/x", "id-" + std::to_string(aNumber), "X-Deadline: 40\r\n"));
+  RawSocket caller = aWorld.callerOf(
+    "/again/x", "id-" + std::to_string(aNumber), "X-Deadline: 40\r\n");
   caller.readUntil("}\n");
 }
 
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -25,9 +25,8 @@
 {
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request(
-    "/once/x?q=1", "id-1", "X-Account: forged\r\nX-Other: kept\r\n", "body"));
+  RawSocket caller = this->world.callerOf(
+    "/once/x?q=1", "id-1", "X-Account: forged\r\nX-Other: kept\r\n", "body");
   RawSocket replica = this->one.accept();
   const std::string got = replica.readUntil("body");
   EXPECT_TRUE(got.starts_with("POST /once/x?q=1 HTTP/1.1\r\n"));
@@ -50,8 +49,7 @@
   // one has read the configuration: it is served some ms later, not refused.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.startBlind();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   this->world.publishConfig();
   this->world.publishReplicas(1);
   RawSocket replica = this->one.accept();
@@ -66,8 +64,8 @@
   // relay is heard. The caller has 9 s: it is told to wait for up to a third.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start(std::chrono::seconds{ 60 });
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1", "X-Deadline: 9000\r\n"));
+  RawSocket caller =
+    this->world.callerOf("/once/x", "id-1", "X-Deadline: 9000\r\n");
   const std::string answer = caller.readUntil("\r\n\r\n");
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 "));
   const std::size_t at = answer.find("Retry-After: ");
@@ -83,8 +81,7 @@
   // this one is due. The caller must get its own answer and nothing else.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-2"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-2");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.send(RelayWorld::answer("id-1", "other") +
@@ -99,8 +96,7 @@
   // it goes out on a new connection.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/again/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/again/x", "id-1");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.send(RelayWorld::answer("id-1", "own") +
@@ -121,8 +117,7 @@
   this->world.addReplica("one", "plain", this->one.address());
   this->world.addReplica("two", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.close();
@@ -134,8 +129,7 @@
   this->world.addReplica("one", "plain", this->one.address());
   this->world.addReplica("two", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/again/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/again/x", "id-1");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.close();
@@ -150,8 +144,7 @@
   this->world.addReplica("one", "plain", this->one.address());
   this->world.addReplica("two", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.send(RelayWorld::answer(
@@ -166,8 +159,7 @@
 {
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.send(RelayWorld::answer("id-1", "spoiled", "200 OK", ""));
@@ -182,8 +174,7 @@
   // caller must not take what has come for the whole.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n"
@@ -196,8 +187,7 @@
 {
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n\r\nwhole");
@@ -212,8 +202,8 @@
   this->world.addReplica("one", "model", this->one.address());
   this->world.addReplica("two", "model", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket caller =
+    this->world.callerOf("/stream/x", "id-1", "X-Tokens: 5,5\r\n");
   RawSocket first = this->one.accept();
   const std::string request = first.readUntil("\r\n\r\n");
   EXPECT_TRUE(has(request, "X-Path: "));
@@ -237,11 +227,10 @@
   // nothing of it is lost.
   this->world.addReplica("one", "model", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/stream/x",
-                                  "id-1",
-                                  "X-Tokens: 5,50000\r\n"
-                                  "X-Hint: 50000\r\n"));
+  RawSocket caller = this->world.callerOf("/stream/x",
+                                          "id-1",
+                                          "X-Tokens: 5,50000\r\n"
+                                          "X-Hint: 50000\r\n");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
@@ -266,9 +255,8 @@
   this->world.replicas["one"].layers = LayerRange{ 0, 5 };
   this->world.replicas["two"].layers = LayerRange{ 5, 10 };
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request(
-    "/stream/x", "id-1", "X-Tokens: 5,50000\r\nX-Hint: 50000\r\n"));
+  RawSocket caller = this->world.callerOf(
+    "/stream/x", "id-1", "X-Tokens: 5,50000\r\nX-Hint: 50000\r\n");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
@@ -296,9 +284,8 @@
   this->world.retrySlack = 0;
   this->world.addReplica("one", "model", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request(
-    "/stream/x", "id-1", "X-Tokens: 5,50000\r\nX-Hint: 50000\r\n"));
+  RawSocket caller = this->world.callerOf(
+    "/stream/x", "id-1", "X-Tokens: 5,50000\r\nX-Hint: 50000\r\n");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
@@ -324,8 +311,8 @@
   // its stream from another replica, after the last event that it has.
   this->world.addReplica("one", "model", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket caller =
+    this->world.callerOf("/stream/x", "id-1", "X-Tokens: 5,5\r\n");
   RawSocket first = this->one.accept();
   first.readUntil("\r\n\r\n");
   first.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
@@ -347,8 +334,7 @@
   // known, and the new start is not sent it.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   this->world.restartReplica("one");
@@ -363,8 +349,7 @@
   this->world.addReplica("one", "plain", this->one.address());
   this->world.restartReplica("one");
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   RawSocket replica = this->one.accept();
   EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Expect: one\r\n"));
 }
@@ -374,8 +359,8 @@
   this->world.addReplica("one", "model", this->one.address());
   this->world.config->routes["shop.example"][2].resumable = false;
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket caller =
+    this->world.callerOf("/stream/x", "id-1", "X-Tokens: 5,5\r\n");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
@@ -388,8 +373,8 @@
 {
   this->world.addReplica("one", "model", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/stream/x", "id-1", "X-Tokens: 5,5\r\n"));
+  RawSocket caller =
+    this->world.callerOf("/stream/x", "id-1", "X-Tokens: 5,5\r\n");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   caller.close();
@@ -426,8 +411,7 @@
   // may live. The caller is told to come back, not that its key is wrong.
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start(std::chrono::seconds{ 10 });
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = this->world.callerOf("/once/x", "id-1");
   const std::string answer = caller.readUntil("\r\n\r\n");
   EXPECT_TRUE(has(answer, "503 Service Unavailable"));
   EXPECT_TRUE(has(answer, "Retry-After: "));
@@ -437,16 +421,14 @@
 {
   this->world.start();
   this->world.shared.config.replace(nullptr);
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/unknown/", "id-1"));
+  RawSocket caller = this->world.callerOf("/unknown/", "id-1");
   EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "503 Service Unavailable"));
 }
 
 TEST_F(RelayLoopTest, DeniesWhatTheConfigurationDoesNotAllow)
 {
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/unknown/", "id-1"));
+  RawSocket caller = this->world.callerOf("/unknown/", "id-1");
   EXPECT_TRUE(has(caller.readUntil("}\n"), "404 Not Found"));
   caller.send("GET /once/ HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-2\r\n"
               "X-Key: wrong\r\n\r\n");
@@ -471,12 +453,10 @@
   this->world.config->limits.headerBytes = 1'024;
   this->world.config->limits.bodyBytes = 8;
   this->world.start();
-  RawSocket large = this->world.caller();
-  large.send(RelayWorld::request(
-    "/once/", "id-1", "X-Long: " + std::string(4'000, 'h') + "\r\n"));
+  RawSocket large = this->world.callerOf(
+    "/once/", "id-1", "X-Long: " + std::string(4'000, 'h') + "\r\n");
   EXPECT_TRUE(has(large.readToEnd(), "431 "));
-  RawSocket body = this->world.caller();
-  body.send(RelayWorld::request("/once/", "id-1", "", "123456789"));
+  RawSocket body = this->world.callerOf("/once/", "id-1", "", "123456789");
   EXPECT_TRUE(has(body.readToEnd(), "413 "));
   RawSocket nonsense = this->world.caller();
   nonsense.send("nonsense\r\n\r\n");
@@ -517,8 +497,8 @@
 {
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
-  RawSocket caller = this->world.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1", "X-Deadline: 60\r\n"));
+  RawSocket caller =
+    this->world.callerOf("/once/x", "id-1", "X-Deadline: 60\r\n");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "504 Gateway Timeout"));
@@ -550,8 +530,7 @@
     std::this_thread::yield();
   }
   ASSERT_EQ(behind.shared.listHeard, 7U);
-  RawSocket caller = behind.caller();
-  caller.send(RelayWorld::request("/once/x", "id-1"));
+  RawSocket caller = behind.callerOf("/once/x", "id-1");
   RawSocket replica = staying.accept();
   EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Expect: two\r\n"));
 }
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -152,6 +152,17 @@
     return RawSocket::connectTo(this->loop->callersAddress());
   }
 
+  /** A caller on a connection of its own that has sent a request. */
+  [[nodiscard]] RawSocket callerOf(const std::string& aPath,
+                                   const std::string& aId,
+                                   const std::string& aMore = {},
+                                   const std::string& aBody = {}) const
+  {
+    RawSocket caller = this->caller();
+    caller.send(request(aPath, aId, aMore, aBody));
+    return caller;
+  }
+
   /** A request with what a caller of good conduct sends. */
   static std::string request(const std::string& aPath,
                              const std::string& aId,
--- a/tests/unit/relay/RetryAdviceTest.cpp
+++ b/tests/unit/relay/RetryAdviceTest.cpp
@@ -78,7 +78,6 @@
 
 TEST(RetryAdvice, AQuarantineSaysHowLongItLasts)
 {
-  // Sooner the caller would only be refused again.
   RefusalState state;
   state.kind = ErrorKind::Quarantined;
   state.timeLeft = seconds{ 20 };
--- a/tests/unit/retry/CrashLedgerTest.cpp
+++ b/tests/unit/retry/CrashLedgerTest.cpp
@@ -55,9 +55,7 @@
 
 TEST(CrashLedger, ARequestThatARelayServedStartsAnew)
 {
-  // A lookup that many callers make was at two replicas that crashed by
-  // themselves. Its next run ends well: it is served on, and one more crash
-  // does not count with the earlier ones.
+  // A popular lookup that crashes of long ago put into quarantine.
   CrashLedger ledger;
   ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart);
   ledger.onCrash(report(kRequest, "b", true), CrashSource::Own, kStart);
@@ -163,9 +161,7 @@
 
 TEST(CrashLedger, WhatWasServedBeforeIsTriedOnceMore)
 {
-  // All replicas of a service crash at once, with a lookup that everybody makes
-  // at each of them. It is tried once they are back, not refused for an hour;
-  // and a few times at most, should it be to blame after all.
+  // A popular lookup refused for an hour after all replicas crashed at once.
   CrashLedger ledger;
   ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart);
   ledger.onCrash(report(kRequest, "b", true), CrashSource::Own, kStart);
--- a/tests/unit/retry/CrashWatchTest.cpp
+++ b/tests/unit/retry/CrashWatchTest.cpp
@@ -37,8 +37,7 @@
 
 TEST(CrashWatch, WhatWasServedElsewhereSinceIsNotToBlame)
 {
-  // The end is certain only seconds later, and other callers with the same
-  // lookup have been served meanwhile.
+  // A lookup blamed for an end that was certain only seconds later.
   CrashWatch watch{ seconds{ 4 } };
   watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
   watch.onBroken(CrashReport{ Fingerprint{ 5, 6 }, "a", true }, kStart);
