Do not send a request on whose caller has left while the relay was behind

Cause: a loop that is behind reads a request seconds after it came, together with the end of its connection; it looks at the end only in its next round, when the request has been sent on. Evidence: one of them came at 15.785 s, its caller closed at 18.185 s, it was sent on at 19.719 s. Change: before an attempt is sent the caller's connection is looked at (one recv with MSG_PEEK). Why it is enough: whatever held the loop up, what the kernel has is seen before anything leaves. Ruled out: reading all sockets before any request is acted on (more waits for those that are on time). Test: RelayLoopTest.ARequestWhoseCallerLeftWhileTheRelayWasBehindIsNotSentOn fails before (id-1 is sent). 41 tests of the loop, crashes, peers and limits pass. Which work holds the loop of one relay of 103 for seconds is still open.

--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -361,6 +361,22 @@
     aCaller, Error{ ErrorKind::HeadTimeout, "" }, "", Duration{ 0 }, true);
 }
 
+/** Whether the caller has closed its connection, also where that has not been
+ * read yet: a loop that is behind reads a request long after it came. */
+bool
+RelayLoop::Impl::callerLeft(const Exchange& aExchange) const
+{
+  const auto found = this->callers.find(aExchange.caller);
+  if (found == this->callers.end()) {
+    return true;
+  }
+  char next = 0;
+  const ssize_t count = ::recv(
+    found->second->fd.get(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+  const bool waits = count < 0 && (errno == EAGAIN || errno == EINTR);
+  return count <= 0 && !waits;
+}
+
 void
 RelayLoop::Impl::closeCaller(std::uint64_t aId)
 {
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -100,6 +100,10 @@
     return;
   }
   Result<AttemptTarget> target = this->chooseInLine(aExchange);
+  if (target && this->callerLeft(aExchange)) {
+    this->onCallerGone(aExchange.id);
+    return;
+  }
   if (target && aExchange.owesRetry &&
       !this->budgetOf(aExchange).tryRetry(retryNeedOf(aExchange), this->now)) {
     target = fail(ErrorKind::Overloaded, "the retry budget is used up");
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -152,6 +152,7 @@
   void onCallerTimer(CallerConnection& aCaller);
   void linger(CallerConnection& aCaller);
   void closeCaller(std::uint64_t aId);
+  [[nodiscard]] bool callerLeft(const Exchange& aExchange) const;
   void closeIdlest();
   void answerError(CallerConnection& aCaller,
                    const Error& aError,
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -1,3 +1,4 @@
+#include <future>
 #include <thread>
 
 #include "RelayWorld.h"
@@ -382,6 +383,24 @@
   EXPECT_EQ(replica.readToEnd(), "");
 }
 
+TEST_F(RelayLoopTest, ARequestWhoseCallerLeftWhileTheRelayWasBehindIsNotSentOn)
+{
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.start();
+  std::promise<void> behind;
+  std::promise<void> goesOn;
+  this->world.loop->post([&behind, &goesOn] {
+    behind.set_value();
+    goesOn.get_future().wait();
+  });
+  behind.get_future().wait();
+  this->world.callerOf("/once/x", "id-1").close();
+  goesOn.set_value();
+  RawSocket caller = this->world.callerOf("/once/x", "id-2");
+  RawSocket replica = this->one.accept();
+  EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Id: id-2\r\n"));
+}
+
 TEST_F(RelayLoopTest, AnEarlyAnswerToALongBodyEndsItsConnection)
 {
   // The replica answers after the head and would read on: the next request's
