Count the calls of the store by reason

Change: store_calls_total{reason}, counted where each call is made; the directory, the quarantine and the lease call through CountedStore. A read of the replica list counts a call for each page. No behaviour changes.

--- a/include/poplartrack/fleet/FleetPolls.h
+++ b/include/poplartrack/fleet/FleetPolls.h
@@ -50,6 +50,8 @@
   /** Store version from which the next poll continues. */
   std::uint64_t next = 0;
   std::vector<UnreadableEntry> unreadable;
+  /** Calls of the store that the poll took: one for each page. */
+  std::uint32_t calls = 1;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/observe/Metrics.h
+++ b/include/poplartrack/observe/Metrics.h
@@ -12,6 +12,7 @@
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/ErrorKind.h"
 #include "poplartrack/observe/RetryReason.h"
+#include "poplartrack/observe/StoreCall.h"
 
 namespace poplartrack {
 
@@ -33,6 +34,8 @@
   void countRefusal(ErrorKind aKind);
   /** One piece of work tried again. */
   void countRetry(RetryReason aReason);
+  /** Calls of the store for this reason. */
+  void countStoreCall(StoreCall aCall, std::uint64_t aAmount = 1);
   /** Adds to a named counter; names follow Prometheus ("..._total"). */
   void count(std::string_view aName, std::uint64_t aAmount = 1);
   /** Sets a named gauge. */
@@ -42,6 +45,7 @@
 
   [[nodiscard]] std::uint64_t refusals(ErrorKind aKind) const;
   [[nodiscard]] std::uint64_t retries(RetryReason aReason) const;
+  [[nodiscard]] std::uint64_t storeCalls(StoreCall aCall) const;
   [[nodiscard]] std::uint64_t counter(std::string_view aName) const;
   /** All of it as Prometheus text. */
   [[nodiscard]] std::string render() const;
@@ -49,6 +53,7 @@
 private:
   std::array<std::atomic<std::uint64_t>, kErrorKindCount> refusalCounts{};
   std::array<std::atomic<std::uint64_t>, kRetryReasonCount> retryCounts{};
+  std::array<std::atomic<std::uint64_t>, kStoreCallCount> storeCallCounts{};
   mutable std::mutex named;
   std::map<std::string, std::uint64_t, std::less<>> counters;
   std::map<std::string, std::int64_t, std::less<>> gauges;
--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -71,6 +71,8 @@
   if (!this->stopping && (behind || proofOld)) {
     this->configBehindSince.reset();
     this->proofReadAt = now;
+    this->shared.metrics.countStoreCall(behind ? StoreCall::ConfigCatchUp
+                                               : StoreCall::ConfigProof);
     this->onConfigPoll(
       this->store.readConfig(fleet_control::kCatchUpReadTimeout));
   }
@@ -93,6 +95,8 @@
     this->listBehindSince.reset();
     const Result<ReplicaPoll> poll =
       this->store.readReplicas(fleet_control::kCatchUpReadTimeout);
+    this->shared.metrics.countStoreCall(StoreCall::ReplicasCatchUp,
+                                        poll ? poll.value().calls : 1);
     const std::scoped_lock lock{ this->listGuard };
     if (poll) {
       this->listReadForVersion = peerVersion;
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -13,6 +13,7 @@
 #include "poplartrack/fleet/FleetPolls.h"
 #include "poplartrack/fleet/ReplicaList.h"
 #include "poplartrack/fleet/StorePollSchedule.h"
+#include "poplartrack/relay/CountedStore.h"
 #include "poplartrack/relay/PlacementController.h"
 #include "poplartrack/relay/QuarantineRows.h"
 #include "poplartrack/relay/RelayDirectory.h"
@@ -119,7 +120,8 @@
   Store& store;
   SuspendAwareClock clock;
   /** The placement lease of the region. */
-  Lease<Store, SuspendAwareClock> lease;
+  CountedStore<Store> leaseStore;
+  Lease<CountedStore<Store>, SuspendAwareClock> lease;
 
   /** Where the next poll of the configuration continues. */
   std::uint64_t configCursor = 0;
@@ -165,8 +167,10 @@
   /** Used by the placement thread. */
   PlacementController placement;
   // Used by the housekeeping thread.
-  RelayDirectory<Store> directory;
-  QuarantineRows<Store> quarantine;
+  CountedStore<Store> directoryStore;
+  RelayDirectory<CountedStore<Store>> directory;
+  CountedStore<Store> quarantineStore;
+  QuarantineRows<CountedStore<Store>> quarantine;
   /** Fencing number of the lease under which this relay places layers; 0: it
    * does not hold the lease. */
   std::atomic<std::uint64_t> placementFence{ 0 };
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -71,10 +71,21 @@
   : settings(aSettings)
   , shared(aShared)
   , store(aStore)
-  , lease(aStore, this->clock, fleet_control::leaseSettings(aSettings))
+  , leaseStore(aStore, aShared.metrics, StoreCall::Lease, StoreCall::Lease)
+  , lease(this->leaseStore,
+          this->clock,
+          fleet_control::leaseSettings(aSettings))
   , placement(aShared, std::move(aSendOrder))
-  , directory(this->settings, aShared, aStore)
-  , quarantine(aShared, aStore)
+  , directoryStore(aStore,
+                   aShared.metrics,
+                   StoreCall::RelaysRead,
+                   StoreCall::RelaysWrite)
+  , directory(this->settings, aShared, this->directoryStore)
+  , quarantineStore(aStore,
+                    aShared.metrics,
+                    StoreCall::QuarantineRead,
+                    StoreCall::QuarantineWrite)
+  , quarantine(aShared, this->quarantineStore)
   , configThread([this] { return this->followConfig(); })
   , replicasThread([this] { return this->followReplicas(); })
   , configCatchUpThread([this] { return this->catchUpConfig(); })
@@ -138,6 +149,8 @@
   if (known && !this->shared.polls) {
     return fleet_control::kPeerUpdateInterval;
   }
+  this->shared.metrics.countStoreCall(
+    this->awaitsConfigChanges ? StoreCall::ConfigPoll : StoreCall::ConfigRead);
   const Result<ConfigPoll> poll =
     this->awaitsConfigChanges
       ? this->store.awaitConfig(
@@ -242,6 +255,10 @@
           this->pollSchedule().replicasWait(this->entriesUncertain,
                                             fleet_control::randomUnitValue()))
       : this->store.readReplicas(fleet_control::kInitialReadTimeout);
+  this->shared.metrics.countStoreCall(this->awaitsReplicaChanges
+                                        ? StoreCall::ReplicasPoll
+                                        : StoreCall::ReplicasRead,
+                                      poll ? poll.value().calls : 1);
   const TimePoint now = this->clock.now();
   const std::scoped_lock lock{ this->listGuard };
   this->shared.pollsFail = !poll && poll.error().kind != ErrorKind::NotFound;
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -53,6 +53,13 @@
     1, std::memory_order_relaxed);
 }
 
+void
+Metrics::countStoreCall(StoreCall aCall, std::uint64_t aAmount)
+{
+  this->storeCallCounts[static_cast<std::size_t>(aCall)].fetch_add(
+    aAmount, std::memory_order_relaxed);
+}
+
 void
 Metrics::count(std::string_view aName, std::uint64_t aAmount)
 {
@@ -96,6 +103,12 @@
   return this->retryCounts[static_cast<std::size_t>(aReason)].load();
 }
 
+std::uint64_t
+Metrics::storeCalls(StoreCall aCall) const
+{
+  return this->storeCallCounts[static_cast<std::size_t>(aCall)].load();
+}
+
 std::uint64_t
 Metrics::counter(std::string_view aName) const
 {
@@ -124,6 +137,14 @@
                label("reason", nameOf(reason)),
                this->retryCounts[i].load());
   }
+  renderType(out, "store_calls_total", "counter");
+  for (std::size_t i = 0; i < kStoreCallCount; ++i) {
+    const auto call = static_cast<StoreCall>(i);
+    renderLine(out,
+               "store_calls_total",
+               label("reason", nameOf(call)),
+               this->storeCallCounts[i].load());
+  }
   const std::scoped_lock lock{ this->named };
   for (const auto& [name, value] : this->counters) {
     renderType(out, name, "counter");
