Begin replica list updates at the latest change

Cause: a store reader's poll that ends without changes moves its version on, and its peers are not told. Measured: without the change, ADeltaAfterPollsWithoutChangesHasNoGap sees an update that begins at 9 instead of 5.

--- a/include/poplartrack/fleet/ReplicaList.h
+++ b/include/poplartrack/fleet/ReplicaList.h
@@ -44,6 +44,12 @@
   }
   /** Returns the version up to which all changes are applied. */
   [[nodiscard]] std::uint64_t knownVersion() const { return this->version; }
+  /** Returns the oldest version from which no entry is known to have changed up
+   * to knownVersion(). Polls without changes move only knownVersion(). */
+  [[nodiscard]] std::uint64_t unchangedSince() const
+  {
+    return this->unchangedFrom;
+  }
   [[nodiscard]] std::size_t size() const { return this->replicas.size(); }
 
 private:
@@ -60,6 +66,7 @@
   std::optional<TimePoint> lastOutage;
   bool storeUnavailable = false;
   std::uint64_t version = 0;
+  std::uint64_t unchangedFrom = 0;
   std::uint64_t lastChange = 0;
 };
 
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -282,11 +282,18 @@
   this->awaitsReplicaChanges = true;
   // A store reader does not need the updates of its peers.
   this->shared.listInbox.take();
+  // Peers know only the versions of polls with changes. If a delta began where
+  // the latest poll ended, each one after a poll without changes would look as
+  // if one before it were missing, and all relays of the zone would read the
+  // whole list.
+  const std::uint64_t unchangedSince =
+    std::min(after, this->replicaList.unchangedSince());
   this->applyReplicaPoll(poll.value(), now);
   const bool unchanged =
     poll.value().present.empty() && poll.value().removed.empty();
   if (!unchanged && !poll.value().fullSnapshot && this->shared.sendListDelta) {
-    this->shared.sendListDelta(ReplicaListDelta{ after, poll.value() });
+    this->shared.sendListDelta(
+      ReplicaListDelta{ unchangedSince, poll.value() });
   }
   return unchanged ? Duration{ 0 } : this->batchDelay();
 }
--- a/src/fleet/ReplicaList.cpp
+++ b/src/fleet/ReplicaList.cpp
@@ -61,6 +61,11 @@
     return;
   }
   this->version = aPoll.next;
+  const bool unchanged = !aPoll.fullSnapshot && aPoll.present.empty() &&
+                         aPoll.removed.empty() && aPoll.unreadable.empty();
+  if (!unchanged) {
+    this->unchangedFrom = aPoll.next;
+  }
   this->lastChange = std::max(this->lastChange, aPoll.lastChange);
   std::set<std::string> listed;
   for (const Replica& replica : aPoll.present) {
--- a/tests/unit/fleet/ReplicaListTest.cpp
+++ b/tests/unit/fleet/ReplicaListTest.cpp
@@ -170,5 +170,24 @@
   EXPECT_EQ(this->list.size(), 1U);
 }
 
+TEST_F(ReplicaListTest, PollsWithoutChangesKeepTheVersionOfTheLatestChange)
+{
+  // A full snapshot says nothing of the removals before it, so the list is
+  // known to be unchanged only from the snapshot's own version.
+  ReplicaPoll snapshot = snapshotOf({ "one", "two" });
+  snapshot.next = 7;
+  snapshot.lastChange = 3;
+  this->list.onPoll(snapshot, this->in(milliseconds{ 0 }));
+  ReplicaPoll unchanged;
+  unchanged.next = 9;
+  this->list.onPoll(unchanged, this->in(seconds{ 1 }));
+  EXPECT_EQ(this->list.unchangedSince(), 7U);
+  EXPECT_EQ(this->list.knownVersion(), 9U);
+  ReplicaPoll removal = removalOf("one");
+  removal.next = 12;
+  this->list.onPoll(removal, this->in(seconds{ 2 }));
+  EXPECT_EQ(this->list.unchangedSince(), 12U);
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -322,5 +322,32 @@
   EXPECT_EQ(count, 2U);
 }
 
+TEST_F(FleetControlTest, ADeltaAfterPollsWithoutChangesHasNoGap)
+{
+  // A poll without changes moves the version of the store reader on, but its
+  // peers are not told. A delta that began at the new version would look as if
+  // one before it were missing, and each relay of the zone would read the whole
+  // list from the store.
+  std::optional<ReplicaListDelta> sent;
+  this->shared.sendListDelta = [&sent](const ReplicaListDelta& aDelta) {
+    sent = aDelta;
+  };
+  ReplicaPoll first = replicaPoll("one");
+  first.next = 5;
+  ReplicaPoll unchanged;
+  unchanged.next = 9;
+  ReplicaPoll change = replicaPoll("two");
+  change.fullSnapshot = false;
+  change.next = 12;
+  this->store.scriptReplicas(first);
+  this->store.scriptReplicas(unchanged);
+  this->store.scriptReplicas(unchanged);
+  this->store.scriptReplicas(change);
+  this->runScript();
+  ASSERT_TRUE(sent);
+  EXPECT_EQ(sent->after, 5U);
+  EXPECT_EQ(sent->poll.next, 12U);
+}
+
 } // namespace
 } // namespace poplartrack
