Let relays that start learn the fleet's state from contacts

Cause: each start of a relay took about 26 calls of the store and half a megabyte, whatever else happened: a write of its row, a read of the rows of all relays, the configuration, the whole replica list, long polls and polls of the lease, because a relay that knows no peer yet takes itself for a store reader. A start of all was 437 times that, and each row that all write was read by all. Each change of the configuration was one more read a relay. Change: in each zone a few relays are contacts, those with the fastest links first; only they have a row, and a relay writes one only while its zone has fewer than four. Contacts, and relays that no contact answers within 800 ms, read the store. A list with entries that may expire is not handed out. Later, relays that do not poll fetch a newer configuration or list from a relay of their zone that reports having it, after a random wait, and from the store when none hands it out within 800 ms. While a relay does not know its peers yet, its retry budget assumes the largest region.

--- a/include/poplartrack/fleet/RelayConfig.h
+++ b/include/poplartrack/fleet/RelayConfig.h
@@ -45,6 +45,8 @@
 struct RelayConfig
 {
   std::uint64_t version = 0;
+  /** The document that it was decoded from, to be handed to other relays. */
+  std::string text;
   /** By host, the longest prefix first. */
   std::map<std::string, std::vector<RelayRoute>, std::less<>> routes;
   std::map<std::string, RelayService, std::less<>> services;
--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -11,6 +11,16 @@
  * is assumed not to return it. An answer of the store takes a few ms. */
 constexpr Duration kMaxLag = std::chrono::milliseconds{ 300 };
 
+/** The same for a relay that does not poll and asks the relays of its zone for
+ * the newer version: if none has handed it out by then, it is read from the
+ * store. Configurations must be in force within a few seconds. */
+constexpr Duration kMaxPeerLag = std::chrono::milliseconds{ 800 };
+
+/** The relays of a zone learn of a new configuration at the same moment, when
+ * only the two store readers have it. Each waits for a random part of this
+ * time, in which those before it take it over and can be asked as well. */
+constexpr Duration kFetchSpread = std::chrono::milliseconds{ 300 };
+
 /** A reported outage of the store is over when no relay has reported it for
  * this long: three intervals of the status messages between zones. */
 constexpr Duration kOutageTimeout = std::chrono::milliseconds{ 1'200 };
@@ -45,15 +55,27 @@
 FleetControl<Store>::catchUpConfig()
 {
   const TimePoint now = this->clock.now();
+  if (this->shared.joining) {
+    return fleet_control::kCatchUpInterval;
+  }
   const auto config = this->shared.config.read();
-  const std::uint64_t peerVersion = this->shared.peerConfigVersion;
-  if (config == nullptr || peerVersion <= config->version) {
+  const std::uint64_t version = config == nullptr ? 0 : config->version;
+  const bool follows = config != nullptr || this->shared.joinedPeersAt != 0;
+  if (!follows || this->shared.peerConfigVersion <= version) {
     this->configBehindSince.reset();
   } else if (!this->configBehindSince) {
     this->configBehindSince = now;
+    this->configFetchAt = now + randomPart(fleet_control::kFetchSpread);
+  }
+  if (this->configBehindSince && this->asksPeers() &&
+      now >= this->configFetchAt && this->fetchConfig(version)) {
+    this->configBehindSince.reset();
+    return fleet_control::kCatchUpInterval;
   }
-  const bool behind = this->configBehindSince &&
-                      now - *this->configBehindSince >= fleet_control::kMaxLag;
+  const Duration maxLag =
+    this->asksPeers() ? fleet_control::kMaxPeerLag : fleet_control::kMaxLag;
+  const bool behind =
+    this->configBehindSince && now - *this->configBehindSince >= maxLag;
   const TimePoint outage{ Duration{ this->shared.peersSawOutageAt.load() } };
   const bool storeUnavailable = now - outage < fleet_control::kOutageTimeout;
   if (!this->shared.polls) {
@@ -79,12 +101,57 @@
   return fleet_control::kCatchUpInterval;
 }
 
+// Asks one of the relays of the zone that have a newer configuration. Each
+// relay that has taken it over is one more to ask.
+template<FleetStoreLike Store>
+bool
+FleetControl<Store>::fetchConfig(std::uint64_t aKnown)
+{
+  const std::vector<Address> holders =
+    this->shared.configHolders.newerThan(aKnown);
+  if (holders.empty()) {
+    return false;
+  }
+  const Address& holder = holders[randomIndex(holders.size())];
+  SnapshotQuery query;
+  query.newerConfig = aKnown;
+  if (!this->applySnapshotOf(holder, query)) {
+    this->shared.configHolders.forget(holder);
+    return false;
+  }
+  const auto config = this->shared.config.read();
+  return config != nullptr && config->version > aKnown;
+}
+
+template<FleetStoreLike Store>
+bool
+FleetControl<Store>::fetchReplicas(std::uint64_t aKnown)
+{
+  const std::vector<Address> holders =
+    this->shared.listHolders.newerThan(aKnown);
+  if (holders.empty()) {
+    return false;
+  }
+  const Address& holder = holders[randomIndex(holders.size())];
+  SnapshotQuery query;
+  query.newerConfig = fleet_control::kNoConfig;
+  query.newerReplicas = aKnown;
+  if (!this->applySnapshotOf(holder, query)) {
+    this->shared.listHolders.forget(holder);
+    return false;
+  }
+  return this->shared.replicas.read()->lastChange > aKnown;
+}
+
 // Reads the replica list when a peer has had a newer one for a while.
 template<FleetStoreLike Store>
 Duration
 FleetControl<Store>::catchUpReplicas()
 {
   const TimePoint now = this->clock.now();
+  if (this->shared.joining) {
+    return fleet_control::kCatchUpInterval;
+  }
   const std::uint64_t peerVersion = this->shared.peerListVersion;
   if (peerVersion <= this->shared.replicas.read()->lastChange ||
       peerVersion <= this->listReadForVersion) {
@@ -93,6 +160,10 @@
     this->listBehindSince = now;
   } else if (now - *this->listBehindSince >= this->listCatchUpDelay()) {
     this->listBehindSince.reset();
+    const std::uint64_t known = this->shared.replicas.read()->lastChange;
+    if (this->asksPeers() && this->fetchReplicas(known)) {
+      return fleet_control::kCatchUpInterval;
+    }
     const Result<ReplicaPoll> poll =
       this->store.readReplicas(fleet_control::kCatchUpReadTimeout);
     this->shared.metrics.countStoreCall(StoreCall::ReplicasCatchUp,
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <concepts>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -11,6 +14,7 @@
 
 #include "poplartrack/base/PeriodicThread.h"
 #include "poplartrack/fleet/FleetPolls.h"
+#include "poplartrack/fleet/FleetSnapshot.h"
 #include "poplartrack/fleet/ReplicaList.h"
 #include "poplartrack/fleet/StorePollSchedule.h"
 #include "poplartrack/relay/CountedStore.h"
@@ -26,10 +30,12 @@
 /** A store that holds the operator's configuration and the replica list besides
  * the project's own rows. The read functions fetch everything; the await
  * functions long-poll for changes after a given version, up to a maximum wait.
- */
+ * parseConfig decodes a configuration as the store holds it. */
 template<typename T>
-concept FleetStoreLike = PlatformLike<T> &&
-  requires(T& aStore, std::uint64_t aAfter, Duration aWait)
+concept FleetStoreLike = PlatformLike<T> && requires(T& aStore,
+                                                     std::uint64_t aAfter,
+                                                     Duration aWait,
+                                                     const std::string& aText)
 {
   {
     aStore.readConfig(aWait)
@@ -37,6 +43,9 @@
   {
     aStore.awaitConfig(aAfter, aWait)
     } -> std::same_as<Result<ConfigPoll>>;
+  {
+    aStore.parseConfig(aText)
+    } -> std::same_as<Result<RelayConfig>>;
   {
     aStore.readReplicas(aWait)
     } -> std::same_as<Result<ReplicaPoll>>;
@@ -59,10 +68,13 @@
 class FleetControl
 {
 public:
+  /** aFetchSnapshot: asks other relays for snapshots; empty: everything is read
+   * from the store. If it is set, RelayShared::joining is set before. */
   FleetControl(const RelaySettings& aSettings,
                RelayShared& aShared,
                Store& aStore,
-               SendLayerOrder aSendOrder);
+               SendLayerOrder aSendOrder,
+               FetchSnapshot aFetchSnapshot = {});
 
   /** Stops placing layers, contending for the lease and other housekeeping, and
    * releases the lease so that another relay takes over at once. Part of the
@@ -79,6 +91,18 @@
   Duration followReplicas();
   /** Applies the replica list updates that store readers have sent. */
   Duration applyPeerUpdates();
+  /** Decides, after the start, whether to learn the fleet's state from a
+   * contact or from the store. */
+  Duration joinFleet();
+  /** Asks the next contact for its state. Returns whether it was taken over. */
+  bool joinThroughContact(TimePoint aNow);
+  /** Asks a relay for a snapshot and puts its configuration and replica list in
+   * force. Returns whether it answered. */
+  bool applySnapshotOf(const Address& aRelay, const SnapshotQuery& aQuery);
+  /** Ends the start. */
+  void finishJoining();
+  /** Asks a contact for the list of relays if that is due. */
+  void refreshPeers(TimePoint aNow);
   /** Drops expired replicas, contends for the lease, and refreshes the relay
    * directory and the quarantine rows. */
   Duration runHousekeeping();
@@ -92,15 +116,35 @@
   void onStoreUnavailable(const char* aWhat, const Error& aError);
   /** Logs that polls of aWhat succeed again. */
   void onStoreAvailable(const char* aWhat);
-  /** Publishes the current replica list to the other threads. */
+  /** Publishes the current replica list to the other threads. The caller holds
+   * listGuard. */
   void publishReplicas();
+  /** Publishes up to which version the published list is complete. The caller
+   * holds listGuard. */
+  void publishListVersion();
   /** Applies the changes of a replica list poll. The caller holds listGuard. */
   void applyReplicaPoll(const ReplicaPoll& aPoll, TimePoint aNow);
   /** Reads the configuration if this relay is behind its peers, or if its proof
    * of freshness is old. */
   Duration catchUpConfig();
+  /** Returns whether this relay gets what it lacks from other relays rather
+   * than from the store. */
+  [[nodiscard]] bool asksPeers() const
+  {
+    return this->fetchSnapshot && !this->shared.polls;
+  }
+  /** Returns a random index into a list of this size. */
+  [[nodiscard]] static std::size_t randomIndex(std::size_t aSize);
+  /** Returns a random duration up to aMax. */
+  [[nodiscard]] static Duration randomPart(Duration aMax);
+  /** Gets a newer configuration from a relay of the zone that has it. Returns
+   * whether it is in force. */
+  bool fetchConfig(std::uint64_t aKnown);
   /** Reads the replica list if this relay is behind its peers. */
   Duration catchUpReplicas();
+  /** Gets a newer replica list from a relay of the zone that has it. Returns
+   * whether it is applied. */
+  bool fetchReplicas(std::uint64_t aKnown);
   /** Logs entries of the replica list that name no usable replica. */
   void logUnreadable(const std::vector<UnreadableEntry>& aEntries);
   /** Drops replicas that stayed missing after an outage of the store. */
@@ -123,6 +167,8 @@
   CountedStore<Store> leaseStore;
   Lease<CountedStore<Store>, SuspendAwareClock> lease;
 
+  FetchSnapshot fetchSnapshot;
+
   /** Where the next poll of the configuration continues. */
   std::uint64_t configCursor = 0;
   /** The next poll waits for changes; otherwise it reads everything. */
@@ -145,8 +191,20 @@
   std::atomic<bool> entriesUncertain{ false };
   /** Unusable entries by name, with the reason that was logged last. */
   std::map<std::string, std::string> loggedUnreadable;
+  /** When the contacts were first known. */
+  std::optional<TimePoint> contactsKnownAt;
+  /** When the process started. */
+  TimePoint startedAt;
+  /** Position of the contact that is asked next. */
+  std::size_t nextContact = 0;
+  /** When a contact was last asked for the list of relays. */
+  TimePoint peersFetchedAt{};
+  /** How often that has succeeded. */
+  std::size_t peerFetches = 0;
   /** Since when another relay has had a newer configuration. */
   std::optional<TimePoint> configBehindSince;
+  /** When relays of the zone may be asked for it. */
+  TimePoint configFetchAt{};
   /** Since when another relay has had a newer replica list. */
   std::optional<TimePoint> listBehindSince;
   /** List version of the peers at the latest successful catch-up read. */
@@ -188,5 +246,7 @@
 
 } // namespace poplartrack
 
+#include "poplartrack/relay/FleetJoin.inl.h"
+
 #include "poplartrack/relay/FleetCatchUp.inl.h"
 #include "poplartrack/relay/FleetControl.inl.h"
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -67,7 +67,8 @@
 FleetControl<Store>::FleetControl(const RelaySettings& aSettings,
                                   RelayShared& aShared,
                                   Store& aStore,
-                                  SendLayerOrder aSendOrder)
+                                  SendLayerOrder aSendOrder,
+                                  FetchSnapshot aFetchSnapshot)
   : settings(aSettings)
   , shared(aShared)
   , store(aStore)
@@ -75,6 +76,9 @@
   , lease(this->leaseStore,
           this->clock,
           fleet_control::leaseSettings(aSettings))
+  , fetchSnapshot(std::move(aFetchSnapshot))
+  , startedAt(this->clock.now())
+  , nextContact(randomRequestId().low)
   , placement(aShared, std::move(aSendOrder))
   , directoryStore(aStore,
                    aShared.metrics,
@@ -126,6 +130,22 @@
     LogLine{ LogPart::Store, "regained" }.with("what", aWhat));
 }
 
+template<FleetStoreLike Store>
+std::size_t
+FleetControl<Store>::randomIndex(std::size_t aSize)
+{
+  return static_cast<std::size_t>(fleet_control::randomUnitValue() *
+                                  static_cast<double>(aSize));
+}
+
+template<FleetStoreLike Store>
+Duration
+FleetControl<Store>::randomPart(Duration aMax)
+{
+  return std::chrono::duration_cast<Duration>(aMax *
+                                              fleet_control::randomUnitValue());
+}
+
 template<FleetStoreLike Store>
 StorePollSchedule
 FleetControl<Store>::pollSchedule() const
@@ -145,7 +165,13 @@
 Duration
 FleetControl<Store>::followConfig()
 {
-  const bool known = this->shared.config.read() != nullptr;
+  if (this->shared.joining) {
+    return fleet_control::kJoinInterval;
+  }
+  // A relay that joined through a contact before there was a configuration
+  // learns of the first one from its peers.
+  const bool known =
+    this->shared.config.read() != nullptr || this->shared.joinedPeersAt != 0;
   if (known && !this->shared.polls) {
     return fleet_control::kPeerUpdateInterval;
   }
@@ -236,10 +262,21 @@
   this->shared.replicas.replace(std::move(view));
 }
 
+template<FleetStoreLike Store>
+void
+FleetControl<Store>::publishListVersion()
+{
+  this->shared.listUncertain = this->entriesUncertain.load();
+  this->shared.listVersion = this->replicaList.knownVersion();
+}
+
 template<FleetStoreLike Store>
 Duration
 FleetControl<Store>::followReplicas()
 {
+  if (this->shared.joining) {
+    return fleet_control::kJoinInterval;
+  }
   std::uint64_t after = 0;
   {
     const std::scoped_lock lock{ this->listGuard };
@@ -355,6 +392,7 @@
   if (changed || expired) {
     this->publishReplicas();
   }
+  this->publishListVersion();
 }
 
 // Logs each entry once for each reason, since a whole read returns all unusable
@@ -414,6 +452,7 @@
   if (this->entriesUncertain && this->replicaList.expire(this->clock.now())) {
     this->entriesUncertain = this->replicaList.uncertain();
     this->publishReplicas();
+    this->publishListVersion();
   }
 }
 
@@ -421,10 +460,14 @@
 Duration
 FleetControl<Store>::runHousekeeping()
 {
+  if (this->shared.joining && !this->stopping) {
+    return this->joinFleet();
+  }
   if (!this->stopping) {
     this->removeExpiredReplicas();
     this->pollLease();
     this->directory.refresh(this->clock.now());
+    this->refreshPeers(this->clock.now());
     this->quarantine.refresh(this->clock.now());
   }
   return fleet_control::kHousekeepingInterval;
--- a/include/poplartrack/relay/RelaySettings.h
+++ b/include/poplartrack/relay/RelaySettings.h
@@ -27,12 +27,14 @@
   /** Listening address for readiness checks of the load balancer and for
    * metrics, HTTP. */
   Address health;
-  /** Listening address for datagrams from other relays. */
+  /** Listening address for datagrams and queries of other relays. */
   Address peers;
   /** Address of the shared store. */
   Address store;
   /** Limit on the open file descriptors of this process. */
   std::size_t descriptors = 1024;
+  /** Rate of the instance's network link, in Mbit/s. */
+  double linkMbps = 1'000;
   /** A replica gets no new work from this long after the store acknowledged
    * that it drains. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "poplartrack/fleet/RelayConfig.h"
 #include "poplartrack/fleet/ReplicaListDelta.h"
 #include "poplartrack/fleet/ReplicaView.h"
+#include "poplartrack/fleet/VersionHolders.h"
 #include "poplartrack/observe/EventLog.h"
 #include "poplartrack/observe/Metrics.h"
 #include "poplartrack/retry/Fingerprint.h"
@@ -32,17 +34,28 @@
   {
   }
 
+  /** Adds relays to the known ones. Returns whether one of them is new. aOwn:
+   * this relay's own address, which is left out. */
+  bool addPeers(const std::vector<Address>& aRelays, const Address& aOwn);
+
   SuspendAwareClock clock;
   /** The configuration in force; null until the first one is read. */
   RcuBox<RelayConfig> config{ nullptr };
   /** The latest replica list. */
   RcuBox<ReplicaView> replicas{ std::make_shared<const ReplicaView>() };
+  /** Store version up to which the changes in replicas are complete, or an
+   * older one. */
+  std::atomic<std::uint64_t> listVersion{ 0 };
+  /** The list holds entries that are dropped unless they are registered again.
+   */
+  std::atomic<bool> listUncertain{ false };
   /** Age of the newest proof that the configuration is up to date. */
   Freshness<SuspendAwareClock> freshness{ clock };
   /** The latest poll of the configuration failed. On a relay that does not poll
    * the store: the store readers report an outage. */
   std::atomic<bool> configPollFailed{ false };
-  /** Addresses of the other relays. */
+  /** Addresses of the other relays, sorted. Only addPeers() and the tests
+   * replace the list. */
   RcuBox<std::vector<Address>> peers{
     std::make_shared<const std::vector<Address>>()
   };
@@ -90,6 +103,16 @@
    * were kept open. If one were admitted, the end of the grace time would cut
    * its stream. */
   std::atomic<bool> refusesRequests{ false };
+  /** This relay has just started and has not decided yet whether it learns the
+   * configuration and the replica list from another relay or from the store. */
+  std::atomic<bool> joining{ false };
+  /** When this relay received both from another relay, in microseconds of the
+   * clock; 0: it did not. */
+  std::atomic<std::int64_t> joinedPeersAt{ 0 };
+  /** Relays of this zone that have the newest configuration or replica list
+   * reported in it. */
+  VersionHolders configHolders;
+  VersionHolders listHolders;
   /** This relay is a store reader: it polls the store. Otherwise store readers
    * send it the changes. */
   std::atomic<bool> polls{ true };
@@ -106,6 +129,10 @@
   ReplicaListInbox listInbox;
   Metrics metrics;
   EventLog log;
+
+private:
+  /** Held while peers is replaced: two threads add relays. */
+  std::mutex peersGuard;
 };
 
 } // namespace poplartrack
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -18,6 +18,8 @@
 #include "poplartrack/relay/FleetControl.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RelaySettings.h"
+#include "poplartrack/relay/SnapshotClient.h"
+#include "poplartrack/relay/SnapshotServer.h"
 
 namespace poplartrack {
 namespace {
@@ -160,6 +162,7 @@
 serve(const std::string& aPath, const RelaySettings& aSettings)
 {
   RelayShared shared{ STDOUT_FILENO };
+  shared.joining = true;
   const auto http = HttpClient::create(HttpClientLimits{});
   if (!http) {
     std::cerr << "poplartrack: " << describe(http.error()) << '\n';
@@ -183,6 +186,12 @@
     std::cerr << "poplartrack: " << describe(health.error()) << '\n';
     return ExitCode::Usage;
   }
+  const auto snapshots = SnapshotServer::create(aSettings.peers, shared);
+  if (!snapshots) {
+    std::cerr << "poplartrack: " << describe(snapshots.error()) << '\n';
+    return ExitCode::Usage;
+  }
+  SnapshotClient snapshotClient{ *http.value() };
   shared.log.write(LogLine{ LogPart::Process, "started" }
                      .with("name", aSettings.name)
                      .with("zone", aSettings.zone)
@@ -196,6 +205,10 @@
               std::uint64_t aFence,
               std::function<void(Result<Done>)> aDone) {
       orders.place(aReplica, aLayers, aFence, std::move(aDone));
+    },
+    [&snapshotClient](
+      const Address& aRelay, const SnapshotQuery& aQuery, Duration aTimeout) {
+      return snapshotClient.fetch(aRelay, aQuery, aTimeout);
     }
   };
   waitForStop(aPath, shared);
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -75,6 +75,11 @@
  * may not have been read yet. */
 constexpr std::size_t kMinAssumedRelays = 4;
 
+/** Number of relays that the retry budgets assume while this relay does not
+ * know its peers yet: the largest region. With the few that it knows, each of
+ * many relays that start at once would take the slack of all. */
+constexpr std::size_t kLargestRegion = 1'000;
+
 } // namespace
 
 RelayLoop::Impl::Impl(RelaySettings aSettings,
@@ -368,8 +373,10 @@
   this->publishLostReplicas();
   this->refreshQuarantine();
   this->publishBusyReplicas();
+  const std::size_t minRelays =
+    this->isSettling() ? kLargestRegion : kMinAssumedRelays;
   this->budgets.setRelays(
-    std::max(this->shared.peers.read()->size() + 1, kMinAssumedRelays));
+    std::max(this->shared.peers.read()->size() + 1, minRelays));
   this->requestSlowReplicaReports();
   this->moveOffDraining();
   this->broadcastStatus(false);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -319,6 +319,7 @@
                     const PeerEcho& aEcho,
                     const Address& aFrom);
   [[nodiscard]] SharedRetryBudget& budgetOf(const Exchange& aExchange);
+  [[nodiscard]] bool isSettling() const;
   void updateStorePolling();
   void sendListDelta(const ReplicaListDelta& aDelta);
   void applyPeerFreshness(const PeerStatus& aStatus, const PeerEcho& aEcho);
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -24,6 +24,12 @@
 /** Largest datagram that is sent or received, in bytes. */
 constexpr std::size_t kMaxDatagramBytes = std::size_t{ 32 } * 1024;
 
+/** Time after which a relay that joined through a contact has received status
+ * messages of the relays that the contact named: it sends its own to them
+ * within one interval, they answer within the next one, and either may be lost.
+ */
+constexpr Duration kSettleTime = std::chrono::milliseconds{ 1'000 };
+
 constexpr std::uint64_t kBytesPerKilobyte = 1'000;
 
 /** A store reader that has sent no status message for this long, three
@@ -100,7 +106,7 @@
   status.config = config ? config->version : 0;
   status.configAge = age == Duration::max() ? -1 : age.count();
   status.list = this->view->lastChange;
-  status.polls = this->shared.polls;
+  status.polls = this->shared.polls && !this->shared.joining;
   status.pollsFail = this->shared.pollsFail;
   status.holdsLease = this->shared.holdsLease;
   status.releasedFence = this->shared.releasedFence;
@@ -168,12 +174,29 @@
                              sizeof *address));
 }
 
+/** Returns whether this relay joined too recently to know which of its peers
+ * poll the store. If it decided now, it would take itself for the only relay
+ * and read everything again. */
+bool
+RelayLoop::Impl::isSettling() const
+{
+  if (this->shared.joining) {
+    return true;
+  }
+  const TimePoint joined{ Duration{ this->shared.joinedPeersAt.load() } };
+  return joined != TimePoint{} &&
+         this->shared.clock.now() - joined < kSettleTime;
+}
+
 /** Decides whether this relay polls the store. Also publishes the number of
  * other store readers, and the time when all of them report the store as
  * unavailable. */
 void
 RelayLoop::Impl::updateStorePolling()
 {
+  if (this->isSettling()) {
+    return;
+  }
   std::vector<StoreReader> activePeers;
   for (const auto& [address, peer] : this->knownPeers) {
     if (this->now - peer.receivedAt < kReaderTimeout) {
@@ -229,18 +252,15 @@
 void
 RelayLoop::Impl::addUnlistedPeer(const Address& aSender)
 {
-  const auto known = this->shared.peers.read();
-  const bool listed =
-    std::find(known->begin(), known->end(), aSender) != known->end();
-  if (listed || aSender == this->localPeers) {
+  // Looked up in the known peers first: the sender of nearly every message is
+  // one of them, and the list is as long as the fleet is large.
+  if (this->knownPeers.contains(aSender)) {
     return;
   }
-  std::vector<Address> peers = *known;
-  peers.push_back(aSender);
-  this->shared.log.write(
-    LogLine{ LogPart::Peers, "met" }.with("address", toText(aSender)));
-  this->shared.peers.replace(
-    std::make_shared<const std::vector<Address>>(std::move(peers)));
+  if (this->shared.addPeers({ aSender }, this->localPeers)) {
+    this->shared.log.write(
+      LogLine{ LogPart::Peers, "met" }.with("address", toText(aSender)));
+  }
 }
 
 /**
@@ -307,6 +327,10 @@
   };
   updateMax(this->shared.peerConfigVersion, aStatus.config);
   updateMax(this->shared.peerListVersion, aStatus.list);
+  if (aStatus.zone == this->settings.zone) {
+    this->shared.configHolders.report(aStatus.config, aFrom);
+    this->shared.listHolders.report(aStatus.list, aFrom);
+  }
   if (aStatus.releasedFence > this->shared.peerReleasedFence) {
     this->shared.peerReleasedFence = aStatus.releasedFence;
     // No relay holds the lease. The next attempt to acquire it need not wait
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -42,7 +42,8 @@
               0,
               "",
               "",
-              "datagrams between relays" },
+              "datagrams between relays (UDP), and snapshots for relays "
+              "that start (TCP)" },
   SettingRow{ "store.address", AddressText, 0, 0, "", "", "the shared store" },
   SettingRow{ "limits.descriptors",
               Integer,
@@ -51,6 +52,13 @@
               "",
               "1024",
               "limit on the open file descriptors of the process" },
+  SettingRow{ "limits.link_mbps",
+              Number,
+              0.001,
+              1e9,
+              "",
+              "1000",
+              "rate of the instance's network link" },
   SettingRow{ "bounds.drain_ms",
               Number,
               0,
@@ -154,6 +162,7 @@
   bind(tableOf(aRoot, "store"), "address", settings.store);
   const SettingsNode& limits = tableOf(aRoot, "limits");
   bind(limits, "descriptors", settings.descriptors);
+  bind(limits, "link_mbps", settings.linkMbps);
   const SettingsNode& bounds = tableOf(aRoot, "bounds");
   bindTime(bounds, "drain_ms", kMs, settings.drain);
   bindTime(bounds, "grace_s", kSecond, settings.grace);
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -56,6 +56,13 @@
   {
     return this->next(this->configs, this->configPollBlocked);
   }
+  Result<RelayConfig> parseConfig(const std::string& aText)
+  {
+    RelayConfig config;
+    config.version = std::stoul(aText);
+    config.text = aText;
+    return config;
+  }
   Result<ReplicaPoll> readReplicas(Duration)
   {
     return this->next(this->lists, this->listPollBlocked);
@@ -72,12 +79,24 @@
     return found == this->rows.end() ? std::optional<TableRow>{}
                                      : std::optional<TableRow>{ found->second };
   }
-  Result<std::vector<TableRow>> scanRows(const std::string&,
+  Result<std::vector<TableRow>> scanRows(const std::string& aTable,
                                          const std::string&,
                                          const std::string&,
                                          std::size_t)
   {
-    return std::vector<TableRow>{};
+    const std::scoped_lock lock{ this->guard };
+    return aTable == "relays" ? this->contacts : std::vector<TableRow>{};
+  }
+  /** Lists a contact of the region; before the relay starts. */
+  void addContact(const std::string& aKey, const Address& aAddress)
+  {
+    this->contacts.push_back(TableRow{ aKey, toText(aAddress), 1 });
+  }
+  /** Returns how many configurations and replica lists were read. */
+  std::size_t polls()
+  {
+    const std::scoped_lock lock{ this->guard };
+    return this->pollCount;
   }
   Result<std::vector<std::uint64_t>> transact(
     const std::vector<TableWrite>& aWrites)
@@ -110,6 +129,7 @@
   Result<Poll> next(std::deque<std::optional<Poll>>& aScript, bool& aBlocked)
   {
     std::unique_lock lock{ this->guard };
+    ++this->pollCount;
     if (aScript.empty()) {
       aBlocked = true;
       this->changed.notify_all();
@@ -129,6 +149,8 @@
   std::deque<std::optional<ConfigPoll>> configs;
   std::deque<std::optional<ReplicaPoll>> lists;
   std::map<std::string, TableRow> rows;
+  std::vector<TableRow> contacts;
+  std::size_t pollCount = 0;
   std::uint64_t version = 0;
   bool configPollBlocked = false;
   bool listPollBlocked = false;
@@ -219,12 +241,59 @@
     return count;
   }
 
+  /** Lists as many contacts as a zone needs. */
+  void addContacts()
+  {
+    for (const char* name : { "3", "4", "5", "6" }) {
+      this->store.addContact(std::string{ "r/a/" } + name, { "10.0.0.1", 7 });
+    }
+  }
+  /** Starts the relay as one that may join through its contacts, and waits
+   * until a replica is listed. The wait is bounded, so that a fault ends the
+   * test. */
+  void join(FetchSnapshot aFetchSnapshot)
+  {
+    this->settings.zone = "a";
+    this->shared.joining = true;
+    FleetControl<ScriptedStore> control{
+      this->settings,
+      this->shared,
+      this->store,
+      [](const Replica&,
+         LayerRange,
+         std::uint64_t,
+         const std::function<void(Result<Done>)>&) {},
+      std::move(aFetchSnapshot)
+    };
+    const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+    while ((this->shared.replicas.read()->replicas.empty() ||
+            this->shared.joining) &&
+           runtimeNow() < latest) {
+      std::this_thread::yield();
+    }
+    this->store.end();
+  }
+
   int logFd;
   RelayShared shared;
   RelaySettings settings;
   ScriptedStore store;
 };
 
+/** The snapshot of a contact with configuration 5 and one replica. */
+FleetSnapshot
+contactSnapshot()
+{
+  FleetSnapshot snapshot;
+  snapshot.configVersion = 5;
+  snapshot.configText = "5";
+  snapshot.configAge = std::chrono::milliseconds{ 100 };
+  snapshot.replicas = replicaPoll("one");
+  snapshot.replicas->next = 9;
+  snapshot.relays = { { "10.0.0.2", 7 }, { "10.0.0.3", 7 } };
+  return snapshot;
+}
+
 TEST_F(FleetControlTest, NeverGoesBackToAnOlderConfiguration)
 {
   // The store answers polls out of order. Applying an older version would
@@ -349,5 +418,53 @@
   EXPECT_EQ(sent->poll.next, 12U);
 }
 
+TEST_F(FleetControlTest, ARelayThatStartsLearnsTheStateFromAContact)
+{
+  // If each relay that starts read the configuration and the replica list from
+  // the store, a start of all would be hundreds of reads of the same bytes.
+  this->addContacts();
+  SnapshotQuery asked;
+  this->join([&asked](const Address&, const SnapshotQuery& aQuery, Duration) {
+    asked = aQuery;
+    return Result<FleetSnapshot>{ contactSnapshot() };
+  });
+  EXPECT_EQ(this->store.polls(), 0U);
+  EXPECT_TRUE(asked.newerReplicas.has_value());
+  EXPECT_EQ(this->shared.config.read()->version, 5U);
+  EXPECT_EQ(this->shared.replicas.read()->replicas.size(), 1U);
+  EXPECT_GE(this->shared.freshness.age(), std::chrono::milliseconds{ 100 });
+  EXPECT_EQ(this->shared.peers.read()->size(), 3U);
+  EXPECT_FALSE(this->shared.polls);
+}
+
+TEST_F(FleetControlTest, ARelayThatNoContactAnswersReadsTheStore)
+{
+  this->addContacts();
+  this->store.scriptConfig(configPoll(5));
+  this->store.scriptReplicas(replicaPoll("one"));
+  this->join([](const Address&, const SnapshotQuery&, Duration) {
+    return Result<FleetSnapshot>{ fail(ErrorKind::PlatformUnavailable) };
+  });
+  EXPECT_GT(this->store.polls(), 0U);
+  EXPECT_EQ(this->shared.replicas.read()->replicas.size(), 1U);
+  EXPECT_EQ(this->shared.joinedPeersAt, 0);
+}
+
+TEST_F(FleetControlTest, ARelayDoesNotJoinThroughAContactWithAnOldProof)
+{
+  // The contact is cut off from the store. The relay that starts is not, and
+  // would begin with a configuration that may be out of date.
+  this->addContacts();
+  this->store.scriptConfig(configPoll(6));
+  this->store.scriptReplicas(replicaPoll("one"));
+  this->join([](const Address&, const SnapshotQuery&, Duration) {
+    FleetSnapshot old = contactSnapshot();
+    old.configAge = std::chrono::seconds{ 60 };
+    return Result<FleetSnapshot>{ old };
+  });
+  EXPECT_GT(this->store.polls(), 0U);
+  EXPECT_EQ(this->shared.joinedPeersAt, 0);
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RelayDirectoryTest.cpp
+++ b/tests/unit/relay/RelayDirectoryTest.cpp
@@ -1,73 +1,129 @@
 #include "poplartrack/relay/RelayDirectory.h"
 
-#include <fcntl.h>
+#include <string>
 
 #include <gtest/gtest.h>
 
+#include "unit/relay/FleetStart.h"
+
 namespace poplartrack {
 namespace {
 
-/** A store that holds the rows of aRelays relays and nothing else. */
-class RelayRowStore
+using namespace relaytest;
+
+TEST(RelayDirectory, ARelayKnowsAllOthersOfALargeRegion)
 {
-public:
-  explicit RelayRowStore(int aRelays)
-  {
-    for (int i = 0; i < aRelays; ++i) {
-      const std::string name = std::to_string(1'000 + i);
-      this->rows.push_back(TableRow{ "r/" + name, "10.0.0.1:" + name, 1 });
-    }
-  }
-  Result<std::optional<TableRow>> readRow(const std::string&,
-                                          const std::string&)
-  {
-    return std::optional<TableRow>{};
-  }
-  Result<std::vector<TableRow>> scanRows(const std::string&,
-                                         const std::string&,
-                                         const std::string&,
-                                         std::size_t aMost)
-  {
-    return std::vector<TableRow>{ this->rows.begin(),
-                                  this->rows.begin() +
-                                    static_cast<std::ptrdiff_t>(
-                                      std::min(aMost, this->rows.size())) };
-  }
-  Result<std::vector<std::uint64_t>> transact(const std::vector<TableWrite>&)
-  {
-    return std::vector<std::uint64_t>{ 1 };
-  }
-  Result<Done> putObject(const std::string&, const std::string&)
-  {
-    return Done{};
+  // With 370 relays and a limit of 64 listed ones, the relays beyond the limit
+  // receive no status messages from each other. Each then uses the whole slack
+  // of the retry budget, and together they exceed the bound on attempts. The
+  // rows are those of relays of the older format, in a rolling restart.
+  RelayRows rows;
+  for (int i = 0; i < 370; ++i) {
+    rows.addOldRow(1'000 + i);
   }
-  Result<std::string> getObject(const std::string&)
-  {
-    return fail(ErrorKind::NotFound);
+  DirectoryRelay relay{ rows, 0, "a" };
+  relay.directory.refresh(rows.now);
+  EXPECT_EQ(relay.shared.peers.read()->size(), 369U);
+}
+
+TEST(RelayDirectory, ASmallZoneHasEachOfItsRelaysAsAContact)
+{
+  RelayRows rows;
+  DirectoryRelay first{ rows, 1, "a" };
+  DirectoryRelay second{ rows, 2, "a" };
+  first.directory.refresh(rows.now);
+  rows.now += seconds{ 1 };
+  second.directory.refresh(rows.now);
+  rows.now += seconds{ 1 };
+  first.directory.refresh(rows.now);
+  EXPECT_TRUE(first.directory.isContact());
+  EXPECT_TRUE(second.directory.isContact());
+  EXPECT_EQ(first.directory.contacts(),
+            std::vector<Address>{ second.settings.peers });
+  EXPECT_EQ(second.directory.contacts(),
+            std::vector<Address>{ first.settings.peers });
+}
+
+TEST(RelayDirectory, ALargeFleetTakesFewCallsOfTheStoreToStart)
+{
+  // All relays start at once. If each writes a row and reads those of all, the
+  // store serves writes as many as there are relays, and rows as many as their
+  // square. Both must not depend on the size of the fleet.
+  for (const int size : { 437, 2'000 }) {
+    FleetStart fleet{ size };
+    fleet.run(seconds{ 4 });
+    constexpr std::size_t kMaxContacts = 20;
+    EXPECT_LE(fleet.rows.size(), FleetStart::kZones * kMaxContacts);
+    EXPECT_GE(fleet.rows.size(), FleetStart::kZones * std::size_t{ 4 });
+    EXPECT_LE(fleet.rows.reads + fleet.rows.writes, 3U * size);
+    EXPECT_LE(fleet.rows.rowsRead,
+              3U * size * FleetStart::kZones * kMaxContacts);
   }
-  Result<std::vector<InstanceInfo>> listInstances()
-  {
-    return std::vector<InstanceInfo>{};
+}
+
+TEST(RelayDirectory, ContactsHaveFastLinks)
+{
+  // A contact sends its state to each relay that starts. On a slow link, those
+  // that start with it would wait for each other.
+  FleetStart fleet{ 437 };
+  fleet.run(seconds{ 4 });
+  for (const auto& relay : fleet.relays) {
+    if (relay->directory.isContact()) {
+      EXPECT_EQ(relay->settings.linkMbps, 1'000);
+    }
   }
+}
 
-private:
-  std::vector<TableRow> rows;
-};
+TEST(RelayDirectory, ARestartedContactIsOneWithoutAWrite)
+{
+  RelayRows rows;
+  rows.addRow("r/a/1", "10.0.0.1:1001");
+  DirectoryRelay relay{ rows, 1, "a" };
+  relay.directory.refresh(rows.now);
+  EXPECT_TRUE(relay.directory.isContact());
+  EXPECT_EQ(rows.writes, 0U);
+}
 
-TEST(RelayDirectory, ARelayKnowsAllOthersOfALargeRegion)
+TEST(RelayDirectory, AContactAtANewAddressReplacesItsRow)
 {
-  // With 370 relays and a limit of 64 listed ones, the relays beyond the limit
-  // receive no status messages from each other. Each then uses the whole slack
-  // of the retry budget, and together they exceed the bound on attempts.
-  RelaySettings settings;
-  settings.region = "r";
-  settings.name = "1000";
-  settings.peers = { "10.0.0.1", 1'000 };
-  RelayShared shared{ ::open("/dev/null", O_WRONLY) };
-  RelayRowStore store{ 370 };
-  RelayDirectory<RelayRowStore> directory{ settings, shared, store };
-  directory.refresh(TimePoint{ std::chrono::hours{ 1 } });
-  EXPECT_EQ(shared.peers.read()->size(), 369U);
+  // The instance was replaced and has another address. Under its old row, the
+  // others would ask an address that nobody has.
+  RelayRows rows;
+  rows.addRow("r/a/1", "10.9.9.9:1001");
+  DirectoryRelay relay{ rows, 1, "a" };
+  relay.directory.refresh(rows.now);
+  EXPECT_TRUE(relay.directory.isContact());
+  EXPECT_EQ(rows.writes, 1U);
+  EXPECT_EQ(rows.size(), 1U);
+}
+
+TEST(RelayDirectory, SilentContactsAreReplaced)
+{
+  // All contacts of the zone were removed for good. Without a new one, each
+  // relay that starts would wait for them first.
+  RelayRows rows;
+  for (const char* name : { "3", "4", "5", "6" }) {
+    rows.addRow(std::string{ "r/a/" } + name,
+                std::string{ "10.9.9.9:100" } + name);
+  }
+  DirectoryRelay relay{ rows, 1, "a" };
+  relay.directory.refresh(rows.now);
+  EXPECT_FALSE(relay.directory.isContact());
+  relay.directory.replaceContacts();
+  relay.directory.refresh(rows.now);
+  EXPECT_TRUE(relay.directory.isContact());
+}
+
+TEST(RelayDirectory, AnUnavailableStoreIsNotCalledInEachRound)
+{
+  RelayRows rows;
+  rows.fails = true;
+  DirectoryRelay relay{ rows, 1, "a" };
+  for (int i = 0; i < 8; ++i) {
+    relay.directory.refresh(rows.now);
+    rows.now += milliseconds{ 250 };
+  }
+  EXPECT_EQ(rows.reads, 2U);
 }
 
 } // namespace
