Let the relays with the fastest links read the store for their zone

Cause: store readers were the first relays of a zone by address. Each sends every change of the replica list to all relays of its zone. This held only while a zone had a few relays. Change: status messages carry the link rate of their sender, and among relays whose polls succeed the fastest links come first, then addresses. The field is the last one: relays without it count as slow ones. Measured: TheRelaysWithTheFastestLinksPoll is new.

--- a/src/fleet/StoreReaders.cpp
+++ b/src/fleet/StoreReaders.cpp
@@ -3,6 +3,19 @@
 #include <algorithm>
 
 namespace poplartrack {
+namespace {
+
+/** Returns whether a relay becomes a store reader before another one. */
+bool
+precedes(const StoreReader& aOne, const StoreReader& aOther)
+{
+  if (aOne.linkMbps != aOther.linkMbps) {
+    return aOne.linkMbps > aOther.linkMbps;
+  }
+  return aOne.address < aOther.address;
+}
+
+} // namespace
 
 bool
 shouldPoll(const StoreReader& aOwn, std::span<const StoreReader> aPeers)
@@ -17,8 +30,7 @@
     // is available again.
     const auto before = std::count_if(
       aPeers.begin(), aPeers.end(), [&](const StoreReader& aPeer) {
-        return aPeer.polls && aPeer.zone == aOwn.zone &&
-               aPeer.address < aOwn.address;
+        return aPeer.polls && aPeer.zone == aOwn.zone && precedes(aPeer, aOwn);
       });
     return static_cast<std::size_t>(before) < kReadersPerZone;
   }
@@ -28,7 +40,7 @@
   const auto before =
     std::count_if(aPeers.begin(), aPeers.end(), [&](const StoreReader& aPeer) {
       return !aPeer.pollsFail && aPeer.zone == aOwn.zone &&
-             aPeer.address < aOwn.address;
+             precedes(aPeer, aOwn);
     });
   return static_cast<std::size_t>(before) < kReadersPerZone;
 }
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -144,6 +144,8 @@
   std::vector<Fingerprint> served;
   /** Rate limits of replicas, including those lifted recently. */
   std::vector<LimitRow> limits;
+  /** Rate of the network link of the sender's instance, in Mbit/s. */
+  std::uint32_t linkMbps = 0;
   MSGPACK_DEFINE(format,
                  incarnation,
                  zone,
@@ -165,7 +167,8 @@
                  crashes,
                  quarantine,
                  served,
-                 limits);
+                 limits,
+                 linkMbps);
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -386,6 +386,8 @@
     bool polls = false;
     /** Its latest poll failed. */
     bool pollsFail = false;
+    /** Rate of its instance's network link, in Mbit/s; 0 if it is unknown. */
+    std::uint32_t linkMbps = 0;
   };
   /** Relays from which a status message was received within kPeerTimeout. */
   std::map<Address, PeerState> knownPeers;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -47,6 +47,13 @@
   return hasFormat ? aDatagram.via.array.ptr[0].as<std::uint32_t>() : 0;
 }
 
+/** Rounds a link rate for status messages; 0 would mean that it is unknown. */
+std::uint32_t
+toWholeMbps(double aMbps)
+{
+  return static_cast<std::uint32_t>(std::max(1.0, aMbps));
+}
+
 } // namespace
 
 /** Opens the socket for datagrams. */
@@ -121,6 +128,7 @@
   }
   this->addCrashes(status);
   this->addLimits(status);
+  status.linkMbps = toWholeMbps(this->settings.linkMbps);
   return status;
 }
 
@@ -200,14 +208,15 @@
   std::vector<StoreReader> activePeers;
   for (const auto& [address, peer] : this->knownPeers) {
     if (this->now - peer.receivedAt < kReaderTimeout) {
-      activePeers.push_back(
-        StoreReader{ address, peer.zone, peer.polls, peer.pollsFail });
+      activePeers.push_back(StoreReader{
+        address, peer.zone, peer.polls, peer.pollsFail, peer.linkMbps });
     }
   }
   const StoreReader own{ this->localPeers,
                          this->settings.zone,
                          this->shared.polls,
-                         this->shared.pollsFail };
+                         this->shared.pollsFail,
+                         toWholeMbps(this->settings.linkMbps) };
   const bool polls = shouldPoll(own, activePeers);
   if (this->shared.polls.exchange(polls) != polls) {
     this->shared.metrics.set("store_reader", polls ? 1 : 0);
@@ -314,7 +323,8 @@
                                        aStatus.zone,
                                        this->now,
                                        aStatus.polls,
-                                       aStatus.pollsFail };
+                                       aStatus.pollsFail,
+                                       aStatus.linkMbps };
   if (aStatus.holdsLease) {
     this->shared.leaderSeenAt =
       this->shared.clock.now().time_since_epoch().count();
--- a/tests/unit/fleet/StoreReadersTest.cpp
+++ b/tests/unit/fleet/StoreReadersTest.cpp
@@ -35,6 +35,21 @@
   }
 }
 
+TEST(StoreReaders, TheRelaysWithTheFastestLinksPoll)
+{
+  // A store reader sends each change of the replica list to all relays of its
+  // zone. On a slow link most of that is dropped, and each relay then reads the
+  // whole list. The link rates decide, whatever the addresses.
+  std::vector<StoreReader> relays;
+  for (std::uint16_t i = 0; i < 90; ++i) {
+    relays.push_back(relay(i, "a"));
+    relays.back().linkMbps = i % 30 == 7 ? 1'000 : 20;
+  }
+  for (std::size_t i = 0; i < relays.size(); ++i) {
+    EXPECT_EQ(pollsAmong(relays, i), i == 7 || i == 37) << i;
+  }
+}
+
 TEST(StoreReaders, ARelayWithoutPeersPolls)
 {
   EXPECT_TRUE(shouldPoll(relay(9, "a"), {}));
