Wait for the zone's own readers before reading a whole list

Cause: a relay that does not poll read the whole list as soon as no relay of its zone had the version that relays of other zones reported. Store readers pause up to 600 ms after a change, each zone's at another moment, so that was often just a little early. Change: such a relay asks its zone for up to 1.5 s before it reads the store. Draining replicas are reported by the other zones meanwhile.

--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -16,6 +16,12 @@
  * store. Configurations must be in force within a few seconds. */
 constexpr Duration kMaxPeerLag = std::chrono::milliseconds{ 800 };
 
+/** The same for the replica list. The store readers of this zone may have it
+ * later than those of others, which report it, by their pause between two polls
+ * and the interval of the status messages. Draining replicas are reported by
+ * the others meanwhile. */
+constexpr Duration kMaxPeerListLag = std::chrono::milliseconds{ 1'500 };
+
 /** The relays of a zone learn of a new configuration at the same moment, when
  * only the two store readers have it. Each waits for a random part of this
  * time, in which those before it take it over and can be asked as well. */
@@ -159,9 +165,16 @@
   } else if (!this->listBehindSince) {
     this->listBehindSince = now;
   } else if (now - *this->listBehindSince >= this->listCatchUpDelay()) {
-    this->listBehindSince.reset();
     const std::uint64_t known = this->shared.replicas.read()->lastChange;
-    if (this->asksPeers() && this->fetchReplicas(known)) {
+    const Duration lag = now - *this->listBehindSince;
+    const bool fetched = this->asksPeers() && this->fetchReplicas(known);
+    const bool mayWait =
+      this->asksPeers() && lag < fleet_control::kMaxPeerListLag;
+    if (!fetched && mayWait) {
+      return fleet_control::kCatchUpInterval;
+    }
+    this->listBehindSince.reset();
+    if (fetched) {
       return fleet_control::kCatchUpInterval;
     }
     const Result<ReplicaPoll> poll =
