Read the store beside a list of contacts that is late

Cause: a relay that starts waited for the list of contacts before it read anything. While the store is slow or does not answer, that is up to 600 ms in which it could not serve. Change: if the list has not arrived within 150 ms, polls begin beside it.

--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -99,6 +99,9 @@
   /** Asks a relay for a snapshot and puts its configuration and replica list in
    * force. Returns whether it answered. */
   bool applySnapshotOf(const Address& aRelay, const SnapshotQuery& aQuery);
+  /** Returns whether polls of the store may begin: the start is over, or the
+   * contacts are not known in time. */
+  [[nodiscard]] bool mayReadStore() const;
   /** Ends the start. */
   void finishJoining();
   /** Asks a contact for the list of relays if that is due. */
@@ -191,6 +194,8 @@
   std::atomic<bool> entriesUncertain{ false };
   /** Unusable entries by name, with the reason that was logged last. */
   std::map<std::string, std::string> loggedUnreadable;
+  /** The list of contacts has been read. */
+  std::atomic<bool> contactsRead{ false };
   /** When the contacts were first known. */
   std::optional<TimePoint> contactsKnownAt;
   /** When the process started. */
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -165,7 +165,7 @@
 Duration
 FleetControl<Store>::followConfig()
 {
-  if (this->shared.joining) {
+  if (!this->mayReadStore()) {
     return fleet_control::kJoinInterval;
   }
   // A relay that joined through a contact before there was a configuration
@@ -274,7 +274,7 @@
 Duration
 FleetControl<Store>::followReplicas()
 {
-  if (this->shared.joining) {
+  if (!this->mayReadStore()) {
     return fleet_control::kJoinInterval;
   }
   std::uint64_t after = 0;
--- a/include/poplartrack/relay/FleetJoin.inl.h
+++ b/include/poplartrack/relay/FleetJoin.inl.h
@@ -10,6 +10,10 @@
 /** Interval between checks while a relay joins. */
 constexpr Duration kJoinInterval = std::chrono::milliseconds{ 20 };
 
+/** If the list of contacts has not arrived by then, the store is slow or does
+ * not answer, and this relay reads everything beside it. */
+constexpr Duration kMaxContactsWait = std::chrono::milliseconds{ 150 };
+
 /** A relay that no contact has answered for this long reads the store. When all
  * start at once, the contacts read the store meanwhile. */
 constexpr Duration kJoinTimeout = std::chrono::milliseconds{ 800 };
@@ -105,6 +109,16 @@
   return true;
 }
 
+template<FleetStoreLike Store>
+bool
+FleetControl<Store>::mayReadStore() const
+{
+  const bool contactsMissing =
+    !this->contactsRead &&
+    this->clock.now() - this->startedAt >= fleet_control::kMaxContactsWait;
+  return !this->shared.joining || contactsMissing;
+}
+
 template<FleetStoreLike Store>
 void
 FleetControl<Store>::finishJoining()
@@ -120,8 +134,9 @@
 {
   this->directory.refresh(this->clock.now());
   const TimePoint now = this->clock.now();
+  this->contactsRead = this->directory.hasRead();
   if (!this->fetchSnapshot || !this->directory.hasRead() ||
-      this->directory.isContact()) {
+      this->directory.isContact() || this->shared.listVersion != 0) {
     this->finishJoining();
     return Duration{ 0 };
   }
