Repeat an unchanged status message to other zones less often

Cause: each relay sends its status message to each relay of the other zones 2.5 times a second, whether or not it says anything new. On a fleet with more relays than requests in flight, nearly all are repetitions. Change: a message that repeats the last one is sent to other zones each 800 ms; one with anything new is sent as before. Store readers and the holder of the lease always send theirs. Receivers forget a relay after 2 s.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -25,6 +25,7 @@
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 #include "poplartrack/fleet/ReplicaLimits.h"
+#include "poplartrack/fleet/StatusRepeat.h"
 #include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitQueue.h"
 #include "poplartrack/relay/RelayLoop.h"
@@ -310,6 +311,7 @@
   void readPeers();
   void addUnlistedPeer(const Address& aSender);
   void broadcastStatus(bool aChanged);
+  [[nodiscard]] bool goesToOtherZones(const PeerStatus& aStatus);
   [[nodiscard]] PeerStatus ownStatus();
   void sendDatagram(const Address& aPeer, std::string_view aDatagram) const;
   void readDatagram(const char* aBytes,
@@ -394,6 +396,7 @@
   /** When another relay last reported a proof of its configuration that is
    * recent enough to send requests with an API key. */
   TimePoint peerProvedFreshAt{};
+  StatusRepeat statusRepeat;
   /** Lost and slow replicas, as reported by other relays. */
   LossReports reports;
   /** Draining replicas, and when this relay learned of it. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -132,8 +132,26 @@
   return status;
 }
 
+/** Returns whether a status message goes to the relays of other zones as well.
+ * Store readers and the holder of the lease always send it: the others detect
+ * within a second or so that one of them is gone. */
+bool
+RelayLoop::Impl::goesToOtherZones(const PeerStatus& aStatus)
+{
+  if (aStatus.polls || aStatus.holdsLease) {
+    return true;
+  }
+  PeerStatus content = aStatus;
+  content.sentAt = 0;
+  content.configAge = 0;
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, content);
+  return this->statusRepeat.shouldSend({ bytes.data(), bytes.size() },
+                                       this->now);
+}
+
 /** Sends the status message to all other relays. Unless something has changed,
- * relays of other zones receive only every second one: the replicas of this
+ * relays of other zones receive at most every second one: the replicas of this
  * zone are seldom shared with them, and traffic between zones is expensive. */
 void
 RelayLoop::Impl::broadcastStatus(bool aChanged)
@@ -142,13 +160,15 @@
   if (peers->empty()) {
     return;
   }
+  const PeerStatus status = this->ownStatus();
   msgpack::sbuffer bytes;
-  msgpack::pack(bytes, this->ownStatus());
+  msgpack::pack(bytes, status);
   if (bytes.size() > kMaxDatagramBytes) {
     this->shared.metrics.count("peer_words_too_large_total");
     return;
   }
-  const bool everyZone = aChanged || this->periodicRuns % 2 == 0;
+  const bool everyZone =
+    aChanged || (this->periodicRuns % 2 == 0 && this->goesToOtherZones(status));
   for (const Address& peer : *peers) {
     const auto known = this->knownPeers.find(peer);
     const bool sameZone = known == this->knownPeers.end() ||
