Let store readers renew a freshness proof first

Cause: all relays of a zone have the same latest proof of the configuration. Change: a relay that does not poll leaves the renewal to the store readers for another second. A deadline of 2 or 3 s bounds both as before.

--- a/include/poplartrack/fleet/StorePollSchedule.h
+++ b/include/poplartrack/fleet/StorePollSchedule.h
@@ -41,10 +41,12 @@
   /** Returns whether the latest freshness proof of the configuration is so
    * stale that a proof read beside the current poll is due. aAge: age of the
    * proof. aSince: time since the last proof read. aDeadline: time within which
-   * an accepted configuration must be in force. */
+   * an accepted configuration must be in force. aReader: this relay polls the
+   * store; if not, it leaves the renewal to the store readers first. */
   [[nodiscard]] static bool needsProofRead(Duration aAge,
                                            Duration aSince,
-                                           Duration aDeadline);
+                                           Duration aDeadline,
+                                           bool aReader);
 
 private:
   std::size_t peers;
--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -95,7 +95,8 @@
     config != nullptr && this->configReachable &&
     StorePollSchedule::needsProofRead(this->shared.freshness.age(),
                                       now - this->proofReadAt,
-                                      this->settings.configDeadline);
+                                      this->settings.configDeadline,
+                                      this->shared.polls);
   if (!this->stopping && (behind || proofOld)) {
     this->configBehindSince.reset();
     this->proofReadAt = now;
--- a/src/fleet/StorePollSchedule.cpp
+++ b/src/fleet/StorePollSchedule.cpp
@@ -61,6 +61,10 @@
  * on a silent connection while no peer is known any more. A proof of this age
  * leaves time to get a newer one before keys are no longer trusted. */
 constexpr Duration kStaleProofAge = milliseconds{ 1'500 };
+/** Time within which a proof that a store reader has renewed reaches the other
+ * relays. Without it, all relays of a zone would renew a proof at the same
+ * moment as its store readers. */
+constexpr Duration kRenewalTime = milliseconds{ 1'000 };
 /** A proof is also renewed this long before its age reaches the time within
  * which a new configuration must be in force. This covers the proof read, the
  * margin (300 ms) at which a configuration without a recent proof is no longer
@@ -137,10 +141,12 @@
 bool
 StorePollSchedule::needsProofRead(Duration aAge,
                                   Duration aSince,
-                                  Duration aDeadline)
+                                  Duration aDeadline,
+                                  bool aReader)
 {
+  const Duration renewal = aReader ? Duration{ 0 } : kRenewalTime;
   const Duration staleAge =
-    std::min(kStaleProofAge, aDeadline - kProofReadLead);
+    std::min(kStaleProofAge + renewal, aDeadline - kProofReadLead);
   return aAge >= staleAge && aSince >= kProofReadInterval;
 }
 
--- a/tests/unit/fleet/StorePollScheduleTest.cpp
+++ b/tests/unit/fleet/StorePollScheduleTest.cpp
@@ -56,12 +56,12 @@
   // would help are gone. Keys are trusted for 4 s after a proof.
   const Duration deadline = seconds{ 4 };
   EXPECT_FALSE(StorePollSchedule::needsProofRead(
-    milliseconds{ 900 }, seconds{ 5 }, deadline));
+    milliseconds{ 900 }, seconds{ 5 }, deadline, true));
   EXPECT_TRUE(StorePollSchedule::needsProofRead(
-    milliseconds{ 1'500 }, seconds{ 5 }, deadline));
+    milliseconds{ 1'500 }, seconds{ 5 }, deadline, true));
   // One call a second is enough, even where it returns no proof.
   EXPECT_FALSE(StorePollSchedule::needsProofRead(
-    seconds{ 30 }, milliseconds{ 300 }, deadline));
+    seconds{ 30 }, milliseconds{ 300 }, deadline, true));
 }
 
 TEST(StorePollScheduleTest, AProofIsRenewedBeforeTheDeadlineOfANewConfiguration)
@@ -72,11 +72,28 @@
   for (const Duration deadline : { seconds{ 2 }, seconds{ 3 } }) {
     const Duration latest = deadline - milliseconds{ 300 + 200 } -
                             StorePollSchedule::kProofReadTimeout;
-    EXPECT_TRUE(
-      StorePollSchedule::needsProofRead(latest, seconds{ 5 }, deadline));
+    for (const bool reader : { true, false }) {
+      EXPECT_TRUE(StorePollSchedule::needsProofRead(
+        latest, seconds{ 5 }, deadline, reader));
+    }
   }
 }
 
+TEST(StorePollScheduleTest, StoreReadersRenewAProofBeforeTheOtherRelays)
+{
+  // All relays of a zone have the same latest proof. If each renewed it when
+  // its store readers do, one late poll would be a call for each of them.
+  const Duration deadline = seconds{ 5 };
+  const Duration stale = milliseconds{ 1'500 };
+  EXPECT_TRUE(
+    StorePollSchedule::needsProofRead(stale, seconds{ 5 }, deadline, true));
+  EXPECT_FALSE(
+    StorePollSchedule::needsProofRead(stale, seconds{ 5 }, deadline, false));
+  // Keys are trusted for 4 s after a proof.
+  EXPECT_TRUE(StorePollSchedule::needsProofRead(
+    milliseconds{ 2'500 }, seconds{ 5 }, deadline, false));
+}
+
 TEST(StorePollScheduleTest, BatchDelayIsLongerBeforeTheFirstRequest)
 {
   EXPECT_LT(StorePollSchedule::batchDelay(true),
