--- a/tests/unit/relay/SnapshotTest.cpp
+++ b/tests/unit/relay/SnapshotTest.cpp
@@ -7,7 +7,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "../../../src/relay/SnapshotMessage.h"
+#include "relay/SnapshotMessage.h"
 #include "unit/fleet/FleetSamples.h"
 
 namespace poplartrack {
