Reword comments of entry, side and ledger in plain terms

Change: 30 comments in 24 files. The folders are not finished: only comments with the listed words were read.

--- a/include/poplartrack/entry/ActiveRun.h
+++ b/include/poplartrack/entry/ActiveRun.h
@@ -65,7 +65,7 @@
   TimePoint lastToken{};
   /** The earliest timer that is set for nextWake(). */
   std::optional<TimePoint> wakeSet;
-  /** The route whose use was told to the chooser. */
+  /** The route whose use was reported to the chooser. */
   Route usedRoute;
   /** The route of the attempt before. */
   Route lastRoute;
--- a/include/poplartrack/entry/AnswerText.h
+++ b/include/poplartrack/entry/AnswerText.h
@@ -12,7 +12,7 @@
 
 namespace poplartrack {
 
-/** What every answer tells about itself. */
+/** Facts about the request that every answer states. */
 struct AnswerFacts
 {
   RequestId request;
--- a/include/poplartrack/entry/ClaimKeeper.h
+++ b/include/poplartrack/entry/ClaimKeeper.h
@@ -24,8 +24,8 @@
     keeper.claim = [&aPlatform](const ClaimRequest& aRequest) {
       return IdempotencyClaim<Platform>{ aPlatform }.claim(aRequest);
     };
-    // A result that cannot be kept leaves the claim without one, which is
-    // safe: repeats then hear that the outcome is unknown.
+    // A result that cannot be kept leaves the claim without one. That is safe:
+    // repeats are then answered that the outcome is unknown.
     keeper.record = [&aPlatform](const ClaimHeld& aHeld,
                                  std::uint32_t aStatus,
                                  const std::string& aBody) {
--- a/include/poplartrack/entry/ConfigWatch.h
+++ b/include/poplartrack/entry/ConfigWatch.h
@@ -15,7 +15,7 @@
 
 namespace poplartrack {
 
-/** Told when another revision is in force. */
+/** Called when another revision is in force. */
 using ConfigInForce =
   std::function<void(const std::shared_ptr<const Configuration>&)>;
 
--- a/include/poplartrack/entry/EndpointDirectory.h
+++ b/include/poplartrack/entry/EndpointDirectory.h
@@ -13,7 +13,7 @@
 
 namespace poplartrack {
 
-/** Told the name of an endpoint whose earlier incarnation is gone. */
+/** Called with the name of an endpoint whose earlier incarnation is gone. */
 using EndpointGone = std::function<void(const std::string& aEndpoint)>;
 
 /**
@@ -29,8 +29,8 @@
                     std::string aSelf,
                     std::string aSelfAddress);
 
-  /** Sends probes from now on. aRevision gives the revision in force here,
-   * aHeard is told what sides have heard of. */
+  /** Sends probes from now on. aRevision returns the revision in force
+   * here. aHeard is called with revisions that sides report. */
   void start(std::function<std::uint64_t()> aRevision,
              std::function<void(std::uint64_t)> aHeard,
              EndpointGone aGone);
--- a/include/poplartrack/entry/EndpointTracker.h
+++ b/include/poplartrack/entry/EndpointTracker.h
@@ -84,7 +84,7 @@
   /** A call to the endpoint ended without a reply. */
   void onCallFailed(const std::string& aEndpoint, TimePoint aNow);
 
-  /** All endpoints that have told who they are. */
+  /** All endpoints that have identified themselves. */
   [[nodiscard]] std::shared_ptr<const EndpointView> view() const;
   /** True when view() has changed in more than load since the last call. */
   bool takeChanged();
--- a/include/poplartrack/entry/IdempotencyClaim.h
+++ b/include/poplartrack/entry/IdempotencyClaim.h
@@ -22,8 +22,8 @@
   std::string key;
   /** bodyDigest() of service, operation and body. */
   std::string digest;
-  /** Unique to this try: a fresh random id. Tells its owner's row from others
-   * after a lost answer. */
+  /** Random id of this attempt. After a lost answer, it shows whether the row
+   * is this attempt's. */
   std::string token;
 };
 
@@ -62,7 +62,7 @@
  *
  * Rows are kept: nothing here deletes a claim but its own holder, with proof
  * that the call did not run and never will. An operator may delete rows older
- * than the time for which callers are told to repeat a key (24 h): the call's
+ * than the time for which callers may repeat a key (24 h): the call's
  * deadline is minutes, so a holder that still lives has ended long ago.
  */
 template<PlatformLike Platform>
@@ -79,8 +79,9 @@
   ClaimVerdict claim(const ClaimRequest& aRequest);
 
   /** Keeps the answer for repeats. A larger body than kMaxClaimBody is not
-   * kept: repeats then hear that the key was used, outcome "ran". Errors leave
-   * the claim without a result, which is safe: repeats hear "unknown". */
+   * kept: repeats are then answered that the key was used, outcome "ran".
+   * Errors leave the claim without a result. That is safe: repeats are then
+   * answered "unknown". */
   Result<Done> record(const ClaimHeld& aHeld,
                       std::uint32_t aStatus,
                       const std::string& aBody);
--- a/include/poplartrack/entry/IdempotencyClaim.inl.h
+++ b/include/poplartrack/entry/IdempotencyClaim.inl.h
@@ -20,8 +20,8 @@
 ClaimVerdict
 IdempotencyClaim<Platform>::claim(const ClaimRequest& aRequest)
 {
-  // A lost answer is settled by reading the row, or by another try: whichever
-  // write comes first makes the row, and the token tells whose it is.
+  // After a lost answer, the row is read, or the write is tried again: the
+  // first write creates the row, and the token shows whose it is.
   constexpr int kTries = 3;
   ClaimHeld held;
   held.rowKey = claimRowKey(aRequest.account, aRequest.key);
--- a/include/poplartrack/entry/ShareExchange.h
+++ b/include/poplartrack/entry/ShareExchange.h
@@ -12,7 +12,7 @@
 
 namespace poplartrack {
 
-/** Told that a peer has a revision in force: its address and the number. */
+/** Called with the address of a peer and the revision that it has in force. */
 using RevisionHeard = std::function<void(const std::string&, std::uint64_t)>;
 
 /**
--- a/include/poplartrack/ledger/LedgerLimits.h
+++ b/include/poplartrack/ledger/LedgerLimits.h
@@ -15,9 +15,9 @@
  * still delivers is at most maxFrameAge old. A side that remembers a request
  * for tombstoneLife >= maxDeadline + maxFrameAge therefore remembers it for as
  * long as any frame of it can arrive: neither can a late call run after its
- * fence was acknowledged, nor can a late fence be told "it never ran" because
- * the side has forgotten. The life is counted in time during which the side
- * was awake (see maxTick): frames wait in its socket buffers while it is
+ * fence was acknowledged, nor can a late fence be answered "it never ran"
+ * because the side has forgotten. The life is counted in time during which the
+ * side was awake (see maxTick): frames wait in its socket buffers while it is
  * frozen.
  *
  * After a request that ended well no fence asks for proof any more; only late
--- a/include/poplartrack/ledger/StepLedger.h
+++ b/include/poplartrack/ledger/StepLedger.h
@@ -64,8 +64,9 @@
    * the entry refused. It never runs again; a tombstone stays. */
   void drop(const RequestId& aRequest, std::uint32_t aAttempt, TimePoint aNow);
 
-  /** Fences the attempts below a number and tells whether any ran. Refused
-   * (Overloaded) when no tombstone can be kept: then it proves nothing. */
+  /** Fences the attempts below a number and returns whether any ran. Rejected
+   * as Overloaded when no tombstone can be kept; the reply then proves
+   * nothing. */
   FenceReply fence(const FenceRequest& aFence, TimePoint aNow);
 
   /** May this plain call run? */
--- a/include/poplartrack/side/EndpointWatch.h
+++ b/include/poplartrack/side/EndpointWatch.h
@@ -32,7 +32,7 @@
   void onSilence();
 
   void onStepStarted();
-  /** aDecodeStep: a step of one input, whose time tells the pace. */
+  /** aDecodeStep: a step of one input; its duration is the time for a token. */
   void onStepEnded(Duration aTook, bool aDecodeStep);
 
   [[nodiscard]] std::optional<EngineInfo> info() const;
--- a/include/poplartrack/side/EngineClient.h
+++ b/include/poplartrack/side/EngineClient.h
@@ -69,7 +69,7 @@
   /** Starts a step; aDone runs on the HTTP client's thread. */
   void step(const EngineStep& aStep, Duration aTimeout, StepDone aDone);
 
-  /** Frees a sequence's KV and drops its queued steps; told to nobody. */
+  /** Frees a sequence's KV and drops its queued steps. There is no reply. */
   void cancel(const std::string& aSequence);
 
   using InfoDone = std::function<void(Result<EngineInfo>)>;
@@ -87,7 +87,7 @@
              std::uint64_t aFence,
              std::function<void(Result<Done>)> aDone);
 
-  /** One call of a plain service; told how it ended, unjudged. */
+  /** Calls a plain service. The callback gets the outcome as it is. */
   void plain(const std::string& aOperation,
              const std::string& aRequestId,
              std::string aBody,
--- a/include/poplartrack/side/OrderGate.h
+++ b/include/poplartrack/side/OrderGate.h
@@ -14,8 +14,8 @@
  * Decides which orders pass a side to its endpoint, which may take any.
  *
  * - A placer that was frozen past its lease wakes and orders as if it still
- * held it. Its number is below the one of its successor, so it is refused once
- * the successor was heard here.
+ * held it. Its number is below that of its successor, so its orders are
+ * rejected once this side has received one of the successor.
  * - A side that was restarted has forgotten the numbers. It takes no order
  * until it has read the lease's number from the platform; while the platform is
  * down it takes none, but serves calls.
--- a/include/poplartrack/side/PlainRunner.h
+++ b/include/poplartrack/side/PlainRunner.h
@@ -10,7 +10,7 @@
 namespace poplartrack {
 
 /** Runs plain calls at the endpoint, each request once: repeats join the call
- * in progress or hear its answer again. */
+ * in progress or get its answer again. */
 class PlainRunner
 {
 public:
--- a/include/poplartrack/side/SideServer.h
+++ b/include/poplartrack/side/SideServer.h
@@ -82,7 +82,7 @@
   EngineClient engine;
   StageRunner stages;
   PlainRunner plains;
-  /** The newest configuration revision heard of. */
+  /** The newest configuration revision that any entry has reported. */
   std::atomic<std::uint64_t> revision{ 0 };
   PlatformClient platform;
   OrderGate orders;
--- a/src/entry/EndpointDirectory.cpp
+++ b/src/entry/EndpointDirectory.cpp
@@ -141,9 +141,9 @@
     this->onLoad(aEndpoint, aLoad);
     return;
   }
-  // Counted as a sign of life, a refusal would put off the very probe that
-  // tells what changed: callers that come back faster than probes are sent
-  // kept a restarted side out of use for as long as they came (30 s and more).
+  // If a refusal counted as a sign of life, it would delay the probe that shows
+  // what has changed. Callers that retry faster than probes are sent would then
+  // keep a restarted side out of use for as long as they retry (30 s and more).
   const std::scoped_lock lock{ this->guard };
   this->tracker.onOutdated(aEndpoint, runtimeNow());
 }
--- a/src/entry/IdempotencyClaim.cpp
+++ b/src/entry/IdempotencyClaim.cpp
@@ -23,7 +23,8 @@
     case ClaimState::Claimed:
       break;
   }
-  // Its holder may be at work, frozen or dead; no time that passes tells which.
+  // Its holder may be running, suspended or dead. No timeout distinguishes
+  // these.
   return ClaimRefused{ fail(ErrorKind::KeyInUse, "claimed by another try"),
                        RunState::Unknown };
 }
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -273,10 +273,10 @@
 {
   const TimePoint moment = runtimeNow();
   const TimePoint latest = aSince + kRouteWait;
-  // Every replica of a layer has refused this request once: the one that is
-  // back is better than none, but not before the entry has heard of it. Asked
-  // again at once, restarted sides refused all attempts that a request has
-  // within 2 ms, in 20 to 30 of 48 requests while faults come without a pause.
+  // Every replica of a layer has rejected this request once. One that is
+  // available again may be tried again, but not before the entry has learned of
+  // it: without a pause, restarted sides rejected all attempts of a request
+  // within 2 ms, for 20 to 30 of 48 requests under continuous faults.
   const bool mayRepeat =
     aNeed.reason != RetryReason::OpenRefused || moment - aSince >= kRoutePause;
   RouteQuery query = this->queryFor(aRun->spec, moment);
--- a/src/entry/ModelRunnerSends.cpp
+++ b/src/entry/ModelRunnerSends.cpp
@@ -5,7 +5,7 @@
 namespace poplartrack {
 namespace {
 
-/** A fence is worth several tries: until it is heard, the side holds KV and a
+/** A fence is sent several times: until it arrives, the side holds KV and a
  * place in its ledger for the attempt. */
 constexpr RepeatPolicy kFenceRepeat{ 3,
                                      std::chrono::seconds{ 1 },
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -1,4 +1,4 @@
-// How a request run goes on after a loss, and how it ends without an answer.
+// How a request run continues after a loss, and how it ends without an answer.
 
 #include "poplartrack/entry/RequestRun.h"
 
@@ -51,8 +51,8 @@
                       TimePoint aNow)
 {
   // A side forgets a request some time after the deadline. An entry that was
-  // frozen so long could be told "never ran" by a side that has forgotten: a
-  // reply proves nothing after the deadline.
+  // suspended for that long could get the reply "never ran" from a side that
+  // has forgotten: after the deadline a reply proves nothing.
   const bool isProof = aOutcome == CallOutcome::Replied &&
                        aReply.request == aSent.message.request &&
                        aReply.below == aSent.message.below &&
--- a/src/ledger/StepLedger.cpp
+++ b/src/ledger/StepLedger.cpp
@@ -103,8 +103,8 @@
 std::optional<Error>
 StepLedger::checkNewWork(std::uint64_t aRemainingMicros) const
 {
-  // The side itself refuses while leaving: an entry that was cut off or has
-  // just started may not have heard of it.
+  // The side itself rejects new work while it drains: an entry that was cut off
+  // or has just started may not know that it does.
   if (this->isLeaving) {
     return fail(ErrorKind::Leaving);
   }
@@ -221,8 +221,8 @@
   if (record == nullptr) {
     return Refuse{ fail(ErrorKind::UnknownAttempt), false };
   }
-  // A stage that was frozen wakes with steps of an attempt that has been
-  // replaced: they are refused for good, whatever their position.
+  // A stage that was suspended resumes with steps of an attempt that has been
+  // replaced. They are always rejected, whatever their position.
   if (aStep.attempt < record->fencedBelow) {
     return Refuse{ fail(ErrorKind::FencedAttempt), record->everRan };
   }
--- a/src/ledger/StepLedgerLife.cpp
+++ b/src/ledger/StepLedgerLife.cpp
@@ -89,7 +89,7 @@
     return known;
   }
   // Dropping a tombstone to make room would let a late copy of its request
-  // run after its entry was told that it never will.
+  // run after its entry had the reply that it never will.
   if (this->records.size() >= this->limits.maxTombstones) {
     return nullptr;
   }
--- a/src/side/EngineJson.h
+++ b/src/side/EngineJson.h
@@ -21,7 +21,7 @@
            const std::string& aVersion,
            LayerRange aHolds,
            std::uint64_t aFence);
-/** The "error" word of a refusal's body, or the body's first bytes. */
+/** Returns the "error" field of a refusal's body, or the body's first bytes. */
 std::string
 readRefusal(const std::string& aBody);
 
