Ask relays of other zones when the own zone has nothing newer

Change: relays of other zones that report a newer version are asked too, at once by a relay whose polls fail, otherwise after 600 ms. ARelayThatTheStoreRejectsLearnsFromOtherZones is new.

--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -22,6 +22,11 @@
  * the others meanwhile. */
 constexpr Duration kMaxPeerListLag = std::chrono::milliseconds{ 1'500 };
 
+/** If no relay of the zone has handed out a newer version by then, the relays
+ * of other zones are asked as well. The store may reject this relay, and all
+ * others of its zone. */
+constexpr Duration kMaxZoneLag = std::chrono::milliseconds{ 600 };
+
 /** The relays of a zone learn of a new configuration at the same moment, when
  * only the two store readers have it. Each waits for a random part of this
  * time, in which those before it take it over and can be asked as well. */
@@ -74,7 +79,8 @@
     this->configFetchAt = now + randomPart(fleet_control::kFetchSpread);
   }
   if (this->configBehindSince && this->asksPeers() &&
-      now >= this->configFetchAt && this->fetchConfig(version)) {
+      now >= this->configFetchAt &&
+      this->fetchConfig(version, now - *this->configBehindSince)) {
     this->configBehindSince.reset();
     return fleet_control::kCatchUpInterval;
   }
@@ -108,22 +114,45 @@
   return fleet_control::kCatchUpInterval;
 }
 
-// Asks one of the relays of the zone that have a newer configuration. Each
-// relay that has taken it over is one more to ask.
+// Asks one of the relays that have a newer version, those of the zone first.
+// Each relay that has taken it over is one more to ask.
 template<FleetStoreLike Store>
 bool
-FleetControl<Store>::fetchConfig(std::uint64_t aKnown)
+FleetControl<Store>::fetchFrom(VersionHolders& aZone,
+                               VersionHolders& aRemote,
+                               std::uint64_t aKnown,
+                               Duration aLag,
+                               const SnapshotQuery& aQuery)
 {
-  const std::vector<Address> holders =
-    this->shared.configHolders.newerThan(aKnown);
+  const bool zoneFails =
+    this->shared.pollsFail || aLag >= fleet_control::kMaxZoneLag;
+  std::vector<Address> holders = aZone.newerThan(aKnown);
+  const bool fromZone = !holders.empty();
+  if (!fromZone && zoneFails) {
+    holders = aRemote.newerThan(aKnown);
+  }
   if (holders.empty()) {
     return false;
   }
   const Address& holder = holders[randomIndex(holders.size())];
+  if (!this->applySnapshotOf(holder, aQuery)) {
+    (fromZone ? aZone : aRemote).forget(holder);
+    return false;
+  }
+  return true;
+}
+
+template<FleetStoreLike Store>
+bool
+FleetControl<Store>::fetchConfig(std::uint64_t aKnown, Duration aLag)
+{
   SnapshotQuery query;
   query.newerConfig = aKnown;
-  if (!this->applySnapshotOf(holder, query)) {
-    this->shared.configHolders.forget(holder);
+  if (!this->fetchFrom(this->shared.configHolders,
+                       this->shared.remoteConfigHolders,
+                       aKnown,
+                       aLag,
+                       query)) {
     return false;
   }
   const auto config = this->shared.config.read();
@@ -132,22 +161,17 @@
 
 template<FleetStoreLike Store>
 bool
-FleetControl<Store>::fetchReplicas(std::uint64_t aKnown)
+FleetControl<Store>::fetchReplicas(std::uint64_t aKnown, Duration aLag)
 {
-  const std::vector<Address> holders =
-    this->shared.listHolders.newerThan(aKnown);
-  if (holders.empty()) {
-    return false;
-  }
-  const Address& holder = holders[randomIndex(holders.size())];
   SnapshotQuery query;
   query.newerConfig = fleet_control::kNoConfig;
   query.newerReplicas = aKnown;
-  if (!this->applySnapshotOf(holder, query)) {
-    this->shared.listHolders.forget(holder);
-    return false;
-  }
-  return this->shared.replicas.read()->lastChange > aKnown;
+  return this->fetchFrom(this->shared.listHolders,
+                         this->shared.remoteListHolders,
+                         aKnown,
+                         aLag,
+                         query) &&
+         this->shared.replicas.read()->lastChange > aKnown;
 }
 
 // Reads the replica list when a peer has had a newer one for a while.
@@ -168,7 +192,7 @@
   } else if (now - *this->listBehindSince >= this->listCatchUpDelay()) {
     const std::uint64_t known = this->shared.replicas.read()->lastChange;
     const Duration lag = now - *this->listBehindSince;
-    const bool fetched = this->asksPeers() && this->fetchReplicas(known);
+    const bool fetched = this->asksPeers() && this->fetchReplicas(known, lag);
     const bool mayWait =
       this->asksPeers() && lag < fleet_control::kMaxPeerListLag;
     if (!fetched && mayWait) {
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -140,14 +140,21 @@
   [[nodiscard]] static std::size_t randomIndex(std::size_t aSize);
   /** Returns a random duration up to aMax. */
   [[nodiscard]] static Duration randomPart(Duration aMax);
-  /** Gets a newer configuration from a relay of the zone that has it. Returns
-   * whether it is in force. */
-  bool fetchConfig(std::uint64_t aKnown);
+  /** Asks a relay that has a newer version than aKnown for a snapshot. aLag:
+   * for how long this relay has lacked it. Returns whether one has answered. */
+  bool fetchFrom(VersionHolders& aZone,
+                 VersionHolders& aRemote,
+                 std::uint64_t aKnown,
+                 Duration aLag,
+                 const SnapshotQuery& aQuery);
+  /** Gets a newer configuration from another relay. Returns whether it is in
+   * force. */
+  bool fetchConfig(std::uint64_t aKnown, Duration aLag);
   /** Reads the replica list if this relay is behind its peers. */
   Duration catchUpReplicas();
-  /** Gets a newer replica list from a relay of the zone that has it. Returns
-   * whether it is applied. */
-  bool fetchReplicas(std::uint64_t aKnown);
+  /** Gets a newer replica list from another relay. Returns whether it is
+   * applied. */
+  bool fetchReplicas(std::uint64_t aKnown, Duration aLag);
   /** Logs entries of the replica list that name no usable replica. */
   void logUnreadable(const std::vector<UnreadableEntry>& aEntries);
   /** Drops replicas that stayed missing after an outage of the store. */
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -113,6 +113,9 @@
    * reported in it. */
   VersionHolders configHolders;
   VersionHolders listHolders;
+  /** The same for the relays of the other zones. */
+  VersionHolders remoteConfigHolders;
+  VersionHolders remoteListHolders;
   /** This relay is a store reader: it polls the store. Otherwise store readers
    * send it the changes. */
   std::atomic<bool> polls{ true };
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -357,10 +357,11 @@
   };
   updateMax(this->shared.peerConfigVersion, aStatus.config);
   updateMax(this->shared.peerListVersion, aStatus.list);
-  if (aStatus.zone == this->settings.zone) {
-    this->shared.configHolders.report(aStatus.config, aFrom);
-    this->shared.listHolders.report(aStatus.list, aFrom);
-  }
+  const bool sameZone = aStatus.zone == this->settings.zone;
+  (sameZone ? this->shared.configHolders : this->shared.remoteConfigHolders)
+    .report(aStatus.config, aFrom);
+  (sameZone ? this->shared.listHolders : this->shared.remoteListHolders)
+    .report(aStatus.list, aFrom);
   if (aStatus.releasedFence > this->shared.peerReleasedFence) {
     this->shared.peerReleasedFence = aStatus.releasedFence;
     // No relay holds the lease. The next attempt to acquire it need not wait
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -542,6 +542,33 @@
   EXPECT_EQ(version(), 6U);
 }
 
+TEST_F(FleetControlTest, ARelayThatTheStoreRejectsLearnsFromOtherZones)
+{
+  // The store rejects this relay, the only one of its zone. The relays of other
+  // zones have a newer configuration. Without them, it would reject requests as
+  // soon as its proof is old, although its peers can be reached.
+  this->addContacts();
+  const auto fetch = [](const Address&, const SnapshotQuery& aQuery, Duration) {
+    FleetSnapshot snapshot = contactSnapshot();
+    if (aQuery.newerConfig == 5) {
+      snapshot.configVersion = 6;
+      snapshot.configText = "6";
+    }
+    return Result<FleetSnapshot>{ snapshot };
+  };
+  const auto version = [this] { return this->shared.config.read()->version; };
+  this->joinAndThen(
+    fetch,
+    [this] {
+      this->shared.pollsFail = true;
+      this->shared.remoteConfigHolders.report(6, Address{ "10.0.0.2", 7 });
+      this->shared.peerConfigVersion = 6;
+    },
+    [&] { return version() == 6; });
+  EXPECT_EQ(version(), 6U);
+  EXPECT_EQ(this->storeReads(), 0U);
+}
+
 TEST_F(FleetControlTest, AListWithAMissedUpdateComesFromARelayOfTheZone)
 {
   // The datagram with a change was lost. Its sender still has the list.
