Wait for contacts that read the store themselves

Cause: when all relays start at once and the list is large, the contacts need a second or more to read it on a small share of a core. The others gave up after 800 ms, just then, and read the store too; until then each asked every 20 ms. Change: 800 ms count from the latest answer of a contact, 2 s in all; the pause between queries is 50 to 150 ms. ARelayWaitsForContactsThatReadTheStore is new.

--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -205,6 +205,8 @@
   std::atomic<bool> contactsRead{ false };
   /** When the contacts were first known. */
   std::optional<TimePoint> contactsKnownAt;
+  /** When a contact last answered. */
+  TimePoint contactAnsweredAt{};
   /** When the process started. */
   TimePoint startedAt;
   /** Position of the contact that is asked next. */
--- a/include/poplartrack/relay/FleetJoin.inl.h
+++ b/include/poplartrack/relay/FleetJoin.inl.h
@@ -14,10 +14,18 @@
  * not answer, and this relay reads everything beside it. */
 constexpr Duration kMaxContactsWait = std::chrono::milliseconds{ 150 };
 
-/** A relay that no contact has answered for this long reads the store. When all
- * start at once, the contacts read the store meanwhile. */
+/** A relay that no contact has answered for this long reads the store. */
 constexpr Duration kJoinTimeout = std::chrono::milliseconds{ 800 };
 
+/** The same if contacts answer that they have no state yet. When all start at
+ * once, they read the store meanwhile, which takes a slow instance with a large
+ * list a second or more. If the others then read it as well, all are slower. */
+constexpr Duration kMaxJoinTime = std::chrono::milliseconds{ 2'000 };
+
+/** Pause after an answer without a state. With a shorter one, the queries of a
+ * zone would slow down the contacts that they wait for. */
+constexpr Duration kAskInterval = std::chrono::milliseconds{ 100 };
+
 /** Timeout of a snapshot. */
 constexpr Duration kSnapshotTimeout = std::chrono::milliseconds{ 400 };
 
@@ -91,7 +99,11 @@
   SnapshotQuery query;
   query.newerReplicas = 0;
   query.relays = true;
-  if (!this->applySnapshotOf(contact, query) || this->shared.listVersion == 0) {
+  if (!this->applySnapshotOf(contact, query)) {
+    return false;
+  }
+  this->contactAnsweredAt = aNow;
+  if (this->shared.listVersion == 0) {
     return false;
   }
   // An old proof may be all that a contact without a connection to the store
@@ -145,17 +157,26 @@
   }
   if (!this->contactsKnownAt) {
     this->contactsKnownAt = now;
+    this->contactAnsweredAt = now;
   }
   if (this->joinThroughContact(now)) {
     this->shared.polls = false;
     this->shared.joinedPeersAt = now.time_since_epoch().count();
     this->peersFetchedAt = now;
     this->finishJoining();
-  } else if (now - *this->contactsKnownAt >= fleet_control::kJoinTimeout) {
-    this->directory.replaceContacts();
+    return fleet_control::kJoinInterval;
+  }
+  const TimePoint asked = this->clock.now();
+  const bool silent =
+    asked - this->contactAnsweredAt >= fleet_control::kJoinTimeout;
+  if (silent || asked - *this->contactsKnownAt >= fleet_control::kMaxJoinTime) {
+    if (silent) {
+      this->directory.replaceContacts();
+    }
     this->finishJoining();
   }
-  return fleet_control::kJoinInterval;
+  return fleet_control::kAskInterval / 2 +
+         randomPart(fleet_control::kAskInterval);
 }
 
 template<FleetStoreLike Store>
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -470,6 +470,25 @@
   EXPECT_EQ(this->shared.joinedPeersAt, 0);
 }
 
+TEST_F(FleetControlTest, ARelayWaitsForContactsThatReadTheStore)
+{
+  // All relays start at once, and the contacts take a second to read the list.
+  // If the others gave up just then, they would read it too, and all would be
+  // slower than without contacts.
+  this->addContacts();
+  int asked = 0;
+  this->join([&asked](const Address&, const SnapshotQuery&, Duration) {
+    constexpr int kAsksUntilRead = 12;
+    FleetSnapshot snapshot = contactSnapshot();
+    if (++asked < kAsksUntilRead) {
+      snapshot.replicas.reset();
+    }
+    return Result<FleetSnapshot>{ snapshot };
+  });
+  EXPECT_EQ(this->storeReads(), 0U);
+  EXPECT_NE(this->shared.joinedPeersAt, 0);
+}
+
 TEST_F(FleetControlTest, ARelayDoesNotJoinThroughAContactWithAnOldProof)
 {
   // The contact is cut off from the store. The relay that starts is not, and
