Keep the configuration of a stopping entry until its callbacks end

Cause: ~EntryServer destroyed ConfigWatch before the threads that use it. unique_ptr::reset() clears the pointer first and then joins the watch's thread, up to 2 s if a read of the store is under way. Meanwhile replies to probes, timers and frames of other entries called configuration->revision() through the null pointer. Two more races: start() assigned the worker while heard() read it, and heard() used a worker that was being destroyed.

Change: ConfigWatch::stop() ends the thread, under the lock that heard() takes; the object is destroyed after the server, the timers and the peers.

Ruled out: the relay and the side have no part that is reset before the threads that use it (read).

--- a/include/poplartrack/entry/ConfigWatch.h
+++ b/include/poplartrack/entry/ConfigWatch.h
@@ -36,6 +36,9 @@
 
   /** Begins to read. */
   void start();
+  /** Ends the reads and waits for one that is running. What is in force stays
+   * available. */
+  void stop();
 
   /** The configuration in force, without a lock; null while there is none. */
   [[nodiscard]] RcuBox<Configuration>& published() { return this->current; }
--- a/src/entry/ConfigWatch.cpp
+++ b/src/entry/ConfigWatch.cpp
@@ -30,10 +30,23 @@
 void
 ConfigWatch::start()
 {
+  const std::scoped_lock lock{ this->guard };
   this->worker =
     std::make_unique<PeriodicThread>([this] { return this->step(); });
 }
 
+void
+ConfigWatch::stop()
+{
+  std::unique_ptr<PeriodicThread> stopped;
+  {
+    const std::scoped_lock lock{ this->guard };
+    stopped = std::move(this->worker);
+  }
+  // Joined without the lock, which the thread takes.
+  stopped.reset();
+}
+
 std::uint64_t
 ConfigWatch::revision() const
 {
@@ -49,12 +62,9 @@
       parsed && parsed.value() != this->self) {
     peer = parsed.value();
   }
-  bool isNews = false;
-  {
-    const std::scoped_lock lock{ this->guard };
-    isNews = aRevision > this->keeper.revision();
-    this->keeper.onRevisionAnnounced(peer, aRevision, runtimeNow());
-  }
+  const std::scoped_lock lock{ this->guard };
+  const bool isNews = aRevision > this->keeper.revision();
+  this->keeper.onRevisionAnnounced(peer, aRevision, runtimeNow());
   if (isNews && this->worker) {
     this->worker->wake();
   }
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -97,14 +97,18 @@
 
 EntryServer::~EntryServer()
 {
-  // Whoever calls into the parts ends first; the parts go last.
+  // The threads end first. Until the last of them has, replies to probes and
+  // frames of other entries use the configuration, so it is destroyed later.
   this->callers.reset();
   this->instanceWatch.reset();
   this->placer.reset();
-  this->configuration.reset();
+  if (this->configuration) {
+    this->configuration->stop();
+  }
   this->server.reset();
   this->timers.stop();
   this->peers.reset();
+  this->configuration.reset();
   this->http.reset();
 }
 
