Forward status messages within a zone instead of sending them to each relay

Cause: each relay sent its status to each other one, up to 2.5 a second between zones. Messages between zones grew with the square of the fleet: about 370 of the 860 that a relay received a second at 437 relays.

Change: in a zone with more than eight relays, two are asked to forward it. They are chosen by rendezvous hashing of the sender and attach it to the status that they send to their own zone anyway, so no message is added there. Rows stay those of one relay, by incarnation and time of sending: no sums, so nothing can be counted twice when forwarders overlap or change. Store readers, the lease holder and changes that protect replicas go to all directly, as before. A relay that does not say that it forwards is sent to directly (rolling restart); trailing fields are ignored by older relays. Ages of quarantines, limits and proofs grow by the time at the forwarder.

Parsing of datagrams moved out of the loop (PeerDatagram), with bounds on the lengths that a datagram may claim.

Tests: StatusTargets, PeerDatagram, ForwardedStatus, ForwardQueue, StatusForward.

--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -90,7 +90,8 @@
   MSGPACK_DEFINE(incarnation, sentAt);
 };
 
-/** The status message that each relay sends to every other. */
+/** The status message of a relay. It reaches every other relay: directly, or
+ * forwarded by a relay of the receiver's zone. */
 struct PeerStatus
 {
   std::uint32_t format = kPeerStatusFormat;
@@ -146,6 +147,8 @@
   std::vector<LimitRow> limits;
   /** Rate of the network link of the sender's instance, in Mbit/s. */
   std::uint32_t linkMbps = 0;
+  /** The sender forwards status messages within its zone on request. */
+  bool forwards = false;
   MSGPACK_DEFINE(format,
                  incarnation,
                  zone,
@@ -168,7 +171,30 @@
                  quarantine,
                  served,
                  limits,
-                 linkMbps);
+                 linkMbps,
+                 forwards);
+};
+
+/** The status message of a relay of another zone, as forwarded by a relay of
+ * the receiver's zone. */
+struct ForwardedStatus
+{
+  /** Address of the relay that sent it first. */
+  std::string sender;
+  /** How long the forwarder has had it, in microseconds. */
+  std::int64_t age = 0;
+  PeerStatus status;
+  MSGPACK_DEFINE(sender, age, status);
+};
+
+/** Follows the PeerEcho in a datagram, if it has anything to say. */
+struct ForwardSection
+{
+  /** The addressee is asked to forward the status message within its zone. */
+  bool wanted = false;
+  /** Messages that the sender forwards to the addressee. */
+  std::vector<ForwardedStatus> rows;
+  MSGPACK_DEFINE(wanted, rows);
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -17,6 +17,7 @@
 #include "../wire/TimerQueue.h"
 #include "CallerConnection.h"
 #include "Exchange.h"
+#include "PeerDatagram.h"
 #include "PeerStatus.h"
 #include "ReplicaConnection.h"
 #include "poplartrack/fleet/LinkBudget.h"
@@ -311,15 +312,21 @@
   void readPeers();
   void addUnlistedPeer(const Address& aSender);
   void broadcastStatus(bool aChanged);
+  void sendToOtherZones(std::string_view aStatus, bool aDirect);
   [[nodiscard]] bool goesToOtherZones(const PeerStatus& aStatus);
   [[nodiscard]] PeerStatus ownStatus();
-  void sendDatagram(const Address& aPeer, std::string_view aDatagram) const;
+  void sendDatagram(const Address& aPeer,
+                    std::string_view aDatagram,
+                    std::string_view aSection = {}) const;
   void readDatagram(const char* aBytes,
                     std::size_t aSize,
                     const Address& aFrom);
+  void onPeerMessage(PeerMessage aMessage, const Address& aFrom);
+  void onForwarded(ForwardedStatus aRow);
   void onPeerStatus(const PeerStatus& aStatus,
                     const PeerEcho& aEcho,
-                    const Address& aFrom);
+                    const Address& aFrom,
+                    TimePoint aReceivedAt);
   [[nodiscard]] SharedRetryBudget& budgetOf(const Exchange& aExchange);
   [[nodiscard]] bool isSettling() const;
   void updateStorePolling();
@@ -390,6 +397,8 @@
     bool pollsFail = false;
     /** Rate of its instance's network link, in Mbit/s; 0 if it is unknown. */
     std::uint32_t linkMbps = 0;
+    /** It forwards status messages within its zone on request. */
+    bool forwards = false;
   };
   /** Relays from which a status message was received within kPeerTimeout. */
   std::map<Address, PeerState> knownPeers;
@@ -397,6 +406,8 @@
    * recent enough to send requests with an API key. */
   TimePoint peerProvedFreshAt{};
   StatusRepeat statusRepeat;
+  /** Messages that relays of other zones asked this one to forward. */
+  StatusQueue forwardQueue;
   /** Lost and slow replicas, as reported by other relays. */
   LossReports reports;
   /** Draining replicas, and when this relay learned of it. */
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -12,18 +12,17 @@
 
 #include <msgpack.hpp>
 
+#include "PeerDatagram.h"
 #include "PeerStatus.h"
 #include "RelayLoopImpl.h"
 #include "ReplicaListUpdate.h"
 #include "poplartrack/base/TcpSocket.h"
+#include "poplartrack/fleet/StatusTargets.h"
 
 namespace poplartrack {
 
 namespace {
 
-/** Largest datagram that is sent or received, in bytes. */
-constexpr std::size_t kMaxDatagramBytes = std::size_t{ 32 } * 1024;
-
 /** Time after which a relay that joined through a contact has received status
  * messages of the relays that the contact named: it sends its own to them
  * within one interval, they answer within the next one, and either may be lost.
@@ -37,16 +36,6 @@
  * its place. */
 constexpr Duration kReaderTimeout = std::chrono::milliseconds{ 700 };
 
-/** Returns the format version of a datagram, its first field; 0 if there is
- * none. */
-std::uint32_t
-formatOf(const msgpack::object& aDatagram)
-{
-  const bool hasFormat =
-    aDatagram.type == msgpack::type::ARRAY && aDatagram.via.array.size > 0;
-  return hasFormat ? aDatagram.via.array.ptr[0].as<std::uint32_t>() : 0;
-}
-
 /** Rounds a link rate for status messages; 0 would mean that it is unknown. */
 std::uint32_t
 toWholeMbps(double aMbps)
@@ -129,6 +118,7 @@
   this->addCrashes(status);
   this->addLimits(status);
   status.linkMbps = toWholeMbps(this->settings.linkMbps);
+  status.forwards = true;
   return status;
 }
 
@@ -150,9 +140,11 @@
                                        this->now);
 }
 
-/** Sends the status message to all other relays. Unless something has changed,
- * relays of other zones receive at most every second one: the replicas of this
- * zone are seldom shared with them, and traffic between zones is expensive. */
+/** Sends the status message to the other relays. Those of this zone receive
+ * each one, with the messages that this relay forwards. Unless something has
+ * changed, relays of other zones receive at most every second one: the replicas
+ * of this zone are seldom shared with them, and traffic between zones is
+ * expensive. */
 void
 RelayLoop::Impl::broadcastStatus(bool aChanged)
 {
@@ -161,28 +153,59 @@
     return;
   }
   const PeerStatus status = this->ownStatus();
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, status);
-  if (bytes.size() > kMaxDatagramBytes) {
+  msgpack::sbuffer packed;
+  msgpack::pack(packed, status);
+  const std::string_view bytes{ packed.data(), packed.size() };
+  if (bytes.size() > kMaxStatusBytes) {
     this->shared.metrics.count("peer_words_too_large_total");
     return;
   }
-  const bool everyZone =
-    aChanged || (this->periodicRuns % 2 == 0 && this->goesToOtherZones(status));
+  const std::string forwarded = packForwarded(this->forwardQueue, this->now);
   for (const Address& peer : *peers) {
     const auto known = this->knownPeers.find(peer);
-    const bool sameZone = known == this->knownPeers.end() ||
-                          known->second.zone == this->settings.zone;
-    if (everyZone || sameZone) {
-      this->sendDatagram(peer, { bytes.data(), bytes.size() });
+    if (known == this->knownPeers.end() ||
+        known->second.zone == this->settings.zone) {
+      this->sendDatagram(peer, bytes, forwarded);
     }
   }
+  if (aChanged ||
+      (this->periodicRuns % 2 == 0 && this->goesToOtherZones(status))) {
+    // Changes that protect replicas do not wait for a forwarder, and the
+    // silence of a store reader or lease holder is noticed within a second.
+    this->sendToOtherZones(bytes,
+                           aChanged || status.polls || status.holdsLease ||
+                             bytes.size() > kMaxForwardableBytes);
+  }
 }
 
-/** Sends a datagram, followed by the PeerEcho for its addressee. */
+/** Sends the status message to the known relays of other zones: to each
+ * directly, or to those that forward it. */
+void
+RelayLoop::Impl::sendToOtherZones(std::string_view aStatus, bool aDirect)
+{
+  std::vector<RemoteRelay> relays;
+  for (const auto& [address, peer] : this->knownPeers) {
+    if (peer.zone != this->settings.zone) {
+      relays.push_back(
+        RemoteRelay{ address, peer.zone, peer.forwards && !aDirect });
+    }
+  }
+  const StatusTargets targets = chooseStatusTargets(this->localPeers, relays);
+  for (const Address& relay : targets.direct) {
+    this->sendDatagram(relay, aStatus);
+  }
+  const std::string request = packForwardRequest();
+  for (const Address& relay : targets.forwarders) {
+    this->sendDatagram(relay, aStatus, request);
+  }
+}
+
+/** Sends a datagram, followed by the PeerEcho for its addressee and a packed
+ * ForwardSection, if any. */
 void
 RelayLoop::Impl::sendDatagram(const Address& aPeer,
-                              std::string_view aDatagram) const
+                              std::string_view aDatagram,
+                              std::string_view aSection) const
 {
   const auto address = toSocketAddress(aPeer);
   if (!address) {
@@ -193,6 +216,7 @@
   bytes.write(aDatagram.data(), aDatagram.size());
   msgpack::pack(
     bytes, known == this->knownPeers.end() ? PeerEcho{} : known->second.echo);
+  bytes.write(aSection.data(), aSection.size());
   // Errors are ignored: the next datagram replaces a lost one.
   static_cast<void>(::sendto(this->peerSocket.get(),
                              bytes.data(),
@@ -263,7 +287,7 @@
 {
   msgpack::sbuffer bytes;
   msgpack::pack(bytes, toListUpdate(aDelta));
-  if (bytes.size() > kMaxDatagramBytes) {
+  if (bytes.size() > kMaxStatusBytes) {
     this->shared.metrics.count("list_words_too_large_total");
     return;
   }
@@ -333,18 +357,66 @@
     aExchange.service == nullptr ? "" : aExchange.service->name);
 }
 
+/** Handles a datagram with a status message. Those in another format, or of
+ * this relay itself, are ignored. */
+void
+RelayLoop::Impl::onPeerMessage(PeerMessage aMessage, const Address& aFrom)
+{
+  PeerStatus& status = aMessage.status;
+  if (status.format != kPeerStatusFormat ||
+      status.incarnation == this->ownIncarnation) {
+    return;
+  }
+  this->addUnlistedPeer(aFrom);
+  this->onPeerStatus(status, aMessage.echo, aFrom, this->now);
+  if (status.zone == this->settings.zone) {
+    for (ForwardedStatus& row : aMessage.forward.rows) {
+      this->onForwarded(std::move(row));
+    }
+  } else if (aMessage.forward.wanted) {
+    this->forwardQueue.push(aFrom, std::move(status), this->now);
+  }
+}
+
+/** Handles a status message of another zone that a relay of this zone has
+ * forwarded. Without a PeerEcho of its own it proves nothing, but this relay
+ * echoes it: its sender learns that a later proof of this relay is newer. */
+void
+RelayLoop::Impl::onForwarded(ForwardedStatus aRow)
+{
+  const auto forward = checkForwarded(std::move(aRow), this->settings.zone);
+  if (!forward || forward->sender == this->localPeers ||
+      forward->status.incarnation == this->ownIncarnation) {
+    this->shared.metrics.count("forwarded_statuses_dropped_total");
+    return;
+  }
+  this->forwardQueue.onForwarded(forward->sender, forward->status);
+  const auto known = this->knownPeers.find(forward->sender);
+  if (known != this->knownPeers.end() &&
+      !isNewer(known->second.echo,
+               this->now - known->second.receivedAt,
+               forward->status)) {
+    return;
+  }
+  this->addUnlistedPeer(forward->sender);
+  this->onPeerStatus(
+    forward->status, PeerEcho{}, forward->sender, this->now - forward->age);
+}
+
 /** Applies the status message of another relay. */
 void
 RelayLoop::Impl::onPeerStatus(const PeerStatus& aStatus,
                               const PeerEcho& aEcho,
-                              const Address& aFrom)
+                              const Address& aFrom,
+                              TimePoint aReceivedAt)
 {
   this->knownPeers[aFrom] = PeerState{ { aStatus.incarnation, aStatus.sentAt },
                                        aStatus.zone,
-                                       this->now,
+                                       aReceivedAt,
                                        aStatus.polls,
                                        aStatus.pollsFail,
-                                       aStatus.linkMbps };
+                                       aStatus.linkMbps,
+                                       aStatus.forwards };
   if (aStatus.holdsLease) {
     this->shared.leaderSeenAt =
       this->shared.clock.now().time_since_epoch().count();
@@ -403,35 +475,24 @@
   }
 }
 
-/** Handles a received datagram. Status messages in another format, or of this
- * relay itself, are ignored. */
+/** Handles a received datagram. */
 void
 RelayLoop::Impl::readDatagram(const char* aBytes,
                               std::size_t aSize,
                               const Address& aFrom)
 {
-  PeerStatus status;
-  PeerEcho echo;
-  try {
-    std::size_t at = 0;
-    const msgpack::object_handle first = msgpack::unpack(aBytes, aSize, at);
-    if (formatOf(first.get()) == kListUpdateFormat) {
-      if (auto delta = toListDelta(first.get().as<ReplicaListUpdate>())) {
-        this->shared.listInbox.push(std::move(*delta));
-      }
-      return;
-    }
-    first.get().convert(status);
-    msgpack::unpack(aBytes, aSize, at).get().convert(echo);
-  } catch (const std::exception&) {
+  std::optional<PeerDatagram> datagram = parsePeerDatagram({ aBytes, aSize });
+  if (!datagram) {
     this->shared.metrics.count("peer_words_unreadable_total");
     return;
   }
-  if (status.format == kPeerStatusFormat &&
-      status.incarnation != this->ownIncarnation) {
-    this->addUnlistedPeer(aFrom);
-    this->onPeerStatus(status, echo, aFrom);
+  if (const auto* update = std::get_if<ReplicaListUpdate>(&*datagram)) {
+    if (auto delta = toListDelta(*update)) {
+      this->shared.listInbox.push(std::move(*delta));
+    }
+    return;
   }
+  this->onPeerMessage(std::move(std::get<PeerMessage>(*datagram)), aFrom);
 }
 
 /** Receives datagrams, a limited number for each event. */
