--- a/include/poplartrack/entry/ActiveRun.h
+++ b/include/poplartrack/entry/ActiveRun.h
@@ -22,7 +22,7 @@
   RunState ran = RunState::Unknown;
 };
 
-/** What the caller's thread can take at this moment. */
+/** What the caller's thread can send at this moment. */
 struct RunOutput
 {
   std::vector<std::uint32_t> tokens;
@@ -30,8 +30,9 @@
 };
 
 /**
- * One model request in progress: its state machine and what stands ready for
- * the caller's thread. The state machine runs on the I/O threads under guard.
+ * One model request in progress: its state machine, and the output that the
+ * caller's thread has not sent yet. The state machine runs on the I/O threads,
+ * protected by guard.
  */
 class ActiveRun
 {
@@ -47,19 +48,19 @@
   {
   }
 
-  /** Waits until there are tokens after the first aTaken or an end. A
-   * request's own timers end it by its deadline; aLatest is for the day they
-   * do not. */
+  /** Waits until there are tokens after the first aTaken, or the request has
+   * ended. Its own timers end it by its deadline; aLatest bounds the wait if
+   * they fail to. */
   RunOutput waitOutput(std::size_t aTaken, TimePoint aLatest);
   /** Waits for the end. */
   RunOutput waitEnd(TimePoint aLatest);
 
   const RequestSpec spec;
-  /** The plan that admission was judged by: the first attempt's route. */
+  /** The plan that admission was based on: the first attempt's route. */
   const RoutePlan plan;
   const TimePoint started;
   std::mutex guard;
-  /** Under guard, as everything below. */
+  /** Protected by guard, as are all members below. */
   RequestRun run;
   TimePoint firstToken{};
   TimePoint lastToken{};
@@ -67,11 +68,12 @@
   std::optional<TimePoint> wakeSet;
   /** The route whose use was reported to the chooser. */
   Route usedRoute;
-  /** The route of the attempt before. */
+  /** The route of the previous attempt. */
   Route lastRoute;
   std::set<std::string> blamed;
 
-  /** Adds to the output and wakes the caller's thread. Under guard. */
+  /** Adds to the output and wakes the caller's thread. The caller holds
+   * guard. */
   void deliver(std::uint32_t aToken);
   void finish(RunEnd aEnd);
   [[nodiscard]] const std::optional<RunEnd>& end() const { return this->ended; }
--- a/include/poplartrack/entry/AnswerText.h
+++ b/include/poplartrack/entry/AnswerText.h
@@ -12,7 +12,7 @@
 
 namespace poplartrack {
 
-/** Facts about the request that every answer states. */
+/** Facts about the request that every answer contains. */
 struct AnswerFacts
 {
   RequestId request;
@@ -25,12 +25,13 @@
   Duration total{ 0 };
 };
 
-/** A whole answer: 200 with all tokens. */
+/** Returns a complete answer: status 200 with all tokens. */
 HttpReply
 wholeAnswer(const AnswerFacts& aFacts,
             const std::vector<std::uint32_t>& aTokens);
 
-/** A refusal or failure: status, kind, whether it ran, when to come back. */
+/** Returns a rejection or failure: status, error kind, whether the request may
+ * have run, and when to retry. */
 HttpReply
 refusalAnswer(const RequestId& aRequest,
               std::uint64_t aRevision,
@@ -44,15 +45,16 @@
                  const RequestId& aRequest,
                  std::uint64_t aRevision);
 
-/** One streamed token, as a line. */
+/** Returns the line of one streamed token. */
 std::string
 streamToken(std::uint32_t aIndex, std::uint32_t aToken);
 
-/** The last line of a stream that is whole. A stream without it is not. */
+/** Returns the last line of a complete stream. A stream without it is
+ * incomplete. */
 std::string
 streamEnd(const AnswerFacts& aFacts, std::size_t aTokens);
 
-/** The last line of a stream that failed. */
+/** Returns the last line of a stream that failed. */
 std::string
 streamFailure(const RequestId& aRequest, const Error& aError, RunState aRan);
 
--- a/include/poplartrack/entry/CallerApi.h
+++ b/include/poplartrack/entry/CallerApi.h
@@ -15,7 +15,7 @@
 
 namespace poplartrack {
 
-/** What the caller's interface works with. All outlive it. */
+/** What the CallerApi uses. All of it outlives the CallerApi. */
 struct CallerApiParts
 {
   Metrics& metrics;
@@ -29,7 +29,8 @@
   std::string replyTo;
 };
 
-/** Answers callers, as docs/CALLING.md says. Runs on connection threads. */
+/** Answers callers as docs/CALLING.md specifies. Runs on the threads of their
+ * connections. */
 class CallerApi
 {
 public:
@@ -39,7 +40,7 @@
   HttpReply handle(const HttpRequest& aRequest);
 
 private:
-  /** What is settled of a request before it is admitted. */
+  /** What is known of a request before it is admitted. */
   struct Context
   {
     RequestId request;
--- a/include/poplartrack/entry/CallerRequest.h
+++ b/include/poplartrack/entry/CallerRequest.h
@@ -14,7 +14,7 @@
 
 namespace poplartrack {
 
-/** What every call carries in its headers; see docs/CALLING.md. */
+/** Headers that every call has; see docs/CALLING.md. */
 struct CallerHeaders
 {
   std::string account;
@@ -44,13 +44,13 @@
   std::string body;
 };
 
-/** Longest idempotency key taken. */
+/** Maximum length of an idempotency key. */
 constexpr std::size_t kMaxKeyBytes = 128;
-/** Token ids above this are no token of any vocabulary. */
+/** Largest token id of any vocabulary. */
 constexpr std::uint32_t kMaxTokenId = 1U << 24U;
 
-/** Reads the headers. BadRequest, BadDeadline or Unauthorized name the header
- * and what would be right. */
+/** Parses the headers. The message of a BadRequest, BadDeadline or Unauthorized
+ * error names the header and its valid values. */
 Result<CallerHeaders>
 readCallerHeaders(const HttpRequest& aRequest, const RequestLimits& aLimits);
 
--- a/include/poplartrack/entry/ClaimRecord.h
+++ b/include/poplartrack/entry/ClaimRecord.h
@@ -13,7 +13,7 @@
 /** Largest answer kept in a claim's row. */
 constexpr std::size_t kMaxClaimBody = 16'384;
 
-/** How far a claimed call has come. Append only. */
+/** State of a claimed call. The values are stored: only append new ones. */
 enum class ClaimState : std::uint8_t
 {
   /** Claimed; may have been dispatched. */
@@ -40,21 +40,21 @@
 std::string
 toText(const ClaimRecord& aRecord);
 
-/** Malformed when the text is not a claim's. */
+/** Parses a row's value; Malformed if it is not a claim. */
 Result<ClaimRecord>
 claimRecordFromText(std::string_view aText);
 
-/** Whether an answer can stand in a claim's row: small enough, and UTF-8 as
- * the table's JSON needs. */
+/** Returns whether an answer can be stored in a claim's row: it is small enough
+ * and valid UTF-8, which the table's JSON requires. */
 bool
 canKeepBody(std::string_view aBody);
 
-/** The row's key. No two pairs of account and key share one. */
+/** Returns the key of the row. It is unique to the account and its key. */
 std::string
 claimRowKey(std::string_view aAccount, std::string_view aKey);
 
-/** Digest of what a call asks, to tell a repeat from another call that uses
- * the same key. */
+/** Returns a digest of the content of a call. It distinguishes a retry from
+ * another call with the same idempotency key. */
 std::string
 bodyDigest(std::string_view aService,
            std::string_view aOperation,
--- a/include/poplartrack/entry/ConfigWatch.h
+++ b/include/poplartrack/entry/ConfigWatch.h
@@ -15,37 +15,38 @@
 
 namespace poplartrack {
 
-/** Called when another revision is in force. */
+/** Called when another revision takes effect. */
 using ConfigInForce =
   std::function<void(const std::shared_ptr<const Configuration>&)>;
 
 /**
- * Keeps the entry's configuration fresh: does the reads that the keeper asks
- * for, from peers or the store, on a thread of its own, and publishes what is
- * in force. Thread-safe.
+ * Keeps the entry's configuration up to date: does the reads that the
+ * ConfigKeeper requests, from peers or the store, on a thread of its own, and
+ * publishes the revision in force. Thread-safe.
  */
 class ConfigWatch
 {
 public:
-  /** aSelf: this entry's own address, which it never asks. */
+  /** @param aSelf this entry's own address, which it does not fetch from */
   ConfigWatch(const KeeperOptions& aOptions,
               PlatformClient& aPlatform,
               StreamClient& aPeers,
               Address aSelf,
               ConfigInForce aInForce);
 
-  /** Begins to read. */
+  /** Starts to read. */
   void start();
-  /** Ends the reads and waits for one that is running. What is in force stays
-   * available. */
+  /** Stops reading and waits for a read in progress. The revision in force
+   * stays available. */
   void stop();
 
   /** The configuration in force, without a lock; null while there is none. */
   [[nodiscard]] RcuBox<Configuration>& published() { return this->current; }
   [[nodiscard]] std::uint64_t revision() const;
-  /** Somebody reported a revision; aPeer is whom to ask, empty for nobody. */
+  /** Another process has reported a revision.
+   * @param aPeer the entry to fetch it from; empty if there is none */
   void heard(const std::string& aPeer, std::uint64_t aRevision);
-  /** Answers a peer. */
+  /** Answers the fetch of a peer. */
   ConfigReply answer(const ConfigFetch& aFetch);
   [[nodiscard]] KeeperCounters counters();
 
--- a/include/poplartrack/entry/Decider.h
+++ b/include/poplartrack/entry/Decider.h
@@ -10,9 +10,10 @@
 namespace poplartrack {
 
 /**
- * The entry's decisions behind one lock. A node decides some tens of times a
- * second for some tens of microseconds each: the lock is free nearly always,
- * and decisions that see each other's work at once make no herd.
+ * The entry's decisions, behind one lock. An entry makes some tens of decisions
+ * a second, each in some tens of microseconds, so there is hardly any
+ * contention. Since each decision sees the earlier ones at once, they do not
+ * all choose the same endpoint.
  */
 class Decider
 {
@@ -26,7 +27,7 @@
   {
   }
 
-  /** Runs aWork(chooser, admission, budget) alone. */
+  /** Runs aWork(chooser, admission, budget) while holding the lock. */
   template<typename Work>
   auto with(Work aWork)
   {
--- a/include/poplartrack/entry/EndpointDirectory.h
+++ b/include/poplartrack/entry/EndpointDirectory.h
@@ -17,8 +17,9 @@
 using EndpointGone = std::function<void(const std::string& aEndpoint)>;
 
 /**
- * Keeps the entry's view of the sides fresh: sends the tracker's probes,
- * publishes the view for the request path. Thread-safe.
+ * Keeps the entry's view of the sides up to date: sends the probes that the
+ * EndpointTracker schedules and publishes the view for the request path.
+ * Thread-safe.
  */
 class EndpointDirectory
 {
@@ -35,18 +36,18 @@
              std::function<void(std::uint64_t)> aHeard,
              EndpointGone aGone);
 
-  /** The platform's list was read. */
+  /** Handles a read of the platform's instance list. */
   void onInstanceList(const std::vector<InstanceInfo>& aList);
-  /** An endpoint replied to a request, or refused it. */
+  /** Handles an endpoint's reply to a request, or its rejection. */
   void onReply(const std::string& aEndpoint,
                const Refusal& aRefusal,
                const LoadHint& aLoad);
-  /** A token of an endpoint carried load. */
+  /** Handles a load hint that came with a token of the endpoint. */
   void onLoad(const std::string& aEndpoint, const LoadHint& aLoad);
-  /** A call to an endpoint was not answered. */
+  /** Handles a call to the endpoint that was not answered. */
   void onCallFailed(const std::string& aEndpoint);
 
-  /** The view of this moment, without a lock. */
+  /** Returns the current view without taking a lock. */
   [[nodiscard]] std::shared_ptr<const EndpointView> view() const
   {
     return this->published.read();
--- a/include/poplartrack/entry/EndpointTracker.h
+++ b/include/poplartrack/entry/EndpointTracker.h
@@ -15,18 +15,18 @@
 
 namespace poplartrack {
 
-/** How an entry spends its probes. */
+/** Rates and intervals of an entry's probes. */
 struct ProbePolicy
 {
-  /** An endpoint that has been silent for this long is probed. Load also
-   * rides on replies, so a busy endpoint needs few probes. */
+  /** An endpoint that has been silent for this long is probed. Replies also
+   * contain load hints, so a busy endpoint needs few probes. */
   Duration silence = std::chrono::seconds{ 2 };
   /** A probe and its reply are about 200 bytes; 8 a second stay within the
    * 2 KB/s that a node has for control. */
   double probesPerSecond = 8;
-  /** Probes that may be sent at once: a start, or a zone that came back. */
+  /** Burst of probes, after a start or when a zone is available again. */
   double burst = 64;
-  /** First and longest pause between probes to an endpoint that fails. */
+  /** First and longest backoff between probes of an endpoint that fails. */
   Duration retryFirst = std::chrono::milliseconds{ 250 };
   Duration retryMost = std::chrono::seconds{ 8 };
   /** An endpoint that the list lacks and that does not answer is forgotten
@@ -43,50 +43,51 @@
 };
 
 /**
- * What one entry knows of the sides in its region: the platform's lagging
- * list, made exact by the sides' own words. Pure: state, event and time. Not
- * thread-safe.
+ * What one entry knows of the sides in its region: the platform's instance
+ * list, which lags, corrected by the replies of the sides. Pure: it depends
+ * only on its state, the events and their times. Not thread-safe.
  */
 class EndpointTracker
 {
 public:
-  /** Tracks the sides of aRegion; BadSettings on an impossible policy. */
+  /** Tracks the sides of aRegion; BadSettings if the policy is invalid. */
   static Result<EndpointTracker> create(ProbePolicy aPolicy,
                                         std::string aRegion,
                                         std::uint64_t aSeed,
                                         TimePoint aNow);
 
-  /** The platform's list was read. */
+  /** Handles a read of the platform's instance list. */
   void onInstanceList(const std::vector<InstanceInfo>& aList, TimePoint aNow);
-  /** Adds a side that settings name, as if the list did. */
+  /** Adds a side from the settings as if it were on the list. */
   void addStatic(const InstanceInfo& aInstance, TimePoint aNow);
 
-  /** The probes to send now; each is counted as sent. */
+  /** Returns the probes to send now and counts each as sent. */
   std::vector<ProbeTarget> dueProbes(TimePoint aNow);
-  /** How long until dueProbes may give more. */
+  /** Returns the time until dueProbes may return more. */
   [[nodiscard]] Duration untilNextProbe(TimePoint aNow) const;
 
-  /** A side answered. True when it is another incarnation than before: what
-   * ran on the earlier one is lost. */
+  /** Handles the reply to a probe. Returns whether the incarnation of the
+   * endpoint has changed: what ran on the earlier one is lost. */
   bool onProbeReply(const std::string& aInstance,
                     const ProbeReply& aReply,
                     Duration aRoundTrip,
                     TimePoint aNow);
-  /** A probe ended without a reply. */
+  /** Handles a probe that ended without a reply. */
   void onProbeFailed(const std::string& aInstance, TimePoint aNow);
-  /** A load hint came with another reply of the endpoint. */
+  /** Handles a load hint in another reply of the endpoint. */
   void onLoad(const std::string& aEndpoint,
               const LoadHint& aLoad,
               TimePoint aNow);
-  /** The endpoint refused work in a way that shows that what is known of it is
-   * out of date (showsOutdatedView). */
+  /** Handles a rejection that shows that the view of the endpoint is out of
+   * date (showsOutdatedView). */
   void onOutdated(const std::string& aEndpoint, TimePoint aNow);
-  /** A call to the endpoint ended without a reply. */
+  /** Handles a call to the endpoint that ended without a reply. */
   void onCallFailed(const std::string& aEndpoint, TimePoint aNow);
 
-  /** All endpoints that have identified themselves. */
+  /** Returns all endpoints that have identified themselves. */
   [[nodiscard]] std::shared_ptr<const EndpointView> view() const;
-  /** True when view() has changed in more than load since the last call. */
+  /** Returns whether anything but load has changed in view() since the last
+   * call. */
   bool takeChanged();
 
 private:
@@ -98,7 +99,7 @@
     bool listed = false;
     bool listedLeaving = false;
     bool saysLeaving = false;
-    /** A probe is on its way. */
+    /** A probe is in flight. */
     bool asked = false;
     TimePoint lastHeard{};
     TimePoint nextProbe{};
--- a/include/poplartrack/entry/EntryParts.h
+++ b/include/poplartrack/entry/EntryParts.h
@@ -10,7 +10,7 @@
 
 namespace poplartrack {
 
-/** What the parts of an entry share. All outlive the parts. */
+/** What the parts of an entry share. All of it outlives them. */
 struct EntryParts
 {
   Metrics& metrics;
@@ -20,7 +20,7 @@
   Decider& decider;
   std::string zone;
   std::string region;
-  /** The entry's own address for tokens and trouble. */
+  /** The entry's own address, for tokens and reports of failed stages. */
   std::string replyTo;
 };
 
--- a/include/poplartrack/entry/EntryServer.h
+++ b/include/poplartrack/entry/EntryServer.h
@@ -16,13 +16,14 @@
 namespace poplartrack {
 
 /**
- * The process between callers and sides: answers callers, runs requests,
- * keeps the configuration in force and the view of endpoints fresh.
+ * The process between callers and sides: answers callers, runs their requests,
+ * and keeps its configuration and its view of the endpoints up to date.
  */
 class EntryServer
 {
 public:
-  /** Starts to serve at once. Network names an address that cannot be had. */
+  /** Starts to serve at once. A Network error names an address that cannot be
+   * listened on. */
   static Result<std::unique_ptr<EntryServer>> create(
     const ProcessSettings& aSettings);
   EntryServer(const EntryServer&) = delete;
@@ -33,13 +34,13 @@
   [[nodiscard]] Address wireAddress() const;
 
   /**
-   * A planned stop, first step: health says 503 so that the balancer sends
-   * callers elsewhere; those that still come are served.
+   * First step of a graceful shutdown: health checks get 503, so that the load
+   * balancer sends callers elsewhere. Those that still come are served.
    */
   void startDraining();
-  /** Second step: takes no new connections. */
+  /** Second step: accepts no new connections. */
   void stopListening();
-  /** Whether every request has its whole answer. */
+  /** Returns whether every request has been answered completely. */
   [[nodiscard]] bool drained() const;
 
 private:
@@ -75,7 +76,7 @@
   Decider decider;
   std::unique_ptr<EndpointTracker> tracker;
   std::atomic<bool> draining{ false };
-  /** Frames that come before all parts stand are not taken. */
+  /** Whether all parts exist. Frames that arrive before are rejected. */
   std::atomic<bool> assembled{ false };
   std::unique_ptr<StreamServer> server;
   std::unique_ptr<ConfigWatch> configuration;
@@ -84,7 +85,7 @@
   std::unique_ptr<PlainDispatcher> plains;
   ClaimKeeper claims;
   std::unique_ptr<ShareExchange> shares;
-  /** Null where the settings switch placement off. */
+  /** Null if placement is disabled in the settings. */
   std::unique_ptr<Placer> placer;
   std::unique_ptr<CallerApi> api;
   std::unique_ptr<HttpServer> callers;
--- a/include/poplartrack/entry/IdempotencyClaim.h
+++ b/include/poplartrack/entry/IdempotencyClaim.h
@@ -15,19 +15,19 @@
 
 namespace poplartrack {
 
-/** The call that wants to claim its key. */
+/** A call that claims its idempotency key. */
 struct ClaimRequest
 {
   std::string account;
   std::string key;
   /** bodyDigest() of service, operation and body. */
   std::string digest;
-  /** Random id of this attempt. After a lost answer, it shows whether the row
-   * is this attempt's. */
+  /** Random id of this attempt. If the reply to the write is lost, it shows
+   * whether the row was written by this attempt. */
   std::string token;
 };
 
-/** The claim is ours: dispatch, then record() or release(). */
+/** The claim succeeded: dispatch the call, then record() or release(). */
 struct ClaimHeld
 {
   std::string rowKey;
@@ -35,14 +35,14 @@
   std::uint64_t version = 0;
 };
 
-/** The call was answered before: give the same answer. */
+/** The call was answered before: return the same answer. */
 struct ClaimReplay
 {
   std::uint32_t status = 0;
   std::string body;
 };
 
-/** Not ours: the final answer is this error. */
+/** The claim failed: the final answer is this error. */
 struct ClaimRefused
 {
   Error error;
@@ -56,14 +56,14 @@
  * idempotent. The row is written before the call is dispatched, so of any
  * number of entries with the same key one dispatches.
  *
- * A claim is never taken over: its holder may be frozen for any time between
- * claim and dispatch, and nobody can tell a frozen holder from a dead one. A
- * key whose holder died stays in use, with outcome unknown.
+ * A claim is never taken over: its holder may be suspended for any time between
+ * claim and dispatch, and a suspended holder cannot be distinguished from a
+ * dead one. A key whose holder has died stays in use, with outcome unknown.
  *
- * Rows are kept: nothing here deletes a claim but its own holder, with proof
- * that the call did not run and never will. An operator may delete rows older
- * than the time for which callers may repeat a key (24 h): the call's
- * deadline is minutes, so a holder that still lives has ended long ago.
+ * Rows are kept: only the holder deletes its claim, if it has proof that the
+ * call has not run and never will. An operator may delete rows that are older
+ * than the time in which callers may retry with a key (24 h): the deadline of
+ * a call is minutes, so its holder has ended by then.
  */
 template<PlatformLike Platform>
 class IdempotencyClaim
@@ -75,18 +75,19 @@
   {
   }
 
-  /** Claims the key, or says whose it is. Blocks on the platform. */
+  /** Claims the key, or returns why it cannot be claimed. Blocks on the
+   * platform. */
   ClaimVerdict claim(const ClaimRequest& aRequest);
 
-  /** Keeps the answer for repeats. A larger body than kMaxClaimBody is not
-   * kept: repeats are then answered that the key was used, outcome "ran".
-   * Errors leave the claim without a result. That is safe: repeats are then
-   * answered "unknown". */
+  /** Stores the answer for retries. A body larger than kMaxClaimBody is not
+   * stored: retries are then answered that the key was used, with outcome
+   * "ran". On an error the claim stays without a result, which is safe: retries
+   * are then answered with outcome "unknown". */
   Result<Done> record(const ClaimHeld& aHeld,
                       std::uint32_t aStatus,
                       const std::string& aBody);
 
-  /** Gives the key back. Only with proof that the call did not run and never
+  /** Releases the key. Requires proof that the call has not run and never
    * will. */
   Result<Done> release(const ClaimHeld& aHeld);
 
--- a/include/poplartrack/entry/IdempotencyClaim.inl.h
+++ b/include/poplartrack/entry/IdempotencyClaim.inl.h
@@ -4,11 +4,11 @@
 
 namespace poplartrack {
 
-/** What another's row says to a call that wants the same key. */
+/** Returns the result for a call whose key is claimed by another row. */
 ClaimVerdict
 verdictOnOthersClaim(const ClaimRequest& aRequest, const ClaimRecord& aRecord);
 
-/** Why a claim cannot be made now. Nothing was dispatched. */
+/** Returns why a claim cannot be made now. Nothing was dispatched. */
 inline ClaimRefused
 claimUnavailable(const Error& aCause)
 {
@@ -20,8 +20,9 @@
 ClaimVerdict
 IdempotencyClaim<Platform>::claim(const ClaimRequest& aRequest)
 {
-  // After a lost answer, the row is read, or the write is tried again: the
-  // first write creates the row, and the token shows whose it is.
+  // If the reply to the write is lost, the row is read, or the write is
+  // retried: the first write creates the row, and its token shows which attempt
+  // did.
   constexpr int kTries = 3;
   ClaimHeld held;
   held.rowKey = claimRowKey(aRequest.account, aRequest.key);
@@ -44,7 +45,7 @@
     const auto row =
       this->platform.readRow(std::string{ kClaimTable }, held.rowKey);
     if (!row) {
-      // The key is somebody's: whether their call ran cannot be read now.
+      // The key is claimed. Whether that call ran cannot be read now.
       return cause.kind == ErrorKind::Conflict
                ? ClaimVerdict{ ClaimRefused{
                    fail(ErrorKind::KeyInUse, describe(row.error())),
--- a/include/poplartrack/entry/ModelRunner.h
+++ b/include/poplartrack/entry/ModelRunner.h
@@ -13,31 +13,32 @@
 namespace poplartrack {
 
 /**
- * Carries out what the state machines of model requests ask for: routes,
- * messages to sides, timers. Brings them tokens, trouble and replies.
+ * Executes the actions of the state machines of model requests: chooses routes,
+ * sends messages to sides, sets timers. Passes them tokens, reports of failed
+ * stages and replies.
  */
 class ModelRunner
 {
 public:
   ModelRunner(EntryParts aParts, RunPolicy aPolicy);
 
-  /** Starts a request on the route that admission was judged by. */
+  /** Starts a request on the route that its admission was based on. */
   Result<std::shared_ptr<ActiveRun>> start(const RequestSpec& aSpec,
                                            const RoutePlan& aPlan);
 
-  /** A side brings a token. */
+  /** Handles a token from a side. */
   TokenReply onToken(const TokenReady& aToken);
-  /** A side reports trouble. */
+  /** Handles a side's report of a failed stage. */
   void onTrouble(const StageTrouble& aTrouble);
-  /** An endpoint's earlier incarnation is gone. */
+  /** Handles a restart of an endpoint. */
   void onEndpointGone(const std::string& aEndpoint);
-  /** The caller's connection has closed before the end. */
+  /** Handles a caller that disconnects before the end of its request. */
   void onCallerGone(const std::shared_ptr<ActiveRun>& aRun);
 
-  /** The query by which a request's route is chosen. */
+  /** Returns the query that chooses a request's route. */
   RouteQuery queryFor(const RequestSpec& aSpec, TimePoint aNow) const;
 
-  /** Requests that have not ended. */
+  /** Returns the number of requests in progress. */
   [[nodiscard]] std::size_t active() const;
 
 private:
@@ -45,7 +46,7 @@
   using Actions = std::vector<RunAction>;
 
   RunPtr find(const RequestId& aRequest) const;
-  /** Gives one event to a run and carries out what comes of it. */
+  /** Passes an event to a run and executes the resulting actions. */
   void apply(const RunPtr& aRun,
              const std::function<Actions(RequestRun&, TimePoint)>& aEvent);
   void absorb(ActiveRun& aRun, const Actions& aActions, TimePoint aNow);
--- a/include/poplartrack/entry/OutdatedView.h
+++ b/include/poplartrack/entry/OutdatedView.h
@@ -4,8 +4,8 @@
 
 namespace poplartrack {
 
-/** True for a refusal which says that the caller's view of the endpoint is out
- * of date: it was restarted, holds other layers now, or is leaving. */
+/** Returns whether a rejection shows that the caller's view of the endpoint is
+ * out of date: it has restarted, holds other layers now, or is draining. */
 [[nodiscard]] inline bool
 showsOutdatedView(const Refusal& aRefusal)
 {
--- a/include/poplartrack/entry/Pace.h
+++ b/include/poplartrack/entry/Pace.h
@@ -8,7 +8,7 @@
 
 namespace poplartrack {
 
-/** What the route choice expects of a route's times; zeros: nothing known. */
+/** The times that the route choice expects of a route; 0 if unknown. */
 struct ExpectedPace
 {
   Duration firstToken{ 0 };
@@ -16,10 +16,10 @@
 };
 
 /**
- * The pace of one request, and what it lets expect of the time to come. A
- * fixed time-out is either shorter than a long prefill, and kills healthy
- * work, or longer than a short answer, and hides a frozen stage; the request's
- * own smoothed gap fits both.
+ * The time between the tokens of one request, from which stall timeouts and the
+ * remaining time are estimated. A fixed timeout is either shorter than a long
+ * prefill and ends healthy work, or longer than a short answer and does not
+ * detect a suspended stage. The smoothed gap of the request itself fits both.
  */
 class Pace
 {
--- a/include/poplartrack/entry/Placer.h
+++ b/include/poplartrack/entry/Placer.h
@@ -18,7 +18,7 @@
 
 namespace poplartrack {
 
-/** What the placer works with. All outlive it. */
+/** What the placer uses. All of it outlives the placer. */
 struct PlacerParts
 {
   PlatformClient& platform;
@@ -29,9 +29,9 @@
 };
 
 /**
- * Contends for its region's placement lease; while it holds it, turns the
- * declared models into layer ranges on endpoints, through orders to the sides.
- * The plan and the orders are decided by the room "place".
+ * Contends for the placement lease of its region. While it holds the lease, it
+ * places the layers of the declared models on endpoints by orders to their
+ * sides. Plan and orders are decided by the code in place/.
  */
 class Placer
 {
@@ -40,12 +40,12 @@
   Placer(PlacerParts aParts, std::string aRegion, std::string aHolder);
   Placer(const Placer&) = delete;
   Placer& operator=(const Placer&) = delete;
-  /** Gives the lease up, so that a planned stop leaves no gap. */
+  /** Releases the lease, so that another entry can take over at once. */
   ~Placer();
 
-  /** Begins to contend. */
+  /** Starts to contend for the lease. */
   void start();
-  /** The lease's fencing number, while it is held. */
+  /** Returns the fencing number of the lease while it is held. */
   [[nodiscard]] std::optional<std::uint64_t> holds() const;
 
 private:
@@ -61,9 +61,9 @@
   SystemClock clock;
   Lease<PlatformClient, SystemClock> lease;
   std::mutex guard;
-  /** The fencing number that `orders` was made with. */
+  /** The fencing number that orders was created with. */
   std::uint64_t fence = 0;
-  /** Shared with replies that may come when a new lease has replaced it. */
+  /** Shared with replies, which may arrive after a new lease replaced it. */
   std::shared_ptr<PlacementStep> orders;
   PlacementPlan plan;
   std::uint64_t plannedRevision = 0;
--- a/include/poplartrack/entry/PlainDispatcher.h
+++ b/include/poplartrack/entry/PlainDispatcher.h
@@ -16,7 +16,7 @@
 /** How a plain call ended. */
 struct PlainEnd
 {
-  /** The service's answer; nothing when the call was given up. */
+  /** The service's answer; nullopt if the call was given up. */
   std::optional<Answer> answer;
   Error error;
   RunState ran = RunState::Unknown;
@@ -24,14 +24,14 @@
   std::string endpoint;
 };
 
-/** Carries out what the state machines of plain calls ask for, on the
- * caller's own thread and the I/O threads; shares no queue with model work. */
+/** Executes the actions of the state machines of plain calls, on the caller's
+ * thread and the I/O threads. It shares no queue with model requests. */
 class PlainDispatcher
 {
 public:
   PlainDispatcher(EntryParts aParts, PlainPolicy aPolicy);
 
-  /** Runs a call to its end. Blocks the caller's thread. */
+  /** Runs a call to its end; blocks the calling thread. */
   PlainEnd call(const PlainSpec& aSpec);
 
 private:
