--- a/include/poplartrack/entry/PlainRun.h
+++ b/include/poplartrack/entry/PlainRun.h
@@ -19,7 +19,7 @@
 /** One accepted call of a plain service. */
 struct PlainSpec
 {
-  /** Unique to this run, or requestIdForKey() under a claim. */
+  /** Unique to this run, or requestIdForKey() if the call has a claim. */
   RequestId request;
   std::string service;
   std::string operation;
@@ -33,9 +33,11 @@
 struct PlainPolicy
 {
   std::uint32_t maxAttempts = 4;
-  /** An idempotent call is tried elsewhere after this long without reply. */
+  /** An idempotent call is retried elsewhere after this long without a
+   * reply. */
   Duration callWait = std::chrono::seconds{ 1 };
-  /** Wait for the fence's reply that could prove "not run". */
+  /** How long to wait for the fence reply that could prove that the call did
+   * not run. */
   Duration proofWait = std::chrono::milliseconds{ 200 };
 };
 
@@ -66,7 +68,7 @@
   PlainCall message;
 };
 
-/** The final answer: what the service said. */
+/** The final answer: that of the service. */
 struct Answer
 {
   std::uint32_t status = 0;
@@ -78,13 +80,13 @@
 
 /**
  * One call of a plain service at the entry. Exactly one Answer or GiveUp is
- * ever given. A call that is not idempotent goes to a second endpoint only
+ * returned. A call that is not idempotent is sent to a second endpoint only
  * with proof that it did not run at the first.
  */
 class PlainRun
 {
 public:
-  /** BadRequest when service or operation is empty. */
+  /** BadRequest if service or operation is empty. */
   static Result<PlainRun> create(PlainSpec aSpec, PlainPolicy aPolicy);
 
   std::vector<PlainAction> start(TimePoint aNow);
@@ -98,7 +100,7 @@
                                         CallOutcome aOutcome,
                                         const PlainReply& aReply,
                                         TimePoint aNow);
-  /** aSent: the action that is answered. */
+  /** @param aSent the action that is answered */
   std::vector<PlainAction> onFenceReply(const SendFence& aSent,
                                         CallOutcome aOutcome,
                                         const FenceReply& aReply,
@@ -108,7 +110,7 @@
   std::vector<PlainAction> onCallerGone(TimePoint aNow);
   std::vector<PlainAction> onTick(TimePoint aNow);
 
-  /** When onTick() has something to do; nothing once ended. */
+  /** Returns when to call onTick(); nullopt once the call has ended. */
   [[nodiscard]] std::optional<TimePoint> nextWake() const;
   [[nodiscard]] bool ended() const { return this->phase == Phase::Ended; }
   [[nodiscard]] std::uint32_t attempt() const { return this->attemptNumber; }
@@ -139,7 +141,7 @@
   std::uint32_t attemptNumber = 0;
   PlainTarget target;
   std::set<std::string> avoid;
-  /** Some attempt reached a side and its end is not known. */
+  /** Some attempt reached a side and its outcome is unknown. */
   bool mayHaveRun = false;
   TimePoint phaseEnd{};
 };
--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -25,7 +25,7 @@
 /** One accepted model request. */
 struct RequestSpec
 {
-  /** Unique to this run: a fresh random id, also when the caller repeats. */
+  /** Random id, unique to this run: a retry of the caller has another one. */
   RequestId request;
   std::string model;
   std::string modelVersion;
@@ -35,12 +35,12 @@
   std::uint32_t tokensWanted = 0;
   TimePoint deadline{};
   Priority priority = Priority::Normal;
-  /** The entry's address for tokens and trouble. */
+  /** The entry's address, for tokens and reports of failed stages. */
   std::string replyTo;
   std::uint64_t revision = 0;
 };
 
-/** What to answer the side that brought a token, and what to do. */
+/** The reply to the side that sent a token, and the resulting actions. */
 struct TokenVerdict
 {
   Refusal reply;
@@ -49,17 +49,17 @@
 
 /**
  * One model request at the entry, from its first route to its one final
- * answer: a pure function of events and time. Each event gives the actions to
- * carry out, in order. Events of past attempts are ignored, so the owner may
- * deliver them late, twice or crossed.
+ * answer: a pure function of events and time. Each event returns the actions to
+ * execute, in order. Events of past attempts are ignored, so the owner may
+ * deliver them late, twice or reordered.
  *
- * Exactly one Complete or GiveUp is ever given; after it ended() is true and
- * only SendFence may still come.
+ * Exactly one Complete or GiveUp is returned. After it ended() is true and only
+ * SendFence may follow.
  */
 class RequestRun
 {
 public:
-  /** BadRequest for an empty prompt, no tokens, no layers. */
+  /** BadRequest if prompt, tokens or layers are empty. */
   static Result<RequestRun> create(RequestSpec aSpec,
                                    RunPolicy aPolicy,
                                    TimePoint aNow);
@@ -72,7 +72,7 @@
   std::vector<RunAction> onNoRoute(std::uint32_t aAttempt,
                                    const Error& aError,
                                    TimePoint aNow);
-  /** aStage: index in the attempt's route, as in the message sent. */
+  /** @param aStage index in the attempt's route, as in the message sent */
   std::vector<RunAction> onOpenReply(std::uint32_t aAttempt,
                                      std::uint32_t aStage,
                                      CallOutcome aOutcome,
@@ -85,19 +85,19 @@
   TokenVerdict onToken(const TokenReady& aToken, TimePoint aNow);
   std::vector<RunAction> onTrouble(const StageTrouble& aTrouble,
                                    TimePoint aNow);
-  /** aSent: the action that is answered. */
+  /** @param aSent the action that is answered */
   std::vector<RunAction> onFenceReply(const SendFence& aSent,
                                       CallOutcome aOutcome,
                                       const FenceReply& aReply,
                                       TimePoint aNow);
-  /** Probes say that it is dead or has another incarnation. */
+  /** Probes show that the endpoint is dead or has another incarnation. */
   std::vector<RunAction> onEndpointGone(const std::string& aEndpoint,
                                         TimePoint aNow);
   std::vector<RunAction> onCallerGone(TimePoint aNow);
-  /** Call at nextWake() or later; earlier calls do no harm. */
+  /** Call at nextWake() or later; earlier calls have no effect. */
   std::vector<RunAction> onTick(TimePoint aNow);
 
-  /** When onTick() has something to do; nothing once ended. */
+  /** Returns when to call onTick(); nullopt once the run has ended. */
   [[nodiscard]] std::optional<TimePoint> nextWake() const;
   [[nodiscard]] bool ended() const { return this->phase == Phase::Ended; }
   [[nodiscard]] std::uint32_t attempt() const { return this->attemptNumber; }
@@ -117,20 +117,20 @@
     Routing,
     /** Waiting for all sides to agree. */
     Opening,
-    /** First step sent; tokens come. */
+    /** The first step is sent; tokens arrive. */
     Running,
-    /** Stalled: waiting a moment to learn which sides still answer. */
+    /** Stalled: waiting briefly for the sides that still reply. */
     Blaming,
-    /** Given up: waiting a moment for proof that nothing ran. */
+    /** Given up: waiting briefly for proof that nothing ran. */
     Proving,
     Ended,
   };
   enum class Proof : std::uint8_t
   {
     Open,
-    /** The first stage's side says that nothing ran and nothing will. */
+    /** The first stage's side reports that nothing ran and nothing will. */
     NotRun,
-    /** It ran, or its side does not answer. */
+    /** It ran, or its side does not reply. */
     None,
   };
   /** An attempt whose first step was sent, and what is known of it. */
@@ -147,7 +147,7 @@
   RequestRun(RequestSpec aSpec, RunPolicy aPolicy);
 
   [[nodiscard]] bool isCurrent(std::uint32_t aAttempt, Phase aPhase) const;
-  /** The attempt may be on its way at the sides. */
+  /** The attempt may be in progress at the sides. */
   [[nodiscard]] bool isUnderWay() const;
   [[nodiscard]] Refusal checkToken(const TokenReady& aToken) const;
   [[nodiscard]] std::uint32_t nextPosition() const;
@@ -183,7 +183,7 @@
   std::set<std::uint32_t> agreed;
   std::set<std::string> avoid;
   std::vector<std::uint32_t> tokens;
-  /** Tokens that overtook an earlier one, by position. */
+  /** Tokens that arrived before an earlier one, by position. */
   std::map<std::uint32_t, std::uint32_t> early;
   std::uint32_t firstStepSends = 0;
   /** A send of the current attempt's first step has an unknown outcome. */
@@ -194,7 +194,7 @@
   bool blamedSomebody = false;
   std::uint32_t stallsWithoutBlame = 0;
   Pace pace;
-  /** When the current phase gives up waiting. */
+  /** When the current phase stops waiting. */
   TimePoint phaseEnd{};
   Error givenUpFor;
 };
--- a/include/poplartrack/entry/RunAction.h
+++ b/include/poplartrack/entry/RunAction.h
@@ -17,10 +17,10 @@
 struct NeedRoute
 {
   std::uint32_t attempt = 0;
-  /** Endpoints that failed this request. A last resort only. */
+  /** Endpoints that failed this request, to be used only as a last resort. */
   std::set<std::string> avoid;
   bool isRetry = false;
-  /** Why, when isRetry. */
+  /** Why it is retried, if isRetry. */
   RetryReason reason = RetryReason::StageLost;
 };
 
@@ -32,7 +32,8 @@
   OpenAttempt message;
 };
 
-/** Send, and answer with onFirstStepReply(). May come twice for an attempt. */
+/** Send, and answer with onFirstStepReply(). May be returned twice for an
+ * attempt. */
 struct SendFirstStep
 {
   std::string endpoint;
@@ -40,8 +41,8 @@
   RunStep message;
 };
 
-/** Send, and give it back with its reply to onFenceReply(). Send it also when
- * the run has ended: it frees the sides. */
+/** Send, and pass it to onFenceReply() with its reply. Send it even after the
+ * run has ended: it releases resources at the sides. */
 struct SendFence
 {
   std::string endpoint;
@@ -56,7 +57,7 @@
   std::uint32_t token = 0;
 };
 
-/** The answer is whole: the tokens delivered are all of it. */
+/** The answer is complete: all of its tokens have been delivered. */
 struct Complete
 {};
 
--- a/include/poplartrack/entry/RunPolicy.h
+++ b/include/poplartrack/entry/RunPolicy.h
@@ -6,33 +6,37 @@
 
 namespace poplartrack {
 
-/** How one model request judges pace, hope and proof. */
+/** Timeouts and limits of the retries of one model request. */
 struct RunPolicy
 {
-  /** Attempts at most, whatever the deadline allows. */
+  /** Maximum number of attempts, regardless of the deadline. */
   std::uint32_t maxAttempts = 8;
-  /** Wait for all sides to agree to an attempt. */
+  /** Timeout for all sides to accept an attempt. */
   Duration openWait = std::chrono::milliseconds{ 500 };
-  /** What the first token is expected to take besides the prefill. */
+  /** Expected time to the first token besides the prefill. */
   Duration firstTokenBase = std::chrono::milliseconds{ 200 };
-  /** What each prompt or rebuilt token adds to the first token. */
+  /** Expected prefill time for each token of the prompt, and for each generated
+   * token that a retry prefills again. */
   Duration prefillPerToken = std::chrono::milliseconds{ 1 };
-  /** Gap between tokens expected until the request has a pace of its own. */
+  /** Expected gap between tokens until the request has gaps of its own. */
   Duration tokenGap = std::chrono::milliseconds{ 30 };
   /** Weight of the newest gap in the smoothed gap. */
   double gapWeight = 0.2;
   /** An attempt is stalled after this many times the expected gap. */
   double stallFactor = 8.0;
-  /** Likewise for its first token, whose expectation has a base of its own. */
+  /** The same for its first token, whose expected time is computed
+   * differently. */
   double firstTokenFactor = 3.0;
-  /** Never call an attempt stalled sooner than this. */
+  /** Minimum time before an attempt counts as stalled. */
   Duration stallFloor = std::chrono::milliseconds{ 250 };
-  /** After a stall, wait for the sides' fence replies to tell which live. */
+  /** After a stall, how long to wait for fence replies, which show which sides
+   * are alive. */
   Duration blameWait = std::chrono::milliseconds{ 30 };
-  /** Give up when the time left is below this share of what the remaining
-   * work is expected to take. Below 1: the expectation may be too high. */
+  /** Give up if the time left is below this part of the expected time of the
+   * remaining work. Less than 1, since the estimate may be too high. */
   double hopeShare = 0.7;
-  /** After giving up, wait for fence replies that could prove "not run". */
+  /** After giving up, how long to wait for fence replies that could prove that
+   * nothing ran. */
   Duration proofWait = std::chrono::milliseconds{ 50 };
 };
 
--- a/include/poplartrack/entry/ShareExchange.h
+++ b/include/poplartrack/entry/ShareExchange.h
@@ -17,7 +17,8 @@
 
 /**
  * Exchanges demand and shares of account limits with the other entries, once
- * a second where there is demand. The newest revision number rides along.
+ * a second where there is demand. The messages also contain the newest revision
+ * number.
  */
 class ShareExchange
 {
@@ -27,11 +28,11 @@
                 std::function<std::uint64_t()> aRevision,
                 RevisionHeard aHeard);
 
-  /** Begins to exchange. */
+  /** Starts the exchange. */
   void start();
-  /** The platform's list was read: which entries there are. */
+  /** Handles a read of the platform's instance list. */
   void onInstanceList(const std::vector<InstanceInfo>& aList);
-  /** Answers another entry's wishes. */
+  /** Answers the demands of another entry. */
   ShareGrants answer(const ShareWishes& aWishes);
 
 private:
--- a/include/poplartrack/ledger/ExpiryIndex.h
+++ b/include/poplartrack/ledger/ExpiryIndex.h
@@ -9,12 +9,12 @@
 
 namespace poplartrack {
 
-/** Request ids by the moment at which something of them is due. */
+/** Request ids, ordered by the time at which they are due. */
 template<typename Moment>
 class ExpiryIndex
 {
 public:
-  /** Sets or moves an id's moment. */
+  /** Sets or changes the time of an id. */
   void set(const RequestId& aRequest, Moment aWhen)
   {
     this->remove(aRequest);
@@ -32,7 +32,7 @@
     this->moments.erase(known);
   }
 
-  /** Removes and gives the ids whose moment is not after aNow, in order. */
+  /** Removes and returns the ids that are due by aNow, in order. */
   std::vector<RequestId> takeDue(Moment aNow)
   {
     std::vector<RequestId> due;
--- a/include/poplartrack/ledger/ReceiptCheck.h
+++ b/include/poplartrack/ledger/ReceiptCheck.h
@@ -8,14 +8,14 @@
 
 namespace poplartrack {
 
-/** Whether a route's stages cover [0, aLayers) once, in order. */
+/** Returns whether the stages of a route cover [0, aLayers) once, in order. */
 bool
 routeCovers(const Route& aRoute, std::uint32_t aLayers);
 
 /**
- * Whether a receipt names exactly the first aStages stages of a route, in
- * order: same endpoints, same incarnations, same layers. With a route that
- * covers the model this says that each layer below ran exactly once.
+ * Returns whether a receipt lists exactly the first aStages stages of a route,
+ * in order: same endpoints, same incarnations, same layers. If the route covers
+ * the model, this proves that each layer of these stages ran exactly once.
  */
 bool
 receiptFollows(const Route& aRoute,
--- a/include/poplartrack/ledger/StepFollowUp.h
+++ b/include/poplartrack/ledger/StepFollowUp.h
@@ -10,7 +10,7 @@
 
 namespace poplartrack {
 
-/** The step for the next stage, from this stage's outputs. Only when the
+/** Returns the step for the next stage, from this stage's outputs. Only if the
  * verdict's isLastStage is false. */
 RunStep
 stepForNextStage(const RunNow& aRun,
@@ -18,15 +18,15 @@
                  std::vector<std::uint64_t> aOutputs,
                  TimePoint aNow);
 
-/** The step that feeds the last stage's token back to the first stage. Only
- * when isLastStage is true and isLastToken is false. */
+/** Returns the step that feeds the last stage's token back to the first stage.
+ * Only if isLastStage is true and isLastToken is false. */
 RunStep
 stepForNextToken(const RunNow& aRun,
                  const RunStep& aStep,
                  std::uint32_t aToken,
                  TimePoint aNow);
 
-/** The token for the entry. Only when isLastStage is true. */
+/** Returns the token for the entry. Only if isLastStage is true. */
 TokenReady
 tokenForEntry(const RunNow& aRun, const RunStep& aStep, std::uint32_t aToken);
 
--- a/include/poplartrack/side/EndpointWatch.h
+++ b/include/poplartrack/side/EndpointWatch.h
@@ -12,32 +12,35 @@
 namespace poplartrack {
 
 /**
- * What a side knows of its endpoint: who it is, its incarnation, its load as
- * the side itself sees it. Thread-safe.
+ * What a side knows of its endpoint: its identity, its incarnation, and its
+ * load as the side itself measures it. Thread-safe.
  */
 class EndpointWatch
 {
 public:
-  /** aIncarnation is the side's first; it grows when the endpoint restarts. */
+  /** @param aIncarnation the first one; it increases when the endpoint
+   * restarts */
   explicit EndpointWatch(std::uint64_t aIncarnation);
 
-  /** The endpoint said who it is. The new incarnation when it was restarted
-   * since. */
+  /** Handles the endpoint's description of itself. Returns the new incarnation
+   * if it has restarted since the last one. */
   std::optional<std::uint64_t> onInfo(const EngineInfo& aInfo);
-  /** A step's answer named the endpoint's incarnation. */
+  /** Handles the incarnation in the answer to a step. */
   std::optional<std::uint64_t> onEngineIncarnation(std::uint64_t aIncarnation);
-  /** The endpoint's own report, for what the side cannot see. */
+  /** Handles the endpoint's own load report, for what the side cannot
+   * measure. */
   void onReport(const LoadHint& aReport);
-  /** The endpoint did not answer the watch. */
+  /** Handles a query that the endpoint did not answer. */
   void onSilence();
 
   void onStepStarted();
-  /** aDecodeStep: a step of one input; its duration is the time for a token. */
+  /** @param aDecodeStep a step of one input, whose duration is the time for a
+   * token */
   void onStepEnded(Duration aTook, bool aDecodeStep);
 
   [[nodiscard]] std::optional<EngineInfo> info() const;
   [[nodiscard]] std::uint64_t incarnation() const;
-  /** The load now; attempts are the ledger's to fill in. */
+  /** Returns the current load, except for attempts, which the ledger knows. */
   [[nodiscard]] LoadHint load() const;
 
 private:
@@ -48,9 +51,9 @@
   std::optional<EngineInfo> known;
   std::optional<std::uint64_t> engineIncarnation;
   LoadHint report;
-  /** Steps handed to the endpoint, those in its own queue included. */
+  /** Steps sent to the endpoint, including those in its own queue. */
   std::uint32_t running = 0;
-  /** The largest batch it has reported: what is above it waits. */
+  /** The largest batch it has reported; more steps than that wait. */
   std::uint32_t batch = 0;
   double stepMicros = 0;
 };
--- a/include/poplartrack/side/EngineClient.h
+++ b/include/poplartrack/side/EngineClient.h
@@ -15,7 +15,7 @@
 
 namespace poplartrack {
 
-/** What an endpoint says of itself (GET /v1/info of docs/ENGINE.md). */
+/** An endpoint's description of itself (GET /v1/info of docs/ENGINE.md). */
 struct EngineInfo
 {
   std::uint64_t incarnation = 0;
@@ -25,16 +25,17 @@
   std::string model;
   std::string modelVersion;
   LayerRange holds;
-  /** Layers that fit its memory; 0: it did not say. */
+  /** Layers that fit into its memory; 0 if it is not reported. */
   std::uint32_t capacityLayers = 0;
-  /** Layers of one token that it nominally runs a second; 0: it did not say. */
+  /** Layers of one token that it nominally runs a second; 0 if it is not
+   * reported. */
   std::uint32_t layersPerSecond = 0;
 };
 
-/** One step as the engine takes it. */
+/** One step, as sent to the engine. */
 struct EngineStep
 {
-  /** Names the attempt; its KV is shared with no other. */
+  /** Name of the attempt, whose KV is not shared with others. */
   std::string sequence;
   std::string model;
   std::string modelVersion;
@@ -44,21 +45,21 @@
   Priority priority = Priority::Normal;
 };
 
-/** What the engine made of a step. */
+/** Result of a step. */
 struct EngineOutput
 {
   std::vector<std::uint64_t> outputs;
-  /** Set when the model's last layer ran. */
+  /** Set if the step ran the model's last layer. */
   std::optional<std::uint32_t> token;
   std::uint64_t incarnation = 0;
-  /** Leading inputs that the prefix cache answered. */
+  /** Number of leading inputs that were in the prefix cache. */
   std::uint32_t reusedTokens = 0;
 };
 
 /**
- * Speaks docs/ENGINE.md to one endpoint. Never sends a step twice. A step's
- * errors: StageRefused when the engine provably did not run it, StageLost when
- * it may have.
+ * Client of the protocol in docs/ENGINE.md for one endpoint. Never sends a step
+ * twice. Errors of a step: StageRefused if the engine certainly did not run it,
+ * StageLost if it may have.
  */
 class EngineClient
 {
@@ -69,15 +70,15 @@
   /** Starts a step; aDone runs on the HTTP client's thread. */
   void step(const EngineStep& aStep, Duration aTimeout, StepDone aDone);
 
-  /** Frees a sequence's KV and drops its queued steps. There is no reply. */
+  /** Releases a sequence's KV and drops its queued steps. There is no reply. */
   void cancel(const std::string& aSequence);
 
   using InfoDone = std::function<void(Result<EngineInfo>)>;
-  /** Asks who the endpoint is. */
+  /** Queries the endpoint's description of itself. */
   void info(Duration aTimeout, InfoDone aDone);
 
   using LoadDone = std::function<void(Result<LoadHint>)>;
-  /** Asks for the engine's own, lagging, load report. */
+  /** Queries the engine's own load report, which lags. */
   void load(Duration aTimeout, LoadDone aDone);
 
   /** Orders the engine to hold these layers. */
@@ -87,7 +88,7 @@
              std::uint64_t aFence,
              std::function<void(Result<Done>)> aDone);
 
-  /** Calls a plain service. The callback gets the outcome as it is. */
+  /** Calls a plain service. The callback gets the result unchanged. */
   void plain(const std::string& aOperation,
              const std::string& aRequestId,
              std::string aBody,
--- a/include/poplartrack/side/OrderGate.h
+++ b/include/poplartrack/side/OrderGate.h
@@ -11,34 +11,38 @@
 namespace poplartrack {
 
 /**
- * Decides which orders pass a side to its endpoint, which may take any.
+ * Decides which orders a side passes on to its endpoint, which itself checks
+ * none.
  *
- * - A placer that was frozen past its lease wakes and orders as if it still
- * held it. Its number is below that of its successor, so its orders are
- * rejected once this side has received one of the successor.
- * - A side that was restarted has forgotten the numbers. It takes no order
- * until it has read the lease's number from the platform; while the platform is
- * down it takes none, but serves calls.
- * - An order that is still with the endpoint may act after a later one was
- *   taken, which counts as proof that it cannot. So nothing is taken until the
- *   endpoint has answered, or for some time after it did not.
+ * - A placer that was suspended beyond its lease resumes and sends orders as if
+ *   it still held the lease. Its fencing number is below that of its successor,
+ *   so its orders are rejected once this side has received one of the
+ * successor.
+ * - A restarted side has forgotten the numbers. It accepts no order until it
+ * has read the lease's number from the platform. While the platform is down it
+ *   accepts none, but serves calls.
+ * - An order that the endpoint is still handling could take effect after a
+ * later one was accepted, which counts as proof that it cannot. So none is
+ * accepted until the endpoint has answered, or for some time if it does not.
  *
  * Thread-safe.
  */
 class OrderGate
 {
 public:
-  /** The platform was read: orders below this number belong to past leases. */
+  /** Handles a read of the lease: orders below this number belong to past
+   * leases. */
   void onFloor(std::uint64_t aFence);
-  /** Whether the platform has been read. */
+  /** Returns whether the lease has been read. */
   [[nodiscard]] bool ready() const;
-  /** Nothing: the order passes. A load that passes must be followed by
-   * onEngineEnd. Errors: StaleFence, Conflict while an earlier load is with the
-   * endpoint, PlatformUnavailable before ready(). */
+  /** Returns nullopt if the order is accepted. An accepted load must be
+   * followed by onEngineEnd. Errors: StaleFence, Conflict while the endpoint
+   * handles an earlier load, PlatformUnavailable before ready(). */
   std::optional<Error> admit(const EndpointOrder& aOrder, TimePoint aNow);
-  /** The endpoint's call has ended; aSure: it was answered. */
+  /** Handles the end of the call to the endpoint.
+   * @param aSure whether it was answered */
   void onEngineEnd(bool aSure, TimePoint aNow);
-  /** Highest number that passed or was read. */
+  /** Highest number that was accepted or read. */
   [[nodiscard]] std::uint64_t highest() const;
 
 private:
--- a/include/poplartrack/side/PlainRunner.h
+++ b/include/poplartrack/side/PlainRunner.h
@@ -9,14 +9,14 @@
 
 namespace poplartrack {
 
-/** Runs plain calls at the endpoint, each request once: repeats join the call
- * in progress or get its answer again. */
+/** Runs plain calls at the endpoint, each request once: duplicates wait for the
+ * call in progress or get its answer again. */
 class PlainRunner
 {
 public:
   explicit PlainRunner(SideParts aParts);
 
-  /** Takes a call; aRespond gets the reply when there is one. */
+  /** Handles a call; aRespond is called with the reply. */
   void call(const PlainCall& aCall, const Responder& aRespond);
 
 private:
@@ -27,7 +27,7 @@
 
   SideParts parts;
   std::mutex guard;
-  /** Who waits for a call in progress. */
+  /** Those that wait for a call in progress. */
   std::map<RequestId, std::vector<Responder>> waiting;
 };
 
--- a/include/poplartrack/side/SideLedger.h
+++ b/include/poplartrack/side/SideLedger.h
@@ -8,8 +8,8 @@
 
 namespace poplartrack {
 
-/** The side's ledger behind one lock: its calls take microseconds, so one
- * lock is held shorter than any finer scheme would cost. */
+/** The side's ledger, behind one lock. Its calls take microseconds, so finer
+ * locks would cost more than they save. */
 class SideLedger
 {
 public:
@@ -18,7 +18,7 @@
   {
   }
 
-  /** Runs aWork with the ledger to itself. */
+  /** Runs aWork with the ledger while holding the lock. */
   template<typename Work>
   auto with(Work aWork)
   {
@@ -26,7 +26,8 @@
     return aWork(this->ledger);
   }
 
-  /** Attempts ended since the last call, to cancel in the endpoint. */
+  /** Returns the attempts that ended since the last call, to cancel in the
+   * endpoint. */
   std::vector<DroppedAttempt> takeDropped()
   {
     const std::scoped_lock lock{ this->guard };
--- a/include/poplartrack/side/SideServer.h
+++ b/include/poplartrack/side/SideServer.h
@@ -19,7 +19,7 @@
 
 namespace poplartrack {
 
-/** What a side needs to know of itself. */
+/** Settings of a side. */
 struct SideOptions
 {
   std::string name;
@@ -33,14 +33,15 @@
 };
 
 /**
- * The process beside one endpoint: the only gate to it. Takes calls from
- * entries and other sides, watches the endpoint, refuses new work while
- * leaving.
+ * The process beside one endpoint, which receives requests only through it.
+ * Accepts calls from entries and other sides, monitors the endpoint, and
+ * rejects new work while it drains.
  */
 class SideServer
 {
 public:
-  /** Starts to serve at once. Network names an address that cannot be had. */
+  /** Starts to serve at once. A Network error names an address that cannot be
+   * listened on. */
   static Result<std::unique_ptr<SideServer>> create(
     const SideOptions& aOptions);
   SideServer(const SideServer&) = delete;
@@ -50,9 +51,10 @@
   [[nodiscard]] Address wireAddress() const;
   [[nodiscard]] Address metricsAddress() const;
 
-  /** A planned stop: refuses new work, lets open work end. */
+  /** Starts a graceful shutdown: rejects new work, finishes work in
+   * progress. */
   void drain();
-  /** Whether nothing is open any more. */
+  /** Returns whether no work is in progress any more. */
   [[nodiscard]] bool drained();
 
 private:
@@ -88,8 +90,8 @@
   OrderGate orders;
   std::atomic<bool> draining{ false };
   std::atomic<bool> orderedLeaving{ false };
-  /** Until when an entry's word counts that the list calls this instance
-   * leaving. */
+  /** Until when the report of an entry holds that the list shows this instance
+   * as leaving. */
   std::atomic<TimePoint> listedLeavingUntil{ TimePoint::min() };
   std::unique_ptr<StreamServer> server;
   std::unique_ptr<HttpServer> metricsServer;
--- a/include/poplartrack/side/StageRunner.h
+++ b/include/poplartrack/side/StageRunner.h
@@ -13,7 +13,7 @@
 
 namespace poplartrack {
 
-/** What the parts of a side share. All outlive the parts. */
+/** What the parts of a side share. All of it outlives them. */
 struct SideParts
 {
   SideLedger& ledger;
@@ -26,26 +26,26 @@
 };
 
 /**
- * Runs this side's stage of model requests: asks the ledger, gives the step to
- * the endpoint, passes the result to the next stage and tokens to the entry.
- * Nothing here decides; the ledger does.
+ * Runs this side's stage of model requests: checks each step with the ledger,
+ * which makes all decisions, sends it to the endpoint, and passes the result to
+ * the next stage and tokens to the entry.
  */
 class StageRunner
 {
 public:
   explicit StageRunner(SideParts aParts);
 
-  /** Takes or refuses an attempt. */
+  /** Accepts or rejects an attempt. */
   OpenReply open(const OpenAttempt& aOpen);
-  /** Takes or refuses a step; a taken one runs on after the reply. */
+  /** Accepts or rejects a step. An accepted one runs after the reply. */
   StepReply step(const RunStep& aStep);
   /** Fences attempts of a request. */
   FenceReply fence(const FenceRequest& aFence);
-  /** The endpoint was restarted: what was open is lost. */
+  /** Handles a restart of the endpoint: all attempts in progress are lost. */
   void onEndpointRestarted(std::uint64_t aNewIncarnation);
-  /** Cancels what is past its deadline; call at least once a second. */
+  /** Cancels attempts past their deadlines; call at least once a second. */
   void expire();
-  /** The load for replies. */
+  /** Returns the load hint for replies. */
   LoadHint load();
 
 private:
@@ -58,7 +58,9 @@
               const EngineOutput& aOutput);
   void sendStep(const RunNow& aRun, const RunStep& aStep);
   void sendToken(const RunNow& aRun, const TokenReady& aToken);
-  /** The entry takes no more tokens of the attempt: it goes, or has gone. */
+  /** Ends an attempt whose tokens the entry no longer accepts.
+   * @param aEntryLives whether the entry rejected the token; otherwise it did
+   * not reply */
   void dropOrphan(const RunNow& aRun, bool aEntryLives);
   void abandon(const RunNow& aRun,
                const std::string& aBlamed,
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -9,7 +9,7 @@
 namespace poplartrack {
 namespace {
 
-/** The parts of a path between slashes. */
+/** Returns the segments of a path. */
 std::vector<std::string>
 splitPath(const std::string& aPath)
 {
@@ -118,7 +118,7 @@
 {
   const auto& accounts = aContext.configuration->accounts;
   const auto account = accounts.find(aContext.headers.account);
-  // One message for both: whether an account exists is nobody's business.
+  // One message for both: callers must not learn which accounts exist.
   if (account == accounts.end() ||
       !secretMatches(aContext.headers.secret, account->second.secretSha256)) {
     return fail(ErrorKind::Unauthorized, "the account or secret is wrong");
--- a/src/entry/CallerApiModel.cpp
+++ b/src/entry/CallerApiModel.cpp
@@ -5,7 +5,8 @@
 namespace poplartrack {
 namespace {
 
-/** Beyond the deadline, for the day a request's own timers fail. */
+/** How long to wait past the deadline, in case the request's own timers
+ * fail. */
 constexpr Duration kGrace = std::chrono::seconds{ 2 };
 
 } // namespace
--- a/src/entry/CallerApiService.cpp
+++ b/src/entry/CallerApiService.cpp
@@ -30,7 +30,8 @@
   if (!call) {
     return this->refuse(aContext, call.error(), Duration::zero());
   }
-  // The caller may be stricter than the declaration, never laxer.
+  // The caller may demand at most one run of an idempotent operation, but not
+  // retries of one that is declared as not idempotent.
   const bool idempotent =
     operation->second.idempotent && !aContext.headers.nonIdempotent;
   return this->runService(aContext, call.value(), idempotent);
@@ -104,7 +105,7 @@
   if (aClaim != nullptr && end.answer) {
     this->parts.claims.record(*aClaim, end.answer->status, end.answer->body);
   } else if (aClaim != nullptr && end.ran == RunState::NotRun) {
-    // Proven not to have run: the same key may be used for another try.
+    // Proved not to have run: the same key may be used for a retry.
     this->parts.claims.release(*aClaim);
   }
   if (!end.answer) {
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kBearer = "Bearer ";
-/** Deeper JSON than any call needs would only cost stack. */
+/** Maximum nesting depth of JSON; no valid call needs more. */
 constexpr int kMaxJsonDepth = 32;
 
 std::string
@@ -43,7 +43,7 @@
   return Duration{ std::chrono::milliseconds{ millis } };
 }
 
-/** Depth of nesting, by brackets outside strings. */
+/** Returns the nesting depth, by the brackets outside of strings. */
 int
 depthOf(std::string_view aText)
 {
@@ -74,8 +74,8 @@
 Result<json>
 readJson(const std::string& aBody)
 {
-  // The library's parser recurses: without the bound a body of brackets would
-  // overflow a connection thread's stack and take the process down.
+  // The library's parser recurses: without the bound, a body of brackets would
+  // overflow the stack of a connection's thread and crash the process.
   if (depthOf(aBody) > kMaxJsonDepth) {
     return fail(ErrorKind::BadRequest, "the body is nested too deeply");
   }
--- a/src/entry/CallerRetryAfter.h
+++ b/src/entry/CallerRetryAfter.h
@@ -5,7 +5,7 @@
 
 namespace poplartrack {
 
-/** When a repeat may help, by the table of error kinds alone. */
+/** Returns when a retry may succeed, from the table of error kinds alone. */
 inline Duration
 defaultRetryAfter(ErrorKind aKind)
 {
--- a/src/entry/ClaimRecord.cpp
+++ b/src/entry/ClaimRecord.cpp
@@ -58,7 +58,7 @@
   if (aBody.size() > kMaxClaimBody) {
     return false;
   }
-  // Replaced bytes would replay another answer than the first.
+  // Replacing invalid bytes would make retries return a different answer.
   const std::string kept =
     Json(aBody).dump(-1, ' ', false, Json::error_handler_t::replace);
   const Json read = Json::parse(kept, nullptr, false);
@@ -68,7 +68,7 @@
 std::string
 claimRowKey(std::string_view aAccount, std::string_view aKey)
 {
-  // The length keeps "a" + "b:c" and "a:b" + "c" apart.
+  // The length distinguishes "a" + "b:c" from "a:b" + "c".
   std::string text = std::to_string(aAccount.size());
   text += ':';
   text += aAccount;
--- a/src/entry/ConfigWatch.cpp
+++ b/src/entry/ConfigWatch.cpp
@@ -96,7 +96,7 @@
     fetch = this->keeper.nextFetch(runtimeNow());
   }
   if (fetch) {
-    // Outside the lock: a slow platform must not hold up answers to peers.
+    // Without the lock: a slow platform must not delay answers to peers.
     const Updates updates = this->read(*fetch);
     bool changed = false;
     {
--- a/src/entry/EndpointDirectory.cpp
+++ b/src/entry/EndpointDirectory.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration kProbeTimeout = std::chrono::milliseconds{ 500 };
 constexpr Duration kShortestRest = std::chrono::milliseconds{ 5 };
-/** The view's load hints are refreshed for readers this often. */
+/** Interval at which the view is published with the latest load hints. */
 constexpr Duration kPublishInterval = std::chrono::milliseconds{ 100 };
 
 } // namespace
--- a/src/entry/EndpointTracker.cpp
+++ b/src/entry/EndpointTracker.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
-/** New arrivals are probed within this long, so that a zone that comes back
- * is no storm. */
+/** New sides are probed at random times within this interval, so that a zone
+ * that is available again causes no burst of probes. */
 constexpr Duration kArrivalSpread = std::chrono::milliseconds{ 100 };
 /** Weight of the newest round trip in the smoothed one. */
 constexpr int kRoundTripWeight = 4;
@@ -72,14 +72,15 @@
     tracked.lastHeard = aNow;
   }
   if (tracked.info.address != aInstance.address) {
-    // The name was given to a new instance; nothing is known of it yet.
+    // A new instance has taken over the name; nothing is known of it yet.
     this->changed = this->changed || tracked.known;
     tracked.known = false;
     tracked.info.address = aInstance.address;
     tracked.nextProbe = aNow;
   }
   if (tracked.listedLeaving != aInstance.draining) {
-    // Tell the side at once: it is the gate that other entries meet.
+    // Tell the side at once: it rejects the requests of entries that do not
+    // know yet.
     tracked.nextProbe = aNow;
     this->changed = true;
   }
@@ -100,8 +101,8 @@
       this->addStatic(instance, aNow);
     }
   }
-  // The list lags, so absence alone proves nothing: a side that still answers
-  // stays.
+  // The list lags, so absence alone proves nothing: a side that still replies
+  // is kept.
   std::erase_if(this->instances, [&](const auto& aItem) {
     const Tracked& tracked = aItem.second;
     if (tracked.listed || aNow - tracked.lastHeard < this->policy.forget) {
@@ -179,8 +180,8 @@
   Tracked& tracked = found->second;
   tracked.asked = false;
   if (aReply.service.empty()) {
-    // The side lives but its endpoint does not answer it (yet): nothing can
-    // be chosen there, and it is worth asking again soon.
+    // The side is alive, but its endpoint does not reply to it (yet): it cannot
+    // be chosen, and is probed again soon.
     tracked.lastHeard = aNow;
     tracked.nextProbe = aNow + this->policy.retryFirst;
     this->changed = this->changed || tracked.known;
@@ -241,8 +242,8 @@
 void
 EndpointTracker::askSoon(Tracked& aTracked, TimePoint aNow)
 {
-  // The answer to a probe on its way brings what there is to learn; a crowd of
-  // failed calls must not spend the budget of probes on one endpoint.
+  // The reply to the probe in flight will show its state. Many failed calls
+  // must not spend the budget of probes on one endpoint.
   if (!aTracked.asked) {
     aTracked.nextProbe = std::min(aTracked.nextProbe, aNow);
   }
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -18,7 +18,7 @@
 jittered(Duration aPause)
 {
   thread_local std::mt19937_64 random{ freshSeed() };
-  // Instances that started together must not ask together for ever.
+  // Instances that started together must not poll in step from then on.
   constexpr double kLeast = 0.8;
   constexpr double kMost = 1.2;
   std::uniform_real_distribution<double> factor{ kLeast, kMost };
@@ -270,8 +270,9 @@
 EntryServer::onEndpointRestarted(const std::string& aEndpoint)
 {
   this->models->onEndpointGone(aEndpoint);
-  // The failures were its former life's. A burst of them while it was away
-  // would else leave the only replica of a layer unused for 20 s more.
+  // The failures are those of its earlier incarnation. Otherwise a burst of
+  // them during the restart would leave the only replica of a layer unused for
+  // 20 s more.
   this->decider.with(
     [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
       aChooser.onEndpointSucceeded(aEndpoint);
--- a/src/entry/IdempotencyClaim.cpp
+++ b/src/entry/IdempotencyClaim.cpp
@@ -5,8 +5,8 @@
 ClaimVerdict
 verdictOnOthersClaim(const ClaimRequest& aRequest, const ClaimRecord& aRecord)
 {
-  // A caller that uses a key again for another call would be given the answer
-  // to the first one.
+  // A caller that reuses a key for another call would get the answer to the
+  // first one.
   if (aRecord.digest != aRequest.digest) {
     return ClaimRefused{ fail(ErrorKind::BadRequest,
                               "the idempotency key \"" + aRequest.key +
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -8,12 +8,12 @@
 namespace poplartrack {
 namespace {
 
-/** How long, and how often, a request that has lost its route looks for
- * another one before it is given up. */
+/** Interval and number of retries of the route choice for a request that has
+ * lost its route, before it is given up. */
 constexpr Duration kRouteWait = std::chrono::seconds{ 2 };
 constexpr Duration kRoutePause = std::chrono::milliseconds{ 100 };
-/** Prompts that share this many first tokens are sent where the prefix may
- * still be cached. */
+/** Prompts with the same first tokens, this many, are sent to endpoints where
+ * the prefix may still be cached. */
 constexpr std::size_t kAffinityTokens = 64;
 
 ExpectedPace
@@ -126,7 +126,7 @@
   this->parts.decider.with(
     [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
       if (!aRun.usedRoute.empty()) {
-        // Tokens in hand mean that the route did its work.
+        // If tokens have arrived, the route was working.
         aChooser.onRouteEnded(aRun.usedRoute, ended, aNow);
       }
       if (!ended && !route.empty()) {
@@ -212,8 +212,8 @@
     }
   }
   if (fresh.empty() && aNeed.reason == RetryReason::StageStalled) {
-    // All its sides answer, yet no token came: one of the stages is slow, and
-    // the choice must not send the next attempt down the same way.
+    // All its sides reply, but no token arrived: one of the stages is slow, and
+    // the next attempt must not take the same route.
     this->parts.decider.with(
       [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
         aChooser.onStalled(aRun.lastRoute, runtimeNow());
@@ -245,8 +245,8 @@
   this->parts.metrics.countRetry(aNeed.reason);
   this->noteBlame(*aRun, aNeed);
   const TimePoint moment = runtimeNow();
-  // A refused open ran nothing: trying elsewhere adds no load to engines, and
-  // the budget is there to bound load.
+  // A rejected open has run nothing. A retry elsewhere adds no load to engines,
+  // and the budget exists to bound that load.
   const bool repeatsWork = aNeed.reason != RetryReason::OpenRefused;
   const bool mayRetry =
     !repeatsWork ||
@@ -292,9 +292,10 @@
       return chosen;
     });
   if (!plan && moment < std::min(latest, aRun->spec.deadline)) {
-    // The only replica of a layer was restarted, or rests after a failure: it
-    // is back within a probe or two, while the answer in hand is lost if it is
-    // given up now. The bound keeps a hopeless answer from being held back.
+    // The only replica of a layer was restarted, or is in backoff after a
+    // failure. It will be available again after a probe or two, whereas giving
+    // up loses the answer so far. The bound limits how long an answer that
+    // cannot be continued is delayed.
     this->parts.timers.after(
       kRoutePause, [this, weak = std::weak_ptr{ aRun }, aNeed, aSince] {
         if (const RunPtr run = weak.lock()) {
--- a/src/entry/ModelRunnerSends.cpp
+++ b/src/entry/ModelRunnerSends.cpp
@@ -5,8 +5,8 @@
 namespace poplartrack {
 namespace {
 
-/** A fence is sent several times: until it arrives, the side holds KV and a
- * place in its ledger for the attempt. */
+/** A fence is sent several times: until it arrives, the side keeps KV and a
+ * ledger record for the attempt. */
 constexpr RepeatPolicy kFenceRepeat{ 3,
                                      std::chrono::seconds{ 1 },
                                      std::chrono::milliseconds{ 100 } };
--- a/src/entry/Placer.cpp
+++ b/src/entry/Placer.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration kPlanEvery = std::chrono::seconds{ 5 };
 constexpr Duration kStepEvery = std::chrono::milliseconds{ 500 };
-/** An order to load is answered when the weights are there. */
+/** Timeout of an order to load: it is answered once the weights are loaded. */
 constexpr Duration kOrderTimeout = std::chrono::seconds{ 60 };
 
 LeaseSettings
@@ -143,7 +143,8 @@
     kOrderTimeout,
     [this, aOrder, issuer](const TypedResult<OrderReply>& aResult) {
       if (aResult.outcome != CallOutcome::Replied) {
-        // Whether it was taken is unknown; the step's own time-out sees to it.
+        // Whether it was accepted is unknown; the step's own timeout handles
+        // that.
         return;
       }
       const std::scoped_lock lock{ this->guard };
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -5,12 +5,12 @@
 namespace poplartrack {
 namespace {
 
-/** Beyond the deadline, for the day its timers fail. */
+/** How long to wait past the deadline, in case the call's own timers fail. */
 constexpr Duration kGrace = std::chrono::seconds{ 2 };
 
 } // namespace
 
-/** One call in progress; everything under guard. */
+/** One call in progress; guard protects all members. */
 struct PlainDispatcher::Active
 {
   Active(const PlainSpec& aSpec, PlainRun aRun)
--- a/src/entry/PlainRun.cpp
+++ b/src/entry/PlainRun.cpp
@@ -47,7 +47,8 @@
   }
   this->phase = Phase::Calling;
   this->target = aTarget;
-  // Only a call that may run twice can be abandoned for another endpoint.
+  // Only a call that may run twice can be retried at another endpoint while its
+  // outcome is unknown.
   this->phaseEnd =
     this->spec.idempotent ? aNow + this->policy.callWait : this->spec.deadline;
   PlainCall message;
@@ -81,8 +82,8 @@
                        const PlainReply& aReply,
                        TimePoint aNow)
 {
-  // Late replies of abandoned attempts end here: the caller has been, or will
-  // be, answered by another.
+  // Late replies of abandoned attempts are ignored: another attempt answers the
+  // caller, or has done so.
   if (!this->isCurrent(aAttempt, Phase::Calling)) {
     return {};
   }
@@ -91,7 +92,7 @@
                            fail(ErrorKind::Network, "the side is not reached"),
                            aNow);
   }
-  // A reply to another's call says nothing of this one.
+  // A reply to another call proves nothing about this one.
   const bool isOwn =
     aOutcome == CallOutcome::Replied && aReply.request == this->spec.request;
   if (!isOwn) {
@@ -111,8 +112,8 @@
     return this->elsewhere(
       RetryReason::PlainIdempotent, aReply.refusal.error(), aNow);
   }
-  // The side itself says that the service may have got it: no fence can prove
-  // otherwise.
+  // The side itself reports that the service may have received it: no fence can
+  // prove otherwise.
   return this->giveUp(
     fail(ErrorKind::OutcomeUnknown, describe(aReply.refusal.error())));
 }
@@ -127,8 +128,8 @@
     actions.insert(actions.end(), next.begin(), next.end());
     return actions;
   }
-  // The call may still lie in the side's socket buffer and run at any later
-  // time. Only the side's tombstone ends that, so ask for it, once.
+  // The call may still be in the side's socket buffer and run at any later
+  // time. Only a tombstone at the side prevents that, so it is requested, once.
   this->phase = Phase::Proving;
   this->phaseEnd = std::min(this->spec.deadline, aNow + this->policy.proofWait);
   return { this->fenceTarget(FenceRequest::kFenceAll) };
@@ -145,8 +146,8 @@
       aSent.message.below != FenceRequest::kFenceAll) {
     return {};
   }
-  // Another incarnation cannot speak for the one that got the call, and after
-  // the deadline the side may have forgotten that the call ran.
+  // Another incarnation does not know what the one that received the call has
+  // run, and after the deadline the side may have forgotten that the call ran.
   const bool isProof = aOutcome == CallOutcome::Replied &&
                        aReply.request == aSent.message.request &&
                        aReply.below == aSent.message.below &&
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -7,8 +7,8 @@
 namespace poplartrack {
 namespace {
 
-/** The first step is sent again once when its reply is lost: a side that has
- * taken it only confirms. */
+/** The first step is sent again once if its reply is lost: a side that has
+ * already accepted it only confirms. */
 constexpr std::uint32_t kMaxFirstStepSends = 2;
 
 bool
@@ -17,7 +17,8 @@
   return aOutcome == CallOutcome::Replied && !aRefusal.refused;
 }
 
-/** A side runs one stage of an attempt, so no endpoint may come twice. */
+/** Returns whether each endpoint occurs once: a side runs only one stage of an
+ * attempt. */
 bool
 namesEachEndpointOnce(const Route& aRoute)
 {
@@ -119,8 +120,8 @@
     return this->nextAttempt(RetryReason::OpenRefused, aNow);
   }
   this->agreed.insert(aStage);
-  // With one side not yet agreed, the first stages would run for nothing and
-  // a refusal could no longer say "not run".
+  // If one side rejected the attempt later, the first stages would have run in
+  // vain, and the rejection could no longer state that nothing ran.
   if (this->agreed.size() < this->currentRoute.size()) {
     return {};
   }
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -8,7 +8,8 @@
 namespace poplartrack {
 namespace {
 
-/** One stall may be a lost message; at the second, some stage is too slow. */
+/** One stall may be a lost message; after a second one, some stage is too
+ * slow. */
 constexpr std::uint32_t kStallsBeforeAvoidingAll = 2;
 
 } // namespace
@@ -63,7 +64,8 @@
         attempt.attempt >= aSent.message.below) {
       continue;
     }
-    // Another incarnation cannot speak for the one that got the step.
+    // Another incarnation does not know what the one that received the step has
+    // run.
     attempt.proof = isProof && attempt.incarnation == aReply.incarnation
                       ? Proof::NotRun
                       : Proof::None;
@@ -175,7 +177,7 @@
   if (!this->hasHope(aNow) || this->attemptNumber >= this->policy.maxAttempts) {
     return this->nextAttempt(RetryReason::StageStalled, aNow);
   }
-  // Any stage may be the frozen one. Those that acknowledge the fence are
+  // Any stage may be the suspended one. Those that acknowledge the fence are
   // alive and hold the prompt's prefix, so the next route should keep them.
   this->phase = Phase::Blaming;
   this->phaseEnd = aNow + this->policy.blameWait;
--- a/src/entry/RequestRunTokens.cpp
+++ b/src/entry/RequestRunTokens.cpp
@@ -1,4 +1,4 @@
-// Which tokens a request run commits.
+// The tokens that a request run commits.
 
 #include "poplartrack/entry/RequestRun.h"
 
@@ -13,8 +13,9 @@
     return Refusal::of(
       fail(ErrorKind::UnknownAttempt, "another request's token"));
   }
-  // A stage that was frozen wakes and brings the token of an attempt that has
-  // been replaced: taken, the caller could get a position twice.
+  // A stage that was suspended resumes and sends the token of an attempt that
+  // has been replaced. If it were accepted, the caller could get a position
+  // twice.
   if (!this->isCurrent(aToken.attempt, Phase::Running)) {
     return Refusal::of(fail(ErrorKind::FencedAttempt));
   }
@@ -23,8 +24,8 @@
   if (aToken.position < this->spec.prompt.size() || aToken.position >= end) {
     return Refusal::of(fail(ErrorKind::OutOfOrder, "no such token is wanted"));
   }
-  // The route covers the model, so a receipt that follows it says that each
-  // layer ran once, in order, at the endpoints of this very attempt.
+  // The route covers the model, so a receipt that matches it proves that each
+  // layer ran once, in order, at the endpoints of this attempt.
   if (!receiptFollows(
         this->currentRoute, this->currentRoute.size(), aToken.receipt)) {
     return Refusal::of(
@@ -42,16 +43,17 @@
       aToken.request == this->spec.request &&
       this->isCurrent(aToken.attempt, Phase::Running);
     if (concernsAttempt) {
-      // The side drops the attempt on refusal, so it cannot go on.
+      // The side drops the attempt when its token is rejected, so the attempt
+      // cannot continue.
       verdict.actions = this->nextAttempt(RetryReason::StageTrouble, aNow);
     }
     return verdict;
   }
   if (aToken.position < this->nextPosition()) {
-    // A repeat. Committed is committed.
+    // A duplicate of a token that is already committed.
     return verdict;
   }
-  // Calls overtake each other: a token ahead of its turn waits for it.
+  // Calls may arrive out of order: a token waits for those before it.
   this->early.emplace(aToken.position, aToken.token);
   this->commitReady(aNow, verdict.actions);
   return verdict;
@@ -69,7 +71,7 @@
     this->pace.onToken(aNow);
     next = this->early.find(this->nextPosition());
   }
-  // Nothing but the whole count is called complete.
+  // The answer is complete only with all of its tokens.
   if (this->tokens.size() < this->spec.tokensWanted) {
     return;
   }
--- a/src/ledger/StepFollowUp.cpp
+++ b/src/ledger/StepFollowUp.cpp
@@ -5,7 +5,8 @@
 namespace poplartrack {
 namespace {
 
-/** The step carries what is left now: time spent in the endpoint counts. */
+/** Returns the step for another stage, without its position and inputs. Its
+ * time left excludes the time spent in the endpoint. */
 RunStep
 followUp(const RunNow& aRun, TimePoint aNow)
 {
--- a/src/ledger/StepLedger.cpp
+++ b/src/ledger/StepLedger.cpp
@@ -29,11 +29,11 @@
   return aOpen.route[aOpen.stage];
 }
 
-/** One past the last position that the attempt may run. */
+/** Returns the position after the last one that the attempt may run. */
 std::uint64_t
 endPosition(const OpenAttempt& aOpen)
 {
-  // The last token is made, but never fed back.
+  // The last token is generated, but not fed back.
   return std::uint64_t{ aOpen.firstPosition } + aOpen.prefillTokens +
          aOpen.tokensWanted - 1;
 }
@@ -140,7 +140,8 @@
                  fail(ErrorKind::FencedAttempt, "open with another route"));
   }
   if (record != nullptr) {
-    // The entry has moved on, whether or not the new attempt fits here.
+    // The entry has replaced the earlier attempt, whether or not this side can
+    // accept the new one.
     this->raiseFence(aOpen.request, *record, aOpen.attempt);
   }
   if (const auto error = this->checkNewWork(aOpen.remainingMicros)) {
@@ -169,8 +170,8 @@
                       TimePoint aNow)
 {
   const OpenAttempt& message = *aOpen.message;
-  // A gap would run layers over KV that lacks positions: every later token
-  // would be wrong. The next position is the only one that may run.
+  // After a gap, layers would run on KV that lacks positions, and every later
+  // token would be wrong. Only the next position may run.
   if (aStep.position != aOpen.nextPosition) {
     return fail(ErrorKind::OutOfOrder, "not the next position");
   }
@@ -184,7 +185,7 @@
   if (!receiptFollows(message.route, message.stage, aStep.receipt)) {
     return fail(ErrorKind::OutOfOrder, "the stages before did not all run");
   }
-  // Nobody waits for it any more.
+  // No caller waits for it any more.
   if (aNow >= aOpen.deadline || aStep.remainingMicros == 0) {
     return fail(ErrorKind::DeadlineExceeded);
   }
@@ -244,8 +245,8 @@
     return Refuse{ *error, record->everRan };
   }
   open.nextPosition += countOf(aStep);
-  // Counted before the endpoint is called: whatever happens from here on, the
-  // side will never say that it did not run.
+  // Recorded before the endpoint is called: whatever happens from here on, the
+  // side never reports that the step did not run.
   record->everRan = true;
   return runNow(open, aStep, aNow);
 }
--- a/src/ledger/StepLedgerLife.cpp
+++ b/src/ledger/StepLedgerLife.cpp
@@ -24,7 +24,8 @@
   reply.below = aFence.below;
   Record* record = this->findOrAdd(aFence.request);
   if (record == nullptr) {
-    // Without a tombstone a late copy could still run, so nothing is proved.
+    // Without a tombstone a late duplicate could still run, so the reply would
+    // prove nothing.
     reply.refusal =
       Refusal::of(fail(ErrorKind::Overloaded, "no room for a tombstone"));
     reply.everRan = true;
@@ -88,8 +89,8 @@
   if (Record* known = this->find(aRequest)) {
     return known;
   }
-  // Dropping a tombstone to make room would let a late copy of its request
-  // run after its entry had the reply that it never will.
+  // If a tombstone were dropped to make room, a late duplicate of its request
+  // could run after the entry had the reply that it never will.
   if (this->records.size() >= this->limits.maxTombstones) {
     return nullptr;
   }
@@ -143,9 +144,9 @@
 void
 StepLedger::advanceAwake(TimePoint aNow)
 {
-  // A process that was frozen wakes with old frames in its socket buffers and
-  // all its tombstones past their time by the clock. Forgetting them first
-  // would let a fenced call run. Time asleep does not age them.
+  // A process that was suspended resumes with old frames in its socket buffers,
+  // and by the clock all its tombstones have expired. If they were forgotten
+  // first, a fenced call could run. So time during a suspension does not count.
   if (this->lastExpire) {
     const Duration gap = aNow - *this->lastExpire;
     this->awake += std::clamp(gap, Duration{ 0 }, this->limits.maxTick);
--- a/src/ledger/StepLedgerPlain.cpp
+++ b/src/ledger/StepLedgerPlain.cpp
@@ -1,4 +1,5 @@
-// Plain calls: run once, joined while in progress, replayed afterwards.
+// Plain calls: run once; duplicates wait for the call in progress or get its
+// answer again.
 
 #include "poplartrack/ledger/StepLedger.h"
 
@@ -70,7 +71,7 @@
   if (hasReply) {
     return Replay{ *aRecord.plain->reply };
   }
-  // It reached the endpoint and its answer is not known or not kept.
+  // It reached the endpoint, and its answer is unknown or was not kept.
   return Refuse{ fail(ErrorKind::OutcomeUnknown), true };
 }
 
@@ -99,8 +100,9 @@
 Refuse
 StepLedger::refusePlain(const PlainCall& aCall, Error aError)
 {
-  // Once "not run" was said of a call that may not run twice, no other copy
-  // of it may run: not when the side stays after all, nor when there is room.
+  // Once this side has reported that a call that may not run twice did not run,
+  // no duplicate of it may run, even if the drain is cancelled or there is room
+  // again.
   Record* record = aCall.idempotent ? this->find(aCall.request)
                                     : this->findOrAdd(aCall.request);
   if (record == nullptr) {
@@ -128,7 +130,7 @@
   PlainState& plain = *record->plain;
   plain.inProgress = false;
   if (!aReply.mayHaveRun) {
-    // It never reached the endpoint; copies of this attempt never will.
+    // It never reached the endpoint, and duplicates of this attempt never will.
     record->everRan = plain.ranBefore;
     record->plain.reset();
     this->raiseFence(aRequest, *record, aAttempt + 1);
--- a/src/side/EndpointWatch.cpp
+++ b/src/side/EndpointWatch.cpp
@@ -57,8 +57,9 @@
 EndpointWatch::onSilence()
 {
   const std::scoped_lock lock{ this->guard };
-  // A dead endpoint holds nothing: entries stop choosing it with the next
-  // probe. Its incarnation is kept to tell a restart from a hiccup.
+  // A dead endpoint holds no layers: entries stop choosing it with the next
+  // probe. Its incarnation is kept to distinguish a restart from a short
+  // interruption.
   this->known.reset();
 }
 
--- a/src/side/EngineClient.cpp
+++ b/src/side/EngineClient.cpp
@@ -7,10 +7,12 @@
 
 constexpr int kHttpOk = 200;
 constexpr Duration kCancelTimeout = std::chrono::seconds{ 2 };
-/** A weight load goes through the rate-limited weight store. */
+/** Timeout of a weight load, which goes through the rate-limited weight
+ * store. */
 constexpr Duration kOrderTimeout = std::chrono::seconds{ 60 };
 
-/** What a step's HTTP ending proves. */
+/** Returns the output of a step, or the error that the end of its HTTP request
+ * proves. */
 Result<EngineOutput>
 judgeStep(const HttpResult& aResult)
 {
@@ -66,8 +68,8 @@
 void
 EngineClient::step(const EngineStep& aStep, Duration aTimeout, StepDone aDone)
 {
-  // A step that libcurl sent again by itself is harmless: the engine refuses
-  // a position that the sequence already holds. The answer is then lost, not
+  // A step that libcurl retries by itself is harmless: the engine rejects a
+  // position that the sequence already holds. The answer is then lost, not
   // wrong.
   this->http.send(this->post("/v1/steps", writeStep(aStep), aTimeout),
                   [done = std::move(aDone)](const HttpResult& aResult) {
@@ -117,8 +119,8 @@
 {
   HttpCall call = this->post(
     "/v1/orders", writeOrder(aModel, aVersion, aHolds, aFence), kOrderTimeout);
-  // Sent again by libcurl on a dead kept-alive connection, an order could act
-  // after a later one, at an engine that checks no fencing number.
+  // If libcurl retried an order after a kept-alive connection had closed, it
+  // could take effect after a later one: engines check no fencing numbers.
   call.freshConnection = true;
   this->http.send(
     std::move(call), [done = std::move(aDone)](const HttpResult& aResult) {
@@ -137,8 +139,8 @@
 {
   HttpCall call = this->post("/v1/" + aOperation, std::move(aBody), aTimeout);
   call.headers["x-request-id"] = aRequestId;
-  // See HttpCall::freshConnection: a kept-alive connection that dies under a
-  // dispatch would run it twice.
+  // See HttpCall::freshConnection: if a kept-alive connection closed during the
+  // call, libcurl would retry it, and it would run twice.
   call.freshConnection = !aIdempotent;
   this->http.send(std::move(call), std::move(aDone));
 }
--- a/src/side/EngineJson.cpp
+++ b/src/side/EngineJson.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::size_t kShownBytes = 120;
 
-/** Numbers above 2^53 travel as decimal strings; small ones may be plain. */
+/** Parses a number. Those above 2^53 are sent as decimal strings; smaller ones
+ * may be plain numbers. */
 std::uint64_t
 readNumber(const json& aValue)
 {
@@ -28,7 +29,7 @@
   return number;
 }
 
-/** Runs a reader; what it throws becomes EndpointFailed. */
+/** Runs a parser; an exception becomes EndpointFailed. */
 template<typename T, typename Reader>
 Result<T>
 readGuarded(const std::string& aBody, Reader aReader)
--- a/src/side/EngineJson.h
+++ b/src/side/EngineJson.h
@@ -6,8 +6,8 @@
 
 namespace poplartrack {
 
-/** The bodies of docs/ENGINE.md, written and read. Readers never throw; what
- * cannot be read is EndpointFailed. */
+/** Encoding and parsing of the bodies in docs/ENGINE.md. Parsers never throw;
+ * invalid input is EndpointFailed. */
 std::string
 writeStep(const EngineStep& aStep);
 Result<EngineOutput>
--- a/src/side/OrderGate.cpp
+++ b/src/side/OrderGate.cpp
@@ -7,8 +7,8 @@
 namespace poplartrack {
 namespace {
 
-/** A load whose call ended without an answer may still act for this long: more
- * than a call waits in an endpoint that is not frozen. */
+/** A load whose call ended without an answer may still take effect for this
+ * long: more than a call waits in an endpoint that is not suspended. */
 constexpr Duration kUnsureHolds = std::chrono::seconds{ 5 };
 
 } // namespace
--- a/src/side/PlainRunner.cpp
+++ b/src/side/PlainRunner.cpp
@@ -14,7 +14,7 @@
 PlainRunner::call(const PlainCall& aCall, const Responder& aRespond)
 {
   {
-    // Before the verdict, so that the call's end finds whoever joined it.
+    // Before the verdict, so that the end of the call finds this waiter.
     const std::scoped_lock lock{ this->guard };
     this->waiting[aCall.request].push_back(aRespond);
   }
@@ -37,13 +37,13 @@
     reply.refusal = Refusal::of(refuse.error);
     reply.mayHaveRun = refuse.everRan;
   }
-  // A refusal is the last comer's alone; others wait for the call itself.
+  // A rejection concerns only the latest waiter; the others wait for the call.
   Responder mine;
   {
     const std::scoped_lock lock{ this->guard };
     auto& responders = this->waiting[aCall.request];
     if (responders.empty()) {
-      // The call ended in between and has answered this one as well.
+      // The call has ended meanwhile and has answered this waiter as well.
       this->waiting.erase(aCall.request);
       return;
     }
--- a/src/side/SideServer.cpp
+++ b/src/side/SideServer.cpp
@@ -14,23 +14,25 @@
 constexpr Duration kWatchInterval = std::chrono::milliseconds{ 500 };
 constexpr Duration kWatchTimeout = std::chrono::seconds{ 1 };
 /**
- * An entry's word that the list calls this instance leaving holds this long.
- * Entries whose list lags say otherwise in between: without the hold the side
- * would flap and take work while its instance leaves. Longer than several
- * probe intervals, shorter than an operator waits after cancelling.
+ * How long an entry's report holds that the list shows this instance as
+ * leaving. Entries whose list lags report otherwise in between: without this
+ * the side would flap and accept work while its instance drains. Longer than
+ * several probe intervals, shorter than an operator waits after cancelling a
+ * drain.
  */
 constexpr Duration kListedLeavingHolds = std::chrono::seconds{ 15 };
 
-/** One read a side and start: 2,700 sides that start at once over two seconds
- * are within the platform's 2,000 reads a second. */
+/** Interval between reads of the lease until one succeeds. If 2,700 sides start
+ * at once, they make 1,350 reads a second; the platform serves 2,000. */
 constexpr Duration kFenceRetry = std::chrono::seconds{ 2 };
 constexpr Duration kFenceLearnt = std::chrono::hours{ 24 };
 
 std::uint64_t
 freshIncarnation()
 {
-  // Random, since a side keeps nothing over a restart. The top bits stay free
-  // so that counting up on endpoint restarts meets no other start's numbers.
+  // Random, since a side keeps no state over a restart. The lowest bits are
+  // zero, so that increments at restarts of the endpoint do not reach the
+  // number of another start.
   std::random_device source;
   constexpr unsigned kShift = 31;
   constexpr unsigned kCountBits = 8;
@@ -103,7 +105,7 @@
 
 SideServer::~SideServer()
 {
-  // Whoever calls into the parts ends first; the parts go last.
+  // The threads that call the parts end before the parts are destroyed.
   this->fenceWatch.reset();
   this->metricsServer.reset();
   this->server.reset();
@@ -285,7 +287,7 @@
 {
   const bool idle = this->ledger.with(
     [](StepLedger& aLedger) { return aLedger.openAttempts() == 0; });
-  // Replies that are still being written count as open work too.
+  // Replies that are still being written count as work in progress.
   return idle && this->server->openCalls() == 0;
 }
 
--- a/src/side/StageRunner.cpp
+++ b/src/side/StageRunner.cpp
@@ -22,7 +22,7 @@
   if (!info || info->model != aOpen.model ||
       info->modelVersion != aOpen.modelVersion || !hasStage ||
       !info->holds.contains(aOpen.route[aOpen.stage].runs)) {
-    // The view of the entry is older than a load order or a dead endpoint.
+    // The entry's view is older than a load order or the endpoint's failure.
     reply.refusal = Refusal::of(
       fail(ErrorKind::StageRefused, "the endpoint does not hold these layers"));
   } else {
@@ -126,8 +126,8 @@
   }
   TokenReady token = tokenForEntry(aRun, aStep, *aOutput.token);
   token.load = this->load();
-  // The next step starts before the entry has the token: the way to the entry
-  // and back would otherwise stand in every gap between tokens.
+  // The next step starts before the entry has the token. Otherwise every gap
+  // between tokens would include a round trip to the entry.
   if (!aRun.isLastToken) {
     this->sendStep(aRun,
                    stepForNextToken(aRun, aStep, *aOutput.token, runtimeNow()));
@@ -153,7 +153,8 @@
   this->parts.ledger.with([&](StepLedger& aLedger) {
     aLedger.onEndpointRestarted(aNewIncarnation, runtimeNow());
   });
-  // Untold, the entries would wait until each attempt counts as stalled.
+  // Without this report the entries would wait until each attempt counts as
+  // stalled.
   for (const DroppedAttempt& lost : this->parts.ledger.takeDropped()) {
     this->parts.engine.cancel(lost.sequence);
     this->tellTrouble(lost.replyTo,
--- a/src/side/StageRunnerSends.cpp
+++ b/src/side/StageRunnerSends.cpp
@@ -7,8 +7,8 @@
 namespace poplartrack {
 namespace {
 
-/** A next stage that does not take a step in this time, three times over, is
- * reported as lost; the entry's own stall detection is usually sooner. */
+/** A next stage that does not accept a step within this time, in three tries,
+ * is reported as lost. The entry's own stall detection is usually faster. */
 constexpr RepeatPolicy kStepRepeat{ 3,
                                     std::chrono::milliseconds{ 500 },
                                     std::chrono::milliseconds{ 20 } };
@@ -86,12 +86,12 @@
   });
   this->cancelDropped();
   if (aEntryLives) {
-    // It wants no more of this attempt and fences the route itself.
+    // The entry no longer needs this attempt and fences the route itself.
     return;
   }
-  // Nobody else would tell the other stages: their KV and their places would
-  // be held until the deadline, and a planned stop of theirs would wait for it.
-  // An entry that was only frozen may still open the next attempt.
+  // No other process would notify the other stages: they would keep KV and
+  // ledger records until the deadline, and their graceful shutdown would wait
+  // for it. An entry that was only suspended may still open the next attempt.
   FenceRequest fence;
   fence.request = open.request;
   fence.below = open.attempt + 1;
