--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -315,9 +315,9 @@
   void sendToOtherZones(std::string_view aStatus, bool aDirect);
   [[nodiscard]] bool goesToOtherZones(const PeerStatus& aStatus);
   [[nodiscard]] PeerStatus ownStatus();
-  void sendDatagram(const Address& aPeer,
-                    std::string_view aDatagram,
-                    std::string_view aSection = {}) const;
+  std::size_t sendDatagram(const Address& aPeer,
+                           std::string_view aDatagram,
+                           std::string_view aSection = {}) const;
   void readDatagram(const char* aBytes,
                     std::size_t aSize,
                     const Address& aFrom);
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -161,13 +161,15 @@
     return;
   }
   const std::string forwarded = packForwarded(this->forwardQueue, this->now);
+  std::size_t sent = 0;
   for (const Address& peer : *peers) {
     const auto known = this->knownPeers.find(peer);
     if (known == this->knownPeers.end() ||
         known->second.zone == this->settings.zone) {
-      this->sendDatagram(peer, bytes, forwarded);
+      sent += this->sendDatagram(peer, bytes, forwarded);
     }
   }
+  this->shared.metrics.count("status_bytes_zone_total", sent);
   if (aChanged ||
       (this->periodicRuns % 2 == 0 && this->goesToOtherZones(status))) {
     // Changes that protect replicas do not wait for a forwarder, and the
@@ -191,25 +193,27 @@
     }
   }
   const StatusTargets targets = chooseStatusTargets(this->localPeers, relays);
+  std::size_t sent = 0;
   for (const Address& relay : targets.direct) {
-    this->sendDatagram(relay, aStatus);
+    sent += this->sendDatagram(relay, aStatus);
   }
   const std::string request = packForwardRequest();
   for (const Address& relay : targets.forwarders) {
-    this->sendDatagram(relay, aStatus, request);
+    sent += this->sendDatagram(relay, aStatus, request);
   }
+  this->shared.metrics.count("status_bytes_other_zones_total", sent);
 }
 
 /** Sends a datagram, followed by the PeerEcho for its addressee and a packed
- * ForwardSection, if any. */
-void
+ * ForwardSection, if any. Returns its size in bytes. */
+std::size_t
 RelayLoop::Impl::sendDatagram(const Address& aPeer,
                               std::string_view aDatagram,
                               std::string_view aSection) const
 {
   const auto address = toSocketAddress(aPeer);
   if (!address) {
-    return;
+    return 0;
   }
   const auto known = this->knownPeers.find(aPeer);
   msgpack::sbuffer bytes;
@@ -224,6 +228,7 @@
                              MSG_NOSIGNAL,
                              reinterpret_cast<const sockaddr*>(&*address),
                              sizeof *address));
+  return bytes.size();
 }
 
 /** Returns whether this relay joined too recently to know which of its peers
