--- a/include/poplartrack/wire/CallOutcome.h
+++ b/include/poplartrack/wire/CallOutcome.h
@@ -5,18 +5,18 @@
 
 namespace poplartrack {
 
-/** What is known of a call between processes once it has ended. */
+/** Outcome of a call between processes. */
 enum class CallOutcome : std::uint8_t
 {
   /** The peer answered. */
   Replied,
-  /** The call provably never reached the peer's handler. */
+  /** The call certainly did not reach the peer's handler. */
   NotSent,
-  /** Cut or timed out after sending: it may still be handled, also later. */
+  /** Cut or timed out after sending: it may have been or still be handled. */
   Unknown,
 };
 
-/** How a call ended, and the reply's frame when it was answered. */
+/** Outcome of a call, and the frame of the reply if it was answered. */
 struct CallResult
 {
   CallOutcome outcome = CallOutcome::Unknown;
--- a/include/poplartrack/wire/Codec.h
+++ b/include/poplartrack/wire/Codec.h
@@ -12,19 +12,20 @@
 
 namespace poplartrack {
 
-/** Version of every message between the system's own processes. */
+/** Version of all messages between the system's own processes. */
 constexpr std::uint8_t kWireVersion = 1;
 /** Bytes before the MessagePack body: version, kind. */
 constexpr std::size_t kFrameHeaderBytes = 2;
-/** Largest frame taken: a whole configuration of 7,400 accounts is above
- * 1 MiB, and an entry that starts in an outage has it from a peer. */
+/** Largest frame that is accepted: the configuration of 7,400 accounts is
+ * larger than 1 MiB, and an entry that starts in an outage fetches it from a
+ * peer. */
 constexpr std::size_t kMaxFrameBytes = 4U << 20U;
 
-/** The kind of a frame; Malformed or WrongVersion when it has none. */
+/** Returns the kind of a frame; Malformed or WrongVersion if it has none. */
 Result<MessageKind>
 kindOf(std::string_view aFrame);
 
-/** One message as a frame: [version][kind][MessagePack array]. */
+/** Encodes a message as a frame: [version][kind][MessagePack array]. */
 template<typename Message>
 std::string
 encode(const Message& aMessage)
@@ -39,7 +40,8 @@
   return frame;
 }
 
-/** The message in a frame; never throws and never reads past the frame. */
+/** Decodes the message in a frame. Never throws and never reads past the
+ * frame. */
 template<typename Message>
 Result<Message>
 decode(std::string_view aFrame)
@@ -53,7 +55,7 @@
   }
   const std::string_view body = aFrame.substr(kFrameHeaderBytes);
   // A few bytes can claim a huge array, for which the library would reserve
-  // memory before it reads on. An element takes a byte at least, so no honest
+  // memory before it reads on. An element takes at least one byte, so no valid
   // array, map or string is longer than the body.
   const std::size_t most = body.size();
   constexpr std::size_t kMaxDepth = 16;
--- a/include/poplartrack/wire/ConfigFetch.h
+++ b/include/poplartrack/wire/ConfigFetch.h
@@ -10,7 +10,7 @@
 
 namespace poplartrack {
 
-/** Any process to an entry: give me a configuration newer than this. */
+/** From any process to an entry: requests a configuration newer than this. */
 struct ConfigFetch
 {
   static constexpr MessageKind kKind = MessageKind::ConfigFetch;
@@ -20,7 +20,8 @@
   MSGPACK_DEFINE(have);
 };
 
-/** The newest revision the peer has in force; empty text when not newer. */
+/** The revision that the peer has in force; text is empty if it is not newer.
+ */
 struct ConfigReply
 {
   static constexpr MessageKind kKind = MessageKind::ConfigReply;
--- a/include/poplartrack/wire/EndpointOrder.h
+++ b/include/poplartrack/wire/EndpointOrder.h
@@ -11,14 +11,15 @@
 
 namespace poplartrack {
 
-/** What an order asks of an endpoint. Append only. */
+/** What an order instructs an endpoint to do. The values are sent: only append
+ * new ones. */
 enum class OrderKind : std::uint8_t
 {
   /** Load these layers of this model version. */
   Load,
-  /** Take no new work; finish what is open. */
+  /** Accept no new work; finish work in progress. */
   Leave,
-  /** Take work again. */
+  /** Accept work again. */
   Stay,
 };
 
@@ -28,8 +29,8 @@
 
 namespace poplartrack {
 
-/** Placer to side. The side refuses a fencing number below the highest seen,
- * since some engines do not. */
+/** From placer to side. The side rejects a fencing number below the highest one
+ * seen, since some engines do not check it. */
 struct EndpointOrder
 {
   static constexpr MessageKind kKind = MessageKind::EndpointOrder;
@@ -43,7 +44,7 @@
   MSGPACK_DEFINE(order, fence, model, modelVersion, holds);
 };
 
-/** Taken or refused. */
+/** Whether the order was accepted. */
 struct OrderReply
 {
   static constexpr MessageKind kKind = MessageKind::OrderReply;
--- a/include/poplartrack/wire/FenceRequest.h
+++ b/include/poplartrack/wire/FenceRequest.h
@@ -11,8 +11,8 @@
 namespace poplartrack {
 
 /**
- * Entry to side: attempts below this number shall never run another step
- * here. kFenceAll is a tombstone for the request. Idempotent.
+ * From entry to side: attempts below this number must never run another step
+ * there. kFenceAll is a tombstone for the request. Idempotent.
  */
 struct FenceRequest
 {
@@ -21,13 +21,13 @@
 
   RequestId request;
   std::uint32_t below = 0;
-  /** The request ended well; the side may forget it after a while. */
+  /** The request succeeded; the side may forget it after a while. */
   bool finished = false;
 
   MSGPACK_DEFINE(request, below, finished);
 };
 
-/** The side's acknowledgement: the one proof of "not run". */
+/** The side's acknowledgement, the only proof that a request has not run. */
 struct FenceReply
 {
   static constexpr MessageKind kKind = MessageKind::FenceReply;
@@ -35,10 +35,10 @@
   Refusal refusal;
   /** Whether any step or call of the request ever reached the endpoint. */
   bool everRan = false;
-  /** The answering side's incarnation. An earlier one may have run it. */
+  /** Incarnation of the replying side. An earlier one may have run it. */
   std::uint64_t incarnation = 0;
-  /** The fence that is answered: a reply that was crossed with another's must
-   * not pass for proof. */
+  /** The fence that this replies to: the reply to another one must not count as
+   * proof. */
   RequestId request;
   std::uint32_t below = 0;
 
--- a/include/poplartrack/wire/LoadHint.h
+++ b/include/poplartrack/wire/LoadHint.h
@@ -7,8 +7,8 @@
 namespace poplartrack {
 
 /**
- * An endpoint's load as its side saw it. A hint for choosing, never proof: it
- * is late when it arrives.
+ * An endpoint's load as measured by its side. Only a hint for the choice of
+ * endpoints: it is out of date when it arrives.
  */
 struct LoadHint
 {
@@ -16,11 +16,11 @@
   std::uint32_t running = 0;
   /** Steps waiting at the side. */
   std::uint32_t queued = 0;
-  /** Attempts open at the side. */
+  /** Attempts in progress at the side. */
   std::uint32_t attempts = 0;
   /** Smoothed time of one decode step in the endpoint, microseconds. */
   std::uint32_t stepMicros = 0;
-  /** Tokens of KV the endpoint can still take; 0 when unknown. */
+  /** Tokens of KV for which the endpoint has memory left; 0 if unknown. */
   std::uint32_t freeTokens = 0;
 
   friend bool operator==(const LoadHint&, const LoadHint&) = default;
--- a/include/poplartrack/wire/MessageKind.h
+++ b/include/poplartrack/wire/MessageKind.h
@@ -4,7 +4,7 @@
 
 namespace poplartrack {
 
-/** The first field of a frame's payload. Append only. */
+/** The first field of a frame's payload. Only append new values. */
 enum class MessageKind : std::uint8_t
 {
   OpenAttempt,
--- a/include/poplartrack/wire/PlainCall.h
+++ b/include/poplartrack/wire/PlainCall.h
@@ -12,18 +12,18 @@
 
 namespace poplartrack {
 
-/** Entry to side: one call of a plain service. */
+/** From entry to side: one call of a plain service. */
 struct PlainCall
 {
   static constexpr MessageKind kKind = MessageKind::PlainCall;
 
   RequestId request;
   std::uint32_t attempt = 0;
-  /** The side's incarnation the entry chose. */
+  /** Incarnation of the side that the entry chose. */
   std::uint64_t incarnation = 0;
   std::string service;
   std::string operation;
-  /** JSON text, passed on as it is. */
+  /** JSON text, passed on unchanged. */
   std::string body;
   bool idempotent = true;
   std::uint64_t remainingMicros = 0;
@@ -46,14 +46,14 @@
   static constexpr MessageKind kKind = MessageKind::PlainReply;
 
   Refusal refusal;
-  /** True unless the call provably never reached the service. */
+  /** False only if the call certainly did not reach the service. */
   bool mayHaveRun = true;
-  /** HTTP status of the service; 0 when refused. */
+  /** HTTP status of the service; 0 if the call was rejected. */
   std::uint32_t status = 0;
   std::string body;
   LoadHint load;
-  /** The call's request: a caller must never get another's answer, even when
-   * replies are crossed. */
+  /** The request that this replies to: a caller must never receive the answer
+   * to another request. */
   RequestId request;
 
   MSGPACK_DEFINE(refusal, mayHaveRun, status, body, load, request);
--- a/include/poplartrack/wire/Probe.h
+++ b/include/poplartrack/wire/Probe.h
@@ -12,24 +12,25 @@
 
 namespace poplartrack {
 
-/** Entry to side: who are you, how are you. Carries the newest revision. */
+/** From entry to side: queries identity and load, and reports the revision in
+ * force. */
 struct Probe
 {
   static constexpr MessageKind kKind = MessageKind::Probe;
 
   std::string from;
-  /** The prober's own address, from which a revision can be fetched. */
+  /** The sender's own address, from which a revision can be fetched. */
   std::string address;
   std::uint64_t revision = 0;
-  /** The platform's list, as the prober last read it, calls the endpoint's
-   * instance leaving. Sides do not read the list themselves: 2,700 of them
-   * would use up the platform's reads. */
+  /** The platform's list, as the sender last read it, shows the endpoint's
+   * instance as leaving. Sides do not read the list themselves: 2,700 of them
+   * would use up the platform's capacity for reads. */
   bool listedLeaving = false;
 
   MSGPACK_DEFINE(from, address, revision, listedLeaving);
 };
 
-/** What the endpoint behind the side is and holds. */
+/** Identity of the endpoint beside the side, and the layers that it holds. */
 struct ProbeReply
 {
   static constexpr MessageKind kKind = MessageKind::ProbeReply;
@@ -41,7 +42,7 @@
   std::string region;
   /** "engine" or the plain service's name. */
   std::string service;
-  /** Kind of accelerator; empty at plain services. */
+  /** Kind of accelerator; empty for plain services. */
   std::string accelerator;
   std::string model;
   std::string modelVersion;
@@ -49,11 +50,12 @@
   bool leaving = false;
   std::uint64_t revision = 0;
   LoadHint load;
-  /** Highest fencing number the side has taken an order with. */
+  /** Highest fencing number of an order that the side has accepted. */
   std::uint64_t fence = 0;
-  /** Layers that fit the endpoint's memory; 0: it did not say. */
+  /** Layers that fit into the endpoint's memory; 0 if it is not reported. */
   std::uint32_t capacityLayers = 0;
-  /** Layers of one token that it nominally runs a second; 0: it did not say. */
+  /** Layers of one token that it nominally runs a second; 0 if it is not
+   * reported. */
   std::uint32_t layersPerSecond = 0;
 
   MSGPACK_DEFINE(refusal,
--- a/include/poplartrack/wire/ReceiptEntry.h
+++ b/include/poplartrack/wire/ReceiptEntry.h
@@ -10,7 +10,7 @@
 
 namespace poplartrack {
 
-/** Which endpoint ran which layers of one token. */
+/** The endpoint that ran some layers of one token. */
 struct ReceiptEntry
 {
   std::string endpoint;
@@ -21,7 +21,7 @@
   MSGPACK_DEFINE(endpoint, incarnation, ran);
 };
 
-/** The stages that made one token, in the order in which they ran. */
+/** The stages that generated one token, in the order in which they ran. */
 using Receipt = std::vector<ReceiptEntry>;
 
 } // namespace poplartrack
--- a/include/poplartrack/wire/Refusal.h
+++ b/include/poplartrack/wire/Refusal.h
@@ -10,7 +10,7 @@
 
 namespace poplartrack {
 
-/** Whether a reply accepts; with the error when it does not. */
+/** Whether a reply is a rejection, and its error. */
 struct Refusal
 {
   bool refused = false;
--- a/include/poplartrack/wire/Repeat.h
+++ b/include/poplartrack/wire/Repeat.h
@@ -9,7 +9,7 @@
 
 namespace poplartrack {
 
-/** How often, and how far apart, an idempotent message is sent again. */
+/** Number and interval of the retries of an idempotent message. */
 struct RepeatPolicy
 {
   int tries = 3;
@@ -18,9 +18,9 @@
 };
 
 /**
- * Calls a peer with a message whose handling is idempotent, again while no
- * reply comes. aOnRepeat is told of each repeat. The last try's ending is
- * reported.
+ * Calls a peer with a message whose handling is idempotent, and retries until
+ * there is a reply. aOnRepeat is called for each retry. The outcome of the last
+ * try is reported.
  */
 template<typename Reply, typename Message>
 void
--- a/include/poplartrack/wire/RouteStage.h
+++ b/include/poplartrack/wire/RouteStage.h
@@ -10,15 +10,16 @@
 
 namespace poplartrack {
 
-/** One stage of a route: which endpoint runs which layers. */
+/** One stage of a route: an endpoint and the layers that it runs. */
 struct RouteStage
 {
   std::string endpoint;
-  /** The side's incarnation; a side restarted since refuses the stage. */
+  /** Incarnation of the side. A side that has restarted since rejects the
+   * stage. */
   std::uint64_t incarnation = 0;
   /** The side's address, "A.B.C.D:PORT". */
   std::string address;
-  /** What it runs, which may be less than what it holds. */
+  /** The layers that it runs, which may be fewer than it holds. */
   LayerRange runs;
 
   friend bool operator==(const RouteStage&, const RouteStage&) = default;
--- a/include/poplartrack/wire/RunStep.h
+++ b/include/poplartrack/wire/RunStep.h
@@ -13,10 +13,10 @@
 namespace poplartrack {
 
 /**
- * Run the receiving stage's layers over these inputs. The first step of an
- * attempt comes from the entry (prefill); later ones from side to side.
- * Repeats are harmless: the side runs a position once and answers repeats as
- * accepted.
+ * Runs the receiving stage's layers on these inputs. The first step of an
+ * attempt is sent by the entry (prefill), later ones from side to side.
+ * Duplicates are harmless: the side runs a position once and answers duplicates
+ * as accepted.
  */
 struct RunStep
 {
@@ -26,13 +26,14 @@
   std::uint32_t attempt = 0;
   /** Position of the first input. */
   std::uint32_t position = 0;
-  /** Layer at which the inputs enter; where the previous stage ended. */
+  /** The first layer to run on the inputs, where the previous stage ended. */
   std::uint32_t layer = 0;
-  /** Token ids at layer 0, activations after it; one a position. */
+  /** Token ids at layer 0, activations at later layers; one for each
+   * position. */
   std::vector<std::uint64_t> inputs;
   /** Stages that ran before this one in the same step. */
   Receipt receipt;
-  /** Time left until the deadline when sent. */
+  /** Time until the deadline when the message was sent. */
   std::uint64_t remainingMicros = 0;
 
   MSGPACK_DEFINE(request,
@@ -44,14 +45,15 @@
                  remainingMicros);
 };
 
-/** Accepted (it will run or has run) or refused; not the step's result. */
+/** Whether the step was accepted, so that it will run or has run. It does not
+ * contain the step's result. */
 struct StepReply
 {
   static constexpr MessageKind kKind = MessageKind::StepReply;
 
   Refusal refusal;
-  /** The step's own request and attempt: a reply that was crossed with
-   * another's must not pass for proof that this step was refused. */
+  /** Request and attempt of the step: the reply to another one must not count
+   * as proof that this step was rejected. */
   RequestId request;
   std::uint32_t attempt = 0;
 
--- a/include/poplartrack/wire/ShareWishes.h
+++ b/include/poplartrack/wire/ShareWishes.h
@@ -12,7 +12,7 @@
 
 namespace poplartrack {
 
-/** Entry to the entry that owns these accounts: what demand there is. */
+/** From an entry to the entry that owns these accounts: its demand. */
 struct ShareWishes
 {
   static constexpr MessageKind kKind = MessageKind::ShareWishes;
@@ -26,7 +26,7 @@
   MSGPACK_DEFINE(from, address, revision, wishes);
 };
 
-/** The owner's answer. */
+/** The owner's reply. */
 struct ShareGrants
 {
   static constexpr MessageKind kKind = MessageKind::ShareGrants;
--- a/include/poplartrack/wire/StageTrouble.h
+++ b/include/poplartrack/wire/StageTrouble.h
@@ -11,14 +11,14 @@
 
 namespace poplartrack {
 
-/** Any side to the entry: this attempt cannot go on. */
+/** From a side to the entry: this attempt cannot continue. */
 struct StageTrouble
 {
   static constexpr MessageKind kKind = MessageKind::StageTrouble;
 
   RequestId request;
   std::uint32_t attempt = 0;
-  /** The endpoint that is to blame: the sender's own or the next one's. */
+  /** The endpoint that failed: the sender's own or that of the next stage. */
   std::string endpoint;
   ErrorKind kind = ErrorKind::Internal;
   std::string detail;
@@ -26,7 +26,7 @@
   MSGPACK_DEFINE(request, attempt, endpoint, kind, detail);
 };
 
-/** The entry has heard. */
+/** Acknowledgement of the entry. */
 struct TroubleReply
 {
   static constexpr MessageKind kKind = MessageKind::TroubleReply;
--- a/include/poplartrack/wire/StreamClient.h
+++ b/include/poplartrack/wire/StreamClient.h
@@ -13,28 +13,30 @@
 
 namespace poplartrack {
 
-/** Bounds of a client. */
+/** Timeouts and limits of a client. */
 struct StreamClientLimits
 {
   Duration connectTimeout = std::chrono::seconds{ 1 };
   /** After a failed connect, calls to that peer fail as NotSent for this long
-   * plus up to as much again at random, so a zone's return is no storm. */
+   * plus a random time up to as much again, so that not all processes reconnect
+   * at once when a zone is available again. */
   Duration reconnectBackoff = std::chrono::milliseconds{ 100 };
   std::size_t maxFrameBytes = kMaxFrameBytes;
   /** A peer with open calls that has been silent this long is sent a PING. */
   Duration pingInterval = std::chrono::seconds{ 1 };
-  /** A PING without an answer for this long cuts the connection. */
+  /** If a PING is not answered for this long, the connection is closed. */
   Duration pingTimeout = std::chrono::seconds{ 2 };
 };
 
-/** Told once how a call ended; runs on the client's I/O thread. */
+/** Called once with the result of a call, on the client's I/O thread. */
 using CallDone = std::function<void(CallResult aResult)>;
 
 /**
- * Calls other poplartrack processes: one connection a peer, kept open, one
- * HTTP/2 stream a call, one I/O thread. Never sends a call twice by itself: a
- * stream the peer provably did not handle (REFUSED_STREAM, above GOAWAY's last
- * id, connect failure) ends as NotSent, any other cut as Unknown.
+ * Calls other poplartrack processes, with one persistent connection for each
+ * peer, one HTTP/2 stream for each call, and one I/O thread. Never retries a
+ * call by itself. A stream that the peer certainly did not handle
+ * (REFUSED_STREAM, above GOAWAY's last id, connect failure) ends as NotSent,
+ * any other interruption as Unknown.
  */
 class StreamClient
 {
@@ -43,7 +45,7 @@
     StreamClientLimits aLimits);
   StreamClient(const StreamClient&) = delete;
   StreamClient& operator=(const StreamClient&) = delete;
-  /** Ends open calls as Unknown. */
+  /** Ends calls in progress as Unknown. */
   ~StreamClient();
 
   /** Starts a call and returns at once. */
@@ -58,18 +60,18 @@
   std::unique_ptr<Impl> impl;
 };
 
-/** What a typed call gives: the reply, or the outcome that denied one. */
+/** Result of a typed call: the reply, or the outcome without one. */
 template<typename Reply>
 struct TypedResult
 {
   CallOutcome outcome = CallOutcome::Unknown;
-  /** Valid only when outcome is Replied. */
+  /** Valid only if outcome is Replied. */
   Reply reply;
   std::string detail;
 };
 
-/** Calls with a message and decodes the reply. A reply that cannot be decoded
- * counts as Unknown: the peer did handle something. */
+/** Sends a message and decodes the reply. A reply that cannot be decoded counts
+ * as Unknown: the peer may have handled the message. */
 template<typename Reply, typename Message>
 void
 callPeer(StreamClient& aClient,
--- a/include/poplartrack/wire/TokenReady.h
+++ b/include/poplartrack/wire/TokenReady.h
@@ -12,14 +12,15 @@
 
 namespace poplartrack {
 
-/** Last side of a route to the entry: one token and what made it. */
+/** From the last side of a route to the entry: one token and the receipt of its
+ * stages. */
 struct TokenReady
 {
   static constexpr MessageKind kKind = MessageKind::TokenReady;
 
   RequestId request;
   std::uint32_t attempt = 0;
-  /** The token's own position: one past the last input that made it. */
+  /** The token's position: one after the last input it was generated from. */
   std::uint32_t position = 0;
   std::uint32_t token = 0;
   Receipt receipt;
@@ -28,7 +29,7 @@
   MSGPACK_DEFINE(request, attempt, position, token, receipt, load);
 };
 
-/** The entry's answer; a refusal tells the side to drop the attempt. */
+/** The entry's reply. After a rejection the side drops the attempt. */
 struct TokenReply
 {
   static constexpr MessageKind kKind = MessageKind::TokenReply;
--- a/src/wire/ClientCall.h
+++ b/src/wire/ClientCall.h
@@ -20,7 +20,7 @@
   bool replyTooLarge = false;
 };
 
-/** A call that is over, with what its caller is to be told. */
+/** A call that has ended, with the result for its caller. */
 struct EndedCall
 {
   ClientCall call;
--- a/src/wire/ClientConnection.cpp
+++ b/src/wire/ClientConnection.cpp
@@ -9,7 +9,7 @@
 namespace poplartrack {
 namespace {
 
-/** Streams a server may open towards us: none. */
+/** Streams that a server may open: none. */
 constexpr std::size_t kNoStreams = 0;
 
 } // namespace
@@ -143,8 +143,8 @@
     const std::int32_t stream = found->second;
     this->http2.reset(stream, NGHTTP2_CANCEL);
     ClientCall call = std::move(this->calls.extract(stream).mapped());
-    // Without its call, the stream's body is not read any further: a call
-    // that had not ended by now never will.
+    // Without its call, the rest of the stream's body is not read: a call that
+    // has not been sent completely by now will not be handled.
     const CallOutcome outcome =
       call.source.ended() ? CallOutcome::Unknown : CallOutcome::NotSent;
     this->end(std::move(call), outcome, kDetail);
@@ -193,7 +193,7 @@
   for (ClientCall& call : std::exchange(this->waiting, {})) {
     this->end(std::move(call), CallOutcome::NotSent, aDetail);
   }
-  // Nothing more is written: what the kernel has not taken never leaves.
+  // Nothing more is written: what the kernel has not accepted is never sent.
   const std::uint64_t sent = this->http2.sentBytes();
   for (auto& [stream, call] : std::exchange(this->calls, {})) {
     const CallOutcome outcome = call.source.endMayHaveLeft(sent)
--- a/src/wire/ClientConnection.h
+++ b/src/wire/ClientConnection.h
@@ -18,9 +18,9 @@
 /**
  * One connection to a peer and the calls on it.
  *
- * A call is written only after the peer's SETTINGS have come. A frozen peer's
- * kernel still accepts connections and swallows what is sent; without this
- * wait, every call to it would have to end as Unknown.
+ * A call is written only after the peer's SETTINGS have arrived. The kernel of
+ * a suspended peer still accepts connections and data. Without this wait, every
+ * call to it would have to end as Unknown.
  */
 class ClientConnection
 {
@@ -31,27 +31,27 @@
 
   /** Starts a call, or keeps it until the connection is open. */
   void add(ClientCall aCall, TimePoint aNow);
-  /** The socket is ready. */
+  /** Handles readiness of the socket. */
   void onReady(const ReadyEvent& aEvent, TimePoint aNow);
-  /** Connect deadline and keep-alive. */
+  /** Handles the connect timeout and the keep-alive. */
   void onTimer(TimePoint aNow);
-  /** Gives a call up because its time is over. */
+  /** Ends a call whose timeout has passed. */
   void expire(std::uint64_t aNumber);
   /** Writes what is due. */
   void transmit();
   /** Ends the connection and every call on it. */
   void close(const std::string& aDetail);
 
-  /** The calls that have ended since the last time. */
+  /** Returns the calls that have ended since the last call of this. */
   std::vector<EndedCall> takeEnded();
   /** When onTimer() is to be called next. */
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
   [[nodiscard]] int fd() const { return this->http2.fd(); }
   [[nodiscard]] bool wantsWrite() const;
   [[nodiscard]] bool closed() const { return this->state == State::Closed; }
-  /** Whether the peer was ever ready for calls. */
+  /** Returns whether the peer has ever been ready for calls. */
   [[nodiscard]] bool wasOpen() const { return this->everOpen; }
-  /** Whether new calls need another connection. */
+  /** Returns whether new calls need another connection. */
   [[nodiscard]] bool leaving() const { return this->goneAway; }
 
   // Http2Owner.
@@ -70,7 +70,7 @@
   enum class State : std::uint8_t
   {
     Connecting,
-    /** Connected; the peer's SETTINGS have not come. */
+    /** Connected; the peer's SETTINGS have not arrived. */
     Greeting,
     Open,
     Closed,
--- a/src/wire/ClientConnectionStreams.cpp
+++ b/src/wire/ClientConnectionStreams.cpp
@@ -1,4 +1,4 @@
-// What a ClientConnection does when nghttp2 tells it of its streams.
+// Callbacks of nghttp2 for the streams of a ClientConnection.
 
 #include "ClientConnection.h"
 
@@ -9,8 +9,8 @@
 
 constexpr std::string_view kAccepted = "200";
 
-/** What is known of a call whose stream has closed under a connection that
- * goes on. The peer handles a call only once its last byte has come. */
+/** Returns the outcome of a call whose stream was closed on a connection that
+ * stays open. The peer handles a call only after its last byte. */
 CallOutcome
 outcomeOf(const ClientCall& aCall, std::uint32_t aCode)
 {
--- a/src/wire/ClientLoop.h
+++ b/src/wire/ClientLoop.h
@@ -18,7 +18,7 @@
 
 namespace poplartrack {
 
-/** A call on its way to the I/O thread. */
+/** A call that is passed to the I/O thread. */
 struct NewCall
 {
   Address peer;
@@ -41,14 +41,14 @@
   }
   ClientLoop(const ClientLoop&) = delete;
   ClientLoop& operator=(const ClientLoop&) = delete;
-  /** Ends open calls as Unknown. */
+  /** Ends calls in progress as Unknown. */
   ~ClientLoop();
 
-  /** Starts a call; from any thread. */
+  /** Starts a call. May be called from any thread. */
   void call(NewCall aCall);
 
 private:
-  /** A connection and the peer it leads to. */
+  /** A connection and its peer. */
   struct Link
   {
     ClientConnection connection;
@@ -75,10 +75,10 @@
   Poller poller;
   Mailbox<NewCall> inbox;
   std::atomic<bool> stopping{ false };
-  // All below belongs to the I/O thread.
+  // All members below are used by the I/O thread only.
   PeerTable peers;
   std::unordered_map<std::uint64_t, std::unique_ptr<Link>> links;
-  // Which connection a call is on, by the call's number.
+  // The connection of each call, by the number of the call.
   std::unordered_map<std::uint64_t, std::uint64_t> places;
   TimerQueue callTimers;
   TimerQueue connectionTimers;
--- a/src/wire/FrameSource.h
+++ b/src/wire/FrameSource.h
@@ -35,7 +35,7 @@
     return size;
   }
 
-  /** Whether the last bytes have been read. */
+  /** Returns whether the last bytes have been read. */
   [[nodiscard]] bool ended() const { return this->lastFrameAt.has_value(); }
 
   /** Whether a byte of the DATA frame that ends the stream can have reached
--- a/src/wire/Http2Connection.h
+++ b/src/wire/Http2Connection.h
@@ -13,25 +13,25 @@
 
 namespace poplartrack {
 
-/** Which side of an HTTP/2 connection we are. */
+/** Role of this process on an HTTP/2 connection. */
 enum class Http2Role : std::uint8_t
 {
   Client,
   Server,
 };
 
-/** What we tell the peer in our SETTINGS. */
+/** Values of the SETTINGS sent to the peer. */
 struct Http2Bounds
 {
   /** Streams that the peer may have open at once. */
   std::size_t maxStreams = 0;
-  /** Largest body that we take; a stream's window holds all of it. */
+  /** Largest body that is accepted; it fits into the window of a stream. */
   std::size_t maxFrameBytes = 0;
 };
 
 /**
- * Told what happens on the streams of a connection. The owner must not destroy
- * the connection from within these.
+ * Callbacks for the streams of a connection. The owner must not destroy the
+ * connection in them.
  */
 template<typename T>
 concept Http2Owner = requires(T& aOwner,
@@ -63,18 +63,18 @@
 class Http2Connection
 {
 public:
-  /** aOwner must outlive the connection. */
+  /** @param aOwner must outlive the connection */
   Http2Connection(Owner& aOwner, OwnedFd aFd);
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
   ~Http2Connection();
 
-  /** Creates the session and queues our SETTINGS. */
+  /** Creates the session and queues the SETTINGS. */
   bool open(Http2Role aRole, const Http2Bounds& aBounds);
 
-  /** Opens a stream whose body the owner gives; negative on failure. */
+  /** Opens a stream whose body the owner supplies; negative on failure. */
   std::int32_t submitCall();
-  /** Answers a stream with a body that the owner gives. */
+  /** Answers a stream with a body that the owner supplies. */
   bool submitReply(std::int32_t aStream);
   /** Ends a stream with an HTTP/2 error code. */
   void reset(std::int32_t aStream, std::uint32_t aCode);
@@ -83,13 +83,13 @@
   void goAway();
   void ping();
 
-  /** Reads what has come; false when the connection is gone. */
+  /** Reads available data. Returns false if the connection is closed. */
   bool receive();
-  /** Writes what is due; false when the connection is gone. */
+  /** Writes queued data. Returns false if the connection is closed. */
   bool transmit();
-  /** Whether transmit() waits for the socket. */
+  /** Returns whether transmit() waits for the socket. */
   [[nodiscard]] bool blocked() const { return this->output.pending() > 0; }
-  /** Whether the session has nothing left to read or write. */
+  /** Returns whether the session has nothing left to read or write. */
   [[nodiscard]] bool finished() const;
 
   [[nodiscard]] int fd() const { return this->socket.get(); }
--- a/src/wire/Http2Connection.inl.h
+++ b/src/wire/Http2Connection.inl.h
@@ -14,17 +14,17 @@
 
 /** Bytes read from a socket at once. */
 constexpr std::size_t kReadBytes = 64U << 10U;
-/** Reads from one socket before the others get their turn. */
+/** Maximum number of reads from one socket before others are read. */
 constexpr int kReadsPerTurn = 16;
-/** Serialised bytes that wait for a socket before more are made. */
+/** Serialized bytes that may wait for a socket before more are produced. */
 constexpr std::size_t kOutputBytes = 256U << 10U;
-/** Payload of one DATA frame: large enough to be cheap, small enough that a
- * large body does not hold up the small ones beside it. */
+/** Payload of one DATA frame: large enough for little overhead, small enough
+ * that a large body does not delay the small ones on the same connection. */
 constexpr std::uint32_t kDataBytes = 64U << 10U;
 /** Window of a whole connection. */
 constexpr std::int32_t kConnectionWindow = 16 << 20;
-/** Room in a stream's window beyond the largest frame, so that a frame over
- * the limit is seen to be over it instead of stalling. */
+/** Size of a stream's window beyond the largest frame, so that a frame above
+ * the limit is detected instead of stalling. */
 constexpr std::size_t kWindowSlack = 64U << 10U;
 
 template<std::size_t NameSize, std::size_t ValueSize>
@@ -33,7 +33,7 @@
 {
   constexpr std::uint8_t kNoCopy =
     NGHTTP2_NV_FLAG_NO_COPY_NAME | NGHTTP2_NV_FLAG_NO_COPY_VALUE;
-  // nghttp2 takes non-const pointers and does not write through them.
+  // nghttp2 has non-const parameters but does not write through them.
   return nghttp2_nv{ reinterpret_cast<std::uint8_t*>(const_cast<char*>(aName)),
                      reinterpret_cast<std::uint8_t*>(const_cast<char*>(aValue)),
                      NameSize - 1,
@@ -41,12 +41,12 @@
                      kNoCopy };
 }
 
-/** Streams a second that a peer may reset. Callers reset what has timed out,
- * and the library's own limit of 33 a second would answer a brown-out by
- * cutting the whole connection with all its other calls. */
+/** Streams a second that a peer may reset. Callers reset calls that have timed
+ * out. With the library's own limit of 33 a second, an overload would close the
+ * whole connection with all its other calls. */
 constexpr std::uint64_t kResetsPerSecond = 10'000;
 
-/** The static callbacks through which nghttp2 reaches an owner. */
+/** The static callbacks by which nghttp2 calls an owner. */
 template<typename Owner>
 struct Callbacks
 {
@@ -193,7 +193,7 @@
     nghttp2_session_callbacks_del(callbacks);
     return false;
   }
-  // Closed streams are kept only for priorities, which we do not use.
+  // Closed streams are kept only for priorities, which are not used here.
   nghttp2_option_set_no_closed_streams(option, 1);
   nghttp2_option_set_stream_reset_rate_limit(
     option, http2::kResetsPerSecond, http2::kResetsPerSecond);
--- a/src/wire/KeepAlive.h
+++ b/src/wire/KeepAlive.h
@@ -7,12 +7,12 @@
 namespace poplartrack {
 
 /**
- * Decides when a connection with open calls must be asked for a sign of life
- * and when it counts as dead.
+ * Decides when a PING is sent on a connection with calls in progress, and when
+ * the connection counts as dead.
  *
- * A peer that is frozen, or whose network path was cut, closes nothing: calls
- * to it would wait for their whole timeout, each anew. A PING that stays
- * unanswered for the timeout ends the connection and all its calls at once.
+ * A peer that is suspended, or whose network path is cut, does not close its
+ * connections: each call to it would wait for its whole timeout. A PING that is
+ * not answered in time ends the connection and all its calls at once.
  */
 class KeepAlive
 {
@@ -22,7 +22,7 @@
     Wait,
     /** Send a PING now. */
     Ping,
-    /** Give the connection up. */
+    /** Close the connection. */
     Dead,
   };
 
@@ -32,14 +32,14 @@
   {
   }
 
-  /** Bytes have come, or the first call has just been opened. */
+  /** Handles received bytes, or the start of the first call. */
   void heard(TimePoint aNow)
   {
     this->lastHeard = aNow;
     this->pinged = false;
   }
 
-  /** What to do now; asked at next(), or any time. */
+  /** Returns what to do now. Call at next(), or at any time. */
   Step check(TimePoint aNow)
   {
     if (aNow < this->next()) {
@@ -53,7 +53,7 @@
     return Step::Ping;
   }
 
-  /** When check() will next say something else than Wait. */
+  /** Returns when check() will next return something other than Wait. */
   [[nodiscard]] TimePoint next() const
   {
     return this->pinged ? this->pingedAt + this->timeout
--- a/src/wire/Mailbox.h
+++ b/src/wire/Mailbox.h
@@ -9,19 +9,19 @@
 
 namespace poplartrack {
 
-/** Hands values from any thread to an I/O thread that sleeps in a Poller. */
+/** Passes values from any thread to an I/O thread that waits in a Poller. */
 template<typename T>
 class Mailbox
 {
 public:
-  /** aPoller must live until close(). */
+  /** @param aPoller must exist until close() */
   explicit Mailbox(Poller& aPoller)
     : poller(aPoller)
   {
   }
 
-  /** Leaves a value for the I/O thread. False when the mailbox is closed; the
-   * value is then untouched. */
+  /** Queues a value for the I/O thread. Returns false if the mailbox is closed;
+   * the value is then unchanged. */
   bool push(T& aValue)
   {
     const std::scoped_lock lock{ this->mutex };
@@ -30,15 +30,15 @@
     }
     const bool first = this->values.empty();
     this->values.push_back(std::move(aValue));
-    // One wake-up serves all values until they are taken, and the I/O thread
-    // itself looks before it sleeps.
+    // One wake-up is enough for all values until they are taken, and the I/O
+    // thread itself checks before it waits.
     if (first && std::this_thread::get_id() != this->reader) {
       this->poller.wake();
     }
     return true;
   }
 
-  /** All values left so far. Called by the I/O thread. */
+  /** Returns all queued values. Called by the I/O thread. */
   std::vector<T> take()
   {
     std::vector<T> taken;
@@ -54,7 +54,7 @@
     return this->values.empty();
   }
 
-  /** Refuses values from now on and gives those left. */
+  /** Rejects values from now on and returns the queued ones. */
   std::vector<T> close()
   {
     std::vector<T> taken;
--- a/src/wire/PeerTable.cpp
+++ b/src/wire/PeerTable.cpp
@@ -3,7 +3,7 @@
 namespace poplartrack {
 namespace {
 
-/** Peers remembered before those that need not be are forgotten. */
+/** Number of peers above which unneeded ones are forgotten. */
 constexpr std::size_t kPeersBeforeSweep = 1024;
 
 } // namespace
--- a/src/wire/PeerTable.h
+++ b/src/wire/PeerTable.h
@@ -13,10 +13,10 @@
 namespace poplartrack {
 
 /**
- * Which connection leads to which peer, and when a peer may be tried again.
+ * The connection to each peer, and when a failed connect may be retried.
  *
- * When a zone returns, hundreds of processes would connect to each of its
- * instances in the same moment. The backoff after a failed connect has a
+ * When a zone is available again, hundreds of processes would connect to each
+ * of its instances at the same time. The backoff after a failed connect has a
  * random part as long as its fixed part, which spreads them.
  */
 class PeerTable
@@ -28,19 +28,19 @@
   {
   }
 
-  /** The connection for new calls to a peer; 0 when there is none. */
+  /** Returns the connection for new calls to a peer; 0 if there is none. */
   [[nodiscard]] std::uint64_t connectionTo(const Address& aPeer) const;
-  /** Whether a connect may be tried. */
+  /** Returns whether a connect may be tried. */
   [[nodiscard]] bool mayConnect(const Address& aPeer, TimePoint aNow) const;
-  /** New calls to the peer go to this connection. */
+  /** Sets the connection for new calls to the peer. */
   void connected(const Address& aPeer,
                  std::uint64_t aConnection,
                  TimePoint aNow);
-  /** The connection has ended; a later one stays in place. */
+  /** Removes a connection that has ended, unless a later one replaced it. */
   void lost(const Address& aPeer, std::uint64_t aConnection);
-  /** A connect to the peer has failed. */
+  /** Handles a failed connect to the peer. */
   void failed(const Address& aPeer, TimePoint aNow);
-  /** Peers remembered. */
+  /** Number of known peers. */
   [[nodiscard]] std::size_t size() const { return this->peers.size(); }
 
 private:
--- a/src/wire/Poller.cpp
+++ b/src/wire/Poller.cpp
@@ -11,7 +11,7 @@
 namespace poplartrack {
 namespace {
 
-/** Descriptors reported by one wait; the rest follow with the next. */
+/** Maximum number of descriptors that one wait reports. */
 constexpr std::size_t kEventsPerWait = 256;
 
 constexpr int kForever = -1;
@@ -22,7 +22,7 @@
   if (!aUntil) {
     return kForever;
   }
-  // Rounded up: a wait that ends early would spin until the time has come.
+  // Rounded up: otherwise waits would end early and spin until the timeout.
   const auto left =
     std::chrono::ceil<std::chrono::milliseconds>(*aUntil - aNow).count();
   constexpr std::int64_t kLongest = 60'000;
@@ -109,7 +109,7 @@
 Poller::wake()
 {
   const std::uint64_t one = 1;
-  // Fails only when a wake-up is pending already.
+  // Fails only if a wake-up is already pending.
   [[maybe_unused]] const ssize_t written =
     ::write(this->event.get(), &one, sizeof one);
 }
--- a/src/wire/Poller.h
+++ b/src/wire/Poller.h
@@ -26,23 +26,23 @@
 class Poller
 {
 public:
-  /** Key of no descriptor; used for the eventfd itself. */
+  /** Key of the eventfd; no descriptor has it. */
   static constexpr std::uint64_t kWakeKey = 0;
 
   static Result<Poller> create();
 
   /** Starts to watch a descriptor for reading, and for writing if aWrite.
-   * False when the kernel refuses. */
+   * Returns false on failure. */
   bool add(int aFd, std::uint64_t aKey, bool aWrite);
-  /** Changes what a watched descriptor is watched for. */
+  /** Changes the events that a descriptor is watched for. */
   void change(int aFd, std::uint64_t aKey, bool aWrite, bool aRead = true);
   /** Stops watching a descriptor that stays open. */
   void remove(int aFd);
-  /** Waits until something is ready, wake() was called or aUntil has come.
-   * The events are valid until the next wait. */
+  /** Waits until a descriptor is ready, wake() is called, or aUntil. The events
+   * are valid until the next wait. */
   std::span<const ReadyEvent> wait(TimePoint aNow,
                                    std::optional<TimePoint> aUntil);
-  /** Ends the present or the next wait; from any thread. */
+  /** Ends the current or the next wait. May be called from any thread. */
   void wake();
 
 private:
--- a/src/wire/SendBuffer.cpp
+++ b/src/wire/SendBuffer.cpp
@@ -10,7 +10,7 @@
 SendBuffer::append(std::string_view aBytes)
 {
   if (this->offset > this->pending()) {
-    // A socket that is never quite empty would let the sent part grow.
+    // If the buffer never became empty, the sent part would grow.
     this->bytes.erase(0, this->offset);
     this->offset = 0;
   }
--- a/src/wire/SendBuffer.h
+++ b/src/wire/SendBuffer.h
@@ -7,23 +7,23 @@
 
 namespace poplartrack {
 
-/** Bytes on their way to a socket, with a count of all that were queued and
- * all that the kernel has taken: a call whose last bytes lie beyond the second
- * count has provably not been sent. */
+/** Bytes that are queued for a socket, with counts of all that were queued and
+ * all that the kernel has accepted: a call whose last bytes are beyond the
+ * second count has certainly not been sent. */
 class SendBuffer
 {
 public:
   enum class State : std::uint8_t
   {
     Empty,
-    /** The kernel takes no more at present. */
+    /** The kernel accepts no more for now. */
     Blocked,
-    /** The connection is gone. */
+    /** The connection is closed. */
     Broken,
   };
 
   void append(std::string_view aBytes);
-  /** Hands as much as possible to the kernel. */
+  /** Writes as much as the kernel accepts. */
   State flush(int aFd);
 
   [[nodiscard]] std::size_t pending() const
--- a/src/wire/ServerConnection.cpp
+++ b/src/wire/ServerConnection.cpp
@@ -6,9 +6,9 @@
 namespace poplartrack {
 namespace {
 
-/** How long a connection that is leaving waits, once it has no call left, for
- * the peer to close. Closing first could reset the connection and destroy a
- * reply that the peer has not read. */
+/** How long a draining connection without calls waits for the peer to close it.
+ * Closing it first could reset it and lose a reply that the peer has not read.
+ */
 constexpr Duration kLinger = std::chrono::seconds{ 1 };
 
 constexpr std::uint64_t kFrameHeaderSize = 9;
@@ -111,7 +111,8 @@
   if (this->isClosed) {
     return;
   }
-  // A session that has ended without our leave has met a protocol error.
+  // A session that ended although this side did not close it has detected a
+  // protocol error.
   const bool alive =
     this->http2.transmit() && (this->leavingSince || !this->http2.finished());
   this->isClosed = !alive;
@@ -132,8 +133,8 @@
 ServerConnection::onOpen(std::int32_t aStream)
 {
   if (this->leavingSince) {
-    // Until GOAWAY has been written, nghttp2 still lets streams in, and the
-    // peer will take them for not handled.
+    // Until GOAWAY has been written, nghttp2 still accepts streams, which the
+    // peer will consider as not handled.
     this->http2.reset(aStream, NGHTTP2_REFUSED_STREAM);
     return;
   }
@@ -159,7 +160,7 @@
   this->shared.bufferedBytes += aBytes.size();
 }
 
-/** REFUSED_STREAM tells the peer that the call was not handled. */
+/** Rejects a call; REFUSED_STREAM shows the peer that it was not handled. */
 void
 ServerConnection::refuse(std::int32_t aStream)
 {
--- a/src/wire/ServerConnection.h
+++ b/src/wire/ServerConnection.h
@@ -30,11 +30,11 @@
 
   bool open();
   void onReady(const ReadyEvent& aEvent, TimePoint aNow);
-  /** Idle timeout, keep-alive, end of a connection that is leaving. */
+  /** Handles idle timeout, keep-alive, and the end of a draining connection. */
   void onTimer(TimePoint aNow);
-  /** Answers a call, if it is still open. */
+  /** Answers a call if it is still in progress. */
   void reply(std::int32_t aStream, std::string aFrame);
-  /** Takes no more calls; closes when the peer has closed, or a while after
+  /** Accepts no more calls. Closes when the peer has closed, or a while after
    * the last reply. */
   void drain(TimePoint aNow);
   /** Writes what is due. */
@@ -45,7 +45,7 @@
   [[nodiscard]] bool wantsWrite() const { return this->http2.blocked(); }
   [[nodiscard]] bool closed() const { return this->isClosed; }
 
-  /** Whether the server's poller watches for writing. */
+  /** Whether the server's poller watches it for writing. */
   bool watchedForWrite = false;
 
   // Http2Owner.
@@ -61,7 +61,7 @@
                    std::uint32_t& aFlags);
 
 private:
-  /** A call that has not been answered whole. */
+  /** A call that has not been answered completely. */
   struct Call
   {
     std::string body;
--- a/src/wire/ServerLoop.cpp
+++ b/src/wire/ServerLoop.cpp
@@ -13,11 +13,11 @@
 namespace poplartrack {
 namespace {
 
-/** Pause after the process has run out of descriptors: the listener stays
- * ready, and trying at once would spin. */
+/** Pause of accepting after the process has run out of descriptors: the
+ * listener stays ready, and retrying at once would spin. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds{ 100 };
 
-/** How long the end of a drained server waits for its peers to close. */
+/** How long a drained server waits for its peers to close before it ends. */
 constexpr Duration kFarewell = std::chrono::milliseconds{ 500 };
 
 } // namespace
--- a/src/wire/ServerLoop.h
+++ b/src/wire/ServerLoop.h
@@ -29,7 +29,7 @@
   ServerLoop& operator=(const ServerLoop&) = delete;
   ~ServerLoop();
 
-  /** Takes no more calls; from any thread. */
+  /** Accepts no more calls. May be called from any thread. */
   void drain();
   [[nodiscard]] const Address& address() const { return this->local; }
   [[nodiscard]] std::size_t openCalls() const { return this->shared.openCalls; }
@@ -55,11 +55,11 @@
   OwnedFd listener;
   std::atomic<bool> draining{ false };
   std::atomic<bool> stopping{ false };
-  // All below belongs to the I/O thread.
+  // All members below are used by the I/O thread only.
   bool drainStarted = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<ServerConnection>>
     connections;
-  // Also holds the listener's key while accepting pauses.
+  // Also contains the listener's key while accepting is paused.
   TimerQueue timers;
   std::vector<std::uint64_t> touched;
   std::uint64_t lastId = kListenerKey;
--- a/src/wire/ServerShared.h
+++ b/src/wire/ServerShared.h
@@ -11,7 +11,7 @@
 
 namespace poplartrack {
 
-/** A reply on its way to the I/O thread. */
+/** A reply that is passed to the I/O thread. */
 struct PendingReply
 {
   std::uint64_t connection = 0;
@@ -19,15 +19,15 @@
   std::string frame;
 };
 
-/** What all connections of one server share. */
+/** State that all connections of one server share. */
 struct ServerShared
 {
   StreamServerLimits limits;
   FrameHandler handler;
   std::atomic<std::size_t> openCalls{ 0 };
-  /** Bytes of calls whose body has not come whole. */
+  /** Bytes of calls whose body is incomplete. */
   std::size_t bufferedBytes = 0;
-  /** Outlives the server in the hands of late responders. */
+  /** Late responders keep it after the server is destroyed. */
   std::shared_ptr<Mailbox<PendingReply>> replies;
 };
 
--- a/src/wire/TimerQueue.h
+++ b/src/wire/TimerQueue.h
@@ -10,7 +10,7 @@
 
 namespace poplartrack {
 
-/** Deadlines by key, at most one a key. */
+/** Deadlines by key, at most one for each key. */
 class TimerQueue
 {
 public:
@@ -32,7 +32,7 @@
     this->armed.erase(found);
   }
 
-  /** The earliest deadline. */
+  /** Returns the earliest deadline. */
   [[nodiscard]] std::optional<TimePoint> next() const
   {
     if (this->order.empty()) {
@@ -41,7 +41,7 @@
     return this->order.begin()->first;
   }
 
-  /** Takes out one key whose deadline has come. */
+  /** Removes and returns one key whose deadline has passed. */
   std::optional<std::uint64_t> popDue(TimePoint aNow)
   {
     if (this->order.empty() || this->order.begin()->first > aNow) {
