Split the long files of fleet control and of datagrams between relays

Moves only: the list following of FleetControl to FleetReplicas.inl.h, the sent datagrams to RelayStatus.cpp, the scripted store and the fixture of FleetControlTest to files of their own, its tests of starts and catch-up to FleetJoinTest.cpp. 15 tests with 32 expectations before and after.

--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -264,3 +264,4 @@
 
 #include "poplartrack/relay/FleetCatchUp.inl.h"
 #include "poplartrack/relay/FleetControl.inl.h"
+#include "poplartrack/relay/FleetReplicas.inl.h"
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -25,6 +25,8 @@
   MSGPACK_DEFINE(replica, requests, tokenLayers, prefillTokens, pathStarts);
 };
 
+constexpr std::uint64_t kBytesPerKilobyte = 1'000;
+
 /** Kilobytes that the sender has sent between two availability zones since its
  * start. */
 struct LinkRow
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -307,17 +307,9 @@
   void addCrashes(PeerStatus& aStatus) const;
   void onPeerCrashes(const PeerStatus& aStatus);
 
-  // RelayPeers.cpp: datagrams between relays.
+  // RelayPeers.cpp: the socket for datagrams, and what is received on it.
   Result<Done> openPeers();
   void readPeers();
-  void addUnlistedPeer(const Address& aSender);
-  void broadcastStatus(bool aChanged);
-  void sendToOtherZones(std::string_view aStatus, bool aDirect);
-  [[nodiscard]] bool goesToOtherZones(const PeerStatus& aStatus);
-  [[nodiscard]] PeerStatus ownStatus();
-  std::size_t sendDatagram(const Address& aPeer,
-                           std::string_view aDatagram,
-                           std::string_view aSection = {}) const;
   void readDatagram(const char* aBytes,
                     std::size_t aSize,
                     const Address& aFrom);
@@ -327,11 +319,21 @@
                     const PeerEcho& aEcho,
                     const Address& aFrom,
                     TimePoint aReceivedAt);
+  void addUnlistedPeer(const Address& aSender);
+  void applyPeerFreshness(const PeerStatus& aStatus, const PeerEcho& aEcho);
   [[nodiscard]] SharedRetryBudget& budgetOf(const Exchange& aExchange);
+
+  // RelayStatus.cpp: the datagrams that this relay sends.
+  void broadcastStatus(bool aChanged);
+  void sendToOtherZones(std::string_view aStatus, bool aDirect);
+  [[nodiscard]] bool goesToOtherZones(const PeerStatus& aStatus);
+  [[nodiscard]] PeerStatus ownStatus();
+  std::size_t sendDatagram(const Address& aPeer,
+                           std::string_view aDatagram,
+                           std::string_view aSection = {}) const;
   [[nodiscard]] bool isSettling() const;
   void updateStorePolling();
   void sendListDelta(const ReplicaListDelta& aDelta);
-  void applyPeerFreshness(const PeerStatus& aStatus, const PeerEcho& aEcho);
 
   void logRequest(const Exchange& aExchange,
                   std::string_view aEvent,
