Wait for a reply or a taken call in the test of draining

Traced: the test took a call without a result after 1 ms for one that the server had accepted, and waited for it; a rejection that took longer than that left it waiting for ever.

Change, in the test only: it waits until there is a result or a call that was accepted, whichever comes first.

--- a/tests/unit/wire/StreamCallTest.cpp
+++ b/tests/unit/wire/StreamCallTest.cpp
@@ -163,9 +163,10 @@
   CallOutcome later = CallOutcome::Unknown;
   while (later != CallOutcome::NotSent) {
     std::future<CallResult> result = start(*client, address, "second");
-    if (result.wait_for(milliseconds{ 1 }) != std::future_status::ready) {
-      // Sent before GOAWAY: it was taken and is answered like the first.
-      for (HeldCalls::Held& call : held.take(1)) {
+    while (result.wait_for(milliseconds{ 1 }) != std::future_status::ready) {
+      // If it was sent before GOAWAY, it was taken and is answered like the
+      // first. A rejection may take longer than a millisecond.
+      for (HeldCalls::Held& call : held.take(0)) {
         call.respond("early");
       }
     }
