--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -294,11 +294,15 @@
                          stalled ? ReplicaFailure::Stalled
                                  : ReplicaFailure::Refused,
                          this->now);
-  this->shared.log.write(LogLine{ LogPart::Path, "replica_refused" }
-                           .with("id", aExchange.requestId)
-                           .with("replica", faulty)
-                           .with("status", aHead.status)
-                           .with("stalled", stalled ? 1 : 0));
+  LogLine line{ LogPart::Path, "replica_refused" };
+  line.with("id", aExchange.requestId)
+    .with("replica", faulty)
+    .with("status", aHead.status)
+    .with("stalled", stalled ? 1 : 0);
+  if (const auto retryAfter = aHead.headers.find("retry-after")) {
+    line.with("retry_after", *retryAfter);
+  }
+  this->shared.log.write(line);
   aExchange.avoid.insert(faulty);
   this->dropAttempt(aExchange, false);
   // A started stream first waits for the retry budget and for a path.
