--- /dev/null
+++ b/tests/unit/relay/RelayBackoffTest.cpp
@@ -0,0 +1,109 @@
+// Replicas that reject a request and ask the relay for a pause.
+
+#include <chrono>
+
+#include "AnsweringReplica.h"
+#include "RelayWorld.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace relaytest;
+
+/** Longer than any test takes. */
+constexpr const char* kAskForPause =
+  "X-Not-Run: 1\r\nRetry-After: 600\r\nConnection: close\r\n";
+constexpr const char* kRejected = "503 Service Unavailable";
+
+/** Longer than a relay avoids a replica that has rejected a request and asks
+ * for no pause. */
+constexpr Duration kAfterOwnBackoff = std::chrono::milliseconds{ 600 };
+
+/** Sends requests one after the other, for at least kAfterOwnBackoff. */
+void
+sendForAWhile(const RelayWorld& aWorld, const std::string& aPath)
+{
+  const TimePoint end = runtimeNow() + kAfterOwnBackoff;
+  for (int i = 0; runtimeNow() < end; ++i) {
+    RawSocket caller = aWorld.sendRequest(
+      aPath, "later-" + std::to_string(i), "X-Deadline: 400\r\n");
+    caller.readUntil("\r\n\r\n");
+  }
+}
+
+std::string
+rejectAndAskForPause(const std::string& aId)
+{
+  return RelayWorld::answer(aId, "", kRejected, kAskForPause);
+}
+
+TEST(RelayBackoff, AReplicaGetsNoRequestDuringThePauseThatItAsksFor)
+{
+  AnsweringReplica replica{ [](const std::string& aHead) {
+    return rejectAndAskForPause(headerValue(aHead, "X-Id"));
+  } };
+  RelayWorld world;
+  world.addReplica("one", "plain", replica.address());
+  world.start();
+  sendForAWhile(world, "/again/x");
+  EXPECT_EQ(replica.heads().size(), 1U);
+}
+
+TEST(RelayBackoff, NoPathLeadsThroughAReplicaThatAsksForAPause)
+{
+  RawListener second;
+  AnsweringReplica first{ [&second](const std::string& aHead) {
+    return RelayWorld::answer(headerValue(aHead, "X-Id"),
+                              "",
+                              kRejected,
+                              "X-Faulty: " + toText(second.address()) + "\r\n" +
+                                kAskForPause);
+  } };
+  AnsweringReplica farFirst{ [](const std::string& aHead) {
+    return RelayWorld::answer(headerValue(aHead, "X-Id"),
+                              "id: 1\ndata: x\n\n",
+                              "200 OK",
+                              "X-Stamp: s\r\nConnection: close\r\n");
+  } };
+  RelayWorld world;
+  world.addModelReplica("one", first.address(), { 0, 5 }, "a");
+  world.addModelReplica("two", second.address(), { 5, 10 }, "a");
+  world.start();
+  world.sendRequest("/stream/x", "first").readUntil("\r\n\r\n");
+  world.addModelReplica("three", farFirst.address(), { 0, 5 }, "b");
+  world.addModelReplica("four", { "127.0.0.1", 1 }, { 5, 10 }, "b");
+  world.publishReplicas(2);
+  sendForAWhile(world, "/stream/x");
+  EXPECT_EQ(first.heads().size(), 1U);
+  for (const std::string& head : farFirst.heads()) {
+    EXPECT_EQ(headerValue(head, "X-Path"), "three;four;");
+  }
+}
+
+TEST(RelayBackoff, TheSuccessOfAnEarlierRequestDoesNotEndAPause)
+{
+  RawListener replica;
+  RelayWorld world;
+  world.addReplica("one", "model", replica.address());
+  world.replicas.at("one").slots = 8;
+  world.start();
+  RawSocket earlier = world.sendRequest("/stream/x", "earlier");
+  RawSocket streaming = replica.accept();
+  streaming.readUntil("\r\n\r\n");
+  streaming.send(RelayWorld::streamHead("earlier") + RelayWorld::event(1));
+  earlier.readUntil("id: 1");
+  RawSocket rejected =
+    world.sendRequest("/stream/x", "rejected", "X-Deadline: 3000\r\n");
+  RawSocket rejecting = replica.accept();
+  rejecting.readUntil("\r\n\r\n");
+  rejecting.send(rejectAndAskForPause("rejected"));
+  rejected.readUntil("\r\n\r\n");
+  streaming.send(RelayWorld::kLastChunk);
+  earlier.readUntil("0\r\n\r\n");
+  RawSocket later =
+    world.sendRequest("/stream/x", "later", "X-Deadline: 1000\r\n");
+  EXPECT_TRUE(later.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+}
+
+} // namespace
+} // namespace poplartrack
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -93,6 +93,16 @@
     }
     this->replicas.emplace(aId, replica);
   }
+  /** The same for a replica of the model with these layers in a zone. */
+  void addModelReplica(const std::string& aId,
+                       const Address& aAddress,
+                       LayerRange aLayers,
+                       const std::string& aZone)
+  {
+    this->addReplica(aId, "model", aAddress);
+    this->replicas.at(aId).layers = aLayers;
+    this->replicas.at(aId).zone = aZone;
+  }
   /** Publishes the configuration and the replicas and starts the relay.
    * aProofAge is the age of the proof that the configuration is the newest. */
   void start(Duration aProofAge = Duration{ 0 })
