Send no request to a replica during the backoff that it asks for

Callers saw little of it: their requests ran elsewhere.

Cause: the field was decoded nowhere.

Change: the signals in an answer's head are parsed in one place (ReplicaSignals). A backoff that a replica asks for is kept apart from the health that the relay infers (RequestedBackoffs) and ends only with its time. Meanwhile the replica is no candidate: for plain requests, as the first or a later replica of a path, for first attempts, retries and moves, all of which choose their target through the same two functions. If another replica of the path is named as responsible, both back off. A caller that no other replica serves is advised to try another relay at once, as the backoff is this relay's.

Answers that belong to an earlier request are read for signals as well; a rate limit that such an answer lacks is not taken for lifted.

--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -10,8 +10,6 @@
 namespace poplartrack {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
 constexpr int kMisdirectedRequest = 421;
 constexpr int kInternalError = 500;
 
@@ -29,12 +27,6 @@
   return aExchange.sends < (aExchange.answering ? kMaxStreamSends : kMaxSends);
 }
 
-bool
-isSuccess(int aStatus)
-{
-  return aStatus >= kOk && aStatus < kMultipleChoices;
-}
-
 /** Formats one chunk of a chunked body. */
 std::string
 chunkOf(std::string_view aBytes)
@@ -50,6 +42,27 @@
 
 } // namespace
 
+bool
+isSuccess(int aStatus)
+{
+  constexpr int kOk = 200;
+  constexpr int kMultipleChoices = 300;
+  return aStatus >= kOk && aStatus < kMultipleChoices;
+}
+
+/** Returns the replica that is responsible for a rejection if the answer names
+ * a listed one; otherwise null. */
+const Replica*
+RelayLoop::Impl::faultyReplica(const MessageHead& aHead) const
+{
+  const auto at = aHead.headers.find(this->names.faultyReplica);
+  if (!at) {
+    return nullptr;
+  }
+  const Result<Address> address = addressFromText(*at);
+  return address ? this->replicaByAddress(address.value()) : nullptr;
+}
+
 /** Formats the head of the answer for the caller: the replica's without
  * hop-by-hop fields, plus aFraming. The caller's connection is closed after the
  * answer if the relay drains. */
@@ -88,7 +101,6 @@
                               ReplicaConnection& aConnection)
 {
   const MessageHead& head = aConnection.parser->head();
-  this->recordRateLimit(aExchange, head);
   const bool notExecuted = head.headers.find(this->names.notRun).has_value() ||
                            head.status == kMisdirectedRequest;
   if (notExecuted) {
@@ -277,13 +289,9 @@
 void
 RelayLoop::Impl::onNotExecuted(Exchange& aExchange, const MessageHead& aHead)
 {
-  std::string faulty = aExchange.replica;
-  if (const auto at = aHead.headers.find(this->names.faultyReplica)) {
-    const Result<Address> address = addressFromText(*at);
-    const Replica* reported =
-      address ? this->replicaByAddress(address.value()) : nullptr;
-    faulty = reported != nullptr ? reported->id : faulty;
-  }
+  const Replica* reported = this->faultyReplica(aHead);
+  const std::string faulty =
+    reported != nullptr ? reported->id : aExchange.replica;
   const bool hasPath = !aExchange.path.parts.empty();
   // A request is also answered as refused if the replica of one part of its
   // path could not be reached for the whole stall timeout. That replica is
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -226,7 +226,8 @@
   }
   for (const std::size_t index : listed->second) {
     const Replica& replica = this->view->replicas[index];
-    if (this->isDraining(replica) || this->isLost(replica.id) ||
+    if (this->isDraining(replica) || this->isBackingOff(replica.id) ||
+        this->isLost(replica.id) ||
         !this->health.usable(replica.id, this->now)) {
       continue;
     }
@@ -323,7 +324,7 @@
   bool limited = false;
   for (const std::size_t index : listed->second) {
     const Replica& replica = this->view->replicas[index];
-    if (this->isDraining(replica)) {
+    if (this->isDraining(replica) || this->isBackingOff(replica.id)) {
       continue;
     }
     const auto load = this->plainLoad.find(replica.id);
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -303,6 +303,7 @@
   RefusalState state;
   state.kind = error.kind;
   state.othersServe = this->now - this->peerProvedFreshAt <= kMaxPeerProofAge;
+  state.replicasBackOff = this->meetsBackoff(aExchange);
   state.timeLeft = aExchange.giveUpAt - this->now;
   state.jitterSeed = hashOf(requestId);
   if (state.kind == ErrorKind::Quarantined) {
--- a/src/relay/RelayLimits.cpp
+++ b/src/relay/RelayLimits.cpp
@@ -1,30 +1,8 @@
 // Rate limits that replicas state in their answers, and how relays share them.
 
-#include <charconv>
-#include <cmath>
-
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
-namespace {
-
-/** Parses a non-negative finite decimal number; nullopt if the text is not one.
- */
-std::optional<double>
-parseDecimal(std::string_view aText)
-{
-  double number = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto [stop, error] = std::from_chars(aText.data(), end, number);
-  const bool valid = error == std::errc{} && stop == end;
-  if (!valid || !std::isfinite(number) || number < 0) {
-    return std::nullopt;
-  }
-  return number;
-}
-
-} // namespace
-
 std::int64_t
 toMilliRate(double aPerSecond)
 {
@@ -32,35 +10,32 @@
   return static_cast<std::int64_t>(aPerSecond * kMilli);
 }
 
-/** Records the rate limit that the replica's answer states, or that there is
- * none. An answer without the header ends a limit only if it is a success,
- * since errors and refusals may lack the header while the limit holds. */
+/** Records the rate limit that an answer of the replica states, or that there
+ * is none. An answer without a limit ends one only if it is a current success,
+ * since errors and rejections may lack the field while the limit holds. */
 void
-RelayLoop::Impl::recordRateLimit(Exchange& aExchange, const MessageHead& aHead)
+RelayLoop::Impl::recordRateLimit(const std::string& aReplica,
+                                 const ReplicaSignals& aSignals,
+                                 bool aIsCurrentSuccess)
 {
-  constexpr int kOk = 200;
-  constexpr int kMultipleChoices = 300;
-  const bool success = aHead.status >= kOk && aHead.status < kMultipleChoices;
-  const auto field = aHead.headers.find(this->names.rateLimit);
-  if (field) {
-    aExchange.reportedLimit = parseDecimal(*field);
-    this->shared.metrics.count(aExchange.reportedLimit
-                                 ? "answers_with_limit_total"
-                                 : "answers_with_unreadable_limit_total");
+  const std::optional<double> limit = aSignals.rateLimit;
+  if (limit) {
+    this->shared.metrics.count("answers_with_limit_total");
+  } else if (aSignals.hasUnreadableLimit) {
+    this->shared.metrics.count("answers_with_unreadable_limit_total");
   }
-  const Replica* replica = this->replicaById(aExchange.replica);
+  const Replica* replica = this->replicaById(aReplica);
   const bool isConclusive =
-    field ? aExchange.reportedLimit.has_value() : success;
+    limit || (aIsCurrentSuccess && !aSignals.hasUnreadableLimit);
   if (replica == nullptr || !isConclusive ||
       !this->replicaLimits.onAnswer(
-        replica->id, replica->zone, aExchange.reportedLimit, this->now)) {
+        replica->id, replica->zone, limit, this->now)) {
     return;
   }
-  LogLine line{ LogPart::Replicas,
-                aExchange.reportedLimit ? "limits" : "limits_no_more" };
+  LogLine line{ LogPart::Replicas, limit ? "limits" : "limits_no_more" };
   line.with("replica", replica->id);
-  if (aExchange.reportedLimit) {
-    line.with("limit_milli", toMilliRate(*aExchange.reportedLimit));
+  if (limit) {
+    line.with("limit_milli", toMilliRate(*limit));
   }
   this->shared.log.write(line);
   this->broadcastStatus(true);
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -364,6 +364,7 @@
     return silent;
   });
   this->updateLimitShares();
+  this->expireBackoffs();
   this->updateStorePolling();
   this->reports.expire(this->now);
   this->expireDrainReports();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -26,6 +26,8 @@
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 #include "poplartrack/fleet/ReplicaLimits.h"
+#include "poplartrack/fleet/ReplicaSignals.h"
+#include "poplartrack/fleet/RequestedBackoffs.h"
 #include "poplartrack/fleet/StatusRepeat.h"
 #include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitQueue.h"
@@ -73,6 +75,10 @@
 RetryPriority
 retryNeedOf(const Exchange& aExchange);
 
+/** Returns whether the status of an answer is a success (2xx). */
+bool
+isSuccess(int aStatus);
+
 /** How the connection of an attempt ended. */
 enum class ConnectionEnd : std::uint8_t
 {
@@ -219,6 +225,7 @@
   void onAnswerBody(Exchange& aExchange, ReplicaConnection& aConnection);
   void recordRepairTime(Exchange& aExchange);
   void onAnswerDone(std::uint64_t aExchange, std::uint64_t aConnection);
+  [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
   void onNotExecuted(Exchange& aExchange, const MessageHead& aHead);
   void onAttemptFailed(Exchange& aExchange,
                        ReplicaFailure aFailure,
@@ -231,8 +238,22 @@
                                        const MessageHead& aHead,
                                        std::string_view aFraming) const;
 
+  // RelaySignals.cpp: what replicas say of themselves in their answers.
+  ReplicaSignals readSignals(const ReplicaConnection& aConnection,
+                             const MessageHead& aHead,
+                             bool aIsCurrent);
+  void onSignals(const std::string& aReplica,
+                 const Address& aAddress,
+                 const ReplicaSignals& aSignals);
+  void recordBackoff(const std::string& aReplica, Duration aBackoff);
+  void expireBackoffs();
+  [[nodiscard]] bool isBackingOff(const std::string& aReplica) const;
+  [[nodiscard]] bool meetsBackoff(const Exchange& aExchange) const;
+
   // RelayLimits.cpp: rate limits of replicas.
-  void recordRateLimit(Exchange& aExchange, const MessageHead& aHead);
+  void recordRateLimit(const std::string& aReplica,
+                       const ReplicaSignals& aSignals,
+                       bool aIsCurrentSuccess);
   [[nodiscard]] bool takesRequests(const std::string& aReplica);
   void updateLimitShares();
   void addLimits(PeerStatus& aStatus) const;
@@ -376,6 +397,7 @@
   RetryBudgets budgets;
   LinkBudget links;
   ReplicaLimits replicaLimits;
+  RequestedBackoffs backoffs;
   WaitQueue waiting;
   CrashWatch crashWatch;
   CrashLedger crashes;
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -280,6 +280,10 @@
     const auto echo = parser.head().headers.find(this->names.requestId);
     // The id of another request: a late or repeated answer to an earlier one.
     aConnection.discardingAnswer = echo && *echo != found->second->requestId;
+    found->second->reportedLimit =
+      this
+        ->readSignals(aConnection, parser.head(), !aConnection.discardingAnswer)
+        .rateLimit;
     if (!echo && aConnection.answersRead > 0) {
       this->onReplicaDisconnected(id, false, "answer without id");
       return false;
--- /dev/null
+++ b/src/relay/RelaySignals.cpp
@@ -0,0 +1,104 @@
+// What replicas say of themselves in their answers: rate limits and requested
+// backoffs.
+
+#include "RelayLoopImpl.h"
+
+namespace poplartrack {
+
+/** Reads the signals in the head of an answer. aIsCurrent: the answer belongs
+ * to the request in progress on the connection; if not, it may be old, and what
+ * it lacks says nothing. */
+ReplicaSignals
+RelayLoop::Impl::readSignals(const ReplicaConnection& aConnection,
+                             const MessageHead& aHead,
+                             bool aIsCurrent)
+{
+  const ReplicaSignals signals =
+    parseSignals({ aHead.status,
+                   aHead.headers.find("retry-after"),
+                   aHead.headers.find(this->names.rateLimit) });
+  this->recordRateLimit(
+    aConnection.replica, signals, aIsCurrent && isSuccess(aHead.status));
+  this->onSignals(aConnection.replica, aConnection.address, signals);
+  if (!signals.backoff) {
+    return signals;
+  }
+  if (const Replica* faulty = this->faultyReplica(aHead)) {
+    // The first replica of a path rejects the request for another one, and
+    // passes on what that one asks for.
+    this->recordBackoff(faulty->id, *signals.backoff);
+  }
+  return signals;
+}
+
+/** Applies the signals of an answer that came from this address, where the
+ * replica was expected. After a restart of the endpoint, the list may already
+ * have its next incarnation there. */
+void
+RelayLoop::Impl::onSignals(const std::string& aReplica,
+                           const Address& aAddress,
+                           const ReplicaSignals& aSignals)
+{
+  if (aSignals.hasUnreadableBackoff) {
+    this->shared.metrics.count("answers_with_unreadable_retry_after_total");
+  }
+  if (!aSignals.backoff) {
+    return;
+  }
+  this->recordBackoff(aReplica, *aSignals.backoff);
+  for (const Replica& replica : this->view->replicas) {
+    if (replica.address == aAddress && replica.id != aReplica) {
+      this->recordBackoff(replica.id, *aSignals.backoff);
+    }
+  }
+}
+
+/** Records that a replica wants nothing more from this relay for a while. */
+void
+RelayLoop::Impl::recordBackoff(const std::string& aReplica, Duration aBackoff)
+{
+  this->shared.metrics.count("replica_backoffs_requested_total");
+  if (!this->backoffs.onRequested(aReplica, aBackoff, this->now)) {
+    return;
+  }
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  this->shared.log.write(LogLine{ LogPart::Replicas, "backoff" }
+                           .with("replica", aReplica)
+                           .with("ms", aBackoff.count() / kMicrosPerMs));
+}
+
+/** Forgets the backoffs that are over. */
+void
+RelayLoop::Impl::expireBackoffs()
+{
+  this->backoffs.expire(this->now);
+  this->shared.metrics.set("replicas_backing_off",
+                           static_cast<std::int64_t>(this->backoffs.size()));
+}
+
+/** Returns whether the replica takes no calls of this relay for now. */
+bool
+RelayLoop::Impl::isBackingOff(const std::string& aReplica) const
+{
+  return this->backoffs.inForce(aReplica, this->now);
+}
+
+/** Returns whether a replica that could serve the request takes no calls of
+ * this relay for now. */
+bool
+RelayLoop::Impl::meetsBackoff(const Exchange& aExchange) const
+{
+  if (aExchange.service == nullptr) {
+    return false;
+  }
+  const auto listed = this->view->byService.find(aExchange.service->name);
+  return listed != this->view->byService.end() &&
+         std::any_of(listed->second.begin(),
+                     listed->second.end(),
+                     [this](std::size_t aIndex) {
+                       return this->isBackingOff(
+                         this->view->replicas[aIndex].id);
+                     });
+}
+
+} // namespace poplartrack
--- a/src/relay/RetryAdvice.cpp
+++ b/src/relay/RetryAdvice.cpp
@@ -13,8 +13,9 @@
   Duration jitter;
 };
 
-/** Only this relay cannot serve, since it stops, starts or is cut off. Another
- * one can serve at once, and the answer may still be on time. */
+/** Only this relay cannot serve, since it stops, starts, is cut off or has been
+ * asked for a backoff. Another one can serve at once, and the answer may still
+ * be on time. */
 constexpr DelayRange kOtherRelayServes{ std::chrono::milliseconds{ 20 },
                                         std::chrono::milliseconds{ 150 } };
 
@@ -42,6 +43,8 @@
       return kOtherRelayServes;
     case ErrorKind::NoConfiguration:
       return aState.othersServe ? kOtherRelayServes : kStoreUnavailable;
+    case ErrorKind::NoRoute:
+      return aState.replicasBackOff ? kOtherRelayServes : kCapacityMissing;
     default:
       return kCapacityMissing;
   }
--- a/src/relay/RetryAdvice.h
+++ b/src/relay/RetryAdvice.h
@@ -20,6 +20,9 @@
   std::uint64_t jitterSeed = 0;
   /** For requests in quarantine: how long that lasts; 0: unknown. */
   Duration quarantineLeft{ 0 };
+  /** A replica of the request's service takes no calls of this relay for now,
+   * but may take those of other relays. */
+  bool replicasBackOff = false;
 };
 
 /**
