Choose again when a replica says no while its connection is being opened

A target is chosen before the connection to it is open. If its backoff or its drain became known in between, the request was written all the same. The check of the configuration's age before the first byte now also looks at the replicas of the attempt; the request is dispatched again, which costs no attempt and no retry budget, since no byte was sent.

The test holds the loop so that the later request is dispatched before the rejection is read.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -186,6 +186,7 @@
                              bool aClean,
                              std::string_view aCause,
                              ConnectionEnd aEnd = ConnectionEnd::Closed);
+  bool mayStillSend(Exchange& aExchange);
   void flushReplica(ReplicaConnection& aConnection);
   void setReplicaWriteInterest(ReplicaConnection& aConnection, bool aWrite);
   void releaseReplica(ReplicaConnection& aConnection);
@@ -249,6 +250,7 @@
   void expireBackoffs();
   [[nodiscard]] bool isBackingOff(const std::string& aReplica) const;
   [[nodiscard]] bool meetsBackoff(const Exchange& aExchange) const;
+  [[nodiscard]] bool targetTakesNoWork(const Exchange& aExchange) const;
 
   // RelayLimits.cpp: rate limits of replicas.
   void recordRateLimit(const std::string& aReplica,
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -159,24 +159,42 @@
   this->flushReplica(aConnection);
 }
 
-/** Writes the request until the socket accepts no more. Refuses it instead if
- * the configuration has become too old before the first byte. */
+/** Checks, before the first byte of an attempt is written, what may have
+ * changed since its target was chosen. Returns false if the attempt has ended.
+ */
+bool
+RelayLoop::Impl::mayStillSend(Exchange& aExchange)
+{
+  if (!this->isConfigFresh(aExchange)) {
+    // The process may have been suspended since the request was admitted, and
+    // its key may have been revoked meanwhile.
+    this->dropAttempt(aExchange, false);
+    this->refuse(
+      aExchange,
+      Error{ ErrorKind::NoConfiguration, "the configuration has become old" },
+      aExchange.runs == 0);
+    return false;
+  }
+  if (this->targetTakesNoWork(aExchange)) {
+    // A replica of the attempt has said so while the connection was opening.
+    this->shared.metrics.count("attempts_redirected_total");
+    this->dropAttempt(aExchange, false);
+    --aExchange.sends;
+    this->dispatch(aExchange);
+    return false;
+  }
+  return true;
+}
+
+/** Writes the request until the socket accepts no more, unless its attempt has
+ * become invalid before the first byte. */
 void
 RelayLoop::Impl::flushReplica(ReplicaConnection& aConnection)
 {
   const auto exchange = this->exchanges.find(aConnection.exchange);
   if (!aConnection.anySent && !aConnection.output.empty() &&
       exchange != this->exchanges.end() &&
-      !this->isConfigFresh(*exchange->second)) {
-    // The process may have been suspended since the request was admitted, and
-    // its key may have been revoked meanwhile. No byte of the request has been
-    // sent yet.
-    Exchange& stale = *exchange->second;
-    this->dropAttempt(stale, false);
-    this->refuse(
-      stale,
-      Error{ ErrorKind::NoConfiguration, "the configuration has become old" },
-      stale.runs == 0);
+      !this->mayStillSend(*exchange->second)) {
     return;
   }
   while (!aConnection.output.empty()) {
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -1,6 +1,8 @@
 // What replicas say of themselves in their answers: rate limits and requested
 // backoffs.
 
+#include <algorithm>
+
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
@@ -83,6 +85,23 @@
   return this->backoffs.inForce(aReplica, this->now);
 }
 
+/** Returns whether a replica of the current attempt drains, or takes no calls
+ * of this relay for now. */
+bool
+RelayLoop::Impl::targetTakesNoWork(const Exchange& aExchange) const
+{
+  const auto takesNone = [this](const std::string& aReplica) {
+    return this->isBackingOff(aReplica) ||
+           this->drainingSince.contains(aReplica) ||
+           this->peerDrainReports.contains(aReplica);
+  };
+  const auto& parts = aExchange.path.parts;
+  return takesNone(aExchange.replica) ||
+         std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
+           return takesNone(aPart.replica);
+         });
+}
+
 /** Returns whether a replica that could serve the request takes no calls of
  * this relay for now. */
 bool
--- a/tests/unit/relay/RelayBackoffTest.cpp
+++ b/tests/unit/relay/RelayBackoffTest.cpp
@@ -1,6 +1,7 @@
 // Replicas that reject a request and ask the relay for a pause.
 
 #include <chrono>
+#include <future>
 
 #include "AnsweringReplica.h"
 #include "RelayWorld.h"
@@ -105,5 +106,32 @@
   EXPECT_TRUE(later.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
+TEST(RelayBackoff, ARequestWhoseConnectionIsOpeningIsNotSentIntoAPause)
+{
+  RawListener replica;
+  RelayWorld world;
+  world.addReplica("one", "plain", replica.address());
+  world.start();
+  RawSocket rejected =
+    world.sendRequest("/again/x", "rejected", "X-Deadline: 3000\r\n");
+  RawSocket rejecting = replica.accept();
+  rejecting.readUntil("\r\n\r\n");
+  RawSocket opening = world.caller();
+  // While the loop is held, the later request arrives, then the rejection.
+  std::promise<void> held;
+  std::promise<void> release;
+  world.loop->post([&held, released = release.get_future().share()] {
+    held.set_value();
+    released.wait();
+  });
+  held.get_future().wait();
+  opening.send(
+    RelayWorld::request("/again/x", "later", "X-Deadline: 2000\r\n"));
+  rejecting.send(rejectAndAskForPause("rejected"));
+  release.set_value();
+  EXPECT_TRUE(opening.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+  EXPECT_TRUE(rejected.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+}
+
 } // namespace
 } // namespace poplartrack
