Read the signals of answers to orders and status queries, and hold these back

The same signals may come with an answer to a layer order, a repath order or a status query, and were read in none. They now pass from the adapter to the event loop (RelayShared::onReplicaSignals). During a backoff that a replica has asked for, it gets no status query and no order; a layer order counts as refused, so that the planner gives it again later. A status query that is rejected no longer makes the replica look dead.

--- a/include/poplartrack/relay/PlacementController.h
+++ b/include/poplartrack/relay/PlacementController.h
@@ -44,7 +44,8 @@
   std::set<std::string> replacedReplicas(const ReplicaView& aView);
   /** Logs the layers that each zone lacks, whenever they change. */
   void logGaps(const std::string& aService, const std::vector<CopyGap>& aGaps);
-  /** Logs an order and sends it to the replica. */
+  /** Logs an order and sends it to the replica. During a backoff that the
+   * replica has asked for, the order counts as refused instead. */
   void issueOrder(const LayerOrder& aOrder, const Replica& aReplica);
   /** Handles the outcome of an order. */
   void onOrderDone(const Replica& aReplica, const Result<Done>& aDone);
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -14,6 +14,7 @@
 #include "poplartrack/fleet/Freshness.h"
 #include "poplartrack/fleet/RelayConfig.h"
 #include "poplartrack/fleet/ReplicaListDelta.h"
+#include "poplartrack/fleet/ReplicaSignals.h"
 #include "poplartrack/fleet/ReplicaView.h"
 #include "poplartrack/fleet/VersionHolders.h"
 #include "poplartrack/observe/EventLog.h"
@@ -69,6 +70,10 @@
   RcuBox<std::set<std::string>> busyReplicas{
     std::make_shared<const std::set<std::string>>()
   };
+  /** Ids of the replicas that have asked this relay for a backoff. */
+  RcuBox<std::set<std::string>> backingOff{
+    std::make_shared<const std::set<std::string>>()
+  };
   /** Requests in quarantine: they are sent to no replica. */
   RcuBox<std::vector<QuarantineRecord>> quarantine{
     std::make_shared<const std::vector<QuarantineRecord>>()
@@ -128,6 +133,9 @@
   /** Sends the changes of a replica list poll to the relays of the own zone;
    * empty where there are no peers. */
   std::function<void(const ReplicaListDelta&)> sendListDelta;
+  /** Handles the signals in an answer to an order or a status query; the
+   * answer came from this address. May be called from any thread. */
+  std::function<void(const Address&, const ReplicaSignals&)> onReplicaSignals;
   /** Replica list updates received from other relays. */
   ReplicaListInbox listInbox;
   Metrics metrics;
--- a/include/poplartrack/relay/ReplicaCalls.h
+++ b/include/poplartrack/relay/ReplicaCalls.h
@@ -23,6 +23,9 @@
 {
   /** The replica answered; otherwise the other fields keep their defaults. */
   bool reached = false;
+  /** The replica answered that it takes no queries for now; the other fields
+   * keep their defaults. */
+  bool rejected = false;
   /** Start time of the replica, in ms since 1970; 0: not reported. */
   std::uint64_t startedAtMs = 0;
   /** Measured duration of its work divided by the declared duration. */
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -169,7 +169,11 @@
     return ExitCode::Unreachable;
   }
   UsersStore store{ *http.value(), aSettings.store };
-  ReplicaOrders orders{ *http.value() };
+  ReplicaOrders orders{ *http.value(),
+                        [&shared](const Address& aReplica,
+                                  const ReplicaSignals& aSignals) {
+                          shared.onReplicaSignals(aReplica, aSignals);
+                        } };
   const auto loop =
     RelayLoop::create(aSettings, platformHeaderNames(), shared, orders.calls());
   if (!loop) {
--- a/src/relay/PlacementController.cpp
+++ b/src/relay/PlacementController.cpp
@@ -119,6 +119,11 @@
 PlacementController::issueOrder(const LayerOrder& aOrder,
                                 const Replica& aReplica)
 {
+  if (this->shared.backingOff.read()->contains(aReplica.id)) {
+    this->onOrderDone(
+      aReplica, fail(ErrorKind::Overloaded, "it has asked for a backoff"));
+    return;
+  }
   this->shared.metrics.count("placement_orders_total");
   this->shared.log.write(
     LogLine{ LogPart::Placement, "order" }
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -141,6 +141,11 @@
   this->shared.sendListDelta = [this](const ReplicaListDelta& aDelta) {
     this->post([this, aDelta] { this->sendListDelta(aDelta); });
   };
+  this->shared.onReplicaSignals = [this](const Address& aAddress,
+                                         const ReplicaSignals& aSignals) {
+    this->post(
+      [this, aAddress, aSignals] { this->onSignals(aAddress, aSignals); });
+  };
   this->thread = std::thread([this] { this->run(); });
 }
 
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -243,10 +243,9 @@
   ReplicaSignals readSignals(const ReplicaConnection& aConnection,
                              const MessageHead& aHead,
                              bool aIsCurrent);
-  void onSignals(const std::string& aReplica,
-                 const Address& aAddress,
-                 const ReplicaSignals& aSignals);
+  void onSignals(const Address& aAddress, const ReplicaSignals& aSignals);
   void recordBackoff(const std::string& aReplica, Duration aBackoff);
+  void publishBackoffs();
   void expireBackoffs();
   [[nodiscard]] bool isBackingOff(const std::string& aReplica) const;
   [[nodiscard]] bool meetsBackoff(const Exchange& aExchange) const;
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -7,9 +7,9 @@
 
 namespace poplartrack {
 
-/** Reads the signals in the head of an answer. aIsCurrent: the answer belongs
- * to the request in progress on the connection; if not, it may be old, and what
- * it lacks says nothing. */
+/** Reads the signals in the head of an answer to a request. aIsCurrent: the
+ * answer belongs to the request in progress on the connection; if not, it may
+ * be old, and what it lacks says nothing. */
 ReplicaSignals
 RelayLoop::Impl::readSignals(const ReplicaConnection& aConnection,
                              const MessageHead& aHead,
@@ -21,10 +21,16 @@
                    aHead.headers.find(this->names.rateLimit) });
   this->recordRateLimit(
     aConnection.replica, signals, aIsCurrent && isSuccess(aHead.status));
-  this->onSignals(aConnection.replica, aConnection.address, signals);
+  if (signals.hasUnreadableBackoff) {
+    this->shared.metrics.count("answers_with_unreadable_retry_after_total");
+  }
   if (!signals.backoff) {
     return signals;
   }
+  this->recordBackoff(aConnection.replica, *signals.backoff);
+  // After a restart of the endpoint, the list may already have its next
+  // incarnation at the address.
+  this->onSignals(aConnection.address, signals);
   if (const Replica* faulty = this->faultyReplica(aHead)) {
     // The first replica of a path rejects the request for another one, and
     // passes on what that one asks for.
@@ -33,23 +39,19 @@
   return signals;
 }
 
-/** Applies the signals of an answer that came from this address, where the
- * replica was expected. After a restart of the endpoint, the list may already
- * have its next incarnation there. */
+/** Applies the signals of an answer that came from this address. */
 void
-RelayLoop::Impl::onSignals(const std::string& aReplica,
-                           const Address& aAddress,
+RelayLoop::Impl::onSignals(const Address& aAddress,
                            const ReplicaSignals& aSignals)
 {
-  if (aSignals.hasUnreadableBackoff) {
-    this->shared.metrics.count("answers_with_unreadable_retry_after_total");
-  }
-  if (!aSignals.backoff) {
-    return;
-  }
-  this->recordBackoff(aReplica, *aSignals.backoff);
   for (const Replica& replica : this->view->replicas) {
-    if (replica.address == aAddress && replica.id != aReplica) {
+    if (replica.address != aAddress) {
+      continue;
+    }
+    if (aSignals.rateLimit) {
+      this->recordRateLimit(replica.id, aSignals, false);
+    }
+    if (aSignals.backoff) {
       this->recordBackoff(replica.id, *aSignals.backoff);
     }
   }
@@ -67,15 +69,26 @@
   this->shared.log.write(LogLine{ LogPart::Replicas, "backoff" }
                            .with("replica", aReplica)
                            .with("ms", aBackoff.count() / kMicrosPerMs));
+  this->publishBackoffs();
 }
 
-/** Forgets the backoffs that are over. */
+/** Publishes the backoffs to the thread that sends layer orders. */
 void
-RelayLoop::Impl::expireBackoffs()
+RelayLoop::Impl::publishBackoffs()
 {
-  this->backoffs.expire(this->now);
   this->shared.metrics.set("replicas_backing_off",
                            static_cast<std::int64_t>(this->backoffs.size()));
+  this->shared.backingOff.replace(
+    std::make_shared<const std::set<std::string>>(this->backoffs.replicas()));
+}
+
+/** Forgets the backoffs that are over. */
+void
+RelayLoop::Impl::expireBackoffs()
+{
+  if (this->backoffs.expire(this->now)) {
+    this->publishBackoffs();
+  }
 }
 
 /** Returns whether the replica takes no calls of this relay for now. */
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -114,10 +114,13 @@
 }
 
 /** Requests a status report from a replica, unless the last request was less
- * than aMinInterval ago. */
+ * than aMinInterval ago or the replica takes no calls for now. */
 void
 RelayLoop::Impl::requestReport(const PathPart& aPart, Duration aMinInterval)
 {
+  if (this->isBackingOff(aPart.replica)) {
+    return;
+  }
   const auto lastRequest = this->reportRequestedAt.find(aPart.replica);
   if (lastRequest != this->reportRequestedAt.end() &&
       this->now - lastRequest->second < aMinInterval) {
@@ -182,6 +185,9 @@
     this->onFaultyReplica(aReplica);
     return;
   }
+  if (aReport.rejected) {
+    return;
+  }
   const Replica* listed = this->replicaById(aReplica);
   if (listed != nullptr && listed->startedAtMs != 0 &&
       aReport.startedAtMs != 0 && listed->startedAtMs != aReport.startedAtMs) {
--- a/tests/unit/relay/PlacementControllerTest.cpp
+++ b/tests/unit/relay/PlacementControllerTest.cpp
@@ -101,5 +101,23 @@
   EXPECT_EQ(std::count(held.begin(), held.end(), false), 0);
 }
 
+TEST_F(PlacementControllerTest, NoOrderToAReplicaThatHasAskedForABackoff)
+{
+  this->list(replicaOf("one", "a", "fast"));
+  this->list(replicaOf("two", "a", "fast"));
+  this->shared.backingOff.replace(std::make_shared<const std::set<std::string>>(
+    std::set<std::string>{ "one" }));
+  for (int i = 0; i < 100; ++i) {
+    this->runRoundAfter(milliseconds{ 100 });
+  }
+  EXPECT_EQ(std::count(this->ordered.begin(), this->ordered.end(), "one"), 0);
+  this->shared.backingOff.replace(
+    std::make_shared<const std::set<std::string>>());
+  for (int i = 0; i < 100; ++i) {
+    this->runRoundAfter(milliseconds{ 100 });
+  }
+  EXPECT_GE(std::count(this->ordered.begin(), this->ordered.end(), "one"), 1);
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RelayBackoffTest.cpp
+++ b/tests/unit/relay/RelayBackoffTest.cpp
@@ -133,5 +133,44 @@
   EXPECT_TRUE(rejected.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
+TEST(RelayBackoff, AStalledStreamCausesNoStatusQueryDuringAPause)
+{
+  RawListener replica;
+  RelayWorld world;
+  world.addReplica("one", "model", replica.address());
+  world.replicas.at("one").slots = 8;
+  world.start();
+  RawSocket earlier = world.sendRequest("/stream/x", "earlier");
+  RawSocket streaming = replica.accept();
+  streaming.readUntil("\r\n\r\n");
+  streaming.send(RelayWorld::streamHead("earlier") + RelayWorld::event(1));
+  earlier.readUntil("id: 1");
+  RawSocket rejected =
+    world.sendRequest("/stream/x", "rejected", "X-Deadline: 3000\r\n");
+  RawSocket rejecting = replica.accept();
+  rejecting.readUntil("\r\n\r\n");
+  rejecting.send(rejectAndAskForPause("rejected"));
+  rejected.readUntil("\r\n\r\n");
+  const int before = world.statusQueries;
+  sendForAWhile(world, "/stream/x");
+  EXPECT_EQ(world.statusQueries, before);
+}
+
+TEST(RelayBackoff, ARejectedStatusQueryOrOrderAsksForAPauseToo)
+{
+  AnsweringReplica replica{ [](const std::string& aHead) {
+    return rejectAndAskForPause(headerValue(aHead, "X-Id"));
+  } };
+  RelayWorld world;
+  world.addReplica("one", "plain", replica.address());
+  world.start();
+  // The list is taken over with the first request, which no replica serves.
+  world.sendRequest("/stream/x", "first").readUntil("\r\n\r\n");
+  world.shared.onReplicaSignals(replica.address(),
+                                parseSignals({ 503, "600", {}, {} }));
+  sendForAWhile(world, "/again/x");
+  EXPECT_TRUE(replica.heads().empty());
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -132,8 +132,10 @@
     settings.callers = { "127.0.0.1", 0 };
     settings.peers = { "127.0.0.1", 0 };
     ReplicaCalls calls;
-    calls.queryStatus = [](const Address&,
-                           const std::function<void(ReplicaReport)>&) {};
+    calls.queryStatus = [this](const Address&,
+                               const std::function<void(ReplicaReport)>&) {
+      ++this->statusQueries;
+    };
     calls.repath = [this](const Address&,
                           const std::string&,
                           const LayerPath&,
@@ -223,6 +225,8 @@
   /** Number of orders to move a request to another path. Replicas refuse them
    * all. */
   std::atomic<int> repaths{ 0 };
+  /** Number of status queries. None is answered. */
+  std::atomic<int> statusQueries{ 0 };
   /** Settings that tests may change before the start. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
   double retryRatio = 0.2;
