Keep what is known of a replica while its entry is missing from the list

Rate limits and health were dropped as soon as an entry vanished, and an entry may vanish for some seconds and come back while its replica runs, around an outage of the store.

--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -61,8 +61,8 @@
   /** Records how many times as long as declared its work takes, as a probe
    * reported. */
   void onSlowdown(const std::string& aReplica, double aSlowdown);
-  /** Drops the state of replicas that are no longer listed. */
-  void keepOnly(const std::set<std::string>& aListed);
+  /** Drops the state of all other replicas. */
+  void keepOnly(const std::set<std::string>& aKept);
 
   /** Returns whether work may be sent there. */
   [[nodiscard]] bool usable(const std::string& aReplica, TimePoint aNow) const;
--- a/include/poplartrack/fleet/ReplicaLimits.h
+++ b/include/poplartrack/fleet/ReplicaLimits.h
@@ -67,8 +67,8 @@
               TimePoint aNow);
   /** Records that this relay sends a request there. */
   void onSent(const std::string& aReplica, TimePoint aNow);
-  /** Drops replicas that are no longer listed. */
-  void keepOnly(const std::set<std::string>& aListed);
+  /** Drops all other replicas. */
+  void keepOnly(const std::set<std::string>& aKept);
   /** Drops limits that were lifted some time ago. */
   void expire(TimePoint aNow);
 
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -69,10 +69,10 @@
 }
 
 void
-ReplicaHealth::keepOnly(const std::set<std::string>& aListed)
+ReplicaHealth::keepOnly(const std::set<std::string>& aKept)
 {
   std::erase_if(this->states, [&](const auto& aEntry) {
-    return !aListed.contains(aEntry.first);
+    return !aKept.contains(aEntry.first);
   });
 }
 
--- a/src/fleet/ReplicaLimits.cpp
+++ b/src/fleet/ReplicaLimits.cpp
@@ -206,10 +206,10 @@
 }
 
 void
-ReplicaLimits::keepOnly(const std::set<std::string>& aListed)
+ReplicaLimits::keepOnly(const std::set<std::string>& aKept)
 {
   std::erase_if(this->limits, [&](const auto& aEntry) {
-    return !aListed.contains(aEntry.first);
+    return !aKept.contains(aEntry.first);
   });
 }
 
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -252,7 +252,7 @@
 }
 
 /** Switches to the latest replica list and drops what is kept for replicas that
- * are no longer listed. */
+ * have exited. */
 void
 RelayLoop::Impl::refreshReplicas()
 {
@@ -268,10 +268,12 @@
   for (const Replica& replica : latest->replicas) {
     listed.insert(replica.id);
   }
-  this->health.keepOnly(listed);
-  this->replicaLimits.keepOnly(listed);
+  this->recentReplicas.onList(listed, this->now);
+  const std::set<std::string> kept = this->recentReplicas.ids();
+  this->health.keepOnly(kept);
+  this->replicaLimits.keepOnly(kept);
   std::erase_if(this->reportRequestedAt, [&](const auto& aEntry) {
-    return !listed.contains(aEntry.first);
+    return !kept.contains(aEntry.first);
   });
   this->confirmCrashes();
 }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -24,6 +24,7 @@
 #include "poplartrack/fleet/LoadTracker.h"
 #include "poplartrack/fleet/LossReports.h"
 #include "poplartrack/fleet/PathFinder.h"
+#include "poplartrack/fleet/RecentReplicas.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 #include "poplartrack/fleet/ReplicaLimits.h"
 #include "poplartrack/fleet/ReplicaSignals.h"
@@ -393,6 +394,7 @@
 
   /** The replica list that the loop currently works with. */
   std::shared_ptr<const ReplicaView> view;
+  RecentReplicas recentReplicas;
   ReplicaHealth health;
   LoadTracker loads;
   RetryBudgets budgets;
--- a/tests/unit/relay/RelayLimitTest.cpp
+++ b/tests/unit/relay/RelayLimitTest.cpp
@@ -77,6 +77,30 @@
             maxRequestsIn(runtimeNow() - start, 0.5));
 }
 
+TEST(RelayLimit, ALimitHoldsWhenTheReplicasEntryVanishesAndComesBack)
+{
+  LimitingReplica replica{ "0.5" };
+  RelayWorld world;
+  world.addReplica("one", "plain", replica.address());
+  world.addReplica("other", "model", replica.address());
+  world.start();
+  callOnce(world, 0);
+  const Replica kept = world.replicas.at("one");
+  const int before = replica.requests();
+  const TimePoint start = runtimeNow();
+  constexpr int kCalls = 40;
+  for (int i = 1; i <= kCalls; ++i) {
+    world.replicas.erase("one");
+    world.publishReplicas(2 * i);
+    callOnce(world, 2 * i);
+    world.replicas.emplace("one", kept);
+    world.publishReplicas(2 * i + 1);
+    callOnce(world, 2 * i + 1);
+  }
+  EXPECT_LE(replica.requests() - before,
+            maxRequestsIn(runtimeNow() - start, 0.5));
+}
+
 TEST(RelayLimit, AllRelaysTogetherKeepToAReplicasLimit)
 {
   LimitingReplica replica{ "2" };
