Send no new work to a replica that announces its drain in an answer

A replica that leaves says so in all its answers, also before its entry in the replica list does, and some never say it there. The field was passed on unread. An announcement now counts as a drain for good: the entry may be older or may vanish and come back, and an answer without the field may be an earlier one. It ends with the incarnation. Streams move off the replica, it gets no layers, and relays tell each other of announcements that the list does not show, so that a relay that has just started knows them too.

--- a/include/poplartrack/fleet/ReplicaSignals.h
+++ b/include/poplartrack/fleet/ReplicaSignals.h
@@ -16,6 +16,8 @@
   std::optional<Duration> backoff;
   /** Rate limit for all relays together, in requests a second. */
   std::optional<double> rateLimit;
+  /** The replica drains and takes no new work. */
+  bool draining = false;
   /** A field was present whose value could not be parsed. */
   bool hasUnreadableBackoff = false;
   bool hasUnreadableLimit = false;
@@ -30,6 +32,8 @@
   std::optional<std::string_view> retryAfter;
   /** Requests a second, as a decimal number. */
   std::optional<std::string_view> rateLimit;
+  /** "1" if the replica drains. */
+  std::optional<std::string_view> draining;
 };
 
 /** Parses the signals of an answer. Only a rejection (429 or 503) asks for a
--- a/include/poplartrack/relay/RelayHeaderNames.h
+++ b/include/poplartrack/relay/RelayHeaderNames.h
@@ -39,6 +39,8 @@
    * relays together, as a decimal number. It holds as long as the replica's
    * answers carry it. */
   std::string rateLimit;
+  /** On an answer: "1" if the replica drains. */
+  std::string draining;
   /** Id of the last event that the receiver of a stream has. */
   std::string lastEventId;
   /** Proves that an answer came from a replica. */
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -70,6 +70,10 @@
   RcuBox<std::set<std::string>> busyReplicas{
     std::make_shared<const std::set<std::string>>()
   };
+  /** Ids of the replicas that have announced in an answer that they drain. */
+  RcuBox<std::set<std::string>> announcedDrains{
+    std::make_shared<const std::set<std::string>>()
+  };
   /** Ids of the replicas that have asked this relay for a backoff. */
   RcuBox<std::set<std::string>> backingOff{
     std::make_shared<const std::set<std::string>>()
--- a/src/fleet/ReplicaSignals.cpp
+++ b/src/fleet/ReplicaSignals.cpp
@@ -56,6 +56,7 @@
     signals.rateLimit = parseDecimal(*aFields.rateLimit);
     signals.hasUnreadableLimit = !signals.rateLimit;
   }
+  signals.draining = aFields.draining == "1";
   return signals;
 }
 
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -151,6 +151,9 @@
   std::uint32_t linkMbps = 0;
   /** The sender forwards status messages within its zone on request. */
   bool forwards = false;
+  /** Replicas that have announced in an answer that they drain, and whose entry
+   * in the sender's list does not say so. */
+  std::vector<std::string> announcedDrains;
   MSGPACK_DEFINE(format,
                  incarnation,
                  zone,
@@ -174,7 +177,8 @@
                  served,
                  limits,
                  linkMbps,
-                 forwards);
+                 forwards,
+                 announcedDrains);
 };
 
 /** The status message of a relay of another zone, as forwarded by a relay of
--- a/src/relay/PlacementController.cpp
+++ b/src/relay/PlacementController.cpp
@@ -45,6 +45,7 @@
 {
   const auto view = this->shared.replicas.read();
   const auto lost = this->shared.lostReplicas.read();
+  const auto announced = this->shared.announcedDrains.read();
   std::vector<Replica> available;
   bool uncertain = false;
   const std::set<std::string> replaced = this->replacedReplicas(*view);
@@ -52,10 +53,11 @@
     const Replica& replica = view->replicas[index];
     const auto found = lost->find(replica.id);
     const bool dead = found != lost->end();
+    const bool draining = replica.draining || announced->contains(replica.id);
     // Only this relay fails to reach it: the replica may be alive, and the
     // relay cut off. The planner waits longer then.
-    uncertain = uncertain || (dead && !found->second && !replica.draining);
-    if (!replica.draining && !dead && !replaced.contains(replica.id)) {
+    uncertain = uncertain || (dead && !found->second && !draining);
+    if (!draining && !dead && !replaced.contains(replica.id)) {
       available.push_back(replica);
     }
   }
--- a/src/relay/RelayDraining.cpp
+++ b/src/relay/RelayDraining.cpp
@@ -40,7 +40,7 @@
   std::map<std::string, bool> listed;
   for (const Replica& replica : aLatest.replicas) {
     listed.emplace(replica.id, replica.draining);
-    if (!replica.draining) {
+    if (!replica.draining && !this->announcedDrains.contains(replica.id)) {
       // Its entry had expired while the store was unavailable, and is renewed.
       this->drainingSince.erase(replica.id);
     }
@@ -119,6 +119,9 @@
 void
 RelayLoop::Impl::onPeerDraining(const PeerStatus& aStatus)
 {
+  for (const std::string& replica : aStatus.announcedDrains) {
+    this->recordDrainAnnouncement(replica);
+  }
   if (aStatus.list <= this->view->lastChange) {
     return;
   }
@@ -141,11 +144,12 @@
 }
 
 /** Returns whether the replica drains and takes no new work, according to this
- * relay's list or to a peer with a newer list. */
+ * relay's list, to a peer with a newer list or to an answer of the replica. */
 bool
 RelayLoop::Impl::isDraining(const Replica& aReplica) const
 {
-  return aReplica.draining || this->peerDrainReports.contains(aReplica.id);
+  return aReplica.draining || this->peerDrainReports.contains(aReplica.id) ||
+         this->announcedDrains.contains(aReplica.id);
 }
 
 /** Returns whether a stream should be moved: a replica of its path drains and
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -272,6 +272,7 @@
   const std::set<std::string> kept = this->recentReplicas.ids();
   this->health.keepOnly(kept);
   this->replicaLimits.keepOnly(kept);
+  this->forgetDrainAnnouncements(kept);
   std::erase_if(this->reportRequestedAt, [&](const auto& aEntry) {
     return !kept.contains(aEntry.first);
   });
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -246,6 +246,9 @@
                              bool aIsCurrent);
   void onSignals(const Address& aAddress, const ReplicaSignals& aSignals);
   void recordBackoff(const std::string& aReplica, Duration aBackoff);
+  bool recordDrainAnnouncement(const std::string& aReplica);
+  void addDrainAnnouncements(PeerStatus& aStatus) const;
+  void forgetDrainAnnouncements(const std::set<std::string>& aKept);
   void publishBackoffs();
   void expireBackoffs();
   [[nodiscard]] bool isBackingOff(const std::string& aReplica) const;
@@ -401,6 +404,10 @@
   LinkBudget links;
   ReplicaLimits replicaLimits;
   RequestedBackoffs backoffs;
+  /** Replicas that have announced in an answer that they drain. They take no
+   * new work until their exit, whatever the replica list says: their entry may
+   * be older than the announcement, or may never show the drain. */
+  std::set<std::string> announcedDrains;
   WaitQueue waiting;
   CrashWatch crashWatch;
   CrashLedger crashes;
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -1,5 +1,5 @@
-// What replicas say of themselves in their answers: rate limits and requested
-// backoffs.
+// What replicas say of themselves in their answers: rate limits, requested
+// backoffs and announced drains.
 
 #include <algorithm>
 
@@ -18,19 +18,26 @@
   const ReplicaSignals signals =
     parseSignals({ aHead.status,
                    aHead.headers.find("retry-after"),
-                   aHead.headers.find(this->names.rateLimit) });
+                   aHead.headers.find(this->names.rateLimit),
+                   aHead.headers.find(this->names.draining) });
   this->recordRateLimit(
     aConnection.replica, signals, aIsCurrent && isSuccess(aHead.status));
   if (signals.hasUnreadableBackoff) {
     this->shared.metrics.count("answers_with_unreadable_retry_after_total");
   }
-  if (!signals.backoff) {
+  if (!signals.backoff && !signals.draining) {
     return signals;
   }
-  this->recordBackoff(aConnection.replica, *signals.backoff);
   // After a restart of the endpoint, the list may already have its next
   // incarnation at the address.
   this->onSignals(aConnection.address, signals);
+  if (signals.draining && this->recordDrainAnnouncement(aConnection.replica)) {
+    this->broadcastStatus(true);
+  }
+  if (!signals.backoff) {
+    return signals;
+  }
+  this->recordBackoff(aConnection.replica, *signals.backoff);
   if (const Replica* faulty = this->faultyReplica(aHead)) {
     // The first replica of a path rejects the request for another one, and
     // passes on what that one asks for.
@@ -54,6 +61,56 @@
     if (aSignals.backoff) {
       this->recordBackoff(replica.id, *aSignals.backoff);
     }
+    if (aSignals.draining && this->recordDrainAnnouncement(replica.id)) {
+      this->broadcastStatus(true);
+    }
+  }
+}
+
+/** Records that a replica has announced its drain, to this relay or to another
+ * one. Returns whether that is new. */
+bool
+RelayLoop::Impl::recordDrainAnnouncement(const std::string& aReplica)
+{
+  if (!this->announcedDrains.insert(aReplica).second) {
+    return false;
+  }
+  this->recentReplicas.onMentioned(aReplica, this->now);
+  this->drainingSince.try_emplace(aReplica, this->now);
+  this->shared.announcedDrains.replace(
+    std::make_shared<const std::set<std::string>>(this->announcedDrains));
+  this->shared.metrics.count("replica_drains_announced_total");
+  this->shared.log.write(
+    LogLine{ LogPart::Replicas, "drains" }.with("replica", aReplica));
+  return true;
+}
+
+/** Adds to a status message the announced drains that the replica list does not
+ * show. A replica whose entry says that it drains needs no announcement. */
+void
+RelayLoop::Impl::addDrainAnnouncements(PeerStatus& aStatus) const
+{
+  if (this->announcedDrains.empty()) {
+    return;
+  }
+  for (const Replica& replica : this->view->replicas) {
+    if (!replica.draining && this->announcedDrains.contains(replica.id)) {
+      aStatus.announcedDrains.push_back(replica.id);
+    }
+  }
+}
+
+/** Forgets the announcements of all other replicas. */
+void
+RelayLoop::Impl::forgetDrainAnnouncements(const std::set<std::string>& aKept)
+{
+  const auto forgotten =
+    std::erase_if(this->announcedDrains, [&](const std::string& aReplica) {
+      return !aKept.contains(aReplica);
+    });
+  if (forgotten > 0) {
+    this->shared.announcedDrains.replace(
+      std::make_shared<const std::set<std::string>>(this->announcedDrains));
   }
 }
 
@@ -106,6 +163,7 @@
   const auto takesNone = [this](const std::string& aReplica) {
     return this->isBackingOff(aReplica) ||
            this->drainingSince.contains(aReplica) ||
+           this->announcedDrains.contains(aReplica) ||
            this->peerDrainReports.contains(aReplica);
   };
   const auto& parts = aExchange.path.parts;
--- a/src/relay/RelayStatus.cpp
+++ b/src/relay/RelayStatus.cpp
@@ -88,6 +88,7 @@
   }
   this->addCrashes(status);
   this->addLimits(status);
+  this->addDrainAnnouncements(status);
   status.linkMbps = toWholeMbps(this->settings.linkMbps);
   status.forwards = true;
   return status;
--- a/tests/unit/fleet/RequestedBackoffsTest.cpp
+++ b/tests/unit/fleet/RequestedBackoffsTest.cpp
@@ -44,28 +44,28 @@
 
 TEST(ReplicaSignals, ReadsSecondsWithAndWithoutAFraction)
 {
-  EXPECT_EQ(parseSignals({ 503, "3", {} }).backoff, seconds{ 3 });
-  EXPECT_EQ(parseSignals({ 429, "0.25", {} }).backoff, milliseconds{ 250 });
+  EXPECT_EQ(parseSignals({ 503, "3", {}, {} }).backoff, seconds{ 3 });
+  EXPECT_EQ(parseSignals({ 429, "0.25", {}, {} }).backoff, milliseconds{ 250 });
 }
 
 TEST(ReplicaSignals, OnlyARejectionAsksForABackoff)
 {
-  EXPECT_FALSE(parseSignals({ 200, "3", {} }).backoff);
-  EXPECT_FALSE(parseSignals({ 500, "3", {} }).backoff);
-  EXPECT_FALSE(parseSignals({ 503, std::nullopt, {} }).backoff);
+  EXPECT_FALSE(parseSignals({ 200, "3", {}, {} }).backoff);
+  EXPECT_FALSE(parseSignals({ 500, "3", {}, {} }).backoff);
+  EXPECT_FALSE(parseSignals({ 503, std::nullopt, {}, {} }).backoff);
 }
 
 TEST(ReplicaSignals, AValueThatCannotBeParsedIsReportedAndNotGuessed)
 {
   for (const char* text : { "", "soon", "-1", "1e999", "3 s", "nan" }) {
-    const ReplicaSignals signals = parseSignals({ 503, text, text });
+    const ReplicaSignals signals = parseSignals({ 503, text, text, {} });
     EXPECT_FALSE(signals.backoff) << text;
     EXPECT_FALSE(signals.rateLimit) << text;
     EXPECT_TRUE(signals.hasUnreadableBackoff) << text;
     EXPECT_TRUE(signals.hasUnreadableLimit) << text;
   }
   // Longer than a Duration can hold.
-  EXPECT_TRUE(parseSignals({ 503, "1e300", {} }).backoff);
+  EXPECT_TRUE(parseSignals({ 503, "1e300", {}, {} }).backoff);
 }
 
 } // namespace
--- a/tests/unit/relay/PlacementControllerTest.cpp
+++ b/tests/unit/relay/PlacementControllerTest.cpp
@@ -101,6 +101,20 @@
   EXPECT_EQ(std::count(held.begin(), held.end(), false), 0);
 }
 
+TEST_F(PlacementControllerTest, NoLayersForAReplicaThatHasAnnouncedItsDrain)
+{
+  this->list(replicaOf("one", "a", "fast"));
+  this->list(replicaOf("two", "a", "fast"));
+  this->shared.announcedDrains.replace(
+    std::make_shared<const std::set<std::string>>(
+      std::set<std::string>{ "one" }));
+  for (int i = 0; i < 100; ++i) {
+    this->runRoundAfter(milliseconds{ 100 });
+  }
+  EXPECT_EQ(std::count(this->ordered.begin(), this->ordered.end(), "one"), 0);
+  EXPECT_GE(std::count(this->ordered.begin(), this->ordered.end(), "two"), 1);
+}
+
 TEST_F(PlacementControllerTest, NoOrderToAReplicaThatHasAskedForABackoff)
 {
   this->list(replicaOf("one", "a", "fast"));
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -36,6 +36,7 @@
   names.urgency = "X-Urgency";
   names.faultyReplica = "X-Faulty";
   names.rateLimit = "X-Limit";
+  names.draining = "X-Draining";
   names.lastEventId = "Last-Event-Id";
   names.stamp = "X-Stamp";
   names.pathText = [](const LayerPath& aPath) {
