Correct three new tests, and count a new field in one of status messages

The property of backoffs compared a value with itself after the change; a placement test had too few replicas for a copy. The test of a relay without forwarding counts the fields of the status message: there is one more now, and the older version lacks two. It checks the same as before and the new field.

--- a/tests/unit/fleet/RequestedBackoffsTest.cpp
+++ b/tests/unit/fleet/RequestedBackoffsTest.cpp
@@ -38,7 +38,8 @@
     backoffs.expire(now);
     RC_ASSERT(backoffs.inForce("one", now) == (now < end));
   }
-  RC_ASSERT(backoffs.expire(end) == (backoffs.size() == 0));
+  const bool hadAny = backoffs.size() > 0;
+  RC_ASSERT(backoffs.expire(end) == hadAny);
   RC_ASSERT(backoffs.size() == 0U);
 }
 
--- a/tests/unit/relay/PeerDatagramTest.cpp
+++ b/tests/unit/relay/PeerDatagramTest.cpp
@@ -81,17 +81,19 @@
   // forwards.
   msgpack::sbuffer bytes;
   msgpack::pack(bytes, statusAt(3));
-  // The status is an array whose last field the older version does not have.
+  // The status is an array whose last two fields the older version does not
+  // have. Each of them takes one byte here.
   std::string status{ bytes.data(), bytes.size() };
-  ASSERT_EQ(status[2], 24);
+  ASSERT_EQ(status[2], 25);
   status[2] = 23;
-  status.pop_back();
+  status.resize(status.size() - 2);
   msgpack::sbuffer echo;
   msgpack::pack(echo, PeerEcho{ 7, 8 });
   const PeerMessage message =
     messageOf(status + std::string{ echo.data(), echo.size() });
   EXPECT_EQ(message.status.sentAt, 3);
   EXPECT_FALSE(message.status.forwards);
+  EXPECT_TRUE(message.status.announcedDrains.empty());
   EXPECT_FALSE(message.forward.wanted);
 }
 
--- a/tests/unit/relay/PlacementControllerTest.cpp
+++ b/tests/unit/relay/PlacementControllerTest.cpp
@@ -105,6 +105,7 @@
 {
   this->list(replicaOf("one", "a", "fast"));
   this->list(replicaOf("two", "a", "fast"));
+  this->list(replicaOf("three", "a", "fast"));
   this->shared.announcedDrains.replace(
     std::make_shared<const std::set<std::string>>(
       std::set<std::string>{ "one" }));
