--- a/tests/standins/lib/UsersStoreStandin.cpp
+++ b/tests/standins/lib/UsersStoreStandin.cpp
@@ -18,6 +18,8 @@
 constexpr int kGone = 410;
 constexpr int kPreconditionFailed = 412;
 
+constexpr std::string_view kEpochField = "Store-Era";
+
 std::int64_t
 steadyMillis()
 {
@@ -77,10 +79,37 @@
   this->written.notify_all();
 }
 
+void
+UsersStoreStandin::saveCopy()
+{
+  const std::scoped_lock lock{ this->guard };
+  this->copiedRows = this->rows;
+  this->copiedVersion = this->version;
+}
+
+void
+UsersStoreStandin::restoreCopy()
+{
+  const std::scoped_lock lock{ this->guard };
+  this->rows = this->copiedRows;
+  this->version = this->copiedVersion;
+  ++this->epoch;
+  this->written.notify_all();
+}
+
 HttpReply
 UsersStoreStandin::answer(const HttpRequest& aRequest)
 {
   std::unique_lock lock{ this->guard };
+  HttpReply reply = this->answerCall(aRequest, lock);
+  reply.headers[std::string{ kEpochField }] = std::to_string(this->epoch);
+  return reply;
+}
+
+HttpReply
+UsersStoreStandin::answerCall(const HttpRequest& aRequest,
+                              std::unique_lock<std::mutex>& aLock)
+{
   if (const int status = this->faults.refuseWith; status != 0) {
     HttpReply reply;
     reply.status = status;
@@ -90,7 +119,7 @@
     return this->readRows(aRequest);
   }
   if (aRequest.path == "/api/rows-feed") {
-    return this->readFeed(aRequest, lock);
+    return this->readFeed(aRequest, aLock);
   }
   if (aRequest.path == "/api/rows-tx") {
     HttpReply reply = this->transact(aRequest);
@@ -145,11 +174,11 @@
 UsersStoreStandin::readFeed(const HttpRequest& aRequest,
                             std::unique_lock<std::mutex>& aLock)
 {
-  if (this->faults.forgetHistory) {
-    return replyWith(kGone, Json::object(), this->version);
-  }
   const std::uint64_t after =
     std::strtoull(queryOf(aRequest, "After").c_str(), nullptr, 10);
+  if (this->faults.forgetHistory || after > this->version) {
+    return replyWith(kGone, Json::object(), this->version);
+  }
   if (this->faults.longPolls) {
     const std::chrono::milliseconds most{ std::strtol(
       queryOf(aRequest, "WaitMs").c_str(), nullptr, 10) };
--- a/tests/standins/lib/UsersStoreStandin.h
+++ b/tests/standins/lib/UsersStoreStandin.h
@@ -43,6 +43,11 @@
            const std::string& aKey,
            const std::string& aValue);
   void drop(const std::string& aTable, const std::string& aKey);
+  /** Copies the content. */
+  void saveCopy();
+  /** Restores the content and the version from the copy: all that was written
+   * since is gone, and its versions are given out again. */
+  void restoreCopy();
 
   UsersStoreFaults faults;
 
@@ -56,6 +61,8 @@
   using Name = std::pair<std::string, std::string>;
 
   HttpReply answer(const HttpRequest& aRequest);
+  HttpReply answerCall(const HttpRequest& aRequest,
+                       std::unique_lock<std::mutex>& aLock);
   HttpReply readRows(const HttpRequest& aRequest);
   HttpReply readFeed(const HttpRequest& aRequest,
                      std::unique_lock<std::mutex>& aLock);
@@ -67,6 +74,10 @@
   std::condition_variable written;
   std::map<Name, Row> rows;
   std::uint64_t version = 0;
+  /** How often the content was restored; every answer says so. */
+  std::uint64_t epoch = 0;
+  std::map<Name, Row> copiedRows;
+  std::uint64_t copiedVersion = 0;
   // Last: it answers from all the above.
   std::unique_ptr<HttpServer> server;
 };
