Let a contact write its row again after a restore of the store

A restored store may lack the row of a contact. The contact took its row for written for good, and a later read kept both that and the version of the lost row, so that a write would have met a conflict for ever: relays that start would have found fewer contacts, or none. The rows are read again when the epoch of the replica list's version rises, and what is known of the own row comes from the latest read alone.

RelayDirectory.AContactWritesItsRowAgainWhenARestoredStoreLacksIt failed before (0 rows) and passes now.

--- a/include/poplartrack/relay/RelayDirectory.h
+++ b/include/poplartrack/relay/RelayDirectory.h
@@ -10,6 +10,7 @@
 #include "poplartrack/relay/RelaySettings.h"
 #include "poplartrack/relay/RelayShared.h"
 #include "poplartrack/store/PlatformLike.h"
+#include "poplartrack/store/StoreVersion.h"
 
 namespace poplartrack {
 
@@ -99,6 +100,12 @@
   {
     return this->contactsSilent || this->zoneContacts.size() < kContactsPerZone;
   }
+  /** Returns whether the store was restored since the rows were read. It may
+   * lack this relay's row then. */
+  [[nodiscard]] bool isStoreRestored() const
+  {
+    return epochOf(this->shared.listVersion) > this->readEpoch;
+  }
   [[nodiscard]] bool isReadDue(TimePoint aNow) const
   {
     if (!this->readAt || this->writeFailed) {
@@ -106,7 +113,8 @@
     }
     const Duration age = aNow - *this->readAt;
     if (this->registered) {
-      return age >= (this->settled ? kReadInterval : kSettleTime);
+      return this->isStoreRestored() ||
+             age >= (this->settled ? kReadInterval : kSettleTime);
     }
     return this->isNeeded() && this->reads == 1 &&
            age >= this->registrationWait() &&
@@ -147,6 +155,8 @@
   bool writeFailed = false;
   /** When the rows were last read. */
   std::optional<TimePoint> readAt;
+  /** Epoch of the store before the latest read. */
+  std::uint64_t readEpoch = 0;
   /** How often the rows have been read. */
   std::size_t reads = 0;
   /** Version of this relay's row; 0: there is none. */
@@ -199,14 +209,18 @@
 bool
 RelayDirectory<Store>::readRows(TimePoint aNow)
 {
+  const std::uint64_t epoch = epochOf(this->shared.listVersion);
   const Result<std::vector<TableRow>> rows =
     this->store.scanRows(kTable, this->settings.region + "/", {}, kMaxRows);
   if (!rows) {
     return false;
   }
   this->settled = this->registered;
+  this->registered = false;
+  this->ownRowVersion = 0;
   this->writeFailed = false;
   this->readAt = aNow;
+  this->readEpoch = epoch;
   ++this->reads;
   this->zoneContacts.clear();
   this->allContacts.clear();
--- a/tests/unit/relay/FleetStart.h
+++ b/tests/unit/relay/FleetStart.h
@@ -33,6 +33,7 @@
   {
     this->rows[aKey] = { TableRow{ aKey, aAddress, 1 }, TimePoint{} };
   }
+  void clear() { this->rows.clear(); }
   [[nodiscard]] std::size_t size() const { return this->rows.size(); }
   void resetCounts()
   {
--- a/tests/unit/relay/RelayDirectoryTest.cpp
+++ b/tests/unit/relay/RelayDirectoryTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "poplartrack/store/StoreVersion.h"
 #include "unit/relay/FleetStart.h"
 
 namespace poplartrack {
@@ -127,5 +128,21 @@
   EXPECT_EQ(rows.reads, 2U);
 }
 
+TEST(RelayDirectory, AContactWritesItsRowAgainWhenARestoredStoreLacksIt)
+{
+  RelayRows rows;
+  DirectoryRelay relay{ rows, 1, "a" };
+  relay.shared.listVersion = storeVersion(0, 9);
+  relay.directory.refresh(rows.now);
+  rows.now += seconds{ 2 };
+  relay.directory.refresh(rows.now);
+  ASSERT_EQ(rows.size(), 1U);
+  rows.clear();
+  relay.shared.listVersion = storeVersion(1, 5);
+  rows.now += milliseconds{ 250 };
+  relay.directory.refresh(rows.now);
+  EXPECT_EQ(rows.size(), 1U);
+}
+
 } // namespace
 } // namespace poplartrack
