Write quarantine rows again after a restore of the store

A restored store may lack the rows of requests in quarantine, and may list some whose quarantine is over. The relays took the rows for stored.

QuarantineRowsTest.ARowThatARestoredStoreLacksIsWrittenAgain failed before (no row) and passes now.

--- a/include/poplartrack/relay/QuarantineRows.h
+++ b/include/poplartrack/relay/QuarantineRows.h
@@ -10,6 +10,7 @@
 
 #include "poplartrack/relay/RelayShared.h"
 #include "poplartrack/store/PlatformLike.h"
+#include "poplartrack/store/StoreVersion.h"
 
 namespace poplartrack {
 
@@ -40,6 +41,7 @@
     if (aNow < this->nextAttempt) {
       return;
     }
+    this->checkEpoch();
     bool succeeded = true;
     if (this->isReadDue(aNow)) {
       succeeded = this->readRows(aNow);
@@ -68,6 +70,19 @@
   /** Most rows that one read takes. */
   static constexpr std::size_t kMaxRows = 4'096;
 
+  /** After a restore of the store, nothing is known of its rows. */
+  void checkEpoch()
+  {
+    const std::uint64_t epoch = epochOf(this->shared.listVersion);
+    if (epoch == this->rowsEpoch) {
+      return;
+    }
+    this->rowsEpoch = epoch;
+    this->hasRead = false;
+    for (auto& [request, row] : this->rowStates) {
+      row.stored = false;
+    }
+  }
   /** Returns whether to read the rows now: once while connected to other store
    * readers or without peers, and regularly while isolated. */
   [[nodiscard]] bool isReadDue(TimePoint aNow)
@@ -102,6 +117,8 @@
   TimePoint readAt{};
   /** The rows have been read at least once. */
   bool hasRead = false;
+  /** Epoch of the store to which hasRead and rowStates apply. */
+  std::uint64_t rowsEpoch = 0;
   /** What this relay knows of a request's row. */
   struct RowState
   {
--- a/tests/unit/relay/QuarantineRowsTest.cpp
+++ b/tests/unit/relay/QuarantineRowsTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include "poplartrack/store/StoreVersion.h"
+
 namespace poplartrack {
 namespace {
 
@@ -201,5 +203,18 @@
   EXPECT_EQ(this->store.calls, 1);
 }
 
+TEST_F(QuarantineRowsTest, ARowThatARestoredStoreLacksIsWrittenAgain)
+{
+  QuarantineRows<RowStore> finder{ this->shared, this->store };
+  finder.refresh(kStart);
+  this->quarantine(true);
+  finder.refresh(kStart + milliseconds{ 250 });
+  ASSERT_EQ(this->store.rows.count(toText(kRequest)), 1U);
+  this->store.rows.clear();
+  this->shared.listVersion = storeVersion(1, 1);
+  finder.refresh(kStart + milliseconds{ 500 });
+  EXPECT_EQ(this->store.rows.count(toText(kRequest)), 1U);
+}
+
 } // namespace
 } // namespace poplartrack
