Give out no fencing number twice after a restore of the store

A restore may take the row of the lease back, or away. A new holder then got a fencing number that had been in use, possibly while another process still held the lost lease, and its orders could not be told from the other's. A process counts on from the highest number that it has seen, and waits as long as a lease lasts before it acquires one after it has noticed a restore. The holder itself goes on.

LeaseState.AFencingNumberIsNotGivenOutAgainAfterARestoreOfTheStore failed before (number 1 again, at once) and passes now.

--- a/include/poplartrack/store/LeaseState.h
+++ b/include/poplartrack/store/LeaseState.h
@@ -61,6 +61,11 @@
  * A holder that was suspended past the end of its lease may still act on it if
  * it was suspended between its check and its act. This class cannot prevent
  * that: the fencing number is sent with the act, and the receiver rejects it.
+ *
+ * A platform that is restored from an older copy loses the latest writes of the
+ * row. A process that notices this waits as long as a lease lasts before it
+ * acquires one, since another one may still hold the lease that was lost, and
+ * gives out no fencing number that it has seen.
  */
 class LeaseState
 {
@@ -115,6 +120,9 @@
   [[nodiscard]] bool isOwn(const LeaseRecord& aRecord) const;
   /** Whether a process that does not hold the lease may try to acquire it. */
   [[nodiscard]] bool mayAcquire(TimePoint aNow) const;
+  /** Returns whether a read of the row shows that the platform was restored
+   * from a copy that is older than the row as it is known here. */
+  [[nodiscard]] bool showsRestore(std::uint64_t aVersion) const;
   /** Handles a read that found a record of this process: holds the lease again
    * if the record is the effect of a pending write. */
   void onOwnRecord(const LeaseRecord& aRecord, TimePoint aNow);
@@ -142,6 +150,10 @@
   /** End of the held lease, less the margin. */
   TimePoint validUntil{};
   std::uint64_t lastWriteNumber = 0;
+  /** Highest fencing number that this process has seen. */
+  std::uint64_t highestFence = 0;
+  /** When a restore of the platform was last noticed. */
+  std::optional<TimePoint> restoredAt;
   /** Leases with this fencing number or a lower one were released, by this
    * process or another one. */
   std::uint64_t releasedFence = 0;
--- a/src/store/LeaseState.cpp
+++ b/src/store/LeaseState.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "poplartrack/store/StoreVersion.h"
+
 namespace poplartrack {
 namespace {
 
@@ -38,6 +40,9 @@
     // Overwriting the row would restart the fencing numbers.
     return false;
   }
+  if (this->restoredAt && aNow - *this->restoredAt < this->settings.duration) {
+    return false;
+  }
   if (!this->record || this->record->released ||
       this->record->fence <= this->releasedFence) {
     return true;
@@ -81,10 +86,21 @@
   this->pendingWrites.clear();
 }
 
+bool
+LeaseState::showsRestore(std::uint64_t aVersion) const
+{
+  // The row is never deleted.
+  return this->rowVersion != 0 &&
+         (aVersion == 0 || epochOf(aVersion) > epochOf(this->rowVersion));
+}
+
 void
 LeaseState::onRead(const std::optional<TableRow>& aRow, TimePoint aNow)
 {
   const std::uint64_t seenVersion = aRow ? aRow->version : 0;
+  if (this->showsRestore(seenVersion)) {
+    this->restoredAt = aNow;
+  }
   if (!this->rowKnown || seenVersion != this->rowVersion) {
     // After an uncertain write the row may still have the version that was
     // known before: the time when it was first seen stays.
@@ -97,6 +113,9 @@
     this->unreadable = aRow && !this->record;
     this->rowKnown = true;
   }
+  if (this->record) {
+    this->highestFence = std::max(this->highestFence, this->record->fence);
+  }
   if (this->record && this->isOwn(*this->record)) {
     this->onOwnRecord(*this->record, aNow);
     return;
@@ -157,8 +176,7 @@
   newRecord.holder = this->settings.holder;
   newRecord.duration = this->settings.duration;
   newRecord.writeNumber = ++this->lastWriteNumber;
-  const std::uint64_t previousFence = this->record ? this->record->fence : 0;
-  newRecord.fence = this->holding ? this->fence : previousFence + 1;
+  newRecord.fence = this->holding ? this->fence : this->highestFence + 1;
   if (this->pendingWrites.size() == kMaxPendingWrites) {
     this->pendingWrites.erase(this->pendingWrites.begin());
   }
@@ -181,6 +199,7 @@
   this->rowKnown = true;
   this->holding = sent.fence > this->releasedFence;
   this->fence = sent.fence;
+  this->highestFence = std::max(this->highestFence, sent.fence);
   this->validUntil =
     sent.sentAt + this->settings.duration - this->settings.margin;
   this->pendingWrites.clear();
@@ -208,6 +227,7 @@
     return;
   }
   this->releasedFence = aFence;
+  this->highestFence = std::max(this->highestFence, aFence);
   if (!this->holding) {
     this->dueAt = std::min(this->dueAt, aNow);
   }
--- a/tests/unit/store/LeaseStateTest.cpp
+++ b/tests/unit/store/LeaseStateTest.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "poplartrack/store/Lease.h"
+#include "poplartrack/store/StoreVersion.h"
 #include "standins/lib/PlatformStandin.h"
 
 namespace poplartrack {
@@ -288,5 +289,29 @@
   }
 }
 
+TEST(LeaseState, AFencingNumberIsNotGivenOutAgainAfterARestoreOfTheStore)
+{
+  const LeaseSettings settings{ "lease", "me" };
+  LeaseState state{ settings };
+  TimePoint now{ std::chrono::hours{ 1 } };
+  state.onRead(std::nullopt, now);
+  state.beginWrite(now);
+  state.onWriteSucceeded(storeVersion(0, 5), now);
+  ASSERT_EQ(state.held(now)->fence, 1U);
+  // The row is gone. Another holder may have written it since the copy, and
+  // act on its lease for as long as that lasts.
+  now += settings.renewInterval;
+  state.beginWrite(now);
+  state.onWriteUncertain(now);
+  state.onRead(std::nullopt, now);
+  EXPECT_FALSE(state.held(now));
+  EXPECT_NE(state.nextAction(now), LeaseAction::Write);
+  now += settings.duration;
+  state.onRead(std::nullopt, now);
+  ASSERT_EQ(state.nextAction(now), LeaseAction::Write);
+  const TableWrite write = state.beginWrite(now);
+  EXPECT_EQ(leaseRecordFromText(*write.value)->fence, 2U);
+}
+
 } // namespace
 } // namespace poplartrack
