Take an older configuration than that of a peer for no proof of freshness

After a restore the store shows an older configuration until the operator has written the latest one again. A relay that had not seen the latest one took this for proof that it had the newest, and would have gone on using a key that had been removed. The configuration in force must be as new as any that a relay has reported. A store reader that is behind and does not find the newer one in the store asks the relays that have it.

FleetControlTest.AnOlderConfigurationThanThatOfAPeerProvesNothing failed before and passes now.

--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -110,6 +110,13 @@
                                                : StoreCall::ConfigProof);
     this->onConfigPoll(
       this->store.readConfig(fleet_control::kCatchUpReadTimeout));
+    const auto read = this->shared.config.read();
+    const std::uint64_t known = read == nullptr ? 0 : read->version;
+    if (behind && this->fetchSnapshot &&
+        known < this->shared.peerConfigVersion) {
+      // The store lacks it as well: it was restored from an older copy.
+      this->fetchConfig(known, fleet_control::kMaxZoneLag);
+    }
   }
   return fleet_control::kCatchUpInterval;
 }
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -246,8 +246,12 @@
         .with("version", static_cast<std::int64_t>(aPoll.config->version))
         .with("keys", static_cast<std::int64_t>(aPoll.config->keys.size())));
   }
-  const bool known = current != nullptr || aPoll.config != nullptr;
-  if (aPoll.unreadable.empty() && known) {
+  // After a restore from an older copy, the store may lack a configuration that
+  // another relay has and that has removed a key.
+  const auto inForce = this->shared.config.read();
+  const bool newest =
+    inForce != nullptr && inForce->version >= this->shared.peerConfigVersion;
+  if (aPoll.unreadable.empty() && newest) {
     this->shared.freshness.prove(aPoll.asOf);
   }
 }
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -134,5 +134,16 @@
   EXPECT_EQ(sent->poll.next, 12U);
 }
 
+TEST_F(FleetControlTest, AnOlderConfigurationThanThatOfAPeerProvesNothing)
+{
+  // The store was restored from a copy without the latest configuration, which
+  // may have removed a key.
+  this->shared.peerConfigVersion = 6;
+  this->store.scriptConfig(configPoll(5));
+  this->runScript();
+  EXPECT_EQ(this->shared.config.read()->version, 5U);
+  EXPECT_EQ(this->shared.freshness.age(), Duration::max());
+}
+
 } // namespace
 } // namespace poplartrack
