Play replicas that send signals, and a restored store, in the fault soak

The stand-in of a replica learns to reject requests with Retry-After and to announce its drain in all answers, that of the store to write rows again after a restore. Plans without the option are as they were, so that a seed gives the same run.

--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -194,7 +194,7 @@
                  const std::string& aKey)
 {
   const std::string id = this->name + "-" + std::to_string(++this->count);
-  CallRecord call{ aKind, aKey, 0, false, {} };
+  CallRecord call{ aKind, aKey, 0, false, {}, toText(aRelay), nowMillis() };
   if (!this->connect(aRelay)) {
     return call;
   }
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -1,7 +1,11 @@
 #include "soak/SoakJudge.h"
 
+#include <algorithm>
 #include <map>
 #include <sstream>
+#include <utility>
+
+#include "standins/lib/UsersReplica.h"
 
 namespace poplartrack::soak {
 namespace {
@@ -9,6 +13,15 @@
 /** The bound on keys that were taken away, as the relays' settings have it. */
 constexpr std::int64_t kRevokeMs = 5'000;
 
+/** A rejection takes this long to reach the relay, also over a slow link. */
+constexpr std::int64_t kBackoffNoticeMs = 500;
+constexpr std::int64_t kMaxDuringBackoff = 2;
+
+/** The bound on new work for a replica that drains. */
+constexpr std::int64_t kDrainMs = 2'000;
+/** Longer than an answer takes from the replica to the caller. */
+constexpr std::int64_t kAnswerMs = 4'000;
+
 constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 
@@ -23,7 +36,7 @@
     std::string word;
     std::string id;
     std::int64_t at = 0;
-    if (words >> word >> id >> at) {
+    if (words >> word >> id >> at && word == "run") {
       runs[id].push_back(at);
     }
   }
@@ -43,13 +56,117 @@
   return false;
 }
 
+/** A request that reached a replica while that sent a signal. */
+struct Arrival
+{
+  std::int64_t at = 0;
+  const CallRecord* call = nullptr;
+};
+
+/** A replica and a relay. */
+using Pair = std::pair<std::string, std::string>;
+
+/** The arrivals in the lines that begin with aWord, in the order of time. */
+std::map<Pair, std::vector<Arrival>>
+arrivalsOf(const SoakRecord& aRecord,
+           const std::vector<std::string>& aLines,
+           const std::string& aWord)
+{
+  std::map<Pair, std::vector<Arrival>> arrivals;
+  for (const std::string& line : aLines) {
+    std::istringstream words{ line };
+    std::string word;
+    std::string replica;
+    std::string id;
+    std::int64_t at = 0;
+    if (!(words >> word >> replica >> id >> at) || word != aWord) {
+      continue;
+    }
+    const auto call = aRecord.all().find(id);
+    if (call != aRecord.all().end()) {
+      arrivals[{ replica, call->second.relay }].push_back(
+        Arrival{ at, &call->second });
+    }
+  }
+  for (auto& [pair, list] : arrivals) {
+    std::sort(list.begin(),
+              list.end(),
+              [](const Arrival& aLeft, const Arrival& aRight) {
+                return aLeft.at < aRight.at;
+              });
+  }
+  return arrivals;
+}
+
+bool
+wasDisturbed(const SoakRecord& aRecord,
+             const Pair& aPair,
+             std::int64_t aFrom,
+             std::int64_t aTo)
+{
+  return aRecord.wasDisturbed(aPair.first, aFrom, aTo) ||
+         aRecord.wasDisturbed(aPair.second, aFrom, aTo);
+}
+
+/** Holds what reached replicas against the backoffs that they asked for. */
+void
+judgeBackoffs(const SoakRecord& aRecord,
+              const std::vector<std::string>& aLines,
+              std::vector<std::string>& aBroken)
+{
+  for (const auto& [pair, list] : arrivalsOf(aRecord, aLines, "rejected")) {
+    for (const Arrival& first : list) {
+      const std::int64_t from = first.at + kBackoffNoticeMs;
+      const std::int64_t to = first.at + standins::kRequestedBackoff.count();
+      const auto late =
+        std::count_if(list.begin(), list.end(), [&](const Arrival& aArrival) {
+          return aArrival.at > from && aArrival.at < to;
+        });
+      if (late > kMaxDuringBackoff &&
+          !wasDisturbed(aRecord, pair, first.at, to)) {
+        aBroken.push_back(pair.first + ": " + std::to_string(late) +
+                          " requests of " + pair.second +
+                          " during a backoff from " + std::to_string(first.at));
+        break;
+      }
+    }
+  }
+}
+
+/** Holds what reached replicas against the drains that they announced. */
+void
+judgeDrains(const SoakRecord& aRecord,
+            const std::vector<std::string>& aLines,
+            std::vector<std::string>& aBroken)
+{
+  for (const auto& [pair, list] : arrivalsOf(aRecord, aLines, "announced")) {
+    const auto passedOn =
+      std::find_if(list.begin(), list.end(), [](const Arrival& aArrival) {
+        return aArrival.call->whole;
+      });
+    for (auto later = passedOn; later != list.end(); ++later) {
+      // The caller has a plain answer some ms after the replica printed this.
+      const bool late =
+        later->call->sentAt > passedOn->at + kDrainMs + kAnswerMs;
+      if (late && !wasDisturbed(aRecord, pair, passedOn->at, later->at)) {
+        aBroken.push_back(pair.first + ": a request of " + pair.second +
+                          " after its drain was announced at " +
+                          std::to_string(passedOn->at));
+        break;
+      }
+    }
+  }
+}
+
 } // namespace
 
 SoakVerdict
-judge(const SoakRecord& aRecord, const std::vector<std::string>& aRunLines)
+judge(const SoakRecord& aRecord, const std::vector<std::string>& aLines)
 {
   SoakVerdict verdict;
-  const Runs runs = runsOf(aRunLines);
+  judgeBackoffs(aRecord, aLines, verdict.broken);
+  judgeDrains(aRecord, aLines, verdict.broken);
+  const Runs runs = runsOf(aLines);
   for (const auto& [id, call] : aRecord.all()) {
     ++verdict.calls;
     verdict.whole += call.whole ? 1 : 0;
--- a/tests/soak/SoakJudge.h
+++ b/tests/soak/SoakJudge.h
@@ -25,11 +25,18 @@
  * - no run without a request of that id;
  * - each whole answer is the replica's, each stream complete and in order, and
  *   what came of a broken one is its beginning;
- * - no run with a key later than 5 s after it was taken away.
+ * - no run with a key later than 5 s after it was taken away;
+ * - at most two requests of a relay reach a replica from half a second after it
+ *   has rejected one of that relay until the end of the backoff that it asks
+ *   for;
+ * - no request that was sent later than 2 s after a relay had passed on an
+ *   answer of a replica that announces its drain reaches that replica from it.
+ * The last two hold where neither of the two was disturbed meanwhile.
  *
- * @param aRunLines "run ID MS", as replicas printed them
+ * @param aLines "run ID MS", "rejected REPLICA ID MS" and "announced REPLICA ID
+ *   MS", as replicas printed them
  */
 SoakVerdict
-judge(const SoakRecord& aRecord, const std::vector<std::string>& aRunLines);
+judge(const SoakRecord& aRecord, const std::vector<std::string>& aLines);
 
 } // namespace poplartrack::soak
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -5,7 +5,9 @@
 namespace poplartrack::soak {
 
 std::vector<PlannedFault>
-planOf(std::uint64_t aSeed, std::chrono::milliseconds aLength)
+planOf(std::uint64_t aSeed,
+       std::chrono::milliseconds aLength,
+       std::size_t aKinds)
 {
   std::mt19937_64 random{ aSeed };
   const auto between = [&random](int aLeast, int aMost) {
@@ -16,7 +18,7 @@
   std::chrono::milliseconds at{ 300 };
   while (at < aLength) {
     PlannedFault fault;
-    fault.fault = static_cast<Fault>(random() % kFaultNames.size());
+    fault.fault = static_cast<Fault>(random() % aKinds);
     fault.who = random();
     // One in four comes as a series: again and again at the same place.
     const int times = random() % 4 == 0 ? 3 : 1;
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -28,18 +28,26 @@
   StoreLosesAnswers,
   StoreForgets,
   KeyTakenAway,
+  ReplicaRejects,
+  ReplicaAnnounces,
+  StoreRestored,
 };
 
-constexpr std::array<std::string_view, 16> kFaultNames{
+constexpr std::array<std::string_view, 19> kFaultNames{
   "relay killed",     "relay paused",        "relay stopped",
   "replica killed",   "replica paused",      "replica leaves",
   "store link cut",   "store link silent",   "store link slow",
   "replica link cut", "replica link silent", "replica link slow",
   "store busy",       "store loses answers", "store forgets",
-  "key taken away",
+  "key taken away",   "replica rejects",     "replica announces",
+  "store restored",
 };
 static_assert(kFaultNames.size() ==
-              static_cast<std::size_t>(Fault::KeyTakenAway) + 1);
+              static_cast<std::size_t>(Fault::StoreRestored) + 1);
+
+/** The faults before ReplicaRejects. Plans of these alone stay as they were
+ * when there were no others, so that a seed gives the same run. */
+constexpr std::size_t kFirstFaults = 16;
 
 /** One fault of a plan. */
 struct PlannedFault
@@ -56,8 +64,11 @@
  * same seed gives the same plan.
  *
  * @param aLength faults begin within this time
+ * @param aKinds only this many kinds of faults, the first ones, occur
  */
 std::vector<PlannedFault>
-planOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
+planOf(std::uint64_t aSeed,
+       std::chrono::milliseconds aLength,
+       std::size_t aKinds = kFirstFaults);
 
 } // namespace poplartrack::soak
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -28,6 +29,20 @@
   bool whole = false;
   /** Why the answer is wrong; empty: it is right, or there is none. */
   std::string wrong;
+  /** The relay that it was sent to. */
+  std::string relay = {};
+  /** In ms of the clock that counts suspension. */
+  std::int64_t sentAt = 0;
+};
+
+/** From when to when a relay or a replica did not run, or its link was
+ * disturbed, in ms of the clock that counts suspension; no end yet: 0. */
+struct Disturbance
+{
+  /** Address of the relay, or id of the replica. */
+  std::string who;
+  std::int64_t from = 0;
+  std::int64_t to = 0;
 };
 
 /** From when to when a key was not in force, in ms of the clock that counts
@@ -67,6 +82,32 @@
       }
     }
   }
+  void disturbed(const std::string& aWho, std::int64_t aNow)
+  {
+    const std::scoped_lock lock{ this->guard };
+    this->disturbances.push_back(Disturbance{ aWho, aNow, 0 });
+  }
+  void undisturbed(const std::string& aWho, std::int64_t aNow)
+  {
+    const std::scoped_lock lock{ this->guard };
+    for (Disturbance& disturbance : this->disturbances) {
+      if (disturbance.who == aWho && disturbance.to == 0) {
+        disturbance.to = aNow;
+      }
+    }
+  }
+  /** Whether it was disturbed at any moment of this time. */
+  [[nodiscard]] bool wasDisturbed(const std::string& aWho,
+                                  std::int64_t aFrom,
+                                  std::int64_t aTo) const
+  {
+    return std::any_of(this->disturbances.begin(),
+                       this->disturbances.end(),
+                       [&](const Disturbance& aOne) {
+                         return aOne.who == aWho && aOne.from <= aTo &&
+                                (aOne.to == 0 || aOne.to >= aFrom);
+                       });
+  }
   /** To be called when nobody records any more. */
   [[nodiscard]] const std::map<std::string, CallRecord>& all() const
   {
@@ -81,6 +122,7 @@
   std::mutex guard;
   std::map<std::string, CallRecord> calls;
   std::vector<KeyGap> gaps;
+  std::vector<Disturbance> disturbances;
 };
 
 } // namespace poplartrack::soak
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -2,8 +2,10 @@
 
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <fstream>
+#include <thread>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -230,9 +232,42 @@
     std::string{ wire_names::kReplicaTable }, aReplica.id, entry.dump());
 }
 
+void
+SoakWorld::restoreStore()
+{
+  // The operator and the replicas notice after a while what is lost.
+  constexpr std::chrono::milliseconds kUnnoticed{ 300 };
+  this->store.restoreCopy();
+  std::this_thread::sleep_for(kUnnoticed);
+  this->store.rewrite({ std::string{ wire_names::kOperatorTable },
+                        std::string{ wire_names::kReplicaTable } });
+}
+
+std::string
+SoakWorld::disturbedBy(const PlannedFault& aFault)
+{
+  switch (aFault.fault) {
+    case Fault::RelayKilled:
+    case Fault::RelayPaused:
+    case Fault::RelayStopped:
+      return toText(
+        this->relayAddresses[aFault.who % this->relayAddresses.size()]);
+    case Fault::ReplicaPaused:
+    case Fault::ReplicaLinkCut:
+    case Fault::ReplicaLinkSilent:
+    case Fault::ReplicaLinkSlow:
+      return this->replica(aFault.who).id;
+    default:
+      return {};
+  }
+}
+
 void
 SoakWorld::begin(const PlannedFault& aFault)
 {
+  if (const std::string who = this->disturbedBy(aFault); !who.empty()) {
+    this->record.disturbed(who, nowMillis());
+  }
   constexpr Duration kSlow = std::chrono::milliseconds{ 60 };
   constexpr int kBusy = 503;
   switch (aFault.fault) {
@@ -286,12 +321,24 @@
       this->pushConfig();
       this->record.keyTaken("key-2", nowMillis());
       break;
+    case Fault::ReplicaRejects:
+      this->replica(aFault.who).process->signal(SIGUSR1);
+      break;
+    case Fault::ReplicaAnnounces:
+      this->replica(aFault.who).process->signal(SIGHUP);
+      break;
+    case Fault::StoreRestored:
+      this->store.saveCopy();
+      break;
   }
 }
 
 void
 SoakWorld::end(const PlannedFault& aFault)
 {
+  if (const std::string who = this->disturbedBy(aFault); !who.empty()) {
+    this->record.undisturbed(who, nowMillis());
+  }
   switch (aFault.fault) {
     case Fault::RelayKilled:
     case Fault::RelayStopped:
@@ -311,7 +358,14 @@
     case Fault::ReplicaPaused:
       this->replica(aFault.who).process->signal(SIGCONT);
       break;
+    case Fault::ReplicaRejects:
+      this->replica(aFault.who).process->signal(SIGUSR2);
+      break;
+    case Fault::StoreRestored:
+      this->restoreStore();
+      break;
     case Fault::ReplicaKilled:
+    case Fault::ReplicaAnnounces:
     case Fault::ReplicaLeaves: {
       Replica& replica = this->replica(aFault.who);
       replica.process->signal(SIGKILL);
@@ -348,14 +402,14 @@
 }
 
 std::vector<std::string>
-SoakWorld::runLines() const
+SoakWorld::replicaLines() const
 {
   std::vector<std::string> lines;
   for (const std::string& path : this->outputs) {
     std::ifstream stream{ path };
     std::string line;
     while (std::getline(stream, line)) {
-      if (line.starts_with("run ")) {
+      if (!line.starts_with("ready ")) {
         lines.push_back(line);
       }
     }
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -44,8 +44,8 @@
   }
   void begin(const PlannedFault& aFault);
   void end(const PlannedFault& aFault);
-  /** Lines "run ID MS" that replicas have printed, of all their lives. */
-  [[nodiscard]] std::vector<std::string> runLines() const;
+  /** The lines for the judge that replicas have printed, of all their lives. */
+  [[nodiscard]] std::vector<std::string> replicaLines() const;
 
 private:
   struct Relay
@@ -75,6 +75,9 @@
   void startRelay(Relay& aRelay);
   void startReplica(Replica& aReplica);
   void sayLeaving(const Replica& aReplica);
+  void restoreStore();
+  /** Who is disturbed by the fault, as the record names it; empty: nobody. */
+  std::string disturbedBy(const PlannedFault& aFault);
   /** The process of a relay or replica; starts a dead one first. */
   Relay& relay(std::size_t aWho);
   Replica& replica(std::size_t aWho);
--- a/tests/soak/soak.cmake
+++ b/tests/soak/soak.cmake
@@ -13,3 +13,10 @@
 add_test(NAME soak.three_seeds
   COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6)
 set_tests_properties(soak.three_seeds PROPERTIES TIMEOUT 300 PROCESSORS 3)
+
+# The same with replicas that reject requests or announce their drain, and a
+# store that is restored from a copy.
+add_test(NAME soak.three_seeds_with_signals
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --signals)
+set_tests_properties(soak.three_seeds_with_signals
+  PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,6 +37,7 @@
   std::uint64_t seed = 1;
   milliseconds length{ 8'000 };
   SoakSize size;
+  std::size_t faultKinds = kFirstFaults;
   int callers = 6;
 };
 
@@ -102,7 +103,8 @@
   SoakRecord record;
   SoakWorld world{ aOptions.build, folder, aOptions.size, record };
   std::vector<std::string> broken = awaitService(world, record, "before");
-  const std::vector<PlannedFault> plan = planOf(aOptions.seed, aOptions.length);
+  const std::vector<PlannedFault> plan =
+    planOf(aOptions.seed, aOptions.length, aOptions.faultKinds);
   std::atomic<bool> stop{ false };
   std::vector<std::thread> threads;
   threads.reserve(static_cast<std::size_t>(aOptions.callers));
@@ -128,7 +130,7 @@
   for (std::string& line : awaitService(world, record, "after")) {
     broken.push_back(std::move(line));
   }
-  SoakVerdict verdict = judge(record, world.runLines());
+  SoakVerdict verdict = judge(record, world.replicaLines());
   broken.insert(broken.end(), verdict.broken.begin(), verdict.broken.end());
   std::cout << "seed " << aOptions.seed << ": " << plan.size() << " faults, "
             << verdict.calls << " calls, " << verdict.whole << " whole, "
@@ -170,6 +172,7 @@
       "engine replicas in each of two zones",
       cxxopts::value<int>()->default_value("3"));
   add("callers", "callers", cxxopts::value<int>()->default_value("6"));
+  add("signals", "also faults that replicas and the store announce");
   options.parse_positional({ "build" });
   try {
     const cxxopts::ParseResult line = options.parse(argc, argv);
@@ -180,6 +183,9 @@
     run.size.plain = static_cast<std::size_t>(line["plain"].as<int>());
     run.size.engines = static_cast<std::size_t>(line["engines"].as<int>());
     run.callers = line["callers"].as<int>();
+    if (line.count("signals") > 0) {
+      run.faultKinds = kFaultNames.size();
+    }
     bool held = true;
     const int first = line["seed"].as<int>();
     for (int i = 0; i < line["seeds"].as<int>(); ++i) {
--- a/tests/standins/lib/StopSignal.h
+++ b/tests/standins/lib/StopSignal.h
@@ -18,10 +18,19 @@
     std::signal(SIGPIPE, SIG_IGN);
   }
 
-  void wait() const
+  /** Leaves a further signal to wait(). */
+  void add(int aSignal)
+  {
+    sigaddset(&this->signals, aSignal);
+    pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
+  }
+
+  /** Returns the signal that came. */
+  int wait() const
   {
     int number = 0;
     sigwait(&this->signals, &number);
+    return number;
   }
 
 private:
--- a/tests/standins/lib/UsersReplica.cpp
+++ b/tests/standins/lib/UsersReplica.cpp
@@ -18,6 +18,7 @@
 constexpr int kAccepted = 202;
 constexpr int kBadRequest = 400;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 /** Work of a plain request, and the pause between two events. */
 constexpr std::chrono::milliseconds kWork{ 4 };
@@ -163,9 +164,48 @@
   }
 }
 
+void
+UsersReplica::print(const char* aWhat, const std::string& aRequestId)
+{
+  std::printf("%s %s %s %lld\n",
+              aWhat,
+              this->settings.id.c_str(),
+              aRequestId.c_str(),
+              static_cast<long long>(suspendAwareMillis()));
+  std::fflush(stdout);
+}
+
 HttpReply
 UsersReplica::answer(const HttpRequest& aRequest)
 {
+  HttpReply reply = this->answerCall(aRequest);
+  const std::string id = headerOf(aRequest, wire_names::kRequestId);
+  if (this->draining) {
+    reply.headers[std::string{ wire_names::kDraining }] = "1";
+    if (!id.empty()) {
+      this->print("announced", id);
+    }
+  }
+  return reply;
+}
+
+HttpReply
+UsersReplica::answerCall(const HttpRequest& aRequest)
+{
+  if (this->rejecting) {
+    constexpr double kMsPerSecond = 1'000;
+    const std::string id = headerOf(aRequest, wire_names::kRequestId);
+    HttpReply reply;
+    reply.status = kUnavailable;
+    reply.headers[std::string{ wire_names::kNotRun }] = "1";
+    reply.headers[std::string{ wire_names::kRequestId }] = id;
+    reply.headers["Retry-After"] = std::to_string(
+      static_cast<double>(kRequestedBackoff.count()) / kMsPerSecond);
+    if (!id.empty()) {
+      this->print("rejected", id);
+    }
+    return reply;
+  }
   if (aRequest.path == wire_names::kReportPath) {
     return this->report();
   }
--- a/tests/standins/lib/UsersReplica.h
+++ b/tests/standins/lib/UsersReplica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -27,6 +28,9 @@
   Address store;
 };
 
+/** How long a replica that rejects requests asks each relay to send nothing. */
+constexpr std::chrono::milliseconds kRequestedBackoff{ 1'200 };
+
 /** What the replica answers to a request: computed alone by whoever checks. */
 std::string
 usersAnswer(const std::string& aRequestId);
@@ -41,7 +45,8 @@
  * A replica of the users' platform, as far as a relay can tell: registers, runs
  * plain requests and streams, takes orders to hold layers, and prints a line
  * "run ID MS" for each request that it begins, MS on the clock that counts
- * suspension.
+ * suspension. While it rejects requests or announces its drain, it also prints
+ * "rejected REPLICA ID MS" or "announced REPLICA ID MS" for each one.
  */
 class UsersReplica
 {
@@ -51,11 +56,17 @@
 
   /** Writes its entry in the store, for as long as that takes. */
   void registerSelf();
+  /** Rejects all requests and asks for a backoff, or no longer does. */
+  void setRejecting(bool aRejecting) { this->rejecting = aRejecting; }
+  /** Announces its drain in all answers from now on. */
+  void announceDrain() { this->draining = true; }
 
 private:
   explicit UsersReplica(UsersReplicaSettings aSettings);
 
   HttpReply answer(const HttpRequest& aRequest);
+  HttpReply answerCall(const HttpRequest& aRequest);
+  void print(const char* aWhat, const std::string& aRequestId);
   HttpReply report();
   HttpReply takeOrder(const HttpRequest& aRequest);
   HttpReply runPlain(const std::string& aId);
@@ -66,6 +77,8 @@
   std::unique_ptr<HttpClient> http;
   std::mutex guard;
   std::optional<LayerRange> layers;
+  std::atomic<bool> rejecting{ false };
+  std::atomic<bool> draining{ false };
   int sequence = 0;
   // Last: it answers from all the above.
   std::unique_ptr<HttpServer> server;
--- a/tests/standins/lib/UsersStoreStandin.cpp
+++ b/tests/standins/lib/UsersStoreStandin.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -91,12 +92,31 @@
 UsersStoreStandin::restoreCopy()
 {
   const std::scoped_lock lock{ this->guard };
-  this->rows = this->copiedRows;
+  this->lostRows = std::exchange(this->rows, this->copiedRows);
   this->version = this->copiedVersion;
   ++this->epoch;
   this->written.notify_all();
 }
 
+void
+UsersStoreStandin::rewrite(const std::vector<std::string>& aTables)
+{
+  const std::scoped_lock lock{ this->guard };
+  for (const auto& [name, row] : this->lostRows) {
+    const bool isNamed =
+      std::find(aTables.begin(), aTables.end(), name.first) != aTables.end();
+    const auto now = this->rows.find(name);
+    const bool isLost = now == this->rows.end() ||
+                        now->second.value != row.value ||
+                        now->second.deleted != row.deleted;
+    if (isNamed && isLost) {
+      this->rows[name] = Row{ row.value, ++this->version, row.deleted };
+    }
+  }
+  this->lostRows.clear();
+  this->written.notify_all();
+}
+
 HttpReply
 UsersStoreStandin::answer(const HttpRequest& aRequest)
 {
--- a/tests/standins/lib/UsersStoreStandin.h
+++ b/tests/standins/lib/UsersStoreStandin.h
@@ -48,6 +48,8 @@
   /** Restores the content and the version from the copy: all that was written
    * since is gone, and its versions are given out again. */
   void restoreCopy();
+  /** Writes the rows of these tables again that a restore has taken back. */
+  void rewrite(const std::vector<std::string>& aTables);
 
   UsersStoreFaults faults;
 
@@ -77,6 +79,8 @@
   /** How often the content was restored; every answer says so. */
   std::uint64_t epoch = 0;
   std::map<Name, Row> copiedRows;
+  /** The content before the latest restore. */
+  std::map<Name, Row> lostRows;
   std::uint64_t copiedVersion = 0;
   // Last: it answers from all the above.
   std::unique_ptr<HttpServer> server;
--- a/tests/standins/standin_users_replica.cpp
+++ b/tests/standins/standin_users_replica.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <iostream>
 
 #include <cxxopts.hpp>
@@ -39,8 +40,21 @@
   }
   replica.value()->registerSelf();
   std::cout << "ready id=" << settings.id << std::endl;
-  aStop.wait();
-  return 0;
+  while (true) {
+    switch (aStop.wait()) {
+      case SIGUSR1:
+        replica.value()->setRejecting(true);
+        break;
+      case SIGUSR2:
+        replica.value()->setRejecting(false);
+        break;
+      case SIGHUP:
+        replica.value()->announceDrain();
+        break;
+      default:
+        return 0;
+    }
+  }
 }
 
 } // namespace
@@ -48,11 +62,16 @@
 int
 main(int argc, char** argv)
 {
-  const StopSignal stop;
+  StopSignal stop;
+  for (const int signal : { SIGUSR1, SIGUSR2, SIGHUP }) {
+    stop.add(signal);
+  }
   cxxopts::Options options{
     "standin_users_replica",
     "A replica of the users' platform for tests. Prints \"ready id=ID\", then\n"
-    "\"run ID MS\" for each request that it begins. Ends on SIGTERM."
+    "\"run ID MS\" for each request that it begins. Ends on SIGTERM.\n"
+    "SIGUSR1, SIGUSR2: begins, ceases to reject requests with Retry-After.\n"
+    "SIGHUP: announces its drain in all answers."
   };
   auto add = options.add_options();
   const auto text = [] { return cxxopts::value<std::string>(); };
--- a/tests/unit/soak/SoakJudgeTest.cpp
+++ b/tests/unit/soak/SoakJudgeTest.cpp
@@ -55,6 +55,56 @@
   EXPECT_TRUE(judge(record, { "run a 20100" }).broken.empty());
 }
 
+/** A call to a relay, sent at this time. */
+CallRecord
+callTo(const std::string& aRelay, std::int64_t aSentAt)
+{
+  CallRecord call = answered(RequestKind::Again, 200);
+  call.relay = aRelay;
+  call.sentAt = aSentAt;
+  return call;
+}
+
+TEST(SoakJudge, ARelaySendsAtMostTwoRequestsIntoABackoff)
+{
+  SoakRecord record;
+  for (const char* id : { "a", "b", "c", "d" }) {
+    record.ended(id, callTo("relay", 0));
+  }
+  record.ended("e", callTo("other", 0));
+  const std::vector<std::string> allowed{
+    "rejected i a 1000", "rejected i b 1400", "rejected i c 1600",
+    "rejected i d 1700", "rejected i e 1800",
+  };
+  EXPECT_TRUE(judge(record, allowed).broken.empty());
+  const std::vector<std::string> late{
+    "rejected i a 1000",
+    "rejected i b 1600",
+    "rejected i c 1700",
+    "rejected i d 1800",
+  };
+  EXPECT_EQ(judge(record, late).broken.size(), 1U);
+  record.disturbed("relay", 1'500);
+  record.undisturbed("relay", 1'900);
+  EXPECT_TRUE(judge(record, late).broken.empty());
+}
+
+TEST(SoakJudge, NoRequestFollowsAnAnnouncedDrain)
+{
+  SoakRecord record;
+  record.ended("a", callTo("relay", 990));
+  record.ended("b", callTo("relay", 2'000));
+  record.ended("c", callTo("relay", 9'000));
+  record.ended("d", callTo("other", 9'000));
+  EXPECT_TRUE(
+    judge(record,
+          { "announced i a 1000", "announced i b 2100", "announced i d 9100" })
+      .broken.empty());
+  EXPECT_EQ(
+    judge(record, { "announced i a 1000", "announced i c 9100" }).broken.size(),
+    1U);
+}
+
 TEST(SoakPlan, TheSameSeedGivesTheSamePlan)
 {
   const auto one = planOf(7, std::chrono::seconds{ 60 });
@@ -71,7 +121,7 @@
 {
   std::set<Fault> kinds;
   bool overlap = false;
-  const auto plan = planOf(1, std::chrono::seconds{ 600 });
+  const auto plan = planOf(1, std::chrono::seconds{ 600 }, kFaultNames.size());
   for (std::size_t i = 0; i < plan.size(); ++i) {
     kinds.insert(plan[i].fault);
     overlap =
