--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -180,13 +180,6 @@
                                           bool aRecentOnly);
   void onReplicaEvent(ReplicaConnection& aConnection, const ReadyEvent& aEvent);
   void onReplicaConnected(ReplicaConnection& aConnection);
-  void readReplica(ReplicaConnection& aConnection);
-  void parseReplicaInput(std::uint64_t aConnection);
-  bool parseNextAnswer(ReplicaConnection& aConnection);
-  void onReplicaDisconnected(std::uint64_t aConnection,
-                             bool aClean,
-                             std::string_view aCause,
-                             ConnectionEnd aEnd = ConnectionEnd::Closed);
   bool mayStillSend(Exchange& aExchange);
   void flushReplica(ReplicaConnection& aConnection);
   void setReplicaWriteInterest(ReplicaConnection& aConnection, bool aWrite);
@@ -195,6 +188,15 @@
   void closeExpiredIdle(TimePoint aNow);
   void resetParser(ReplicaConnection& aConnection);
 
+  // RelayReplicaInput.cpp: bytes received from replicas.
+  void readReplica(ReplicaConnection& aConnection);
+  void parseReplicaInput(std::uint64_t aConnection);
+  bool parseNextAnswer(ReplicaConnection& aConnection);
+  void onReplicaDisconnected(std::uint64_t aConnection,
+                             bool aClean,
+                             std::string_view aCause,
+                             ConnectionEnd aEnd = ConnectionEnd::Closed);
+
   // RelayAdmission.cpp: admission of requests.
   void beginExchange(CallerConnection& aCaller, MessageHead aHead);
   [[nodiscard]] bool waitsForStart(const Exchange& aExchange);
