--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -49,6 +49,13 @@
   return names;
 }
 
+/** Returns whether a text contains another one. */
+inline bool
+has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
 /** Test fixture: a relay on the loopback interface, between sockets that the
  * test drives as callers and replicas. */
 class RelayWorld
