--- a/tests/unit/relay/RelayBackoffTest.cpp
+++ b/tests/unit/relay/RelayBackoffTest.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <future>
+#include <optional>
 
 #include "AnsweringReplica.h"
 #include "RelayWorld.h"
@@ -81,31 +82,53 @@
   }
 }
 
-TEST(RelayBackoff, TheSuccessOfAnEarlierRequestDoesNotEndAPause)
+/** Test fixture: a model replica at which a stream runs and that has rejected a
+ * later request. */
+class RelayBackoffBesideAStream : public ::testing::Test
 {
+protected:
+  RelayBackoffBesideAStream()
+  {
+    this->world.addReplica("one", "model", this->replica.address());
+    this->world.replicas.at("one").slots = 8;
+    this->world.start();
+    this->earlier.emplace(this->world.sendRequest("/stream/x", "earlier"));
+    this->streaming.emplace(this->replica.accept());
+    this->streaming->readUntil("\r\n\r\n");
+    this->streaming->send(RelayWorld::streamHead("earlier") +
+                          RelayWorld::event(1));
+    this->earlier->readUntil("id: 1");
+    RawSocket rejected =
+      this->world.sendRequest("/stream/x", "rejected", "X-Deadline: 3000\r\n");
+    RawSocket rejecting = this->replica.accept();
+    rejecting.readUntil("\r\n\r\n");
+    rejecting.send(rejectAndAskForPause("rejected"));
+    rejected.readUntil("\r\n\r\n");
+  }
+
   RawListener replica;
   RelayWorld world;
-  world.addReplica("one", "model", replica.address());
-  world.replicas.at("one").slots = 8;
-  world.start();
-  RawSocket earlier = world.sendRequest("/stream/x", "earlier");
-  RawSocket streaming = replica.accept();
-  streaming.readUntil("\r\n\r\n");
-  streaming.send(RelayWorld::streamHead("earlier") + RelayWorld::event(1));
-  earlier.readUntil("id: 1");
-  RawSocket rejected =
-    world.sendRequest("/stream/x", "rejected", "X-Deadline: 3000\r\n");
-  RawSocket rejecting = replica.accept();
-  rejecting.readUntil("\r\n\r\n");
-  rejecting.send(rejectAndAskForPause("rejected"));
-  rejected.readUntil("\r\n\r\n");
-  streaming.send(RelayWorld::kLastChunk);
-  earlier.readUntil("0\r\n\r\n");
+  /** Connections of the stream: from its caller and to the replica. */
+  std::optional<RawSocket> earlier;
+  std::optional<RawSocket> streaming;
+};
+
+TEST_F(RelayBackoffBesideAStream, TheSuccessOfTheStreamDoesNotEndThePause)
+{
+  this->streaming->send(RelayWorld::kLastChunk);
+  this->earlier->readUntil("0\r\n\r\n");
   RawSocket later =
-    world.sendRequest("/stream/x", "later", "X-Deadline: 1000\r\n");
+    this->world.sendRequest("/stream/x", "later", "X-Deadline: 1000\r\n");
   EXPECT_TRUE(later.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
+TEST_F(RelayBackoffBesideAStream, AStallCausesNoStatusQueryDuringThePause)
+{
+  const int before = this->world.statusQueries;
+  sendForAWhile(this->world, "/stream/x");
+  EXPECT_EQ(this->world.statusQueries, before);
+}
+
 TEST(RelayBackoff, ARequestWhoseConnectionIsOpeningIsNotSentIntoAPause)
 {
   RawListener replica;
@@ -133,29 +156,6 @@
   EXPECT_TRUE(rejected.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
-TEST(RelayBackoff, AStalledStreamCausesNoStatusQueryDuringAPause)
-{
-  RawListener replica;
-  RelayWorld world;
-  world.addReplica("one", "model", replica.address());
-  world.replicas.at("one").slots = 8;
-  world.start();
-  RawSocket earlier = world.sendRequest("/stream/x", "earlier");
-  RawSocket streaming = replica.accept();
-  streaming.readUntil("\r\n\r\n");
-  streaming.send(RelayWorld::streamHead("earlier") + RelayWorld::event(1));
-  earlier.readUntil("id: 1");
-  RawSocket rejected =
-    world.sendRequest("/stream/x", "rejected", "X-Deadline: 3000\r\n");
-  RawSocket rejecting = replica.accept();
-  rejecting.readUntil("\r\n\r\n");
-  rejecting.send(rejectAndAskForPause("rejected"));
-  rejected.readUntil("\r\n\r\n");
-  const int before = world.statusQueries;
-  sendForAWhile(world, "/stream/x");
-  EXPECT_EQ(world.statusQueries, before);
-}
-
 TEST(RelayBackoff, ARejectedStatusQueryOrOrderAsksForAPauseToo)
 {
   AnsweringReplica replica{ [](const std::string& aHead) {
