Plan layers by one view of the replica list

A round took the indices of a service's replicas from one view and read the replicas from a second one, which may be shorter by then: a read out of range. Found by reading; not reproduced.

--- a/include/poplartrack/relay/PlacementController.h
+++ b/include/poplartrack/relay/PlacementController.h
@@ -33,9 +33,10 @@
   void runRound(std::uint64_t aFence, TimePoint aNow);
 
 private:
-  /** Plans one service and sends its orders. aIndices: where the replica view
-   * holds the service's replicas. */
-  void planService(const std::string& aService,
+  /** Plans one service and sends its orders. aIndices: where aView holds
+   * the service's replicas. */
+  void planService(const ReplicaView& aView,
+                   const std::string& aService,
                    const EngineProfile& aEngine,
                    const std::vector<std::size_t>& aIndices,
                    TimePoint aNow);
--- a/src/relay/PlacementController.cpp
+++ b/src/relay/PlacementController.cpp
@@ -32,25 +32,25 @@
   for (const auto& [name, service] : config->services) {
     const auto listed = view->byService.find(name);
     if (service.engine && listed != view->byService.end()) {
-      this->planService(name, *service.engine, listed->second, aNow);
+      this->planService(*view, name, *service.engine, listed->second, aNow);
     }
   }
 }
 
 void
-PlacementController::planService(const std::string& aService,
+PlacementController::planService(const ReplicaView& aView,
+                                 const std::string& aService,
                                  const EngineProfile& aEngine,
                                  const std::vector<std::size_t>& aIndices,
                                  TimePoint aNow)
 {
-  const auto view = this->shared.replicas.read();
   const auto lost = this->shared.lostReplicas.read();
   const auto announced = this->shared.announcedDrains.read();
   std::vector<Replica> available;
   bool uncertain = false;
-  const std::set<std::string> replaced = this->replacedReplicas(*view);
+  const std::set<std::string> replaced = this->replacedReplicas(aView);
   for (const std::size_t index : aIndices) {
-    const Replica& replica = view->replicas[index];
+    const Replica& replica = aView.replicas[index];
     const auto found = lost->find(replica.id);
     const bool dead = found != lost->end();
     const bool draining = replica.draining || announced->contains(replica.id);
