--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -24,6 +24,7 @@
 #include "poplartrack/relay/RelaySettings.h"
 #include "poplartrack/relay/RelayShared.h"
 #include "poplartrack/store/Lease.h"
+#include "poplartrack/store/StoreVersion.h"
 
 namespace poplartrack {
 
--- a/include/poplartrack/relay/FleetReplicas.inl.h
+++ b/include/poplartrack/relay/FleetReplicas.inl.h
@@ -132,6 +132,15 @@
 FleetControl<Store>::applyReplicaPoll(const ReplicaPoll& aPoll, TimePoint aNow)
 {
   this->logUnreadable(aPoll.unreadable);
+  const std::uint64_t known = this->replicaList.knownVersion();
+  if (known != 0 && epochOf(aPoll.next) > epochOf(known)) {
+    this->shared.metrics.count("store_restores_total");
+    this->shared.log.write(
+      LogLine{ LogPart::Store, "restored" }
+        .with("epoch", static_cast<std::int64_t>(epochOf(aPoll.next)))
+        .with("version", static_cast<std::int64_t>(countOf(aPoll.next)))
+        .with("before", static_cast<std::int64_t>(countOf(known))));
+  }
   this->replicaList.onPoll(aPoll, aNow);
   const bool expired = this->replicaList.expire(aNow);
   this->entriesUncertain = this->replicaList.uncertain();
@@ -140,7 +149,7 @@
   if (changed) {
     this->shared.log.write(
       LogLine{ LogPart::Replicas, "listed" }
-        .with("version", static_cast<std::int64_t>(aPoll.next))
+        .with("version", static_cast<std::int64_t>(countOf(aPoll.next)))
         .with("changed", static_cast<std::int64_t>(aPoll.present.size()))
         .with("gone", static_cast<std::int64_t>(aPoll.removed.size()))
         .with("all", static_cast<std::int64_t>(this->replicaList.size())));
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -4,6 +4,7 @@
 
 #include "RelayLoopImpl.h"
 #include "RetryAdvice.h"
+#include "poplartrack/store/StoreVersion.h"
 
 namespace poplartrack {
 namespace {
@@ -60,7 +61,7 @@
   constexpr std::int64_t kMicrosPerMs = 1000;
   line.with("config_age_ms",
             this->shared.freshness.age().count() / kMicrosPerMs);
-  line.with("list", static_cast<std::int64_t>(this->view->version));
+  line.with("list", static_cast<std::int64_t>(countOf(this->view->version)));
   line.with("runs", aExchange.runs);
   line.with("sends", aExchange.sends);
   line.with("ms", (this->now - aExchange.arrived).count() / kMicrosPerMs);
