Attribute an announced drain to one incarnation only

An announcement holds until the replica exits. Signals of an answer were applied to every replica that the list has at the address, so an announcement of the old incarnation could have kept the next one out of use for good. It counts for the replica that was expected; after a 421, and for orders and status queries, only if the list has one replica at the address.

The target of an attempt is looked at again when its connection is open, and no longer at each first write: a target that has just been chosen needs no second look, and the two could not call each other without end. Both were found by reading.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -180,7 +180,6 @@
                                           bool aRecentOnly);
   void onReplicaEvent(ReplicaConnection& aConnection, const ReadyEvent& aEvent);
   void onReplicaConnected(ReplicaConnection& aConnection);
-  bool mayStillSend(Exchange& aExchange);
   void flushReplica(ReplicaConnection& aConnection);
   void setReplicaWriteInterest(ReplicaConnection& aConnection, bool aWrite);
   void releaseReplica(ReplicaConnection& aConnection);
@@ -248,6 +247,7 @@
                              bool aIsCurrent);
   void onSignals(const Address& aAddress, const ReplicaSignals& aSignals);
   void recordBackoff(const std::string& aReplica, Duration aBackoff);
+  void recordOwnDrainAnnouncement(const std::string& aReplica);
   bool recordDrainAnnouncement(const std::string& aReplica);
   void addDrainAnnouncements(PeerStatus& aStatus) const;
   void forgetDrainAnnouncements(const std::set<std::string>& aKept);
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -146,7 +146,8 @@
   }
 }
 
-/** Sends the request, or fails the attempt if connecting failed. */
+/** Sends the request, or fails the attempt if connecting failed. Chooses
+ * another target if this one has said meanwhile that it takes no work. */
 void
 RelayLoop::Impl::onReplicaConnected(ReplicaConnection& aConnection)
 {
@@ -154,46 +155,37 @@
     this->onReplicaDisconnected(aConnection.id, false, "not connected");
     return;
   }
-  aConnection.state = ReplicaConnection::State::Busy;
-  this->flushReplica(aConnection);
-}
-
-/** Checks, before the first byte of an attempt is written, what may have
- * changed since its target was chosen. Returns false if the attempt has ended.
- */
-bool
-RelayLoop::Impl::mayStillSend(Exchange& aExchange)
-{
-  if (!this->isConfigFresh(aExchange)) {
-    // The process may have been suspended since the request was admitted, and
-    // its key may have been revoked meanwhile.
-    this->dropAttempt(aExchange, false);
-    this->refuse(
-      aExchange,
-      Error{ ErrorKind::NoConfiguration, "the configuration has become old" },
-      aExchange.runs == 0);
-    return false;
-  }
-  if (this->targetTakesNoWork(aExchange)) {
-    // A replica of the attempt has said so while the connection was opening.
+  const auto exchange = this->exchanges.find(aConnection.exchange);
+  if (exchange != this->exchanges.end() &&
+      this->targetTakesNoWork(*exchange->second)) {
     this->shared.metrics.count("attempts_redirected_total");
-    this->dropAttempt(aExchange, false);
-    --aExchange.sends;
-    this->dispatch(aExchange);
-    return false;
+    this->dropAttempt(*exchange->second, false);
+    --exchange->second->sends;
+    this->dispatch(*exchange->second);
+    return;
   }
-  return true;
+  aConnection.state = ReplicaConnection::State::Busy;
+  this->flushReplica(aConnection);
 }
 
-/** Writes the request until the socket accepts no more, unless its attempt has
- * become invalid before the first byte. */
+/** Writes the request until the socket accepts no more. Refuses it instead if
+ * the configuration has become too old before the first byte. */
 void
 RelayLoop::Impl::flushReplica(ReplicaConnection& aConnection)
 {
   const auto exchange = this->exchanges.find(aConnection.exchange);
   if (!aConnection.anySent && !aConnection.output.empty() &&
       exchange != this->exchanges.end() &&
-      !this->mayStillSend(*exchange->second)) {
+      !this->isConfigFresh(*exchange->second)) {
+    // The process may have been suspended since the request was admitted, and
+    // its key may have been revoked meanwhile. No byte of the request has been
+    // sent yet.
+    Exchange& stale = *exchange->second;
+    this->dropAttempt(stale, false);
+    this->refuse(
+      stale,
+      Error{ ErrorKind::NoConfiguration, "the configuration has become old" },
+      stale.runs == 0);
     return;
   }
   while (!aConnection.output.empty()) {
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -2,10 +2,16 @@
 // backoffs and announced drains.
 
 #include <algorithm>
+#include <vector>
 
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
+namespace {
+
+constexpr int kMisdirectedRequest = 421;
+
+} // namespace
 
 /** Reads the signals in the head of an answer to a request. aIsCurrent: the
  * answer belongs to the request in progress on the connection; if not, it may
@@ -25,14 +31,13 @@
   if (signals.hasUnreadableBackoff) {
     this->shared.metrics.count("answers_with_unreadable_retry_after_total");
   }
-  if (!signals.backoff && !signals.draining) {
+  if (aHead.status == kMisdirectedRequest) {
+    // Another replica may have answered at the address.
+    this->onSignals(aConnection.address, signals);
     return signals;
   }
-  // After a restart of the endpoint, the list may already have its next
-  // incarnation at the address.
-  this->onSignals(aConnection.address, signals);
-  if (signals.draining && this->recordDrainAnnouncement(aConnection.replica)) {
-    this->broadcastStatus(true);
+  if (signals.draining) {
+    this->recordOwnDrainAnnouncement(aConnection.replica);
   }
   if (!signals.backoff) {
     return signals;
@@ -51,20 +56,36 @@
 RelayLoop::Impl::onSignals(const Address& aAddress,
                            const ReplicaSignals& aSignals)
 {
+  std::vector<std::string> there;
   for (const Replica& replica : this->view->replicas) {
-    if (replica.address != aAddress) {
-      continue;
+    if (replica.address == aAddress) {
+      there.push_back(replica.id);
     }
+  }
+  for (const std::string& replica : there) {
     if (aSignals.rateLimit) {
-      this->recordRateLimit(replica.id, aSignals, false);
+      this->recordRateLimit(replica, aSignals, false);
     }
     if (aSignals.backoff) {
-      this->recordBackoff(replica.id, *aSignals.backoff);
-    }
-    if (aSignals.draining && this->recordDrainAnnouncement(replica.id)) {
-      this->broadcastStatus(true);
+      this->recordBackoff(replica, *aSignals.backoff);
     }
   }
+  // After a restart of the endpoint, the list has two incarnations at the
+  // address for a while. An announcement of the old one would keep the new one
+  // out of use for good.
+  if (aSignals.draining && there.size() == 1) {
+    this->recordOwnDrainAnnouncement(there.front());
+  }
+}
+
+/** Records that a replica has announced its drain to this relay, and tells the
+ * other relays. */
+void
+RelayLoop::Impl::recordOwnDrainAnnouncement(const std::string& aReplica)
+{
+  if (this->recordDrainAnnouncement(aReplica)) {
+    this->broadcastStatus(true);
+  }
 }
 
 /** Records that a replica has announced its drain, to this relay or to another
--- a/tests/unit/relay/RelayDrainTest.cpp
+++ b/tests/unit/relay/RelayDrainTest.cpp
@@ -62,6 +62,28 @@
   EXPECT_TRUE(headOfAnswer(world, "second").starts_with("HTTP/1.1 200"));
 }
 
+TEST(RelayDrain, AnAnnouncementOfAnOldIncarnationDoesNotBarTheNextOne)
+{
+  AnsweringReplica replica{ [](const std::string& aHead) {
+    return headerValue(aHead, "X-Expect") == "old"
+             ? RelayWorld::answer(
+                 headerValue(aHead, "X-Id"), "{}\n", "200 OK", kAnnounce)
+             : RelayWorld::answer(headerValue(aHead, "X-Id"),
+                                  "{}\n",
+                                  "200 OK",
+                                  "X-Stamp: s\r\nConnection: close\r\n");
+  } };
+  RelayWorld world;
+  world.addReplica("old", "plain", replica.address());
+  world.start();
+  EXPECT_TRUE(headOfAnswer(world, "first").starts_with("HTTP/1.1 200"));
+  world.addReplica("new", "plain", replica.address());
+  world.publishReplicas(2);
+  world.shared.onReplicaSignals(replica.address(),
+                                parseSignals({ 200, {}, {}, "1" }));
+  EXPECT_TRUE(headOfAnswer(world, "second").starts_with("HTTP/1.1 200"));
+}
+
 TEST(RelayDrain, AnAnswerWithoutTheAnnouncementDoesNotTakeItBack)
 {
   RawListener replica;
