--- a/tests/unit/relay/RelayBackoffTest.cpp
+++ b/tests/unit/relay/RelayBackoffTest.cpp
@@ -12,7 +12,7 @@
 
 using namespace relaytest;
 
-/** Longer than any test takes. */
+/** Fields of a rejection that asks for a longer pause than any test takes. */
 constexpr const char* kAskForPause =
   "X-Not-Run: 1\r\nRetry-After: 600\r\nConnection: close\r\n";
 constexpr const char* kRejected = "503 Service Unavailable";
--- a/tests/unit/relay/RelayLimitTest.cpp
+++ b/tests/unit/relay/RelayLimitTest.cpp
@@ -89,12 +89,13 @@
   const int before = replica.requests();
   const TimePoint start = runtimeNow();
   constexpr int kCalls = 40;
+  std::uint64_t version = 1;
   for (int i = 1; i <= kCalls; ++i) {
     world.replicas.erase("one");
-    world.publishReplicas(2 * i);
+    world.publishReplicas(++version);
     callOnce(world, 2 * i);
     world.replicas.emplace("one", kept);
-    world.publishReplicas(2 * i + 1);
+    world.publishReplicas(++version);
     callOnce(world, 2 * i + 1);
   }
   EXPECT_LE(replica.requests() - before,
