--- a/review/standins/RelayProcess.h
+++ b/review/standins/RelayProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <thread>
@@ -28,7 +29,8 @@
 /**
  * A relay on a machine of the platform. As on the platform, a process whose
  * memory exceeds the limit is killed, and one that has ended is started again
- * after a short delay. Only the resident memory counts here.
+ * after a short delay. Only resident memory that is not shared with files
+ * counts here, in MB of 1,048,576 bytes.
  */
 class RelayProcess
 {
@@ -44,6 +46,11 @@
   /** SIGTERM, and SIGKILL after the grace time. The process does not start
    * again. */
   void stop();
+  /** When the latest process was started. */
+  [[nodiscard]] std::chrono::steady_clock::time_point started() const
+  {
+    return this->startedAt;
+  }
   /** How often the process was killed because of its memory. */
   [[nodiscard]] int memoryKills() const { return this->killedForMemory; }
   /** Highest resident memory that was seen, in MB. */
@@ -63,6 +70,7 @@
   Address healthAt;
   std::string settingsPath;
   std::atomic<pid_t> id{ 0 };
+  std::atomic<std::chrono::steady_clock::time_point> startedAt{};
   std::atomic<bool> ending{ false };
   /** The process that was killed last because of its memory. */
   pid_t killedProcess = 0;
