Log the shared prompt parts of broken attempts

The logs of the incident give a fingerprint of a request's whole content, which differs for each request; they cannot tell whether those under which replicas crash have a part of their prompts in common. The relay reads the field now and logs the ids of all parts but the last, which is the request's own. Nothing is decided by it yet.

--- a/include/poplartrack/relay/RelayHeaderNames.h
+++ b/include/poplartrack/relay/RelayHeaderNames.h
@@ -17,6 +17,9 @@
   std::string deadline;
   /** Token counts "P,A": length of the prompt, maximum length of the answer. */
   std::string tokens;
+  /** The parts of the prompt, in order: "ID:TOKENS,...". Requests share parts;
+   * the last one belongs to the request alone. */
+  std::string promptParts;
   /** The caller's estimate of the answer's length in tokens. */
   std::string lengthHint;
   /** The caller's API key; never forwarded. */
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "RelayLoopImpl.h"
+#include "poplartrack/retry/PromptParts.h"
 
 namespace poplartrack {
 namespace {
@@ -63,6 +64,15 @@
   return *aExchange.content;
 }
 
+/** Returns the ids of the prompt's parts that other requests may share, as the
+ * request states them. */
+std::vector<std::string_view>
+RelayLoop::Impl::sharedPartIds(const Exchange& aExchange) const
+{
+  return sharedPromptParts(
+    aExchange.head.headers.find(this->names.promptParts).value_or(""));
+}
+
 /** Starts the exchange of a request that was read to its end, and admits it. */
 void
 RelayLoop::Impl::beginExchange(CallerConnection& aCaller, MessageHead aHead)
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -40,6 +40,17 @@
 
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
+/** Joins ids with commas. */
+std::string
+joined(const std::vector<std::string_view>& aIds)
+{
+  std::string text;
+  for (const std::string_view id : aIds) {
+    text.append(text.empty() ? "" : ",").append(id);
+  }
+  return text;
+}
+
 } // namespace
 
 bool
@@ -344,6 +355,7 @@
       .with("sent", possiblyRan ? 1 : 0)
       .with("events", aExchange.events)
       .with("content", toText(contentFingerprint(aExchange)))
+      .with("parts", joined(this->sharedPartIds(aExchange)))
       .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs));
   aExchange.avoid.insert(aExchange.replica);
   this->dropAttempt(aExchange, possiblyRan);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -198,6 +198,8 @@
 
   // RelayAdmission.cpp: admission of requests.
   void beginExchange(CallerConnection& aCaller, MessageHead aHead);
+  [[nodiscard]] std::vector<std::string_view> sharedPartIds(
+    const Exchange& aExchange) const;
   [[nodiscard]] bool waitsForStart(const Exchange& aExchange);
   void admit(Exchange& aExchange);
   [[nodiscard]] std::string requestHead(const Exchange& aExchange,
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -27,6 +27,7 @@
   names.requestId = "X-Id";
   names.deadline = "X-Deadline";
   names.tokens = "X-Tokens";
+  names.promptParts = "X-Parts";
   names.lengthHint = "X-Hint";
   names.apiKey = "X-Key";
   names.account = "X-Account";
