--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -1,10 +1,8 @@
 // Requests that crash replicas, and their quarantine.
 
-#include <atomic>
-#include <mutex>
 #include <thread>
 
-#include "AcceptLoop.h"
+#include "CrashingReplicas.h"
 #include "RelayWorld.h"
 
 namespace poplartrack {
@@ -17,59 +15,6 @@
 constexpr int kMaxCrashes = 3;
 constexpr int kMaxSentAfter = 3;
 
-/** Replicas of a plain service, each of which crashes when it begins to run a
- * request. publish() removes the crashed ones from the replica list. */
-class CrashingReplicas
-{
-public:
-  explicit CrashingReplicas(std::vector<RelayWorld*> aWorlds)
-    : worlds(std::move(aWorlds))
-  {
-    constexpr int kReplicas = 40;
-    for (int i = 0; i < kReplicas; ++i) {
-      for (RelayWorld* world : this->worlds) {
-        world->addReplica(
-          "r" + std::to_string(i), "plain", this->loop.address());
-      }
-    }
-  }
-  CrashingReplicas(const CrashingReplicas&) = delete;
-  CrashingReplicas& operator=(const CrashingReplicas&) = delete;
-
-  void start()
-  {
-    this->loop.start([this](RawSocket& aConnection) {
-      const std::string head = aConnection.readUntil("\r\n\r\n");
-      const std::scoped_lock lock{ this->guard };
-      this->crashed.push_back(headerValue(head, "X-Expect"));
-      ++this->runs;
-    });
-  }
-  /** Removes the crashed replicas from the list of each relay. */
-  void publish()
-  {
-    const std::scoped_lock lock{ this->guard };
-    ++this->version;
-    for (RelayWorld* world : this->worlds) {
-      for (const std::string& replica : this->crashed) {
-        world->replicas.erase(replica);
-      }
-      world->publishReplicas(this->version);
-    }
-  }
-  [[nodiscard]] std::uint64_t listVersion() const { return this->version; }
-  [[nodiscard]] int sent() const { return this->runs; }
-
-private:
-  std::vector<RelayWorld*> worlds;
-  std::mutex guard;
-  std::vector<std::string> crashed;
-  std::uint64_t version = 1;
-  std::atomic<int> runs{ 0 };
-  // Declared last, since its thread uses the other members.
-  AcceptLoop loop;
-};
-
 /** Sends the same content under another id and returns the answer. */
 std::string
 callOnce(const RelayWorld& aWorld, int aNumber)
