--- a/include/poplartrack/relay/QuarantineRows.h
+++ b/include/poplartrack/relay/QuarantineRows.h
@@ -15,7 +15,7 @@
 namespace poplartrack {
 
 /**
- * Keeps the quarantine as rows of the store, one for each request, so that it
+ * Keeps the quarantine as rows of the store, one for each suspect, so that it
  * survives the loss of all relays. A row is written by the relays that observed
  * the deciding crash, or else by the holder of the placement lease. It is
  * deleted when the quarantine is over. Not thread-safe.
@@ -79,7 +79,7 @@
     }
     this->rowsEpoch = epoch;
     this->hasRead = false;
-    for (auto& [request, row] : this->rowStates) {
+    for (auto& [id, row] : this->rowStates) {
       row.stored = false;
     }
   }
@@ -119,12 +119,12 @@
   bool hasRead = false;
   /** Epoch of the store to which hasRead and rowStates apply. */
   std::uint64_t rowsEpoch = 0;
-  /** What this relay knows of a request's row. */
+  /** What this relay knows of a suspect's row. */
   struct RowState
   {
     /** The store has the row. */
     bool stored = false;
-    /** The request has been in quarantine at this relay. If it no longer is,
+    /** The suspect has been in quarantine at this relay. If it no longer is,
      * its quarantine is over. A row that has just been read is not in
      * quarantine here yet, and must not be deleted for that. */
     bool quarantinedHere = false;
@@ -143,16 +143,18 @@
   }
   this->hasRead = true;
   this->readAt = aNow;
-  std::vector<Fingerprint> stored;
+  std::vector<Suspect> stored;
   for (const TableRow& row : rows.value()) {
-    if (const auto request = fingerprintFromText(row.key)) {
-      stored.push_back(*request);
-      this->rowStates[*request].stored = true;
+    const auto id = fingerprintFromText(row.key);
+    const auto suspect = id ? suspectFromStore(*id, row.value) : std::nullopt;
+    if (suspect) {
+      stored.push_back(*suspect);
+      this->rowStates[suspect->id].stored = true;
     }
   }
   if (*this->shared.storedQuarantine.read() != stored) {
     this->shared.storedQuarantine.replace(
-      std::make_shared<const std::vector<Fingerprint>>(std::move(stored)));
+      std::make_shared<const std::vector<Suspect>>(std::move(stored)));
   }
   return true;
 }
@@ -165,25 +167,26 @@
   bool succeeded = true;
   std::set<Fingerprint> quarantined;
   for (const QuarantineRecord& record : *records) {
-    quarantined.insert(record.request);
-    RowState& row = this->rowStates[record.request];
+    const Suspect& suspect = record.suspect;
+    quarantined.insert(suspect.id);
+    RowState& row = this->rowStates[suspect.id];
     row.quarantinedHere = true;
     if (!row.stored && (record.own || this->shared.holdsLease)) {
       const Result<std::vector<std::uint64_t>> written = this->store.transact(
-        { TableWrite{ kTable, toText(record.request), 0, std::string{} } });
+        { TableWrite{ kTable, toText(suspect.id), 0, storedText(suspect) } });
       // A conflict means that another relay has written the row.
       row.stored = written || written.error().kind == ErrorKind::Conflict;
       succeeded = succeeded && row.stored;
     }
   }
   std::erase_if(this->rowStates, [&](const auto& aEntry) {
-    const auto& [request, row] = aEntry;
-    if (!row.quarantinedHere || quarantined.contains(request)) {
+    const auto& [id, row] = aEntry;
+    if (!row.quarantinedHere || quarantined.contains(id)) {
       return false;
     }
     // The other relays that know of the quarantine leave the row alone.
     const bool responsible = row.stored || this->shared.holdsLease;
-    const bool removed = !responsible || this->removeRow(toText(request));
+    const bool removed = !responsible || this->removeRow(toText(id));
     succeeded = succeeded && removed;
     return removed;
   });
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -78,13 +78,13 @@
   RcuBox<std::set<std::string>> backingOff{
     std::make_shared<const std::set<std::string>>()
   };
-  /** Requests in quarantine: they are sent to no replica. */
+  /** What is in quarantine: requests with it are sent to no replica. */
   RcuBox<std::vector<QuarantineRecord>> quarantine{
     std::make_shared<const std::vector<QuarantineRecord>>()
   };
-  /** Requests in quarantine according to the latest read of the store. */
-  RcuBox<std::vector<Fingerprint>> storedQuarantine{
-    std::make_shared<const std::vector<Fingerprint>>()
+  /** What is in quarantine according to the latest read of the store. */
+  RcuBox<std::vector<Suspect>> storedQuarantine{
+    std::make_shared<const std::vector<Suspect>>()
   };
   /** The relay is shutting down: it reports not ready, and its answers close
    * their connections. */
--- a/include/poplartrack/retry/CrashWatch.h
+++ b/include/poplartrack/retry/CrashWatch.h
@@ -27,8 +27,8 @@
   {
   }
 
-  /** Records that a request broke off at a replica. The report becomes valid if
-   * the replica turns out to have crashed. */
+  /** Records that a request broke off at a replica, now. The report becomes
+   * valid if the replica turns out to have crashed. */
   void onBroken(CrashReport aReport, TimePoint aNow);
   /** Returns the replicas with requests that broke off there. */
   [[nodiscard]] std::set<std::string> replicas() const;
@@ -44,16 +44,9 @@
   void expire(TimePoint aNow);
 
 private:
-  /** A request that broke off. */
-  struct Broken
-  {
-    CrashReport report;
-    TimePoint at;
-  };
-
   Duration timeout;
   /** By replica. */
-  std::map<std::string, std::vector<Broken>> pending;
+  std::map<std::string, std::vector<CrashReport>> pending;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/retry/Fingerprint.h
+++ b/include/poplartrack/retry/Fingerprint.h
@@ -42,6 +42,14 @@
 Fingerprint
 fingerprintOf(const RequestContent& aContent);
 
+/** Returns the fingerprint of a part of a prompt, whoever sends it. */
+Fingerprint
+fingerprintOfPart(std::string_view aPart);
+
+/** Returns the fingerprint of a part in the requests of one client account. */
+Fingerprint
+fingerprintOfPart(std::string_view aPart, std::string_view aAccount);
+
 /** Returns the fingerprint as 32 lower-case hex digits. */
 std::string
 toText(const Fingerprint& aFingerprint);
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "MessageParser.h"
 #include "poplartrack/base/Clock.h"
@@ -22,6 +23,15 @@
   double answer = 0;
 };
 
+/** A part of a prompt that other requests may share. */
+struct PromptPart
+{
+  /** Fingerprint of the part, whoever sends it. */
+  Fingerprint part;
+  /** The part in the requests of this client account. */
+  Fingerprint accountPart;
+};
+
 /** A request of a caller, from its last received byte to the end of its
  * answer. It may take several attempts at replicas. */
 struct Exchange
@@ -35,6 +45,9 @@
   /** Fingerprint of the content, computed when first needed; see
    * contentFingerprint(). */
   std::optional<Fingerprint> content;
+  /** The parts of the prompt that other requests may share, computed when first
+   * needed; see promptParts(). */
+  std::optional<std::vector<PromptPart>> parts;
   /** The configuration that admitted the request. It owns route, account and
    * service. */
   std::shared_ptr<const RelayConfig> config;
--- a/src/relay/PeerDatagram.cpp
+++ b/src/relay/PeerDatagram.cpp
@@ -110,6 +110,9 @@
   if (status.configAge >= 0) {
     addAge(status.configAge, aRow.age);
   }
+  for (CrashRow& row : status.crashes) {
+    addAge(row.age, aRow.age);
+  }
   for (QuarantineRow& row : status.quarantine) {
     addAge(row.age, aRow.age);
   }
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -12,7 +12,7 @@
 namespace poplartrack {
 
 /** Format version of PeerStatus; datagrams of other versions are ignored. */
-constexpr std::uint32_t kPeerStatusFormat = 12;
+constexpr std::uint32_t kPeerStatusFormat = 13;
 
 /** The sender's own work in flight at one replica; see ReplicaLoad. */
 struct LoadRow
@@ -47,23 +47,35 @@
   MSGPACK_DEFINE(service, requests, retries);
 };
 
-/** A replica crashed while it ran a request. */
+/** A replica crashed while it had a request; see CrashReport. */
 struct CrashRow
 {
-  Fingerprint request;
+  Fingerprint suspect;
   std::string replica;
   /** The replica had not begun to run the request, or only just. */
   bool early = false;
-  MSGPACK_DEFINE(request, replica, early);
+  /** The suspect is a prompt part, and accountPart is set. */
+  bool isPart = false;
+  Fingerprint accountPart;
+  bool familiar = false;
+  /** How long ago the request broke off, in microseconds. */
+  std::int64_t age = 0;
+  MSGPACK_DEFINE(suspect, replica, early, isPart, accountPart, familiar, age);
 };
 
-/** A quarantined request: relays send it to no replica. */
+/** A suspect in quarantine: relays send requests with it to no replica. */
 struct QuarantineRow
 {
-  Fingerprint request;
+  Fingerprint suspect;
   /** How long it has been quarantined, in microseconds. */
   std::int64_t age = 0;
-  MSGPACK_DEFINE(request, age);
+  /** A SuspectKind. */
+  std::uint8_t kind = 0;
+  /** Of a prompt part: the part, whoever sends it. */
+  Fingerprint part;
+  /** Trial runs that the sender knows of. */
+  std::uint32_t trials = 0;
+  MSGPACK_DEFINE(suspect, age, kind, part, trials);
 };
 
 /** The rate limit that a replica's latest answer to the sender reported. */
@@ -140,10 +152,11 @@
   std::uint64_t releasedFence = 0;
   /** Recent crashes of replicas under requests, as known to the sender. */
   std::vector<CrashRow> crashes;
-  /** The most recently quarantined requests. */
+  /** The most recently quarantined suspects. */
   std::vector<QuarantineRow> quarantine;
-  /** Requests under which replicas had crashed and that a replica has recently
-   * completed. */
+  /** Contents and prompt parts under which replicas had crashed and that have
+   * been cleared recently: a replica has completed a request with that content,
+   * or begun to answer one with that part. */
   std::vector<Fingerprint> served;
   /** Rate limits of replicas, including those lifted recently. */
   std::vector<LimitRow> limits;
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -64,8 +64,24 @@
   return *aExchange.content;
 }
 
-/** Returns the ids of the prompt's parts that other requests may share, as the
- * request states them. */
+/** Returns the parts of the prompt that other requests may share. */
+const std::vector<PromptPart>&
+RelayLoop::Impl::promptParts(Exchange& aExchange) const
+{
+  if (!aExchange.parts) {
+    const std::string_view account =
+      aExchange.account != nullptr ? std::string_view{ aExchange.account->name }
+                                   : std::string_view{};
+    aExchange.parts.emplace();
+    for (const std::string_view id : this->sharedPartIds(aExchange)) {
+      aExchange.parts->push_back(
+        PromptPart{ fingerprintOfPart(id), fingerprintOfPart(id, account) });
+    }
+  }
+  return *aExchange.parts;
+}
+
+/** Returns the ids of these parts, as the request states them. */
 std::vector<std::string_view>
 RelayLoop::Impl::sharedPartIds(const Exchange& aExchange) const
 {
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -180,6 +180,7 @@
   if (!out.empty()) {
     if (!aExchange.runningSince) {
       aExchange.runningSince = this->now;
+      this->recordBegun(aExchange);
     }
     this->endPrefill(aExchange);
     this->recordRepairTime(aExchange);
@@ -322,6 +323,9 @@
     line.with("retry_after", *retryAfter);
   }
   this->shared.log.write(line);
+  if (stalled && faulty != aExchange.replica) {
+    this->recordPossibleCrashAt(aExchange, faulty, false);
+  }
   aExchange.avoid.insert(faulty);
   this->dropAttempt(aExchange, false);
   // A started stream first waits for the retry budget and for a path.
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -1,5 +1,4 @@
-// Requests that crash replicas: detecting them, reporting them to the other
-// relays, and keeping them in quarantine.
+// Requests that crash replicas: detecting them, and telling the other relays.
 
 #include <algorithm>
 
@@ -12,16 +11,9 @@
  * so does a crash before that event. */
 constexpr Duration kEarlyCrashTime = std::chrono::milliseconds{ 1'000 };
 
-/** Delay until a request in quarantine that was served before is tried once
- * more: by then crashed replicas have restarted. */
-constexpr Duration kTrialDelay = std::chrono::seconds{ 5 };
-
-/** Time between the trials of two relays for the same request. They take turns,
- * so that few replicas crash if the request is responsible. */
-constexpr Duration kTrialInterval = std::chrono::seconds{ 5 };
-
-/** Maximum number of crashes that a status message reports. */
-constexpr std::size_t kMaxCrashRows = 64;
+/** Maximum number of crashes that a status message reports. One crash is one
+ * for each content and part of the requests that the replica had. */
+constexpr std::size_t kMaxCrashRows = 128;
 
 /** Maximum number of quarantine records that a status message reports, the
  * latest first. Older ones have been reported before, and the store keeps them.
@@ -32,23 +24,44 @@
 
 /**
  * Records that the connection of the current attempt has ended. If the replica
- * turns out to have crashed, the request may be responsible. A draining replica
- * exits as planned and is left out. A replica that falls silent has more likely
- * lost its network, so its crash does not count as early.
+ * turns out to have crashed, the request may be responsible. A replica that
+ * falls silent has more likely lost its network, so its crash does not count as
+ * early.
  */
 void
 RelayLoop::Impl::recordPossibleCrash(Exchange& aExchange, ConnectionEnd aEnd)
 {
-  const bool draining = this->drainingSince.contains(aExchange.replica);
-  if (draining || !this->mayHaveRun(aExchange)) {
-    return;
-  }
   const bool atStart = !aExchange.runningSince ||
                        this->now - *aExchange.runningSince < kEarlyCrashTime;
-  const bool early = atStart && aEnd == ConnectionEnd::Closed;
+  this->recordPossibleCrashAt(
+    aExchange, aExchange.replica, atStart && aEnd == ConnectionEnd::Closed);
+}
+
+/**
+ * Records that the request may have crashed a replica of its path. A draining
+ * replica exits as planned and is left out. The parts of the prompt are
+ * suspects only until the first event of the attempt.
+ */
+void
+RelayLoop::Impl::recordPossibleCrashAt(Exchange& aExchange,
+                                       const std::string& aReplica,
+                                       bool aEarly)
+{
+  if (this->drainingSince.contains(aReplica) || !this->mayHaveRun(aExchange)) {
+    return;
+  }
   this->crashWatch.onBroken(
-    CrashReport{ contentFingerprint(aExchange), aExchange.replica, early },
-    this->now);
+    CrashReport{ contentFingerprint(aExchange), aReplica, aEarly }, this->now);
+  if (aExchange.runningSince) {
+    return;
+  }
+  for (const PromptPart& part : this->promptParts(aExchange)) {
+    const bool familiar =
+      this->recentlyServed.lastServed(part.part, this->now).has_value();
+    this->crashWatch.onBroken(
+      CrashReport{ part.part, aReplica, aEarly, part.accountPart, familiar },
+      this->now);
+  }
 }
 
 /**
@@ -84,162 +97,56 @@
     }
     for (const CrashReport& report :
          this->crashWatch.onCrashed(replica, this->recentlyServed, this->now)) {
-      this->shared.metrics.count("requests_at_ended_replicas_total");
-      if (this->crashes.onCrash(report, CrashSource::Own, this->now)) {
-        this->beginQuarantine(report.request, true);
+      if (!report.accountPart) {
+        this->shared.metrics.count("requests_at_ended_replicas_total");
       }
+      this->crashes.onCrash(report, CrashSource::Own, this->now);
     }
   }
+  this->applyQuarantineChanges();
   this->crashWatch.expire(this->now);
 }
 
-/** Handles that a request has been put into quarantine. aOwn: this relay itself
- * saw the crash that led to it. */
+/** Records that a replica has begun to answer the request, which clears the
+ * parts of its prompt: a part that crashes replicas lets none begin. */
 void
-RelayLoop::Impl::beginQuarantine(const Fingerprint& aRequest, bool aOwn)
+RelayLoop::Impl::recordBegun(Exchange& aExchange)
 {
-  this->shared.log.write(LogLine{ LogPart::Quarantine, "began" }
-                           .with("content", toText(aRequest))
-                           .with("own", aOwn ? 1 : 0));
-  if (this->recentlyServed.lastServed(aRequest, this->now)) {
-    const std::size_t earlier = this->trialRank(aRequest);
-    this->crashes.allowTrial(aRequest,
-                             this->now + kTrialDelay +
-                               kTrialInterval * static_cast<int>(earlier));
+  for (const PromptPart& part : this->promptParts(aExchange)) {
+    this->recentlyServed.onServed(part.part, this->now);
+    this->crashes.onServed(part.part, this->now);
   }
-  this->publishQuarantine();
-  // Deferred, because the caller may be a request that is choosing its path.
-  this->post([this, aRequest, aOwn] {
-    if (aOwn) {
-      this->broadcastStatus(true);
-    }
-    this->stopQuarantined(aRequest);
-  });
+  this->applyQuarantineChanges();
 }
 
-/** Returns this relay's position in the order of trials for the request. All
- * relays compute the same order. */
-std::size_t
-RelayLoop::Impl::trialRank(const Fingerprint& aRequest) const
-{
-  const auto rank = [&](const Address& aRelay) {
-    return std::hash<std::string>{}(toText(aRelay) + toText(aRequest));
-  };
-  const std::size_t own = rank(this->localPeers);
-  return static_cast<std::size_t>(std::count_if(
-    this->knownPeers.begin(), this->knownPeers.end(), [&](const auto& aEntry) {
-      return rank(aEntry.first) < own;
-    }));
-}
-
-/** Ends the attempts of a request in quarantine that have no event yet. Those
- * with events have begun to run and continue. */
-void
-RelayLoop::Impl::stopQuarantined(const Fingerprint& aRequest)
-{
-  std::vector<std::uint64_t> pending;
-  for (const auto& [id, exchange] : this->exchanges) {
-    const bool running = exchange->runningSince.has_value();
-    if (exchange->connection != 0 && !running &&
-        contentFingerprint(*exchange) == aRequest) {
-      pending.push_back(id);
-    }
-  }
-  for (const std::uint64_t id : pending) {
-    const auto found = this->exchanges.find(id);
-    if (found == this->exchanges.end()) {
-      // It ended while an earlier request of this list was handled.
-      continue;
-    }
-    Exchange& exchange = *found->second;
-    this->dropAttempt(exchange, this->mayHaveRun(exchange));
-    this->refuseQuarantined(exchange);
-  }
-}
-
-/** Returns how long the request stays in quarantine, or nullopt if it is not in
- * quarantine. */
-std::optional<Duration>
-RelayLoop::Impl::quarantineLeft(Exchange& aExchange) const
-{
-  if (this->crashes.empty()) {
-    return std::nullopt;
-  }
-  return this->crashes.quarantineLeft(contentFingerprint(aExchange), this->now);
-}
-
-/** Answers a request in quarantine with an error. */
-void
-RelayLoop::Impl::refuseQuarantined(Exchange& aExchange)
-{
-  this->refuse(
-    aExchange,
-    Error{ ErrorKind::Quarantined, toText(contentFingerprint(aExchange)) },
-    aExchange.runs == 0);
-}
-
-/** Records that a replica completed the request, which ends its quarantine. */
+/** Records that a replica completed the request, which clears its content. */
 void
 RelayLoop::Impl::recordServed(Exchange& aExchange)
 {
-  const Fingerprint& request = contentFingerprint(aExchange);
-  this->recentlyServed.onServed(request, this->now);
-  if (this->crashes.onServed(request, this->now)) {
-    this->endQuarantine(request);
+  if (!aExchange.runningSince) {
+    this->recordBegun(aExchange);
   }
+  const Fingerprint& content = contentFingerprint(aExchange);
+  this->recentlyServed.onServed(content, this->now);
+  this->crashes.onServed(content, this->now);
+  this->applyQuarantineChanges();
 }
 
-/** Handles that a request has been released from quarantine. */
-void
-RelayLoop::Impl::endQuarantine(const Fingerprint& aRequest)
-{
-  this->shared.log.write(LogLine{ LogPart::Quarantine, "released" }.with(
-    "content", toText(aRequest)));
-  this->publishQuarantine();
-}
-
-/** Passes the quarantine to the thread that keeps it in the store. */
-void
-RelayLoop::Impl::publishQuarantine()
-{
-  auto records = std::make_shared<const std::vector<QuarantineRecord>>(
-    this->crashes.quarantine(this->now));
-  this->shared.metrics.set("requests_quarantined",
-                           static_cast<std::int64_t>(records->size()));
-  this->shared.quarantine.replace(std::move(records));
-}
-
-/** Takes over the quarantine in the store, enters certain crashes and drops
- * expired records. */
-void
-RelayLoop::Impl::refreshQuarantine()
-{
-  const auto stored = this->shared.storedQuarantine.read();
-  if (stored != this->lastStoredQuarantine) {
-    this->lastStoredQuarantine = stored;
-    for (const Fingerprint& request : *stored) {
-      if (this->crashes.onQuarantined(request, Duration{ 0 }, this->now)) {
-        this->beginQuarantine(request, false);
-      }
-    }
-  }
-  this->confirmCrashes();
-  const std::size_t before = this->shared.quarantine.read()->size();
-  this->crashes.expire(this->now);
-  if (this->crashes.quarantine(this->now).size() != before) {
-    this->publishQuarantine();
-  }
-}
-
-/** Adds the crashes, the quarantine and the released requests to a status
- * message. */
+/** Adds the crashes, the quarantine and what was cleared to a status message.
+ */
 void
 RelayLoop::Impl::addCrashes(PeerStatus& aStatus) const
 {
   for (CrashReport& report :
        this->crashes.latestCrashes(this->now, kMaxCrashRows)) {
     aStatus.crashes.push_back(
-      CrashRow{ report.request, std::move(report.replica), report.early });
+      CrashRow{ report.suspect,
+                std::move(report.replica),
+                report.early,
+                report.accountPart.has_value(),
+                report.accountPart.value_or(Fingerprint{}),
+                report.familiar,
+                (this->now - report.brokenAt).count() });
   }
   std::vector<QuarantineRecord> records = this->crashes.quarantine(this->now);
   std::sort(records.begin(),
@@ -250,33 +157,51 @@
   records.resize(std::min(records.size(), kMaxQuarantineRows));
   for (const QuarantineRecord& record : records) {
     aStatus.quarantine.push_back(
-      QuarantineRow{ record.request, record.age.count() });
+      QuarantineRow{ record.suspect.id,
+                     record.age.count(),
+                     static_cast<std::uint8_t>(record.suspect.kind),
+                     record.suspect.part,
+                     record.trials });
   }
   aStatus.served = this->crashes.latestServed(this->now);
 }
 
-/** Takes over the crashes, the quarantine and the released requests of another
+/** Takes over the crashes, the quarantine and what was cleared from another
  * relay. */
 void
 RelayLoop::Impl::onPeerCrashes(const PeerStatus& aStatus)
 {
-  for (const Fingerprint& request : aStatus.served) {
-    if (this->crashes.onServed(request, this->now)) {
-      this->endQuarantine(request);
-    }
+  for (const Fingerprint& suspect : aStatus.served) {
+    this->crashes.onServed(suspect, this->now);
   }
   for (const CrashRow& row : aStatus.crashes) {
-    const CrashReport report{ row.request, row.replica, row.early };
-    if (this->crashes.onCrash(report, CrashSource::Peer, this->now)) {
-      this->beginQuarantine(row.request, false);
+    const CrashReport report{
+      row.suspect,
+      row.replica,
+      row.early,
+      row.isPart ? std::optional{ row.accountPart } : std::nullopt,
+      row.familiar,
+      this->now - Duration{ row.age }
+    };
+    this->crashes.onCrash(report, CrashSource::Peer, this->now);
+    // The sender has not seen what was served here since.
+    const auto served = this->recentlyServed.lastServed(row.suspect, this->now);
+    if (served && *served > report.brokenAt) {
+      this->crashes.onServed(row.suspect, this->now);
     }
   }
   for (const QuarantineRow& row : aStatus.quarantine) {
-    if (this->crashes.onQuarantined(
-          row.request, Duration{ row.age }, this->now)) {
-      this->beginQuarantine(row.request, false);
+    if (row.kind > static_cast<std::uint8_t>(SuspectKind::AccountPart)) {
+      continue;
     }
+    const Suspect suspect{ row.suspect,
+                           static_cast<SuspectKind>(row.kind),
+                           row.part };
+    this->crashes.onQuarantined(
+      QuarantineRecord{ suspect, Duration{ row.age }, false, row.trials },
+      this->now);
   }
+  this->applyQuarantineChanges();
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -100,9 +100,9 @@
       aExchange.runs == 0);
     return;
   }
-  if (this->quarantineLeft(aExchange) &&
-      !this->crashes.takeTrial(contentFingerprint(aExchange), this->now)) {
-    this->refuseQuarantined(aExchange);
+  const std::vector<Suspect> quarantined = this->quarantinedIn(aExchange);
+  if (!quarantined.empty() && !this->isTrialDue(quarantined)) {
+    this->refuseQuarantined(aExchange, quarantined.front());
     return;
   }
   Result<AttemptTarget> target = this->chooseQueued(aExchange);
@@ -115,6 +115,9 @@
     target = fail(ErrorKind::Overloaded, "the retry budget is used up");
   }
   if (target) {
+    if (!quarantined.empty()) {
+      this->recordTrial(aExchange, quarantined);
+    }
     aExchange.needsRetryBudget = false;
     aExchange.waitingSince.reset();
     this->sendAttempt(aExchange, target.value());
@@ -308,8 +311,7 @@
   state.timeLeft = aExchange.giveUpAt - this->now;
   state.jitterSeed = hashOf(requestId);
   if (state.kind == ErrorKind::Quarantined) {
-    state.quarantineLeft =
-      this->quarantineLeft(aExchange).value_or(Duration{ 0 });
+    state.quarantineLeft = this->quarantineLeft(aExchange);
   }
   this->endExchange(aExchange);
   if (found == this->callers.end()) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -198,6 +198,7 @@
 
   // RelayAdmission.cpp: admission of requests.
   void beginExchange(CallerConnection& aCaller, MessageHead aHead);
+  const std::vector<PromptPart>& promptParts(Exchange& aExchange) const;
   [[nodiscard]] std::vector<std::string_view> sharedPartIds(
     const Exchange& aExchange) const;
   [[nodiscard]] bool waitsForStart(const Exchange& aExchange);
@@ -320,23 +321,35 @@
   void moveOffDraining();
   [[nodiscard]] bool usesDrainingReplica(const Exchange& aExchange) const;
 
-  // RelayCrashes.cpp: requests that crash replicas, and their quarantine.
+  // RelayCrashes.cpp: requests that crash replicas.
   void recordPossibleCrash(Exchange& aExchange, ConnectionEnd aEnd);
+  void recordPossibleCrashAt(Exchange& aExchange,
+                             const std::string& aReplica,
+                             bool aEarly);
   [[nodiscard]] bool hasExited(const std::string& aReplica) const;
   void confirmCrashes();
-  void beginQuarantine(const Fingerprint& aRequest, bool aOwn);
-  void stopQuarantined(const Fingerprint& aRequest);
-  [[nodiscard]] std::size_t trialRank(const Fingerprint& aRequest) const;
-  [[nodiscard]] std::optional<Duration> quarantineLeft(
-    Exchange& aExchange) const;
-  void refuseQuarantined(Exchange& aExchange);
+  void recordBegun(Exchange& aExchange);
   void recordServed(Exchange& aExchange);
-  void endQuarantine(const Fingerprint& aRequest);
-  void publishQuarantine();
-  void refreshQuarantine();
   void addCrashes(PeerStatus& aStatus) const;
   void onPeerCrashes(const PeerStatus& aStatus);
 
+  // RelayQuarantine.cpp: what is sent to no replica because of such crashes.
+  void applyQuarantineChanges();
+  void beginQuarantine(const Suspect& aSuspect, bool aOwn);
+  [[nodiscard]] bool isCertain(const Suspect& aSuspect) const;
+  void stopQuarantined(const Suspect& aSuspect);
+  [[nodiscard]] bool contains(Exchange& aExchange,
+                              const Suspect& aSuspect) const;
+  [[nodiscard]] std::size_t trialRank(const Fingerprint& aSuspect) const;
+  [[nodiscard]] std::vector<Suspect> quarantinedIn(Exchange& aExchange) const;
+  [[nodiscard]] Duration quarantineLeft(Exchange& aExchange) const;
+  [[nodiscard]] bool isTrialDue(const std::vector<Suspect>& aQuarantined);
+  void recordTrial(const Exchange& aExchange,
+                   const std::vector<Suspect>& aQuarantined);
+  void refuseQuarantined(Exchange& aExchange, const Suspect& aSuspect);
+  void publishQuarantine();
+  void refreshQuarantine();
+
   // RelayPeers.cpp: the socket for datagrams, and what is received on it.
   Result<Done> openPeers();
   void readPeers();
@@ -417,7 +430,7 @@
   CrashLedger crashes;
   RecentlyServedRequests recentlyServed;
   /** The quarantine of the store that was last merged into crashes. */
-  std::shared_ptr<const std::vector<Fingerprint>> lastStoredQuarantine;
+  std::shared_ptr<const std::vector<Suspect>> lastStoredQuarantine;
   /** When the current round of the wait queue began. */
   TimePoint roundStartedAt{};
   /** Random number of this process's incarnation, sent to other relays. */
--- /dev/null
+++ b/src/relay/RelayQuarantine.cpp
@@ -0,0 +1,261 @@
+// What is sent to no replica, because replicas crashed under it.
+
+#include <algorithm>
+
+#include "RelayLoopImpl.h"
+
+namespace poplartrack {
+namespace {
+
+/** Delay until content in quarantine that was served before is tried once more:
+ * by then crashed replicas have restarted. */
+constexpr Duration kTrialDelay = std::chrono::seconds{ 5 };
+
+/** Time between the trials of two relays for the same content. They take turns,
+ * so that few replicas crash if the request is responsible. */
+constexpr Duration kTrialInterval = std::chrono::seconds{ 5 };
+
+/** Trial runs that a part of the store's quarantine is taken to have had. After
+ * a restart of all relays nobody knows how many there were. */
+constexpr std::uint32_t kAllTrials = 1'000;
+
+} // namespace
+
+/** Acts on what has begun and ended in the crash ledger. */
+void
+RelayLoop::Impl::applyQuarantineChanges()
+{
+  const QuarantineChanges changes = this->crashes.takeChanges();
+  for (const Suspect& suspect : changes.ended) {
+    this->shared.log.write(LogLine{ LogPart::Quarantine, "released" }
+                             .with("content", toText(suspect.id))
+                             .with("kind", nameOf(suspect.kind)));
+  }
+  for (const auto& [suspect, source] : changes.begun) {
+    this->beginQuarantine(suspect, source == CrashSource::Own);
+  }
+  if (!changes.begun.empty() || !changes.ended.empty()) {
+    this->publishQuarantine();
+  }
+}
+
+/** Handles that something has been put into quarantine. aOwn: this relay itself
+ * saw the crash that led to it. */
+void
+RelayLoop::Impl::beginQuarantine(const Suspect& aSuspect, bool aOwn)
+{
+  this->shared.log.write(LogLine{ LogPart::Quarantine, "began" }
+                           .with("content", toText(aSuspect.id))
+                           .with("kind", nameOf(aSuspect.kind))
+                           .with("own", aOwn ? 1 : 0));
+  if (aSuspect.kind == SuspectKind::Content &&
+      this->recentlyServed.lastServed(aSuspect.id, this->now)) {
+    const std::size_t earlier = this->trialRank(aSuspect.id);
+    this->crashes.allowTrial(aSuspect.id,
+                             this->now + kTrialDelay +
+                               kTrialInterval * static_cast<int>(earlier));
+  }
+  // Deferred, because the caller may be a request that is choosing its path.
+  this->post([this, aSuspect, aOwn] {
+    if (aOwn) {
+      this->broadcastStatus(true);
+    }
+    this->stopQuarantined(aSuspect);
+  });
+}
+
+/** Returns this relay's position in the order of trials for a suspect. All
+ * relays compute the same order. */
+std::size_t
+RelayLoop::Impl::trialRank(const Fingerprint& aSuspect) const
+{
+  const auto rank = [&](const Address& aRelay) {
+    return std::hash<std::string>{}(toText(aRelay) + toText(aSuspect));
+  };
+  const std::size_t own = rank(this->localPeers);
+  return static_cast<std::size_t>(std::count_if(
+    this->knownPeers.begin(), this->knownPeers.end(), [&](const auto& aEntry) {
+      return rank(aEntry.first) < own;
+    }));
+}
+
+/** Returns whether a request contains a suspect. */
+bool
+RelayLoop::Impl::contains(Exchange& aExchange, const Suspect& aSuspect) const
+{
+  if (aSuspect.kind == SuspectKind::Content) {
+    return contentFingerprint(aExchange) == aSuspect.id;
+  }
+  const std::vector<PromptPart>& parts = this->promptParts(aExchange);
+  return std::any_of(parts.begin(), parts.end(), [&](const PromptPart& aPart) {
+    return aPart.part == aSuspect.id || aPart.accountPart == aSuspect.id;
+  });
+}
+
+/** Returns whether no other suspect is as likely to be responsible. */
+bool
+RelayLoop::Impl::isCertain(const Suspect& aSuspect) const
+{
+  return aSuspect.kind == SuspectKind::Content ||
+         this->crashes.isLikelyCulprit(aSuspect.id);
+}
+
+/**
+ * Ends the attempts that contain a suspect and have no event yet. Those with
+ * events have begun to run and continue. While several parts are suspected,
+ * attempts that a replica has already received continue too: they show which
+ * part is responsible.
+ */
+void
+RelayLoop::Impl::stopQuarantined(const Suspect& aSuspect)
+{
+  const bool isCertain = this->isCertain(aSuspect);
+  std::vector<std::uint64_t> pending;
+  for (const auto& [id, exchange] : this->exchanges) {
+    const bool isPending = exchange->connection != 0 &&
+                           !exchange->runningSince &&
+                           (isCertain || !this->mayHaveRun(*exchange));
+    if (isPending && this->contains(*exchange, aSuspect)) {
+      pending.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : pending) {
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end() ||
+        this->quarantinedIn(*found->second).empty()) {
+      // It ended while an earlier request of this list was handled, or the
+      // quarantine did.
+      continue;
+    }
+    Exchange& exchange = *found->second;
+    this->dropAttempt(exchange, this->mayHaveRun(exchange));
+    this->refuseQuarantined(exchange, aSuspect);
+  }
+}
+
+/** Returns what of the request is in quarantine. */
+std::vector<Suspect>
+RelayLoop::Impl::quarantinedIn(Exchange& aExchange) const
+{
+  std::vector<Suspect> quarantined;
+  if (this->crashes.empty()) {
+    return quarantined;
+  }
+  const auto add = [&](const Suspect& aSuspect) {
+    if (this->crashes.quarantineLeft(aSuspect.id, this->now)) {
+      quarantined.push_back(aSuspect);
+    }
+  };
+  add(contentSuspect(contentFingerprint(aExchange)));
+  for (const PromptPart& part : this->promptParts(aExchange)) {
+    add(partSuspect(part.part));
+    add(accountPartSuspect(part.part, part.accountPart));
+  }
+  return quarantined;
+}
+
+/** Returns how long the request stays in quarantine; 0 if that is open, since
+ * several parts are suspected and trial runs will soon tell them apart. */
+Duration
+RelayLoop::Impl::quarantineLeft(Exchange& aExchange) const
+{
+  Duration longest{ 0 };
+  for (const Suspect& suspect : this->quarantinedIn(aExchange)) {
+    if (!this->isCertain(suspect)) {
+      continue;
+    }
+    longest = std::max(longest,
+                       this->crashes.quarantineLeft(suspect.id, this->now)
+                         .value_or(Duration{ 0 }));
+  }
+  return longest;
+}
+
+/** Returns whether a request may be sent all the same, to find out whether it
+ * crashes replicas. One that contains two suspects would not show which of them
+ * is responsible. */
+bool
+RelayLoop::Impl::isTrialDue(const std::vector<Suspect>& aQuarantined)
+{
+  const Suspect& first = aQuarantined.front();
+  const bool isSingle = std::all_of(
+    aQuarantined.begin(), aQuarantined.end(), [&](const Suspect& aOther) {
+      return aOther.part == first.part;
+    });
+  if (!isSingle) {
+    return false;
+  }
+  if (first.kind == SuspectKind::Content) {
+    return this->crashes.takeTrial(first.id, this->now);
+  }
+  const TrialTurn turn{ this->trialRank(first.part),
+                        this->knownPeers.size() + 1 };
+  return std::all_of(
+    aQuarantined.begin(), aQuarantined.end(), [&](const Suspect& aSuspect) {
+      return this->crashes.isPartTrialDue(aSuspect.id, turn, this->now);
+    });
+}
+
+/** Records that a request is sent as a trial run. */
+void
+RelayLoop::Impl::recordTrial(const Exchange& aExchange,
+                             const std::vector<Suspect>& aQuarantined)
+{
+  this->shared.metrics.count("quarantine_trials_total");
+  for (const Suspect& suspect : aQuarantined) {
+    this->crashes.onPartTrial(suspect.id, this->now);
+    this->shared.log.write(LogLine{ LogPart::Quarantine, "trial" }
+                             .with("id", aExchange.requestId)
+                             .with("content", toText(suspect.id))
+                             .with("kind", nameOf(suspect.kind)));
+  }
+  // The others must know of the trial before their turn begins.
+  this->post([this] { this->broadcastStatus(true); });
+}
+
+/** Answers a request that contains something in quarantine with an error. */
+void
+RelayLoop::Impl::refuseQuarantined(Exchange& aExchange, const Suspect& aSuspect)
+{
+  this->refuse(
+    aExchange,
+    Error{ ErrorKind::Quarantined,
+           std::string{ nameOf(aSuspect.kind) } + " " + toText(aSuspect.id) },
+    aExchange.runs == 0);
+}
+
+/** Passes the quarantine to the thread that keeps it in the store. */
+void
+RelayLoop::Impl::publishQuarantine()
+{
+  auto records = std::make_shared<const std::vector<QuarantineRecord>>(
+    this->crashes.quarantine(this->now));
+  this->shared.metrics.set("requests_quarantined",
+                           static_cast<std::int64_t>(records->size()));
+  this->shared.quarantine.replace(std::move(records));
+}
+
+/** Takes over the quarantine in the store, enters certain crashes and drops
+ * expired records. */
+void
+RelayLoop::Impl::refreshQuarantine()
+{
+  const auto stored = this->shared.storedQuarantine.read();
+  if (stored != this->lastStoredQuarantine) {
+    this->lastStoredQuarantine = stored;
+    for (const Suspect& suspect : *stored) {
+      this->crashes.onQuarantined(
+        QuarantineRecord{ suspect, Duration{ 0 }, false, kAllTrials },
+        this->now);
+    }
+    this->applyQuarantineChanges();
+  }
+  this->confirmCrashes();
+  const std::size_t before = this->shared.quarantine.read()->size();
+  this->crashes.expire(this->now);
+  if (this->crashes.quarantine(this->now).size() != before) {
+    this->publishQuarantine();
+  }
+}
+
+} // namespace poplartrack
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -14,9 +14,15 @@
   this->publishLostReplicas();
   for (const std::uint64_t id : this->requestsThrough(aReplica)) {
     const auto found = this->exchanges.find(id);
-    if (found != this->exchanges.end()) {
-      this->repair(*found->second, false);
+    if (found == this->exchanges.end()) {
+      continue;
     }
+    Exchange& exchange = *found->second;
+    if (exchange.replica != aReplica && !exchange.runningSince) {
+      // The connection to the first replica shows nothing of a later one.
+      this->recordPossibleCrashAt(exchange, aReplica, false);
+    }
+    this->repair(exchange, false);
   }
 }
 
@@ -61,6 +67,12 @@
       aExchange, ReplicaFailure::Refused, "replica restarted");
     return;
   }
+  const std::vector<Suspect> quarantined = this->quarantinedIn(aExchange);
+  if (!quarantined.empty() && !aExchange.runningSince) {
+    this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
+    this->refuseQuarantined(aExchange, quarantined.front());
+    return;
+  }
   const PathPart first = aExchange.path.parts.front();
   // A replica that refused a request because it is full is not dead and
   // continues with its other work.
--- a/src/relay/RetryAdvice.cpp
+++ b/src/relay/RetryAdvice.cpp
@@ -55,7 +55,8 @@
 Duration
 retryAdvice(const RefusalState& aState)
 {
-  if (aState.kind == ErrorKind::Quarantined) {
+  if (aState.kind == ErrorKind::Quarantined &&
+      aState.quarantineLeft > Duration{ 0 }) {
     return aState.quarantineLeft;
   }
   const DelayRange range = rangeFor(aState);
--- a/src/retry/CrashLedger.cpp
+++ b/src/retry/CrashLedger.cpp
@@ -1,25 +1,45 @@
 #include "poplartrack/retry/CrashLedger.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace poplartrack {
 namespace {
 
-/** A request is put into quarantine when this many replicas have crashed just
+/** Content is put into quarantine when this many replicas have crashed just
  * after they began to run it. One crash involves every request at that replica;
  * few of them are by chance also at the start when a second replica crashes. */
 constexpr std::size_t kEarlyCrashLimit = 2;
 
-/** A request is put into quarantine when this many replicas have crashed at any
- * time while they ran it. */
+/** A suspect is put into quarantine when this many replicas have crashed at any
+ * time while they had it. For parts of prompts there is no lower limit: a batch
+ * of requests is moved to the next replica together. */
 constexpr std::size_t kCrashLimit = 3;
 
-/** No trial run of a request is allowed once this many replicas have crashed
- * under it. This bounds how many replicas one request can crash in all, however
- * many callers send it. */
+/** No trial run is allowed once this many replicas have crashed under a
+ * suspect. This bounds how many replicas one request or part can crash in all,
+ * however many callers send it. */
 constexpr std::size_t kTrialCrashLimit = 5;
 
+/** Trial runs of one prompt part, of all relays together; and of one that is
+ * probably responsible. */
+constexpr std::uint32_t kMaxPartTrials = 2;
+constexpr std::uint32_t kMaxLikelyTrials = 1;
+
+/** Length of a relay's turn to make trial runs. The result of one is known to
+ * the relay whose turn is next. */
+constexpr Duration kTrialTurn = std::chrono::milliseconds{ 2'000 };
+
+/** No trial run begins in the last part of a turn: the relays learn of a
+ * quarantine within a few hundred milliseconds of each other. */
+constexpr Duration kTrialTurnEnd = std::chrono::milliseconds{ 500 };
+
+/** Delay of the trial run of a part that is probably responsible. It probably
+ * crashes a replica, so the service is given time to recover first. */
+constexpr Duration kSoleCulpritDelay = std::chrono::seconds{ 60 };
+
 /** How long a quarantine lasts. By then the replicas may run another version,
  * which the request does not crash. */
 constexpr Duration kQuarantineDuration = std::chrono::hours{ 1 };
@@ -28,7 +48,7 @@
  */
 constexpr Duration kHistoryRetention = std::chrono::minutes{ 10 };
 
-/** How long a crash or a cleared request is included in the status messages. In
+/** How long a crash or a cleared suspect is included in the status messages. In
  * this time five messages go to other zones, of which some may be lost. */
 constexpr Duration kAnnounceDuration = std::chrono::seconds{ 2 };
 
@@ -36,34 +56,86 @@
  */
 constexpr std::size_t kMaxHistories = 4'096;
 
+/** Most crashes kept of one suspect: a part that many requests share is at many
+ * replicas that crash. */
+constexpr std::size_t kMaxCrashes = 64;
+
 } // namespace
 
-bool
-CrashLedger::needsQuarantine(const RequestHistory& aHistory)
+CrashLedger::Replicas
+CrashLedger::openCrashes(const History& aHistory, const Replicas& aExplained)
 {
-  std::size_t early = 0;
-  std::size_t all = 0;
+  Replicas open;
   for (const auto& [replica, crash] : aHistory.crashes) {
-    early += crash.kind == CrashKind::Early ? 1 : 0;
-    all += crash.kind == CrashKind::Cleared ? 0 : 1;
+    if (crash.kind != CrashKind::Cleared && !aExplained.contains(replica)) {
+      open.insert(replica);
+    }
   }
-  return early >= kEarlyCrashLimit || all >= kCrashLimit;
+  return open;
 }
 
-CrashLedger::RequestHistory&
-CrashLedger::historyOf(const Fingerprint& aRequest, TimePoint aNow)
+std::size_t
+CrashLedger::countOpen(const History& aHistory)
 {
-  const auto known = this->histories.find(aRequest);
+  return static_cast<std::size_t>(std::count_if(
+    aHistory.crashes.begin(), aHistory.crashes.end(), [](const auto& aCrash) {
+      return aCrash.second.kind != CrashKind::Cleared;
+    }));
+}
+
+bool
+CrashLedger::areOfOneAccount(const History& aHistory, const Replicas& aCrashes)
+{
+  std::set<Fingerprint> common;
+  bool first = true;
+  for (const std::string& replica : aCrashes) {
+    const std::set<Fingerprint>& here =
+      aHistory.crashes.at(replica).accountParts;
+    if (first) {
+      common = here;
+      first = false;
+      continue;
+    }
+    std::erase_if(common, [&](const Fingerprint& aAccountPart) {
+      return !here.contains(aAccountPart);
+    });
+  }
+  return !common.empty();
+}
+
+bool
+CrashLedger::needsQuarantine(const History& aHistory, const Replicas& aCrashes)
+{
+  if (aCrashes.size() >= kCrashLimit) {
+    // If one account had the part each time, another account's requests with it
+    // may be harmless: anyone can name the parts of others.
+    return aHistory.suspect.kind != SuspectKind::Part ||
+           !areOfOneAccount(aHistory, aCrashes);
+  }
+  const auto early = static_cast<std::size_t>(std::count_if(
+    aCrashes.begin(), aCrashes.end(), [&](const std::string& aReplica) {
+      return aHistory.crashes.at(aReplica).kind == CrashKind::Early;
+    }));
+  return aHistory.suspect.kind == SuspectKind::Content &&
+         early >= kEarlyCrashLimit;
+}
+
+CrashLedger::History&
+CrashLedger::historyOf(const Suspect& aSuspect, TimePoint aNow)
+{
+  const auto known = this->histories.find(aSuspect.id);
   if (known != this->histories.end()) {
     known->second.lastUpdate = aNow;
     return known->second;
   }
   if (this->histories.size() >= kMaxHistories) {
-    // Quarantined requests are dropped last: each would crash two more replicas
+    // What is in quarantine is dropped last: each would crash more replicas
     // before it is in quarantine again.
     const auto rank = [](const auto& aEntry) {
-      return std::pair{ aEntry.second.quarantinedSince.has_value(),
-                        aEntry.second.lastUpdate };
+      const History& history = aEntry.second;
+      return std::tuple{ history.quarantinedSince.has_value(),
+                         countOpen(history) >= kEarlyCrashLimit,
+                         history.lastUpdate };
     };
     this->histories.erase(
       std::min_element(this->histories.begin(),
@@ -72,99 +144,234 @@
                          return rank(aLeft) < rank(aRight);
                        }));
   }
-  RequestHistory& history = this->histories[aRequest];
+  History& history = this->histories[aSuspect.id];
+  history.suspect = aSuspect;
   history.lastUpdate = aNow;
   return history;
 }
 
+bool
+CrashLedger::addCrash(History& aHistory,
+                      const CrashReport& aReport,
+                      TimePoint aNow)
+{
+  const CrashKind kind = aReport.early ? CrashKind::Early : CrashKind::Late;
+  if (aHistory.crashes.size() >= kMaxCrashes &&
+      !aHistory.crashes.contains(aReport.replica)) {
+    aHistory.crashes.erase(std::min_element(
+      aHistory.crashes.begin(),
+      aHistory.crashes.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.recordedAt < aRight.second.recordedAt;
+      }));
+  }
+  const auto [entry, isNew] = aHistory.crashes.try_emplace(
+    aReport.replica, Crash{ kind, aNow, aReport.brokenAt, {} });
+  Crash& crash = entry->second;
+  const bool isWorse =
+    crash.kind == CrashKind::Late && kind == CrashKind::Early;
+  if (isWorse) {
+    crash.kind = kind;
+    crash.recordedAt = aNow;
+  }
+  const bool otherAccount =
+    aReport.accountPart &&
+    crash.accountParts.insert(*aReport.accountPart).second;
+  return isNew || isWorse || otherAccount;
+}
+
 bool
 CrashLedger::onCrash(const CrashReport& aReport,
                      CrashSource aSource,
                      TimePoint aNow)
 {
-  const CrashKind kind = aReport.early ? CrashKind::Early : CrashKind::Late;
-  RequestHistory& history = this->historyOf(aReport.request, aNow);
-  const auto [crash, isNew] =
-    history.crashes.try_emplace(aReport.replica, Crash{ kind, aNow });
-  const bool worse =
-    !isNew && crash->second.kind == CrashKind::Late && kind == CrashKind::Early;
-  if (worse) {
-    crash->second = Crash{ kind, aNow };
-  }
-  if (!isNew && !worse) {
-    return false;
+  std::vector<Suspect> suspects;
+  if (aReport.accountPart) {
+    suspects = { partSuspect(aReport.suspect),
+                 accountPartSuspect(aReport.suspect, *aReport.accountPart) };
+  } else {
+    suspects = { contentSuspect(aReport.suspect) };
   }
-  if (history.quarantinedSince || !needsQuarantine(history)) {
+  bool mayChange = false;
+  for (const Suspect& suspect : suspects) {
+    History& history = this->historyOf(suspect, aNow);
+    const bool isNews = addCrash(history, aReport, aNow) ||
+                        (aReport.familiar && !history.familiar);
+    history.familiar = history.familiar || aReport.familiar;
+    // One crash alone puts nothing into quarantine and explains nothing.
+    mayChange = mayChange || (isNews && countOpen(history) >= kEarlyCrashLimit);
+  }
+  if (!mayChange) {
     return false;
   }
-  history.quarantinedSince = aNow;
-  history.own = aSource == CrashSource::Own;
-  return true;
+  const std::size_t before = this->changes.begun.size();
+  this->judge(aSource, aNow);
+  return this->changes.begun.size() > before;
+}
+
+std::set<Fingerprint>
+CrashLedger::responsibleParts(Replicas& aExplained)
+{
+  /** How suspect a part is: by its crashes, then by its unfamiliarity. */
+  using Weight = std::pair<std::size_t, bool>;
+  std::set<Fingerprint> responsible;
+  while (true) {
+    std::vector<History*> candidates;
+    Replicas crashes;
+    Weight most{ 0, false };
+    for (auto& [id, history] : this->histories) {
+      if (history.suspect.kind == SuspectKind::Content ||
+          history.crashes.size() < kCrashLimit || responsible.contains(id)) {
+        continue;
+      }
+      const Replicas open = openCrashes(history, aExplained);
+      const Weight weight{ open.size(), !history.familiar };
+      if (weight < most || !needsQuarantine(history, open)) {
+        continue;
+      }
+      if (weight > most) {
+        most = weight;
+        candidates.clear();
+        crashes.clear();
+      }
+      candidates.push_back(&history);
+      crashes.insert(open.begin(), open.end());
+    }
+    if (candidates.empty()) {
+      return responsible;
+    }
+    for (History* candidate : candidates) {
+      candidate->soleCulprit = candidates.size() == 1;
+      responsible.insert(candidate->suspect.id);
+    }
+    aExplained.merge(crashes);
+  }
 }
 
+void
+CrashLedger::judge(CrashSource aSource, TimePoint aNow)
+{
+  this->explained.clear();
+  const std::set<Fingerprint> parts = this->responsibleParts(this->explained);
+  for (auto& [id, history] : this->histories) {
+    const bool isContent = history.suspect.kind == SuspectKind::Content;
+    const bool isResponsible =
+      isContent
+        ? history.crashes.size() >= kEarlyCrashLimit &&
+            needsQuarantine(history, openCrashes(history, this->explained))
+        : parts.contains(id);
+    this->apply(history, isResponsible, aSource, aNow);
+  }
+}
+
+void
+CrashLedger::apply(History& aHistory,
+                   bool aResponsible,
+                   CrashSource aSource,
+                   TimePoint aNow)
+{
+  if (aResponsible) {
+    aHistory.reported = false;
+    if (!aHistory.quarantinedSince) {
+      aHistory.quarantinedSince = aNow;
+      aHistory.own = aSource == CrashSource::Own;
+      this->changes.begun.emplace_back(aHistory.suspect, aSource);
+    }
+    return;
+  }
+  aHistory.soleCulprit = false;
+  if (aHistory.quarantinedSince &&
+      (!aHistory.reported || this->isExplained(aHistory))) {
+    this->end(aHistory);
+  }
+}
+
+/** Returns whether others are responsible for all crashes of a suspect. */
 bool
-CrashLedger::onQuarantined(const Fingerprint& aRequest,
-                           Duration aAge,
-                           TimePoint aNow)
+CrashLedger::isExplained(const History& aHistory) const
 {
-  if (aAge >= kQuarantineDuration) {
+  return countOpen(aHistory) > 0 &&
+         openCrashes(aHistory, this->explained).empty();
+}
+
+void
+CrashLedger::end(History& aHistory)
+{
+  aHistory.quarantinedSince.reset();
+  aHistory.reported = false;
+  this->changes.ended.push_back(aHistory.suspect);
+}
+
+bool
+CrashLedger::onQuarantined(const QuarantineRecord& aRecord, TimePoint aNow)
+{
+  if (aRecord.age >= kQuarantineDuration) {
     return false;
   }
-  RequestHistory& history = this->historyOf(aRequest, aNow);
+  History& history = this->historyOf(aRecord.suspect, aNow);
   if (history.servedAt && aNow - *history.servedAt < kAnnounceDuration) {
     // The sender has not yet received the report that the request was served.
     return false;
   }
-  const bool isNew = !history.quarantinedSince;
-  history.quarantinedSince =
-    isNew ? aNow - aAge : std::min(*history.quarantinedSince, aNow - aAge);
-  return isNew;
+  if (this->isExplained(history)) {
+    return false;
+  }
+  history.trials = std::max(history.trials, aRecord.trials);
+  if (history.quarantinedSince) {
+    history.quarantinedSince =
+      std::min(*history.quarantinedSince, aNow - aRecord.age);
+    return false;
+  }
+  history.quarantinedSince = aNow - aRecord.age;
+  history.reported = true;
+  this->changes.begun.emplace_back(aRecord.suspect, CrashSource::Peer);
+  return true;
 }
 
 bool
-CrashLedger::onServed(const Fingerprint& aRequest, TimePoint aNow)
+CrashLedger::onServed(const Fingerprint& aSuspect, TimePoint aNow)
 {
-  const auto found = this->histories.find(aRequest);
-  if (found == this->histories.end()) {
-    return false;
-  }
-  RequestHistory& history = found->second;
-  const bool isSuspect =
-    history.quarantinedSince ||
-    std::any_of(
-      history.crashes.begin(), history.crashes.end(), [](const auto& aCrash) {
-        return aCrash.second.kind != CrashKind::Cleared;
-      });
-  if (!isSuspect) {
-    return false;
+  bool isNews = false;
+  const std::size_t before = this->changes.ended.size();
+  for (auto& [id, history] : this->histories) {
+    const bool concerned = id == aSuspect || history.suspect.part == aSuspect;
+    if (!concerned || (!history.quarantinedSince && countOpen(history) == 0)) {
+      continue;
+    }
+    isNews = true;
+    for (auto& [replica, crash] : history.crashes) {
+      crash.kind = CrashKind::Cleared;
+    }
+    history.servedAt = aNow;
+    history.lastUpdate = aNow;
+    if (history.quarantinedSince) {
+      this->end(history);
+    }
   }
-  for (auto& [replica, crash] : history.crashes) {
-    crash.kind = CrashKind::Cleared;
+  const bool ended = this->changes.ended.size() > before;
+  if (isNews) {
+    this->judge(CrashSource::Peer, aNow);
   }
-  history.servedAt = aNow;
-  history.lastUpdate = aNow;
-  const bool endsQuarantine = history.quarantinedSince.has_value();
-  history.quarantinedSince.reset();
-  return endsQuarantine;
+  return ended;
 }
 
 void
-CrashLedger::allowTrial(const Fingerprint& aRequest, TimePoint aFrom)
+CrashLedger::allowTrial(const Fingerprint& aContent, TimePoint aFrom)
 {
-  const auto found = this->histories.find(aRequest);
+  const auto found = this->histories.find(aContent);
   if (found != this->histories.end()) {
     found->second.trialFrom = aFrom;
   }
 }
 
 bool
-CrashLedger::takeTrial(const Fingerprint& aRequest, TimePoint aNow)
+CrashLedger::takeTrial(const Fingerprint& aContent, TimePoint aNow)
 {
-  const auto found = this->histories.find(aRequest);
+  const auto found = this->histories.find(aContent);
   if (found == this->histories.end()) {
     return false;
   }
-  RequestHistory& history = found->second;
+  History& history = found->second;
   const bool allowed = history.trialFrom && *history.trialFrom <= aNow &&
                        history.crashes.size() < kTrialCrashLimit;
   if (allowed) {
@@ -173,11 +380,46 @@
   return allowed;
 }
 
+bool
+CrashLedger::isPartTrialDue(const Fingerprint& aSuspect,
+                            const TrialTurn& aTurn,
+                            TimePoint aNow) const
+{
+  const auto found = this->histories.find(aSuspect);
+  if (found == this->histories.end() || !found->second.quarantinedSince) {
+    return false;
+  }
+  const History& history = found->second;
+  const bool isLikely = this->isLikelyCulprit(aSuspect);
+  const Duration elapsed = aNow - *history.quarantinedSince -
+                           (isLikely ? kSoleCulpritDelay : Duration{ 0 });
+  if (elapsed < Duration{ 0 } ||
+      elapsed % kTrialTurn > kTrialTurn - kTrialTurnEnd) {
+    return false;
+  }
+  const auto turn = static_cast<std::size_t>(elapsed / kTrialTurn);
+  const bool tried =
+    history.lastTrialAt && aNow - *history.lastTrialAt < kTrialTurn;
+  return turn % aTurn.relays == aTurn.rank && !tried &&
+         history.trials < (isLikely ? kMaxLikelyTrials : kMaxPartTrials) &&
+         countOpen(history) < kTrialCrashLimit;
+}
+
+void
+CrashLedger::onPartTrial(const Fingerprint& aSuspect, TimePoint aNow)
+{
+  const auto found = this->histories.find(aSuspect);
+  if (found != this->histories.end()) {
+    ++found->second.trials;
+    found->second.lastTrialAt = aNow;
+  }
+}
+
 void
 CrashLedger::expire(TimePoint aNow)
 {
   std::erase_if(this->histories, [aNow](const auto& aEntry) {
-    const RequestHistory& history = aEntry.second;
+    const History& history = aEntry.second;
     return history.quarantinedSince
              ? aNow - *history.quarantinedSince >= kQuarantineDuration
              : aNow - history.lastUpdate >= kHistoryRetention;
@@ -185,9 +427,9 @@
 }
 
 std::optional<Duration>
-CrashLedger::quarantineLeft(const Fingerprint& aRequest, TimePoint aNow) const
+CrashLedger::quarantineLeft(const Fingerprint& aSuspect, TimePoint aNow) const
 {
-  const auto found = this->histories.find(aRequest);
+  const auto found = this->histories.find(aSuspect);
   if (found == this->histories.end() || !found->second.quarantinedSince) {
     return std::nullopt;
   }
@@ -196,38 +438,83 @@
   return left > Duration{ 0 } ? std::optional{ left } : std::nullopt;
 }
 
+bool
+CrashLedger::isLikelyCulprit(const Fingerprint& aSuspect) const
+{
+  const auto found = this->histories.find(aSuspect);
+  return found != this->histories.end() && found->second.quarantinedSince &&
+         (found->second.soleCulprit || found->second.reported);
+}
+
 std::vector<QuarantineRecord>
 CrashLedger::quarantine(TimePoint aNow) const
 {
   std::vector<QuarantineRecord> records;
-  for (const auto& [request, history] : this->histories) {
+  for (const auto& [id, history] : this->histories) {
     if (history.quarantinedSince) {
-      records.push_back(QuarantineRecord{
-        request, aNow - *history.quarantinedSince, history.own });
+      records.push_back(QuarantineRecord{ history.suspect,
+                                          aNow - *history.quarantinedSince,
+                                          history.own,
+                                          history.trials });
     }
   }
   return records;
 }
 
+QuarantineChanges
+CrashLedger::takeChanges()
+{
+  return std::exchange(this->changes, {});
+}
+
 std::vector<CrashReport>
 CrashLedger::latestCrashes(TimePoint aNow, std::size_t aMaxCount) const
 {
-  std::vector<CrashReport> reports;
-  for (const auto& [request, history] : this->histories) {
+  struct Ranked
+  {
+    CrashReport report;
+    std::size_t crashes = 0;
+  };
+  std::vector<Ranked> ranked;
+  const auto add = [&](const History& aHistory,
+                       const std::string& aReplica,
+                       const Crash& aCrash,
+                       std::optional<Fingerprint> aAccountPart) {
+    ranked.push_back(Ranked{ CrashReport{ aHistory.suspect.id,
+                                          aReplica,
+                                          aCrash.kind == CrashKind::Early,
+                                          aAccountPart,
+                                          aHistory.familiar,
+                                          aCrash.brokenAt },
+                             countOpen(aHistory) });
+  };
+  for (const auto& [id, history] : this->histories) {
+    if (history.suspect.kind == SuspectKind::AccountPart) {
+      // The reports of the part say which accounts had it.
+      continue;
+    }
     for (const auto& [replica, crash] : history.crashes) {
       const bool counts = crash.kind != CrashKind::Cleared;
-      if (counts && aNow - crash.recordedAt < kAnnounceDuration) {
-        reports.push_back(
-          CrashReport{ request, replica, crash.kind == CrashKind::Early });
+      if (!counts || aNow - crash.recordedAt >= kAnnounceDuration) {
+        continue;
+      }
+      if (history.suspect.kind == SuspectKind::Content) {
+        add(history, replica, crash, std::nullopt);
+      }
+      for (const Fingerprint& accountPart : crash.accountParts) {
+        add(history, replica, crash, accountPart);
       }
     }
   }
-  std::stable_partition(
-    reports.begin(), reports.end(), [](const CrashReport& aReport) {
-      return aReport.early;
-    });
-  if (reports.size() > aMaxCount) {
-    reports.resize(aMaxCount);
+  std::stable_sort(ranked.begin(),
+                   ranked.end(),
+                   [](const Ranked& aLeft, const Ranked& aRight) {
+                     return std::pair{ aLeft.crashes, aLeft.report.early } >
+                            std::pair{ aRight.crashes, aRight.report.early };
+                   });
+  std::vector<CrashReport> reports;
+  for (std::size_t i = 0; i < std::min(ranked.size(), aMaxCount); ++i) {
+    reports.push_back(std::move(ranked[i].report));
   }
   return reports;
 }
@@ -235,13 +522,13 @@
 std::vector<Fingerprint>
 CrashLedger::latestServed(TimePoint aNow) const
 {
-  std::vector<Fingerprint> served;
-  for (const auto& [request, history] : this->histories) {
+  std::set<Fingerprint> served;
+  for (const auto& [id, history] : this->histories) {
     if (history.servedAt && aNow - *history.servedAt < kAnnounceDuration) {
-      served.push_back(request);
+      served.insert(history.suspect.part);
     }
   }
-  return served;
+  return { served.begin(), served.end() };
 }
 
 } // namespace poplartrack
--- a/src/retry/CrashWatch.cpp
+++ b/src/retry/CrashWatch.cpp
@@ -7,14 +7,16 @@
 void
 CrashWatch::onBroken(CrashReport aReport, TimePoint aNow)
 {
-  std::vector<Broken>& pendingHere = this->pending[aReport.replica];
-  for (Broken& broken : pendingHere) {
-    if (broken.report.request == aReport.request) {
-      broken.report.early = broken.report.early || aReport.early;
+  std::vector<CrashReport>& pendingHere = this->pending[aReport.replica];
+  for (CrashReport& broken : pendingHere) {
+    if (broken.suspect == aReport.suspect &&
+        broken.accountPart == aReport.accountPart) {
+      broken.early = broken.early || aReport.early;
       return;
     }
   }
-  pendingHere.push_back(Broken{ std::move(aReport), aNow });
+  aReport.brokenAt = aNow;
+  pendingHere.push_back(std::move(aReport));
 }
 
 std::set<std::string>
@@ -37,10 +39,10 @@
   if (found.empty()) {
     return reports;
   }
-  for (Broken& broken : found.mapped()) {
-    const auto served = aServed.lastServed(broken.report.request, aNow);
-    if (!served || *served < broken.at) {
-      reports.push_back(std::move(broken.report));
+  for (CrashReport& report : found.mapped()) {
+    const auto served = aServed.lastServed(report.suspect, aNow);
+    if (!served || *served < report.brokenAt) {
+      reports.push_back(std::move(report));
     }
   }
   return reports;
@@ -50,8 +52,8 @@
 CrashWatch::expire(TimePoint aNow)
 {
   for (auto& [replica, pendingHere] : this->pending) {
-    std::erase_if(pendingHere, [&](const Broken& aBroken) {
-      return aNow - aBroken.at > this->timeout;
+    std::erase_if(pendingHere, [&](const CrashReport& aBroken) {
+      return aNow - aBroken.brokenAt > this->timeout;
     });
   }
   std::erase_if(this->pending,
--- a/src/retry/Fingerprint.cpp
+++ b/src/retry/Fingerprint.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstring>
+#include <initializer_list>
 #include <memory>
 
 #include <openssl/evp.h>
@@ -21,20 +22,16 @@
   EVP_DigestUpdate(aHash, aText.data(), aText.size());
 }
 
-} // namespace
-
 Fingerprint
-fingerprintOf(const RequestContent& aContent)
+hashOf(std::initializer_list<std::string_view> aTexts)
 {
   const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> hash{
     EVP_MD_CTX_new(), &EVP_MD_CTX_free
   };
   EVP_DigestInit_ex(hash.get(), EVP_sha256(), nullptr);
-  add(hash.get(), aContent.account);
-  add(hash.get(), aContent.host);
-  add(hash.get(), aContent.method);
-  add(hash.get(), aContent.target);
-  add(hash.get(), aContent.body);
+  for (const std::string_view text : aTexts) {
+    add(hash.get(), text);
+  }
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   EVP_DigestFinal_ex(hash.get(), digest.data(), nullptr);
   Fingerprint fingerprint;
@@ -45,12 +42,35 @@
   return fingerprint;
 }
 
+} // namespace
+
+Fingerprint
+fingerprintOf(const RequestContent& aContent)
+{
+  return hashOf({ aContent.account,
+                  aContent.host,
+                  aContent.method,
+                  aContent.target,
+                  aContent.body });
+}
+
+Fingerprint
+fingerprintOfPart(std::string_view aPart)
+{
+  return hashOf({ "part", aPart });
+}
+
+Fingerprint
+fingerprintOfPart(std::string_view aPart, std::string_view aAccount)
+{
+  return hashOf({ "account part", aAccount, aPart });
+}
+
 std::string
 toText(const Fingerprint& aFingerprint)
 {
   return toText(RequestId{ aFingerprint.high, aFingerprint.low });
 }
-
 std::optional<Fingerprint>
 fingerprintFromText(std::string_view aText)
 {
--- a/tests/unit/relay/QuarantineRowsTest.cpp
+++ b/tests/unit/relay/QuarantineRowsTest.cpp
@@ -99,7 +99,7 @@
   {
     this->shared.quarantine.replace(
       std::make_shared<const std::vector<QuarantineRecord>>(
-        1, QuarantineRecord{ kRequest, Duration{ 0 }, aOwn }));
+        1, QuarantineRecord{ contentSuspect(kRequest), Duration{ 0 }, aOwn }));
   }
   void endQuarantine()
   {
@@ -124,7 +124,7 @@
   reader.refresh(kStart + seconds{ 5 });
   reader.refresh(kStart + seconds{ 6 });
   EXPECT_EQ(*restarted.storedQuarantine.read(),
-            std::vector<Fingerprint>{ kRequest });
+            std::vector<Suspect>{ contentSuspect(kRequest) });
   reader.refresh(kStart + seconds{ 7 });
   EXPECT_EQ(this->store.rows.count(toText(kRequest)), 1U);
 }
@@ -180,7 +180,7 @@
   this->store.rows[toText(kRequest)] = TableRow{ toText(kRequest), "", 7 };
   rows.refresh(kStart + seconds{ 4 });
   EXPECT_EQ(*this->shared.storedQuarantine.read(),
-            std::vector<Fingerprint>{ kRequest });
+            std::vector<Suspect>{ contentSuspect(kRequest) });
 }
 
 TEST_F(QuarantineRowsTest, RelaysThatStartTogetherDoNotAllRead)
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -101,7 +101,7 @@
   const Fingerprint content =
     fingerprintOf({ "shop", "shop.example", "POST", "/again/x", "content" });
   world.shared.storedQuarantine.replace(
-    std::make_shared<const std::vector<Fingerprint>>(1, content));
+    std::make_shared<const std::vector<Suspect>>(1, contentSuspect(content)));
   world.start();
   const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
   while (world.shared.quarantine.read()->empty() && runtimeNow() < waitUntil) {
--- a/tests/unit/retry/CrashLedgerTest.cpp
+++ b/tests/unit/retry/CrashLedgerTest.cpp
@@ -22,6 +22,13 @@
   return CrashReport{ aRequest, aReplica, aEarly };
 }
 
+/** The report that a request has been in quarantine since aAge ago. */
+QuarantineRecord
+quarantined(const Fingerprint& aRequest, Duration aAge)
+{
+  return QuarantineRecord{ contentSuspect(aRequest), aAge };
+}
+
 TEST(CrashLedger, TwoCrashesAtTheStartOfARequestQuarantineIt)
 {
   CrashLedger ledger;
@@ -73,8 +80,8 @@
   CrashLedger ledger;
   ledger.onCrash(report(kRequest, "a", true), CrashSource::Own, kStart);
   ledger.onServed(kRequest, kStart);
-  EXPECT_FALSE(ledger.onQuarantined(
-    kRequest, milliseconds{ 100 }, kStart + milliseconds{ 200 }));
+  EXPECT_FALSE(ledger.onQuarantined(quarantined(kRequest, milliseconds{ 100 }),
+                                    kStart + milliseconds{ 200 }));
   EXPECT_FALSE(ledger.quarantineLeft(kRequest, kStart + milliseconds{ 200 }));
   EXPECT_EQ(ledger.latestServed(kStart + milliseconds{ 200 }),
             std::vector<Fingerprint>{ kRequest });
@@ -83,13 +90,13 @@
 TEST(CrashLedger, AQuarantineLastsFromItsEarliestReportedStart)
 {
   CrashLedger ledger;
-  ledger.onQuarantined(kRequest, Duration{ 0 }, kStart);
-  ledger.onQuarantined(kRequest, seconds{ 1'800 }, kStart);
-  ledger.onQuarantined(kRequest, Duration{ 0 }, kStart);
+  ledger.onQuarantined(quarantined(kRequest, Duration{ 0 }), kStart);
+  ledger.onQuarantined(quarantined(kRequest, seconds{ 1'800 }), kStart);
+  ledger.onQuarantined(quarantined(kRequest, Duration{ 0 }), kStart);
   EXPECT_EQ(ledger.quarantineLeft(kRequest, kStart), seconds{ 1'800 });
   ledger.expire(kStart + seconds{ 1'800 });
   EXPECT_TRUE(ledger.empty());
-  EXPECT_FALSE(ledger.onQuarantined(kRequest, hours{ 1 }, kStart));
+  EXPECT_FALSE(ledger.onQuarantined(quarantined(kRequest, hours{ 1 }), kStart));
 }
 
 TEST(CrashLedger, CrashesAreReportedForAWhileAndAQuarantineWhileItLasts)
@@ -105,7 +112,7 @@
   const TimePoint later = kStart + seconds{ 30 };
   EXPECT_TRUE(ledger.latestCrashes(later, 64).empty());
   ASSERT_EQ(ledger.quarantine(later).size(), 1U);
-  EXPECT_EQ(ledger.quarantine(later)[0].request, kRequest);
+  EXPECT_EQ(ledger.quarantine(later)[0].suspect.id, kRequest);
   EXPECT_EQ(ledger.quarantine(later)[0].age, seconds{ 30 });
   EXPECT_FALSE(ledger.quarantine(later)[0].own);
 }
@@ -133,7 +140,7 @@
     }
     std::vector<Fingerprint> held;
     for (const QuarantineRecord& record : ledger.quarantine(kStart)) {
-      held.push_back(record.request);
+      held.push_back(record.suspect.id);
     }
     return held;
   };
@@ -148,7 +155,7 @@
 TEST(CrashLedger, StaysBoundedAndKeepsTheQuarantine)
 {
   CrashLedger ledger;
-  ledger.onQuarantined(kRequest, Duration{ 0 }, kStart);
+  ledger.onQuarantined(quarantined(kRequest, Duration{ 0 }), kStart);
   constexpr std::uint64_t kMany = 10'000;
   for (std::uint64_t i = 0; i < kMany; ++i) {
     ledger.onCrash(report(Fingerprint{ 10 + i, 0 }, "a", false),
--- a/tests/unit/retry/CrashWatchTest.cpp
+++ b/tests/unit/retry/CrashWatchTest.cpp
@@ -47,7 +47,7 @@
   served.onServed(kRequest, kStart + milliseconds{ 20 });
   const auto reports = watch.onCrashed("a", served, kStart + seconds{ 2 });
   ASSERT_EQ(reports.size(), 1U);
-  EXPECT_EQ(reports[0].request, (Fingerprint{ 5, 6 }));
+  EXPECT_EQ(reports[0].suspect, (Fingerprint{ 5, 6 }));
 }
 
 } // namespace
