--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -56,7 +56,7 @@
   bool early = false;
   /** The suspect is a prompt part, and accountPart is set. */
   bool isPart = false;
-  Fingerprint accountPart;
+  Fingerprint accountPart{};
   bool familiar = false;
   /** How long ago the request broke off, in microseconds. */
   std::int64_t age = 0;
@@ -72,7 +72,7 @@
   /** A SuspectKind. */
   std::uint8_t kind = 0;
   /** Of a prompt part: the part, whoever sends it. */
-  Fingerprint part;
+  Fingerprint part{};
   /** Trial runs that the sender knows of. */
   std::uint32_t trials = 0;
   MSGPACK_DEFINE(suspect, age, kind, part, trials);
--- a/tests/unit/relay/PeerDatagramTest.cpp
+++ b/tests/unit/relay/PeerDatagramTest.cpp
@@ -144,6 +144,7 @@
   ForwardedStatus row{ "10.0.0.1:1", 200'000, statusAt(1) };
   row.status.configAge = 1'000;
   row.status.quarantine.push_back(QuarantineRow{ {}, 5 });
+  row.status.crashes.push_back(CrashRow{});
   row.status.limits.push_back(
     LimitRow{ "one", 2, std::numeric_limits<std::int64_t>::max() });
   const auto forward = checkForwarded(row, "a");
@@ -151,6 +152,7 @@
   EXPECT_EQ(forward->sender, sender(1));
   EXPECT_EQ(forward->status.configAge, 201'000);
   EXPECT_EQ(forward->status.quarantine[0].age, 200'005);
+  EXPECT_EQ(forward->status.crashes[0].age, 200'000);
   EXPECT_EQ(forward->status.limits[0].age,
             std::numeric_limits<std::int64_t>::max());
 }
