Take a stream that ends inside an event for broken off

Callers got streams that ended as complete although the last event, and all after it, were missing: a replica had stopped inside an event and ended its chunked body, or the body had reached its length. Only bodies without a length were checked for a partial event; others dropped it. Now every stream that does not end between two events has failed: it is resumed, or cut off.

--- a/include/poplartrack/relay/EventSplitter.h
+++ b/include/poplartrack/relay/EventSplitter.h
@@ -27,8 +27,9 @@
 public:
   /** Appends bytes and returns the events that are now complete. */
   std::vector<StreamEvent> feed(std::string_view aBytes);
-  /** Whether an incomplete event is buffered. */
-  [[nodiscard]] bool hasPartialEvent() const { return !this->pending.empty(); }
+  /** Returns whether a stream that ends after these bytes ends between two
+   * events. Otherwise its replica has stopped inside one. */
+  [[nodiscard]] bool mayEndAfter(std::string_view aBytes) const;
   /** Discards an incomplete event. */
   void reset() { this->pending.clear(); }
 
--- a/src/relay/EventSplitter.cpp
+++ b/src/relay/EventSplitter.cpp
@@ -35,6 +35,13 @@
 
 } // namespace
 
+bool
+EventSplitter::mayEndAfter(std::string_view aBytes) const
+{
+  const std::string rest = this->pending + std::string{ aBytes };
+  return rest.empty() || rest.ends_with("\n\n") || rest.ends_with("\n\r\n");
+}
+
 std::vector<StreamEvent>
 EventSplitter::feed(std::string_view aBytes)
 {
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -254,7 +254,13 @@
   }
   const std::string body = connection.parser->takeBody();
   if (stream) {
-    this->forwardEvents(exchange, body, true);
+    const bool isWhole = exchange.splitter.mayEndAfter(body);
+    this->forwardEvents(exchange, body, isWhole);
+    if (!isWhole) {
+      this->onAttemptFailed(
+        exchange, ReplicaFailure::Faulty, "ended inside an event");
+      return;
+    }
   }
   if (isSuccess(head.status)) {
     this->recordServed(exchange);
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -141,7 +141,7 @@
   const bool endsAtClose = aClean && connection.headHandled &&
                            !connection.discardingAnswer && parser.need_eof() &&
                            parser.problem() == ParseProblem::None &&
-                           !exchange->second->splitter.hasPartialEvent();
+                           exchange->second->splitter.mayEndAfter("");
   if (endsAtClose) {
     parser.feedEnd();
     if (parser.problem() == ParseProblem::None) {
--- a/tests/unit/relay/EventSplitterTest.cpp
+++ b/tests/unit/relay/EventSplitterTest.cpp
@@ -14,9 +14,9 @@
   ASSERT_EQ(events.size(), 1U);
   EXPECT_EQ(events[0].id, 7U);
   EXPECT_EQ(events[0].bytes, "id: 7\ndata: a\n\n");
-  EXPECT_TRUE(splitter.hasPartialEvent());
+  EXPECT_FALSE(splitter.mayEndAfter(""));
   EXPECT_EQ(splitter.feed("ta: b\n\n").front().id, 8U);
-  EXPECT_FALSE(splitter.hasPartialEvent());
+  EXPECT_TRUE(splitter.mayEndAfter(""));
 }
 
 TEST(EventSplitter, AnEventNeedsNoId)
@@ -51,5 +51,17 @@
   RC_ASSERT(joined == text);
 }
 
+TEST(EventSplitter, AStreamMayEndOnlyBetweenEvents)
+{
+  EventSplitter splitter;
+  EXPECT_TRUE(splitter.mayEndAfter(""));
+  EXPECT_TRUE(splitter.mayEndAfter("data: a\n\n"));
+  EXPECT_TRUE(splitter.mayEndAfter("data: a\r\n\r\n"));
+  EXPECT_FALSE(splitter.mayEndAfter("data: a\n"));
+  splitter.feed("data: a\n");
+  EXPECT_FALSE(splitter.mayEndAfter(""));
+  EXPECT_TRUE(splitter.mayEndAfter("\n"));
+}
+
 } // namespace
 } // namespace poplartrack
