Do not complete a stream without length or events

A replica that crashes after the head of a stream without a length closes its connection as if the stream were whole: the caller got an empty stream that ended as complete, and the parts of its prompt counted as answered, which would clear the part that crashed the replica. A stream that ends with its connection before its first event has failed now, and only an event clears the parts of a stream.

The new test waited in vain for a second attempt before.

--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -123,7 +123,8 @@
 void
 RelayLoop::Impl::recordServed(Exchange& aExchange)
 {
-  if (!aExchange.runningSince) {
+  // A stream without an event may have been ended by the crash of its replica.
+  if (!aExchange.streaming) {
     this->recordBegun(aExchange);
   }
   const Fingerprint& content = contentFingerprint(aExchange);
--- a/tests/unit/relay/UnframedAnswerTest.cpp
+++ b/tests/unit/relay/UnframedAnswerTest.cpp
@@ -76,6 +76,21 @@
   this->expectResumed(caller);
 }
 
+TEST_F(UnframedAnswer, AStreamWithoutAnyEventIsNotComplete)
+{
+  // Guards against a stream that ends as complete because its replica crashed
+  // after the head of the answer.
+  RawSocket caller = this->openStream();
+  RawSocket replica = this->nextAttempt();
+  replica.send(kHead + std::string{ "\r\n" });
+  replica.close();
+  RawSocket second = this->nextAttempt();
+  second.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1) +
+              RelayWorld::kLastChunk);
+  const std::string answer = caller.readUntil("0\r\n\r\n");
+  EXPECT_TRUE(has(answer, "id: 1\n")) << answer;
+}
+
 TEST_F(UnframedAnswer, AChunkedStreamThatEndsInAnEventIsResumed)
 {
   RawSocket caller = this->openStream();
