Expect no body after HEAD, whatever answer was discarded before

After a discarded answer of an earlier request, the parser of the next one had forgotten that the request was a HEAD, and waited for the body that the length announces: the caller got no answer. The parser of a replica's connection is now always made for the request that it is assigned to.

The new test waited in vain before.

--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -162,8 +162,7 @@
   this->addLoad(aExchange);
   this->reserveLinkCapacity(aExchange, aTarget.path);
   this->armExchange(aExchange);
-  // An answer to HEAD has a Content-Length but no body.
-  connection.parser->skip(aExchange.head.method == "HEAD");
+  this->resetParser(connection);
   connection.output = this->requestHead(aExchange, aTarget) + aExchange.body;
   if (connection.state == ReplicaConnection::State::Busy) {
     this->flushReplica(connection);
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -140,11 +140,10 @@
   ResponseParser& parser = *connection.parser;
   const bool hasNoEvent =
     exchange->second->streaming && exchange->second->events == 0;
-  const bool endsAtClose = aClean && connection.headHandled &&
-                           !connection.discardingAnswer && parser.need_eof() &&
-                           parser.problem() == ParseProblem::None &&
-                           !hasNoEvent &&
-                           exchange->second->splitter.mayEndAfter("");
+  const bool endsAtClose =
+    aClean && connection.headHandled && !connection.discardingAnswer &&
+    parser.need_eof() && parser.problem() == ParseProblem::None &&
+    !hasNoEvent && exchange->second->splitter.mayEndAfter("");
   if (endsAtClose) {
     parser.feedEnd();
     if (parser.problem() == ParseProblem::None) {
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -78,6 +78,10 @@
   aConnection.parser = std::make_unique<ResponseParser>(kMaxAnswerHeadBytes, 0);
   aConnection.headHandled = false;
   aConnection.discardingAnswer = false;
+  // An answer to HEAD has a Content-Length but no body.
+  const auto exchange = this->exchanges.find(aConnection.exchange);
+  aConnection.parser->skip(exchange != this->exchanges.end() &&
+                           exchange->second->head.method == "HEAD");
 }
 
 /** Returns an idle connection to the replica, or starts to open one.
@@ -100,7 +104,6 @@
     }
     connection.state = ReplicaConnection::State::Busy;
     connection.anySent = false;
-    this->resetParser(connection);
     return &connection;
   }
   Result<OwnedFd> fd = connectTcp(aTarget.address);
@@ -115,7 +118,6 @@
   connection->watchesWrite = true;
   setNoDelay(connection->fd.get());
   enableKeepAlive(connection->fd.get());
-  this->resetParser(*connection);
   if (!this->poller.add(connection->fd.get(), connection->id, true)) {
     return fail(ErrorKind::Network, "epoll takes no more descriptors");
   }
--- a/tests/unit/relay/UnframedAnswerTest.cpp
+++ b/tests/unit/relay/UnframedAnswerTest.cpp
@@ -120,5 +120,21 @@
   EXPECT_FALSE(has(caller.readToEnd(), "0\r\n\r\n"));
 }
 
+TEST_F(UnframedAnswer, AnswersAfterADiscardedOneToHeadHaveNoBody)
+{
+  this->world.addReplica("one", "plain", this->listener.address());
+  this->world.start();
+  RawSocket caller = this->world.caller();
+  caller.send("HEAD /again/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-2\r\n"
+              "X-Key: secret\r\n\r\n");
+  RawSocket replica = this->nextAttempt();
+  replica.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n"
+               "Content-Length: 5\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nX-Id: id-2\r\nX-Stamp: s\r\n"
+               "Content-Length: 7\r\n\r\n");
+  const std::string answer = caller.readUntil("\r\n\r\n");
+  EXPECT_TRUE(has(answer, "Content-Length: 7\r\n")) << answer;
+}
+
 } // namespace
 } // namespace poplartrack
