Read the proof of a configuration before the configuration

A relay read its configuration and then the age of the proof. If a newer one was put in force in between, a status message stated the newer proof for the older version, and a request could be admitted under the older one, with a key revoked since, as if that were proven to be the newest. Found by reading (the review, and the same order in admission). readProven reads the proof first; its test fails with the reads the other way round.

--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -142,7 +142,8 @@
     return;
   }
   const HeaderList& headers = aExchange.head.headers;
-  aExchange.config = this->shared.config.read();
+  const ProvenConfig proven = this->provenConfig();
+  aExchange.config = proven.config;
   const bool wellFormed =
     aExchange.head.version == 11 && headers.count("host") == 1 &&
     !aExchange.requestId.empty() && headers.count(this->names.requestId) == 1 &&
@@ -162,8 +163,11 @@
     std::string{ headers.find(this->names.apiKey).value_or("") },
     aExchange.deadline
   };
-  const auto decision = admitRequest(
-    aExchange.config.get(), this->configProof(), this->gate, gateRequest);
+  const auto decision =
+    admitRequest(aExchange.config.get(),
+                 ConfigProof{ proven.proofAge, this->shared.configPollFailed },
+                 this->gate,
+                 gateRequest);
   if (const Error* error = std::get_if<Error>(&decision)) {
     this->refuse(aExchange, *error, true);
     return;
@@ -182,18 +186,21 @@
   this->dispatch(aExchange);
 }
 
-ConfigProof
-RelayLoop::Impl::configProof() const
+/** Returns the configuration in force and the age of its proof. */
+ProvenConfig
+RelayLoop::Impl::provenConfig() const
 {
-  return ConfigProof{ this->shared.freshness.age(),
-                      this->shared.configPollFailed };
+  return readProven([this] { return this->shared.freshness.age(); },
+                    [this] { return this->shared.config.read(); });
 }
 
 /** Returns whether the request may be sent now under the configuration. */
 bool
 RelayLoop::Impl::isConfigFresh(const Exchange& aExchange) const
 {
-  return isUsable(this->configProof(), this->gate, aExchange.keyed);
+  const ConfigProof proof{ this->shared.freshness.age(),
+                           this->shared.configPollFailed };
+  return isUsable(proof, this->gate, aExchange.keyed);
 }
 
 /** Formats the head of the request for a replica: the caller's without
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -32,6 +32,7 @@
 #include "poplartrack/fleet/StatusRepeat.h"
 #include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitQueue.h"
+#include "poplartrack/relay/ProvenConfig.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
 #include "poplartrack/retry/CrashLedger.h"
@@ -205,7 +206,7 @@
   void admit(Exchange& aExchange);
   [[nodiscard]] std::string requestHead(const Exchange& aExchange,
                                         const AttemptTarget& aTarget) const;
-  [[nodiscard]] ConfigProof configProof() const;
+  [[nodiscard]] ProvenConfig provenConfig() const;
   [[nodiscard]] bool isConfigFresh(const Exchange& aExchange) const;
 
   // RelayExchange.cpp: attempts, timers and the end of a request.
--- a/src/relay/RelayStatus.cpp
+++ b/src/relay/RelayStatus.cpp
@@ -68,10 +68,10 @@
     status.unreachable.push_back(replica);
   }
   status.slow = this->health.degraded();
-  const auto config = this->shared.config.read();
-  const Duration age = this->shared.freshness.age();
-  status.config = config ? config->version : 0;
-  status.configAge = age == Duration::max() ? -1 : age.count();
+  const ProvenConfig proven = this->provenConfig();
+  status.config = proven.config ? proven.config->version : 0;
+  status.configAge =
+    proven.proofAge == Duration::max() ? -1 : proven.proofAge.count();
   status.list = this->view->lastChange;
   status.polls = this->shared.polls && !this->shared.joining;
   status.pollsFail = this->shared.pollsFail;
