Limit what a relay holds for callers and replicas that read slowly

A request whose body has no room is refused unread (503, it has not run); small ones are always read. Reading of large answers is paused while too much is held, except for the largest, so that one ends. A body is kept once and no longer copied for each attempt, and a large answer is not moved in memory with each write.

--- a/include/poplartrack/relay/RelaySettings.h
+++ b/include/poplartrack/relay/RelaySettings.h
@@ -35,6 +35,8 @@
   std::size_t descriptors = 1024;
   /** Rate of the instance's network link, in Mbit/s. */
   double linkMbps = 1'000;
+  /** Memory limit of this process, in MB. */
+  double memoryMb = 256;
   /** A replica gets no new work from this long after the store acknowledged
    * that it drains. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
--- a/src/relay/CallerConnection.h
+++ b/src/relay/CallerConnection.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "MessageParser.h"
+#include "OutputBuffer.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/OwnedFd.h"
 
@@ -18,7 +19,12 @@
   /** Bytes received but not parsed yet. */
   std::string input;
   /** Bytes not yet written to the socket. */
-  std::string output;
+  OutputBuffer output;
+  /** When the socket last accepted bytes. */
+  TimePoint writtenAt{};
+  /** Bytes of memory set aside for the body of the request that is being
+   * received. */
+  std::size_t announced = 0;
   std::unique_ptr<RequestParser> parser;
   /** Id of the request that is being answered; 0 if none. */
   std::uint64_t exchange = 0;
--- a/src/relay/MessageParser.h
+++ b/src/relay/MessageParser.h
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
-#include <optional>
 #include <string>
 #include <string_view>
 
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -192,7 +192,7 @@
     text.append(kLastChunk);
   }
   if (!text.empty()) {
-    this->sendToCaller(*caller->second, text);
+    this->sendToCaller(*caller->second, std::move(text));
   }
 }
 
@@ -252,7 +252,7 @@
     this->onAttemptFailed(exchange, ReplicaFailure::Faulty, "resume refused");
     return;
   }
-  const std::string body = connection.parser->takeBody();
+  std::string body = connection.parser->takeBody();
   if (stream) {
     const bool isWhole = exchange.splitter.mayEndAfter(body);
     this->forwardEvents(exchange, body, isWhole);
@@ -268,7 +268,7 @@
   exchange.connection = 0;
   this->releaseReplica(connection);
   if (!stream) {
-    this->forwardWholeAnswer(exchange, head, body);
+    this->forwardWholeAnswer(exchange, head, std::move(body));
   }
   this->shared.metrics.count("answers_total");
   this->shared.metrics.observe("answer_seconds", this->now - exchange.arrived);
@@ -285,7 +285,7 @@
 void
 RelayLoop::Impl::forwardWholeAnswer(Exchange& aExchange,
                                     const MessageHead& aHead,
-                                    const std::string& aBody)
+                                    std::string aBody)
 {
   const auto caller = this->callers.find(aExchange.caller);
   if (caller == this->callers.end()) {
@@ -297,8 +297,8 @@
     (aExchange.head.method == "HEAD" && length ? std::string{ *length }
                                                : std::to_string(aBody.size())) +
     "\r\n";
-  this->sendToCaller(*caller->second,
-                     this->answerHead(aExchange, aHead, framing) + aBody);
+  aBody.insert(0, this->answerHead(aExchange, aHead, framing));
+  this->sendToCaller(*caller->second, std::move(aBody));
 }
 
 /** Handles an answer by which the replica, or another one on its path, states
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 
 #include "RelayLoopImpl.h"
+#include "RetryAdvice.h"
 #include "poplartrack/base/TcpSocket.h"
 
 namespace poplartrack {
@@ -23,6 +24,10 @@
  * Above that, the relay stops reading from the connection. */
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } * 1024;
 
+/** Time that a caller is assumed to have left if its request was refused before
+ * its head was looked at. */
+constexpr Duration kUnreadRetryTime = std::chrono::seconds{ 10 };
+
 /** How long a connection stays open after its last answer for the caller to
  * close it. Closing it while bytes of a request are unread resets it, and the
  * answer could be lost. */
@@ -158,6 +163,7 @@
     std::make_unique<RequestParser>(limits.headerBytes, limits.bodyBytes);
   aCaller.receivingRequest = false;
   aCaller.continueSent = false;
+  aCaller.announced = 0;
 }
 
 /** Reads once from a caller and parses the bytes, unless a request is in
@@ -182,6 +188,7 @@
     return;
   }
   aCaller.input.append(bytes.data(), static_cast<std::size_t>(count));
+  this->held += static_cast<std::size_t>(count);
   if (aCaller.exchange != 0) {
     if (aCaller.input.size() > kMaxPipelinedBytes && !aCaller.readPaused) {
       aCaller.readPaused = true;
@@ -215,6 +222,10 @@
     return;
   }
   const MessageHead& head = aCaller.parser->head();
+  if (aCaller.parser->is_header_done() && !this->hasMemoryFor(aCaller)) {
+    this->refuseUnread(aCaller);
+    return;
+  }
   if (!aCaller.parser->is_done()) {
     if (aCaller.parser->is_header_done() && !aCaller.continueSent &&
         head.headers.hasToken("expect", "100-continue")) {
@@ -227,6 +238,25 @@
   this->beginExchange(aCaller, head);
 }
 
+/** Rejects a request for which there is no memory, and closes its connection:
+ * the rest of its body is not read. */
+void
+RelayLoop::Impl::refuseUnread(CallerConnection& aCaller)
+{
+  const auto id = aCaller.parser->head().headers.find(this->names.requestId);
+  const std::string requestId{ id.value_or("") };
+  const Error error{ ErrorKind::Overloaded, "no memory for the body" };
+  this->shared.metrics.countRefusal(error.kind);
+  this->shared.log.write(LogLine{ LogPart::Request, "refused" }
+                           .with("id", requestId)
+                           .with("reason", error.detail));
+  RefusalState state;
+  state.kind = error.kind;
+  state.timeLeft = kUnreadRetryTime;
+  state.jitterSeed = std::hash<std::string>{}(requestId);
+  this->answerError(aCaller, error, requestId, retryAdvice(state), true);
+}
+
 /** Rejects a request that cannot be parsed and closes its connection: where the
  * next request begins is unknown. */
 void
@@ -283,10 +313,12 @@
 
 /** Queues bytes for a caller and writes what the socket accepts. */
 void
-RelayLoop::Impl::sendToCaller(CallerConnection& aCaller,
-                              std::string_view aBytes)
+RelayLoop::Impl::sendToCaller(CallerConnection& aCaller, std::string aBytes)
 {
-  aCaller.output.append(aBytes);
+  if (aCaller.output.empty()) {
+    aCaller.writtenAt = this->now;
+  }
+  aCaller.output.append(std::move(aBytes));
   this->flushCaller(aCaller);
 }
 
@@ -296,10 +328,9 @@
 RelayLoop::Impl::flushCaller(CallerConnection& aCaller)
 {
   while (!aCaller.output.empty()) {
-    const ssize_t count = ::send(aCaller.fd.get(),
-                                 aCaller.output.data(),
-                                 aCaller.output.size(),
-                                 MSG_NOSIGNAL);
+    const std::string_view unsent = aCaller.output.unsent();
+    const ssize_t count =
+      ::send(aCaller.fd.get(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
     if (count < 0) {
       if (errno == EAGAIN || errno == EINTR) {
         break;
@@ -308,7 +339,8 @@
       aCaller.output.clear();
       break;
     }
-    aCaller.output.erase(0, static_cast<std::size_t>(count));
+    aCaller.output.consume(static_cast<std::size_t>(count));
+    aCaller.writtenAt = this->now;
   }
   const bool wantsWrite = !aCaller.output.empty();
   if (wantsWrite != aCaller.watchesWrite) {
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -163,7 +163,8 @@
   this->reserveLinkCapacity(aExchange, aTarget.path);
   this->armExchange(aExchange);
   this->resetParser(connection);
-  connection.output = this->requestHead(aExchange, aTarget) + aExchange.body;
+  connection.output.append(this->requestHead(aExchange, aTarget));
+  connection.bodyLeft = aExchange.body.size();
   if (connection.state == ReplicaConnection::State::Busy) {
     this->flushReplica(connection);
   }
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -389,6 +389,7 @@
   this->requestSlowReplicaReports();
   this->moveOffDraining();
   this->broadcastStatus(false);
+  this->refreshHeld();
   this->closeExpiredIdle(this->now);
   this->shared.log.flush();
   if (this->periodicRuns++ % kRunsPerSecond == 0) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -161,10 +161,12 @@
   void parseCallerInput(CallerConnection& aCaller);
   void onParseProblem(CallerConnection& aCaller, ParseProblem aProblem);
   void resetParser(CallerConnection& aCaller);
-  void sendToCaller(CallerConnection& aCaller, std::string_view aBytes);
+  void sendToCaller(CallerConnection& aCaller, std::string aBytes);
   void flushCaller(CallerConnection& aCaller);
   void updateCallerInterest(CallerConnection& aCaller);
   void onAnswerWritten(CallerConnection& aCaller);
+  void refuseUnread(CallerConnection& aCaller);
+  void armIdleTimer(CallerConnection& aCaller);
   void onCallerTimer(CallerConnection& aCaller);
   void startLingeringClose(CallerConnection& aCaller);
   void closeCaller(std::uint64_t aId);
@@ -176,13 +178,24 @@
                    Duration aRetryAfter,
                    bool aClose);
 
+  // RelayMemory.cpp: what is held for slow callers and replicas.
+  [[nodiscard]] std::size_t heldLimit() const;
+  [[nodiscard]] std::size_t countHeld() const;
+  [[nodiscard]] bool holdsTooMuch(std::size_t aMore);
+  [[nodiscard]] bool hasMemoryFor(CallerConnection& aCaller);
+  void pauseIfTooMuchHeld(ReplicaConnection& aConnection);
+  void refreshHeld();
+
   // RelayReplicas.cpp: connections to replicas.
   Result<ReplicaConnection*> connectionTo(const AttemptTarget& aTarget,
                                           bool aRecentOnly);
   void onReplicaEvent(ReplicaConnection& aConnection, const ReadyEvent& aEvent);
   void onReplicaConnected(ReplicaConnection& aConnection);
   void flushReplica(ReplicaConnection& aConnection);
+  [[nodiscard]] std::string_view unsentBytes(
+    const ReplicaConnection& aConnection) const;
   void setReplicaWriteInterest(ReplicaConnection& aConnection, bool aWrite);
+  void updateReplicaInterest(ReplicaConnection& aConnection);
   void releaseReplica(ReplicaConnection& aConnection);
   void closeReplica(std::uint64_t aId);
   void closeExpiredIdle(TimePoint aNow);
@@ -240,7 +253,7 @@
   void forwardEvents(Exchange& aExchange, const std::string& aBytes, bool aEnd);
   void forwardWholeAnswer(Exchange& aExchange,
                           const MessageHead& aHead,
-                          const std::string& aBody);
+                          std::string aBody);
   [[nodiscard]] std::string answerHead(const Exchange& aExchange,
                                        const MessageHead& aHead,
                                        std::string_view aFraming) const;
@@ -407,6 +420,9 @@
   std::unordered_map<std::uint64_t, ExchangePtr> exchanges;
   /** Ids of idle connections by replica; the most recently used is last. */
   std::unordered_map<std::string, std::vector<std::uint64_t>> idleConnections;
+  /** Bytes held for callers and replicas: counted in each periodic run, and
+   * increased by what has been received since. */
+  std::size_t held = 0;
   /** Number of requests in flight from this relay at each replica of a plain
    * service. */
   std::unordered_map<std::string, std::uint32_t> plainLoad;
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -38,7 +38,14 @@
     return;
   }
   aConnection.input.append(bytes.data(), static_cast<std::size_t>(count));
-  this->parseReplicaInput(aConnection.id);
+  this->held += static_cast<std::size_t>(count);
+  const std::uint64_t id = aConnection.id;
+  this->parseReplicaInput(id);
+  const auto still = this->connections.find(id);
+  if (still != this->connections.end() &&
+      still->second->state == ReplicaConnection::State::Busy) {
+    this->pauseIfTooMuchHeld(*still->second);
+  }
 }
 
 /** Parses buffered bytes, answer by answer. */
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -176,7 +176,7 @@
 RelayLoop::Impl::flushReplica(ReplicaConnection& aConnection)
 {
   const auto exchange = this->exchanges.find(aConnection.exchange);
-  if (!aConnection.anySent && !aConnection.output.empty() &&
+  if (!aConnection.anySent && !this->unsentBytes(aConnection).empty() &&
       exchange != this->exchanges.end() &&
       !this->isConfigFresh(*exchange->second)) {
     // The process may have been suspended since the request was admitted, and
@@ -190,25 +190,49 @@
       stale.runs == 0);
     return;
   }
-  while (!aConnection.output.empty()) {
-    const ssize_t count = ::send(aConnection.fd.get(),
-                                 aConnection.output.data(),
-                                 aConnection.output.size(),
-                                 MSG_NOSIGNAL);
+  while (true) {
+    const std::string_view unsent = this->unsentBytes(aConnection);
+    if (unsent.empty()) {
+      break;
+    }
+    const ssize_t count =
+      ::send(aConnection.fd.get(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
     if (count < 0) {
       if (errno == EAGAIN || errno == EINTR) {
         break;
       }
       // The connection was reset. An answer received before may still be read.
       aConnection.output.clear();
+      aConnection.bodyLeft = 0;
       this->setReplicaWriteInterest(aConnection, false);
       this->readReplica(aConnection);
       return;
     }
     aConnection.anySent = true;
-    aConnection.output.erase(0, static_cast<std::size_t>(count));
+    if (aConnection.output.empty()) {
+      aConnection.bodyLeft -= static_cast<std::size_t>(count);
+    } else {
+      aConnection.output.consume(static_cast<std::size_t>(count));
+    }
+  }
+  this->setReplicaWriteInterest(aConnection,
+                                !this->unsentBytes(aConnection).empty());
+}
+
+/** Returns the next bytes of the request to write: of its head, or else of its
+ * body, of which the exchange has the only copy. */
+std::string_view
+RelayLoop::Impl::unsentBytes(const ReplicaConnection& aConnection) const
+{
+  if (!aConnection.output.empty()) {
+    return aConnection.output.unsent();
   }
-  this->setReplicaWriteInterest(aConnection, !aConnection.output.empty());
+  const auto exchange = this->exchanges.find(aConnection.exchange);
+  if (aConnection.bodyLeft == 0 || exchange == this->exchanges.end()) {
+    return {};
+  }
+  const std::string_view body = exchange->second->body;
+  return body.substr(body.size() - aConnection.bodyLeft);
 }
 
 /** Sets whether the poller reports that the socket is writable. */
@@ -218,10 +242,20 @@
 {
   if (aConnection.watchesWrite != aWrite) {
     aConnection.watchesWrite = aWrite;
-    this->poller.change(aConnection.fd.get(), aConnection.id, aWrite);
+    this->updateReplicaInterest(aConnection);
   }
 }
 
+/** Tells the poller which events of the connection to report. */
+void
+RelayLoop::Impl::updateReplicaInterest(ReplicaConnection& aConnection)
+{
+  this->poller.change(aConnection.fd.get(),
+                      aConnection.id,
+                      aConnection.watchesWrite,
+                      !aConnection.readPaused);
+}
+
 /** Keeps the connection for later requests after a complete answer, or closes
  * it if it cannot be reused safely. */
 void
@@ -232,10 +266,10 @@
   // Unparsed bytes belong to no request. If the answer came before the request
   // was written completely, the replica would read the next request as the rest
   // of the body.
-  const bool reusable = aConnection.input.empty() &&
-                        aConnection.output.empty() &&
-                        aConnection.parser->keep_alive() &&
-                        keep > Duration{ 0 } && aConnection.parser->is_done();
+  const bool reusable =
+    aConnection.input.empty() && aConnection.output.empty() &&
+    aConnection.bodyLeft == 0 && aConnection.parser->keep_alive() &&
+    keep > Duration{ 0 } && aConnection.parser->is_done();
   if (!reusable) {
     this->closeReplica(aConnection.id);
     return;
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -59,6 +59,13 @@
               "",
               "1000",
               "rate of the instance's network link" },
+  SettingRow{ "limits.memory_mb",
+              Number,
+              16,
+              1e6,
+              "",
+              "256",
+              "memory limit of the process" },
   SettingRow{ "bounds.drain_ms",
               Number,
               0,
@@ -163,6 +170,7 @@
   const SettingsNode& limits = tableOf(aRoot, "limits");
   bind(limits, "descriptors", settings.descriptors);
   bind(limits, "link_mbps", settings.linkMbps);
+  bind(limits, "memory_mb", settings.memoryMb);
   const SettingsNode& bounds = tableOf(aRoot, "bounds");
   bindTime(bounds, "drain_ms", kMs, settings.drain);
   bindTime(bounds, "grace_s", kSecond, settings.grace);
--- a/src/relay/ReplicaConnection.h
+++ b/src/relay/ReplicaConnection.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "MessageParser.h"
+#include "OutputBuffer.h"
 #include "poplartrack/base/Address.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/OwnedFd.h"
@@ -31,8 +32,10 @@
   State state = State::Connecting;
   /** Bytes received but not parsed yet. */
   std::string input;
-  /** Bytes not yet written to the socket. */
-  std::string output;
+  /** Head of the request, as far as it is not yet written to the socket. */
+  OutputBuffer output;
+  /** Bytes at the end of the request's body that are not yet written. */
+  std::size_t bodyLeft = 0;
   std::unique_ptr<ResponseParser> parser;
   /** Id of the request in progress; 0 if none. */
   std::uint64_t exchange = 0;
@@ -41,6 +44,8 @@
   bool anySent = false;
   /** The poller reports when the socket is writable. */
   bool watchesWrite = false;
+  /** The poller does not report readable bytes: too much is held. */
+  bool readPaused = false;
   /** The current answer belongs to another request and is discarded. */
   bool discardingAnswer = false;
   /** The head of the current answer has been handled. */
--- a/tests/harness/RawSocket.cpp
+++ b/tests/harness/RawSocket.cpp
@@ -72,6 +72,23 @@
   return bytes;
 }
 
+std::string
+RawSocket::readBytes(std::size_t aCount)
+{
+  std::string bytes(aCount, '\0');
+  std::size_t size = 0;
+  while (size < aCount) {
+    const ssize_t got =
+      ::recv(this->fd.get(), bytes.data() + size, aCount - size, 0);
+    if (got <= 0) {
+      break;
+    }
+    size += static_cast<std::size_t>(got);
+  }
+  bytes.resize(size);
+  return bytes;
+}
+
 std::string
 RawSocket::readToEnd()
 {
--- a/tests/harness/RawSocket.h
+++ b/tests/harness/RawSocket.h
@@ -24,6 +24,8 @@
   bool send(std::string_view aBytes);
   /** Reads until aMark has come or the peer has closed. */
   std::string readUntil(std::string_view aMark);
+  /** Reads until this many bytes have come or the peer has closed. */
+  std::string readBytes(std::size_t aCount);
   /** Reads until the peer has closed or reset the connection. */
   std::string readToEnd();
   /** Closes it at once; unread bytes make this a reset. */
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -136,6 +136,7 @@
     // Longer than any test takes, even on a busy machine.
     settings.configDeadline = std::chrono::minutes{ 10 };
     settings.drain = this->drain;
+    settings.memoryMb = this->memoryMb;
     settings.retryRatio = this->retryRatio;
     settings.retrySlack = this->retrySlack;
     settings.callers = { "127.0.0.1", 0 };
@@ -238,6 +239,7 @@
   std::atomic<int> statusQueries{ 0 };
   /** Settings that tests may change before the start. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
+  double memoryMb = 256;
   double retryRatio = 0.2;
   double retrySlack = 100;
   std::unique_ptr<RelayLoop> loop;
