Take an answer for finished when it is written, not when it is queued

A stopping relay now waits for unwritten bytes until the grace time ends, a connection is idle once its answer is written, and one that accepts nothing for a minute is closed; keep-alive probes notice callers that have disappeared. The tests of this and of the limit on memory are in RelayMemoryTest.cpp.

--- a/include/poplartrack/relay/RelayLoop.h
+++ b/include/poplartrack/relay/RelayLoop.h
@@ -40,6 +40,9 @@
   /** Number of requests whose answers are not complete yet. May be called from
    * any thread. */
   [[nodiscard]] std::size_t openRequests() const;
+  /** Returns the number of callers whose answers are not written completely.
+   * May be called from any thread. */
+  [[nodiscard]] std::size_t unwrittenAnswers() const;
 
 private:
   class Impl;
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -149,13 +149,16 @@
   constexpr Duration kLook = std::chrono::milliseconds{ 50 };
   while (aShared.clock.now() < latest) {
     aShared.refusesRequests = aShared.clock.now() - start >= kBalancerNotices;
-    if (aShared.refusesRequests && aLoop.openRequests() == 0) {
+    if (aShared.refusesRequests && aLoop.openRequests() == 0 &&
+        aLoop.unwrittenAnswers() == 0) {
       break;
     }
     waitForSignal(kLook);
   }
-  aShared.log.write(LogLine{ LogPart::Process, "stopped" }.with(
-    "open", static_cast<std::int64_t>(aLoop.openRequests())));
+  aShared.log.write(
+    LogLine{ LogPart::Process, "stopped" }
+      .with("open", static_cast<std::int64_t>(aLoop.openRequests()))
+      .with("unwritten", static_cast<std::int64_t>(aLoop.unwrittenAnswers())));
 }
 
 ExitCode
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -33,10 +33,32 @@
  * answer could be lost. */
 constexpr Duration kLingerTimeout = std::chrono::seconds{ 1 };
 
-/** TCP_USER_TIMEOUT in milliseconds: a connection on which the caller
- * acknowledges nothing for this long is closed. Without it, an unresponsive
- * caller holds the memory of its answer and its replica for minutes. */
-constexpr int kUserTimeoutMs = 10'000;
+/** A connection is closed if its socket accepts none of the bytes that wait for
+ * it for this long: the caller has gone, or reads nothing. The kernel takes up
+ * to several megabytes at once, which a slow caller reads for a while. */
+constexpr Duration kWriteTimeout = std::chrono::seconds{ 60 };
+
+/** Keep-alive probes, in seconds and number: a caller that has disappeared
+ * without closing its idle connection is noticed. */
+constexpr int kKeepAliveIdle = 5;
+constexpr int kKeepAliveInterval = 2;
+constexpr int kKeepAliveProbes = 3;
+
+void
+enableKeepAlive(int aFd)
+{
+  const int one = 1;
+  ::setsockopt(aFd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+  ::setsockopt(
+    aFd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdle, sizeof kKeepAliveIdle);
+  ::setsockopt(aFd,
+               IPPROTO_TCP,
+               TCP_KEEPINTVL,
+               &kKeepAliveInterval,
+               sizeof kKeepAliveInterval);
+  ::setsockopt(
+    aFd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
+}
 
 ErrorKind
 errorKindOf(ParseProblem aProblem)
@@ -114,11 +136,7 @@
     this->closeLongestIdleCaller();
   }
   setNoDelay(aFd.get());
-  ::setsockopt(aFd.get(),
-               IPPROTO_TCP,
-               TCP_USER_TIMEOUT,
-               &kUserTimeoutMs,
-               sizeof kUserTimeoutMs);
+  enableKeepAlive(aFd.get());
   auto caller = std::make_unique<CallerConnection>();
   caller->id = this->nextId++;
   caller->fd = std::move(aFd);
@@ -141,7 +159,8 @@
 {
   const CallerConnection* longestIdle = nullptr;
   for (const auto& [id, caller] : this->callers) {
-    const bool isIdle = caller->exchange == 0 && !caller->receivingRequest;
+    const bool isIdle = caller->exchange == 0 && !caller->receivingRequest &&
+                        caller->output.empty();
     if (isIdle && (longestIdle == nullptr ||
                    caller->stateSince < longestIdle->stateSince)) {
       longestIdle = caller.get();
@@ -345,7 +364,11 @@
   const bool wantsWrite = !aCaller.output.empty();
   if (wantsWrite != aCaller.watchesWrite) {
     aCaller.watchesWrite = wantsWrite;
+    this->unwrittenCount += wantsWrite ? 1 : -1;
     this->updateCallerInterest(aCaller);
+    if (!wantsWrite && aCaller.exchange == 0 && !aCaller.receivingRequest) {
+      this->armIdleTimer(aCaller);
+    }
   }
   if (!wantsWrite && aCaller.closeAfterOut && !aCaller.lingering) {
     this->startLingeringClose(aCaller);
@@ -391,10 +414,7 @@
     return;
   }
   this->resetParser(aCaller);
-  const auto config = this->shared.config.read();
-  this->timers.arm(aCaller.id,
-                   this->now +
-                     (config ? config->limits : CallerLimits{}).idleTimeout);
+  this->armIdleTimer(aCaller);
   if (aCaller.readPaused) {
     aCaller.readPaused = false;
     this->updateCallerInterest(aCaller);
@@ -402,6 +422,17 @@
   this->parseCallerInput(aCaller);
 }
 
+/** Starts the time for which the connection may be idle. */
+void
+RelayLoop::Impl::armIdleTimer(CallerConnection& aCaller)
+{
+  aCaller.stateSince = this->now;
+  const auto config = this->shared.config.read();
+  this->timers.arm(aCaller.id,
+                   this->now +
+                     (config ? config->limits : CallerLimits{}).idleTimeout);
+}
+
 /** Handles the timeout of a connection that is idle, closing or receiving a
  * request. */
 void
@@ -410,6 +441,11 @@
   if (aCaller.exchange != 0) {
     return;
   }
+  const TimePoint writeDeadline = aCaller.writtenAt + kWriteTimeout;
+  if (!aCaller.output.empty() && this->now < writeDeadline) {
+    this->timers.arm(aCaller.id, writeDeadline);
+    return;
+  }
   if (aCaller.lingering || !aCaller.receivingRequest) {
     this->closeCaller(aCaller.id);
     return;
@@ -448,6 +484,10 @@
 RelayLoop::Impl::closeCaller(std::uint64_t aId)
 {
   this->timers.cancel(aId);
+  const auto found = this->callers.find(aId);
+  if (found != this->callers.end() && found->second->watchesWrite) {
+    --this->unwrittenCount;
+  }
   this->callers.erase(aId);
 }
 
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -459,4 +459,10 @@
   return this->impl->openRequests();
 }
 
+std::size_t
+RelayLoop::unwrittenAnswers() const
+{
+  return this->impl->unwrittenAnswers();
+}
+
 } // namespace poplartrack
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -138,6 +138,11 @@
   void post(std::function<void()> aWork);
   /** May be called from any thread. */
   [[nodiscard]] std::size_t openRequests() const { return this->openCount; }
+  /** May be called from any thread. */
+  [[nodiscard]] std::size_t unwrittenAnswers() const
+  {
+    return this->unwrittenCount;
+  }
   [[nodiscard]] const Address& address() const { return this->localCallers; }
   [[nodiscard]] const Address& peersAddress() const { return this->localPeers; }
 
@@ -507,6 +512,8 @@
   std::atomic<bool> stopping{ false };
   /** Size of exchanges, readable from any thread. */
   std::atomic<std::size_t> openCount{ 0 };
+  /** Number of callers with bytes that their socket has not accepted. */
+  std::atomic<std::size_t> unwrittenCount{ 0 };
   std::thread thread;
 };
 
--- /dev/null
+++ b/tests/unit/relay/RelayMemoryTest.cpp
@@ -0,0 +1,137 @@
+// What the relay holds for replicas and callers that read slowly.
+
+#include <thread>
+
+#include "RelayWorld.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace relaytest;
+
+constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
+/** More than the kernel takes for a connection whose peer reads nothing. */
+constexpr std::size_t kLargeBytes = 24 * kMegabyte;
+
+class RelayMemory : public ::testing::Test
+{
+protected:
+  RelayMemory() { this->world.config->limits.bodyBytes = 2 * kLargeBytes; }
+
+  /** Waits until a condition holds; fails the test after a minute. */
+  template<typename Condition>
+  static void waitFor(Condition aCondition)
+  {
+    const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
+    while (!aCondition() && runtimeNow() < waitUntil) {
+      std::this_thread::yield();
+    }
+    ASSERT_TRUE(aCondition());
+  }
+  /** Returns a large answer, after which the replica's connection ends. */
+  static std::string largeAnswer(const std::string& aId)
+  {
+    return RelayWorld::answer(aId,
+                              std::string(kLargeBytes, 'x'),
+                              "200 OK",
+                              "X-Stamp: s\r\nConnection: close\r\n");
+  }
+  /** Sends a request whose answer the caller does not read yet. */
+  RawSocket requestLargeAnswer(const std::string& aId)
+  {
+    RawSocket caller = this->world.sendRequest("/again/x", aId);
+    RawSocket replica = this->listener.accept();
+    replica.readUntil("\r\n\r\n");
+    replica.send(largeAnswer(aId));
+    this->replicas.push_back(std::move(replica));
+    return caller;
+  }
+
+  RelayWorld world;
+  RawListener listener;
+  std::vector<RawSocket> replicas;
+};
+
+TEST_F(RelayMemory, SlowReplicasLeaveMemoryForOtherRequests)
+{
+  // Limit of what is held: 0.4 of 80 MB.
+  constexpr double kMemoryMb = 80;
+  this->world.memoryMb = kMemoryMb;
+  this->world.addReplica("one", "plain", this->listener.address());
+  this->world.start();
+  const std::string body(kLargeBytes, 'x');
+  RawSocket first = this->world.sendRequest("/again/x", "id-1", "", body);
+  RawSocket slow = this->listener.accept();
+  RawSocket second = this->world.caller();
+  second.send("POST /again/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-2\r\n"
+              "X-Key: secret\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n");
+  const std::string refused = second.readUntil("}\n");
+  EXPECT_TRUE(refused.starts_with("HTTP/1.1 503 ")) << refused;
+  EXPECT_TRUE(has(refused, "Connection: close\r\n")) << refused;
+  RawSocket small = this->world.sendRequest("/again/x", "id-3", "", "content");
+  RawSocket replica = this->listener.accept();
+  replica.readUntil("content");
+  replica.send(RelayWorld::answer("id-3", "whole"));
+  EXPECT_TRUE(small.readUntil("whole").starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(RelayMemory, AnswersForSlowCallersAreNotReadWithoutLimit)
+{
+  constexpr double kMemoryMb = 80;
+  this->world.memoryMb = kMemoryMb;
+  this->world.addReplica("one", "plain", this->listener.address());
+  this->world.start();
+  RawSocket first = this->requestLargeAnswer("id-1");
+  waitFor([&] { return this->world.loop->unwrittenAnswers() == 1; });
+  RawSocket second = this->world.sendRequest("/again/x", "id-2");
+  RawSocket third = this->world.sendRequest("/again/x", "id-3");
+  std::vector<std::thread> senders;
+  for (int i = 0; i < 2; ++i) {
+    RawSocket replica = this->listener.accept();
+    const std::string head = replica.readUntil("\r\n\r\n");
+    const std::string id = has(head, "id-2") ? "id-2" : "id-3";
+    senders.emplace_back([id, replica = std::move(replica)]() mutable {
+      replica.send(largeAnswer(id));
+    });
+  }
+  waitFor([&] {
+    return this->world.shared.metrics.counter("answers_paused_total") > 0;
+  });
+  for (RawSocket* caller : { &first, &second, &third }) {
+    EXPECT_EQ(caller->readBytes(kLargeBytes).size(), kLargeBytes);
+  }
+  for (std::thread& sender : senders) {
+    sender.join();
+  }
+}
+
+TEST_F(RelayMemory, AnAnswerThatIsNotWrittenYetIsKnown)
+{
+  // Guards against a process that exits while callers still read their answers.
+  this->world.addReplica("one", "plain", this->listener.address());
+  this->world.start();
+  RawSocket caller = this->requestLargeAnswer("id-1");
+  waitFor([&] { return this->world.loop->openRequests() == 0; });
+  EXPECT_EQ(this->world.loop->unwrittenAnswers(), 1U);
+  EXPECT_EQ(caller.readBytes(kLargeBytes).size(), kLargeBytes);
+  waitFor([&] { return this->world.loop->unwrittenAnswers() == 0; });
+}
+
+TEST_F(RelayMemory, ACallerThatReadsSlowlyIsNotIdle)
+{
+  this->world.config->limits.idleTimeout = std::chrono::milliseconds{ 100 };
+  this->world.addReplica("one", "plain", this->listener.address());
+  this->world.start();
+  RawSocket slow = this->requestLargeAnswer("id-1");
+  waitFor([&] { return this->world.loop->openRequests() == 0; });
+  RawSocket idle = this->world.sendRequest("/again/x", "id-2");
+  RawSocket replica = this->listener.accept();
+  replica.readUntil("\r\n\r\n");
+  replica.send(RelayWorld::answer("id-2", "whole"));
+  EXPECT_TRUE(has(idle.readToEnd(), "whole"));
+  EXPECT_EQ(slow.readBytes(kLargeBytes).size(), kLargeBytes);
+}
+
+} // namespace
+} // namespace poplartrack
