--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -32,6 +32,7 @@
 #include "poplartrack/fleet/StatusRepeat.h"
 #include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitQueue.h"
+#include "poplartrack/relay/LoopLoad.h"
 #include "poplartrack/relay/ProvenConfig.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
@@ -188,6 +189,7 @@
   [[nodiscard]] std::size_t countHeld() const;
   [[nodiscard]] bool holdsTooMuch(std::size_t aMore);
   [[nodiscard]] bool hasMemoryFor(CallerConnection& aCaller);
+  [[nodiscard]] ReplicaConnection* largestAnswer() const;
   void pauseIfTooMuchHeld(ReplicaConnection& aConnection);
   void refreshHeld();
 
@@ -416,6 +418,7 @@
   /** Address on which other relays send; it identifies this relay to them. */
   Address localPeers;
   TimerQueue timers;
+  LoopLoad loopLoad;
   /** Next id of a connection or exchange. Ids are also the keys of their timers
    * and of their sockets in the poller. */
   std::uint64_t nextId;
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -79,6 +79,23 @@
   return true;
 }
 
+/** Returns the connection with the largest unfinished answer, or null. */
+ReplicaConnection*
+RelayLoop::Impl::largestAnswer() const
+{
+  ReplicaConnection* largest = nullptr;
+  std::size_t most = kSmallMessage;
+  for (const auto& [id, connection] : this->connections) {
+    const std::size_t size =
+      connection->parser ? connection->parser->unreadBody().size() : 0;
+    if (size > most) {
+      most = size;
+      largest = connection.get();
+    }
+  }
+  return largest;
+}
+
 /** Stops reading a large answer while too much is held, until other answers
  * have been written to their callers. The largest one goes on, so that one
  * ends.
@@ -86,19 +103,9 @@
 void
 RelayLoop::Impl::pauseIfTooMuchHeld(ReplicaConnection& aConnection)
 {
-  const std::size_t size = aConnection.parser->unreadBody().size();
-  if (aConnection.readPaused || size <= kSmallMessage ||
-      !this->holdsTooMuch(0)) {
-    return;
-  }
-  const bool isLargest =
-    std::none_of(this->connections.begin(),
-                 this->connections.end(),
-                 [&](const auto& aOther) {
-                   const auto& parser = aOther.second->parser;
-                   return parser && parser->unreadBody().size() > size;
-                 });
-  if (isLargest) {
+  const bool isLarge = aConnection.parser->unreadBody().size() > kSmallMessage;
+  if (aConnection.readPaused || !isLarge || !this->holdsTooMuch(0) ||
+      this->largestAnswer() == &aConnection) {
     return;
   }
   aConnection.readPaused = true;
@@ -106,18 +113,18 @@
   this->updateReplicaInterest(aConnection);
 }
 
-/** Counts what is held, and reads paused answers again if there is room. */
+/** Counts what is held, and reads paused answers again: all if there is room,
+ * else the largest. */
 void
 RelayLoop::Impl::refreshHeld()
 {
   this->held = this->countHeld();
   this->shared.metrics.set("held_bytes", static_cast<std::int64_t>(this->held));
   const auto limit = static_cast<double>(this->heldLimit());
-  if (static_cast<double>(this->held) >= kResumeShare * limit) {
-    return;
-  }
+  const bool hasRoom = static_cast<double>(this->held) < kResumeShare * limit;
+  const ReplicaConnection* largest = this->largestAnswer();
   for (const auto& [id, connection] : this->connections) {
-    if (connection->readPaused) {
+    if (connection->readPaused && (hasRoom || connection.get() == largest)) {
       connection->readPaused = false;
       this->updateReplicaInterest(*connection);
     }
