Close new connections unread while the loop has no time for them

LoopLoad measures which share of its time the loop works; from 0.6 on, new connections are closed before anything is read from them, and their callers open another one at another relay.

--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -119,6 +119,11 @@
     if (!fd.valid()) {
       return;
     }
+    if (this->loopLoad.turnsAway()) {
+      // It is closed unread; its caller opens another one elsewhere.
+      this->shared.metrics.count("callers_turned_away_total");
+      continue;
+    }
     this->addCaller(std::move(fd));
   }
 }
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -184,8 +184,11 @@
     const std::optional<TimePoint> timer = this->timers.next();
     const TimePoint until =
       timer ? std::min(*timer, this->nextPeriodicAt) : this->nextPeriodicAt;
-    const auto events = this->poller.wait(this->now, until);
-    this->now = runtimeNow();
+    const TimePoint waitsFrom = runtimeNow();
+    const auto events = this->poller.wait(waitsFrom, until);
+    const TimePoint wokeAt = runtimeNow();
+    this->loopLoad.record(wokeAt - waitsFrom, waitsFrom - this->now);
+    this->now = wokeAt;
     this->runPosted();
     for (const ReadyEvent& event : events) {
       this->onEvent(event);
