--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -205,8 +205,11 @@
     std::string{ wire_names::kRequestId } + ": " + id + "\r\n" +
     std::string{ wire_names::kApiKey } + ": " + aKey + "\r\n" +
     std::string{ wire_names::kDeadline } + ": " + std::to_string(kPatienceMs) +
-    "\r\n" + std::string{ wire_names::kTokens } +
-    ": 40,60\r\nContent-Length: 2\r\n\r\nhi";
+    "\r\n" + std::string{ wire_names::kTokens } + ": 40,60\r\n" +
+    (aKind == RequestKind::Stream ? std::string{ wire_names::kPromptParts } +
+                                      ": " + this->parts + id + ":20\r\n"
+                                  : std::string{}) +
+    "Content-Length: 2\r\n\r\nhi";
   if (this->send(text)) {
     this->readAnswer(id, call);
   }
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -23,6 +23,9 @@
   {
   }
 
+  /** Sets the parts of the prompts of later streams, "ID:TOKENS,"; each request
+   * adds one of its own. */
+  void setParts(std::string aParts) { this->parts = std::move(aParts); }
   /** Sends one request of a random kind; gives what came of it. */
   CallRecord call(const Address& aRelay);
   CallRecord call(const Address& aRelay,
@@ -41,6 +44,7 @@
   SoakRecord& record;
   std::string name;
   std::mt19937_64 random;
+  std::string parts = "first:20,";
   OwnedFd fd;
   Address connected;
   std::string in;
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -13,6 +13,12 @@
 /** The bound on keys that were taken away, as the relays' settings have it. */
 constexpr std::int64_t kRevokeMs = 5'000;
 
+/** Crashes under one prompt part after which the relays know it, the time until
+ * all of them do, and how many more replicas may crash then. */
+constexpr std::size_t kCrashesUntilKnown = 5;
+constexpr std::int64_t kCrashNoticeMs = 3'000;
+constexpr std::ptrdiff_t kMaxLateCrashes = 3;
+
 /** A rejection takes this long to reach the relay, also over a slow link. */
 constexpr std::int64_t kBackoffNoticeMs = 500;
 constexpr std::int64_t kMaxDuringBackoff = 2;
@@ -158,6 +164,39 @@
   }
 }
 
+/** Holds the crashes under a prompt part against their bound: few requests with
+ * it reach replicas once five have crashed and the relays could know it. */
+void
+judgeCrashes(const std::vector<std::string>& aLines,
+             std::vector<std::string>& aBroken)
+{
+  std::vector<std::int64_t> crashes;
+  for (const std::string& line : aLines) {
+    std::istringstream words{ line };
+    std::string what;
+    std::string replica;
+    std::string id;
+    std::int64_t at = 0;
+    if (words >> what >> replica >> id >> at && what == "crashed") {
+      crashes.push_back(at);
+    }
+  }
+  if (crashes.size() < kCrashesUntilKnown) {
+    return;
+  }
+  std::sort(crashes.begin(), crashes.end());
+  const std::int64_t known = crashes[kCrashesUntilKnown - 1] + kCrashNoticeMs;
+  const auto late =
+    std::count_if(crashes.begin(), crashes.end(), [known](std::int64_t aAt) {
+      return aAt > known;
+    });
+  if (late > kMaxLateCrashes) {
+    aBroken.push_back(std::to_string(late) + " of " +
+                      std::to_string(crashes.size()) +
+                      " replicas crashed under a part that was known");
+  }
+}
+
 } // namespace
 
 SoakVerdict
@@ -166,6 +205,7 @@
   SoakVerdict verdict;
   judgeBackoffs(aRecord, aLines, verdict.broken);
   judgeDrains(aRecord, aLines, verdict.broken);
+  judgeCrashes(aLines, verdict.broken);
   const Runs runs = runsOf(aLines);
   for (const auto& [id, call] : aRecord.all()) {
     ++verdict.calls;
--- a/tests/soak/SoakJudge.h
+++ b/tests/soak/SoakJudge.h
@@ -31,10 +31,13 @@
  *   for;
  * - no request that was sent later than 2 s after a relay had passed on an
  *   answer of a replica that announces its drain reaches that replica from it.
- * The last two hold where neither of the two was disturbed meanwhile.
+ * - at most three replicas crash under a prompt part later than 3 s after the
+ *   fifth has.
+ * The two before the last hold where neither of the two was disturbed
+ * meanwhile.
  *
- * @param aLines "run ID MS", "rejected REPLICA ID MS" and "announced REPLICA ID
- *   MS", as replicas printed them
+ * @param aLines "run ID MS", "rejected REPLICA ID MS", "announced REPLICA ID
+ * MS" and "crashed REPLICA ID MS", as replicas printed them
  */
 SoakVerdict
 judge(const SoakRecord& aRecord, const std::vector<std::string>& aLines);
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -13,6 +13,7 @@
 #include "platform/WireNames.h"
 #include "poplartrack/base/TcpSocket.h"
 #include "soak/SoakClock.h"
+#include "standins/lib/UsersReplica.h"
 
 namespace poplartrack::soak {
 namespace {
@@ -401,6 +402,16 @@
   }
 }
 
+void
+SoakWorld::restartCrashed()
+{
+  for (const std::unique_ptr<Replica>& replica : this->replicas) {
+    if (replica->process->waitExit(Duration{ 0 }) == standins::kCrashExit) {
+      this->startReplica(*replica);
+    }
+  }
+}
+
 std::vector<std::string>
 SoakWorld::replicaLines() const
 {
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -44,6 +44,8 @@
   }
   void begin(const PlannedFault& aFault);
   void end(const PlannedFault& aFault);
+  /** Starts the replicas that have crashed under a request again. */
+  void restartCrashed();
   /** The lines for the judge that replicas have printed, of all their lives. */
   [[nodiscard]] std::vector<std::string> replicaLines() const;
 
--- a/tests/soak/soak.cmake
+++ b/tests/soak/soak.cmake
@@ -18,5 +18,10 @@
 # store that is restored from a copy.
 add_test(NAME soak.three_seeds_with_signals
   COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --signals)
+# The same with requests that have a prompt part that crashes replicas.
+add_test(NAME soak.three_seeds_with_a_deadly_part
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=8 --deadly-part)
+set_tests_properties(soak.three_seeds_with_a_deadly_part
+  PROPERTIES TIMEOUT 300 PROCESSORS 3)
 set_tests_properties(soak.three_seeds_with_signals
   PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -39,8 +39,44 @@
   SoakSize size;
   std::size_t faultKinds = kFirstFaults;
   int callers = 6;
+  /** Also requests with a prompt part that crashes replicas. */
+  bool deadlyPart = false;
 };
 
+/** Pause between two requests with the part that crashes replicas. */
+constexpr milliseconds kDeadlyInterval{ 150 };
+
+/** How often replicas that have crashed are looked for. */
+constexpr milliseconds kCrashCheck{ 200 };
+
+/** Sends requests with a part that crashes replicas, no two alike, to all
+ * relays until told to stop. */
+void
+sendDeadly(const SoakWorld& aWorld,
+           SoakRecord& aRecord,
+           const std::atomic<bool>& aStop)
+{
+  SoakCaller caller{ aRecord, "deadly", 0 };
+  caller.setParts("first:20,deadly:20,");
+  for (std::size_t turn = 0; !aStop; ++turn) {
+    const auto& relays = aWorld.callers();
+    caller.call(relays[turn % relays.size()], RequestKind::Stream, "key-1");
+    std::this_thread::sleep_for(kDeadlyInterval);
+  }
+}
+
+/** Waits until a moment, and starts replicas again that crash meanwhile. */
+void
+waitUntil(SoakWorld& aWorld, std::int64_t aMoment)
+{
+  while (nowMillis() < aMoment) {
+    const std::int64_t left = aMoment - nowMillis();
+    std::this_thread::sleep_for(
+      std::min(kCrashCheck, milliseconds{ std::max<std::int64_t>(left, 0) }));
+    aWorld.restartCrashed();
+  }
+}
+
 /** Begins and ends the faults of a plan at their times. */
 void
 play(SoakWorld& aWorld, const std::vector<PlannedFault>& aPlan)
@@ -52,9 +88,7 @@
     acts.emplace((fault.at + fault.lasts).count(), std::pair{ fault, false });
   }
   for (const auto& [at, act] : acts) {
-    const std::int64_t left = start + at - nowMillis();
-    std::this_thread::sleep_for(
-      milliseconds{ std::max<std::int64_t>(left, 0) });
+    waitUntil(aWorld, start + at);
     if (act.second) {
       aWorld.begin(act.first);
     } else {
@@ -122,11 +156,15 @@
       }
     });
   }
+  if (aOptions.deadlyPart) {
+    threads.emplace_back([&] { sendDeadly(world, record, stop); });
+  }
   play(world, plan);
   stop = true;
   for (std::thread& thread : threads) {
     thread.join();
   }
+  world.restartCrashed();
   for (std::string& line : awaitService(world, record, "after")) {
     broken.push_back(std::move(line));
   }
@@ -172,6 +210,7 @@
       "engine replicas in each of two zones",
       cxxopts::value<int>()->default_value("3"));
   add("callers", "callers", cxxopts::value<int>()->default_value("6"));
+  add("deadly-part", "also requests with a part that crashes replicas");
   add("signals", "also faults that replicas and the store announce");
   options.parse_positional({ "build" });
   try {
@@ -183,6 +222,7 @@
     run.size.plain = static_cast<std::size_t>(line["plain"].as<int>());
     run.size.engines = static_cast<std::size_t>(line["engines"].as<int>());
     run.callers = line["callers"].as<int>();
+    run.deadlyPart = line.count("deadly-part") > 0;
     if (line.count("signals") > 0) {
       run.faultKinds = kFaultNames.size();
     }
--- a/tests/standins/lib/UsersReplica.cpp
+++ b/tests/standins/lib/UsersReplica.cpp
@@ -1,13 +1,17 @@
 #include "standins/lib/UsersReplica.h"
 
+#include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <thread>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
 #include "platform/Base64.h"
 #include "platform/WireNames.h"
+#include "poplartrack/retry/PromptParts.h"
 
 namespace poplartrack::standins {
 namespace {
@@ -175,6 +179,14 @@
   std::fflush(stdout);
 }
 
+void
+UsersReplica::crash(const std::string& aRequestId)
+{
+  std::this_thread::sleep_for(kEventPause);
+  this->print("crashed", aRequestId);
+  std::_Exit(kCrashExit);
+}
+
 HttpReply
 UsersReplica::answer(const HttpRequest& aRequest)
 {
@@ -225,6 +237,11 @@
   std::printf(
     "run %s %lld\n", id.c_str(), static_cast<long long>(suspendAwareMillis()));
   std::fflush(stdout);
+  const std::string parts = headerOf(aRequest, wire_names::kPromptParts);
+  const std::vector<std::string_view> shared = sharedPromptParts(parts);
+  if (std::find(shared.begin(), shared.end(), kDeadlyPart) != shared.end()) {
+    this->crash(id);
+  }
   if (this->settings.kind.empty()) {
     return this->runPlain(id);
   }
--- a/tests/standins/lib/UsersReplica.h
+++ b/tests/standins/lib/UsersReplica.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "poplartrack/base/LayerRange.h"
 #include "poplartrack/http/HttpClient.h"
@@ -31,6 +32,12 @@
 /** How long a replica that rejects requests asks each relay to send nothing. */
 constexpr std::chrono::milliseconds kRequestedBackoff{ 1'200 };
 
+/** Id of a prompt part that crashes each replica that begins to answer it. */
+constexpr std::string_view kDeadlyPart = "deadly";
+
+/** Exit code of a replica that has crashed under a request. */
+constexpr int kCrashExit = 70;
+
 /** What the replica answers to a request: computed alone by whoever checks. */
 std::string
 usersAnswer(const std::string& aRequestId);
@@ -45,8 +52,10 @@
  * A replica of the users' platform, as far as a relay can tell: registers, runs
  * plain requests and streams, takes orders to hold layers, and prints a line
  * "run ID MS" for each request that it begins, MS on the clock that counts
- * suspension. While it rejects requests or announces its drain, it also prints
- * "rejected REPLICA ID MS" or "announced REPLICA ID MS" for each one.
+ * suspension. A request with kDeadlyPart as a part that others may share
+ * crashes it at its first event; it prints "crashed REPLICA ID MS". While it
+ * rejects requests or announces its drain, it also prints "rejected REPLICA ID
+ * MS" or "announced REPLICA ID MS" for each one.
  */
 class UsersReplica
 {
@@ -67,6 +76,8 @@
   HttpReply answer(const HttpRequest& aRequest);
   HttpReply answerCall(const HttpRequest& aRequest);
   void print(const char* aWhat, const std::string& aRequestId);
+  /** Ends the process as a crash does: with all connections, and no word. */
+  [[noreturn]] void crash(const std::string& aRequestId);
   HttpReply report();
   HttpReply takeOrder(const HttpRequest& aRequest);
   HttpReply runPlain(const std::string& aId);
--- a/tests/unit/soak/SoakJudgeTest.cpp
+++ b/tests/unit/soak/SoakJudgeTest.cpp
@@ -131,5 +131,20 @@
   EXPECT_TRUE(overlap);
 }
 
+TEST(SoakJudge, FewReplicasCrashUnderAPartThatIsKnown)
+{
+  SoakRecord record;
+  std::vector<std::string> lines;
+  for (int i = 0; i < 5; ++i) {
+    lines.push_back("crashed r a " + std::to_string(1'000 + i));
+  }
+  for (int i = 0; i < 3; ++i) {
+    lines.push_back("crashed r a " + std::to_string(5'000 + i));
+  }
+  EXPECT_TRUE(judge(record, lines).broken.empty());
+  lines.emplace_back("crashed r a 9000");
+  EXPECT_EQ(judge(record, lines).broken.size(), 1U);
+}
+
 } // namespace
 } // namespace poplartrack::soak
