--- a/tests/unit/relay/PromptPartCrashTest.cpp
+++ b/tests/unit/relay/PromptPartCrashTest.cpp
@@ -1,5 +1,6 @@
 // Parts of prompts that crash replicas, whatever else a request holds.
 
+#include <atomic>
 #include <thread>
 
 #include "CrashingReplicas.h"
@@ -89,5 +90,53 @@
   EXPECT_LE(replicas.sent(), kMaxCrashes + kMaxSentAfter);
 }
 
+TEST(PromptPartCrash, APartThatCrashesTheSecondReplicaOfAPathIsQuarantined)
+{
+  RelayWorld world;
+  AcceptLoop first;
+  std::atomic<int> sent{ 0 };
+  first.start([&sent](RawSocket& aConnection) {
+    aConnection.readUntil("\r\n\r\n");
+    ++sent;
+    // Until the relay gives the attempt up.
+    aConnection.readToEnd();
+  });
+  world.config->routes["shop.example"][2].attempts = 1;
+  world.addModelReplica("one", first.address(), LayerRange{ 0, 5 }, "a");
+  world.addModelReplica(
+    "two", harness::deadAddress(), LayerRange{ 5, 10 }, "a");
+  world.start();
+  Metrics& metrics = world.shared.metrics;
+  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
+  const auto refused = [&] { return metrics.refusals(ErrorKind::Quarantined); };
+  for (int i = 0; i < kCalls && refused() == 0; ++i) {
+    const int before = sent;
+    const std::string number = std::to_string(i);
+    RawSocket caller = world.sendRequest(
+      "/stream/x",
+      "id-" + number,
+      "X-Tokens: 5,5\r\nX-Parts: first:40,deadly:100,own" + number + ":9\r\n");
+    while (sent == before && refused() == 0 && runtimeNow() < waitUntil) {
+      std::this_thread::yield();
+    }
+    const std::uint64_t restarts = metrics.counter("replica_restarts_total");
+    world.restartReplica("two");
+    world.replicas.at("two").layers = LayerRange{ 5, 10 };
+    world.publishReplicas(static_cast<std::uint64_t>(i) + 2);
+    while (metrics.counter("replica_restarts_total") == restarts &&
+           refused() == 0 && runtimeNow() < waitUntil) {
+      std::this_thread::yield();
+    }
+    // A later periodic run has entered the crash.
+    std::atomic<bool> entered{ false };
+    world.loop->post([&] { world.loop->post([&entered] { entered = true; }); });
+    while (!entered) {
+      std::this_thread::yield();
+    }
+  }
+  EXPECT_GT(refused(), 0U);
+  EXPECT_LE(sent, kMaxCrashes + kMaxSentAfter);
+}
+
 } // namespace
 } // namespace poplartrack
