--- a/tests/unit/soak/SoakJudgeTest.cpp
+++ b/tests/unit/soak/SoakJudgeTest.cpp
@@ -135,11 +135,9 @@
 {
   SoakRecord record;
   std::vector<std::string> lines;
-  for (int i = 0; i < 5; ++i) {
-    lines.push_back("crashed r a " + std::to_string(1'000 + i));
-  }
-  for (int i = 0; i < 3; ++i) {
-    lines.push_back("crashed r a " + std::to_string(5'000 + i));
+  for (const char* moment :
+       { "1000", "1001", "1002", "1003", "1004", "5000", "5001", "5002" }) {
+    lines.emplace_back(std::string{ "crashed r a " } + moment);
   }
   EXPECT_TRUE(judge(record, lines).broken.empty());
   lines.emplace_back("crashed r a 9000");
