--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -167,22 +167,24 @@
   void parseCallerInput(CallerConnection& aCaller);
   void onParseProblem(CallerConnection& aCaller, ParseProblem aProblem);
   void resetParser(CallerConnection& aCaller);
-  void sendToCaller(CallerConnection& aCaller, std::string aBytes);
-  void flushCaller(CallerConnection& aCaller);
-  void updateCallerInterest(CallerConnection& aCaller);
   void onAnswerWritten(CallerConnection& aCaller);
   void refuseUnread(CallerConnection& aCaller);
   void armIdleTimer(CallerConnection& aCaller);
   void onCallerTimer(CallerConnection& aCaller);
-  void startLingeringClose(CallerConnection& aCaller);
   void closeCaller(std::uint64_t aId);
   [[nodiscard]] bool callerHasDisconnected(const Exchange& aExchange) const;
   void closeLongestIdleCaller();
+
+  // RelayCallerOutput.cpp: answers to callers.
   void answerError(CallerConnection& aCaller,
                    const Error& aError,
                    std::string_view aRequestId,
                    Duration aRetryAfter,
                    bool aClose);
+  void sendToCaller(CallerConnection& aCaller, std::string aBytes);
+  void flushCaller(CallerConnection& aCaller);
+  void updateCallerInterest(CallerConnection& aCaller);
+  void startLingeringClose(CallerConnection& aCaller);
 
   // RelayMemory.cpp: what is held for slow callers and replicas.
   [[nodiscard]] std::size_t heldLimit() const;
