--- a/tests/unit/relay/CrashingReplicas.h
+++ b/tests/unit/relay/CrashingReplicas.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -63,7 +64,17 @@
       world->publishReplicas(this->version);
     }
   }
-  [[nodiscard]] std::uint64_t listVersion() const { return this->version; }
+  /** Waits until a relay knows from another one that the list has its latest
+   * version. The same status message reports the quarantine. */
+  void awaitReportAt(const RelayWorld& aWorld) const
+  {
+    const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
+    while (aWorld.shared.peerListVersion < this->version &&
+           runtimeNow() < waitUntil) {
+      std::this_thread::yield();
+    }
+    ASSERT_EQ(aWorld.shared.peerListVersion, this->version);
+  }
   /** Number of requests under which a replica crashed. */
   [[nodiscard]] int sent() const { return this->runs; }
 
--- a/tests/unit/relay/PromptPartCrashTest.cpp
+++ b/tests/unit/relay/PromptPartCrashTest.cpp
@@ -76,13 +76,7 @@
     callWith(first, "first:40,deadly:100", i);
     replicas.publish();
   }
-  // A status message with the latest list version also reports the quarantine.
-  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-  while (second.shared.peerListVersion < replicas.listVersion() &&
-         runtimeNow() < waitUntil) {
-    std::this_thread::yield();
-  }
-  ASSERT_EQ(second.shared.peerListVersion, replicas.listVersion());
+  replicas.awaitReportAt(second);
   for (int i = 0; i < kCalls; ++i) {
     callWith(second, "first:40,deadly:100", kMaxCrashes + i);
     replicas.publish();
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -54,13 +54,7 @@
     callOnce(first, i);
     replicas.publish();
   }
-  // A status message with the latest list version also reports the quarantine.
-  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-  while (second.shared.peerListVersion < replicas.listVersion() &&
-         runtimeNow() < waitUntil) {
-    std::this_thread::yield();
-  }
-  ASSERT_EQ(second.shared.peerListVersion, replicas.listVersion());
+  replicas.awaitReportAt(second);
   constexpr int kCalls = 10;
   for (int i = 0; i < kCalls; ++i) {
     callOnce(second, kMaxCrashes + i);
