--- a/tests/unit/relay/PromptPartCrashTest.cpp
+++ b/tests/unit/relay/PromptPartCrashTest.cpp
@@ -132,5 +132,25 @@
   EXPECT_LE(sent, kMaxCrashes + kMaxSentAfter);
 }
 
+TEST(PromptPartCrash, APartQuarantinedInTheStoreIsSentByNoRelayAfterARestart)
+{
+  RelayWorld world;
+  CrashingReplicas replicas{ { &world }, "deadly:" };
+  world.shared.storedQuarantine.replace(
+    std::make_shared<const std::vector<Suspect>>(
+      1, partSuspect(fingerprintOfPart("deadly"))));
+  world.start();
+  replicas.start();
+  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
+  while (world.shared.quarantine.read()->empty() && runtimeNow() < waitUntil) {
+    std::this_thread::yield();
+  }
+  const std::string refused = callWith(world, "first:40,deadly:100", 1);
+  EXPECT_TRUE(refused.starts_with("HTTP/1.1 503 ")) << refused;
+  EXPECT_EQ(replicas.sent(), 0);
+  const std::string served = callWith(world, "first:40,other:100", 2);
+  EXPECT_TRUE(served.starts_with("HTTP/1.1 200 ")) << served;
+}
+
 } // namespace
 } // namespace poplartrack
