--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -31,10 +31,10 @@
  * to several megabytes at once, which a slow caller reads for a while. */
 constexpr Duration kWriteTimeout = std::chrono::seconds{ 60 };
 
-/** Keep-alive probes, in seconds and number: a caller that has disappeared
+/** Keep-alive probes: a caller that has disappeared
  * without closing its idle connection is noticed. */
-constexpr int kKeepAliveIdle = 5;
-constexpr int kKeepAliveInterval = 2;
+constexpr int kKeepAliveIdleS = 5;
+constexpr int kKeepAliveIntervalS = 2;
 constexpr int kKeepAliveProbes = 3;
 
 void
@@ -43,12 +43,12 @@
   const int one = 1;
   ::setsockopt(aFd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
   ::setsockopt(
-    aFd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdle, sizeof kKeepAliveIdle);
+    aFd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS, sizeof kKeepAliveIdleS);
   ::setsockopt(aFd,
                IPPROTO_TCP,
                TCP_KEEPINTVL,
-               &kKeepAliveInterval,
-               sizeof kKeepAliveInterval);
+               &kKeepAliveIntervalS,
+               sizeof kKeepAliveIntervalS);
   ::setsockopt(
     aFd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
 }
