Count the prompt's parts as content of a request

Requests with the same body and other prompts had the same fingerprint. The list of parts is a part of the fingerprint now.

--- a/include/poplartrack/retry/Fingerprint.h
+++ b/include/poplartrack/retry/Fingerprint.h
@@ -36,6 +36,8 @@
   /** Path and query. */
   std::string_view target;
   std::string_view body;
+  /** The parts of the prompt, as the request lists them. */
+  std::string_view promptParts{};
 };
 
 /** Returns the fingerprint of a request. */
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -49,17 +49,21 @@
   return std::clamp(urgency, 0, kLeastUrgent);
 }
 
+/** Returns the fingerprint of the content of a request. It does not depend on
+ * the request id, so a repeated request has the same one. */
 const Fingerprint&
-contentFingerprint(Exchange& aExchange)
+RelayLoop::Impl::contentFingerprint(Exchange& aExchange) const
 {
   if (!aExchange.content) {
     const bool hasAccount = aExchange.account != nullptr;
+    const HeaderList& headers = aExchange.head.headers;
     aExchange.content =
       fingerprintOf({ hasAccount ? aExchange.account->name : std::string_view{},
-                      aExchange.head.headers.find("host").value_or(""),
+                      headers.find("host").value_or(""),
                       aExchange.head.method,
                       aExchange.head.target,
-                      aExchange.body });
+                      aExchange.body,
+                      headers.find(this->names.promptParts).value_or("") });
   }
   return *aExchange.content;
 }
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -364,7 +364,7 @@
       .with("cause", aCause)
       .with("sent", possiblyRan ? 1 : 0)
       .with("events", aExchange.events)
-      .with("content", toText(contentFingerprint(aExchange)))
+      .with("content", toText(this->contentFingerprint(aExchange)))
       .with("parts", joined(this->sharedPartIds(aExchange)))
       .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs));
   aExchange.avoid.insert(aExchange.replica);
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -51,7 +51,8 @@
     return;
   }
   this->crashWatch.onBroken(
-    CrashReport{ contentFingerprint(aExchange), aReplica, aEarly }, this->now);
+    CrashReport{ this->contentFingerprint(aExchange), aReplica, aEarly },
+    this->now);
   if (aExchange.runningSince) {
     return;
   }
@@ -127,7 +128,7 @@
   if (!aExchange.streaming) {
     this->recordBegun(aExchange);
   }
-  const Fingerprint& content = contentFingerprint(aExchange);
+  const Fingerprint& content = this->contentFingerprint(aExchange);
   this->recentlyServed.onServed(content, this->now);
   this->crashes.onServed(content, this->now);
   this->applyQuarantineChanges();
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -63,11 +63,6 @@
 int
 urgencyOf(const Exchange& aExchange);
 
-/** Returns the fingerprint of the content of a request. It does not depend on
- * the request id, so a repeated request has the same one. */
-const Fingerprint&
-contentFingerprint(Exchange& aExchange);
-
 /** Converts a rate from requests a second to thousandths of it: the log holds
  * only whole numbers. */
 std::int64_t
@@ -221,6 +216,7 @@
 
   // RelayAdmission.cpp: admission of requests.
   void beginExchange(CallerConnection& aCaller, MessageHead aHead);
+  const Fingerprint& contentFingerprint(Exchange& aExchange) const;
   const std::vector<PromptPart>& promptParts(Exchange& aExchange) const;
   [[nodiscard]] std::vector<std::string_view> sharedPartIds(
     const Exchange& aExchange) const;
--- a/src/relay/RelayQuarantine.cpp
+++ b/src/relay/RelayQuarantine.cpp
@@ -84,7 +84,7 @@
 RelayLoop::Impl::contains(Exchange& aExchange, const Suspect& aSuspect) const
 {
   if (aSuspect.kind == SuspectKind::Content) {
-    return contentFingerprint(aExchange) == aSuspect.id;
+    return this->contentFingerprint(aExchange) == aSuspect.id;
   }
   const std::vector<PromptPart>& parts = this->promptParts(aExchange);
   return std::any_of(parts.begin(), parts.end(), [&](const PromptPart& aPart) {
@@ -146,7 +146,7 @@
       quarantined.push_back(aSuspect);
     }
   };
-  add(contentSuspect(contentFingerprint(aExchange)));
+  add(contentSuspect(this->contentFingerprint(aExchange)));
   for (const PromptPart& part : this->promptParts(aExchange)) {
     add(partSuspect(part.part));
     add(accountPartSuspect(part.part, part.accountPart));
--- a/src/retry/Fingerprint.cpp
+++ b/src/retry/Fingerprint.cpp
@@ -51,7 +51,8 @@
                   aContent.host,
                   aContent.method,
                   aContent.target,
-                  aContent.body });
+                  aContent.body,
+                  aContent.promptParts });
 }
 
 Fingerprint
--- a/tests/unit/relay/PromptPartCrashTest.cpp
+++ b/tests/unit/relay/PromptPartCrashTest.cpp
@@ -152,5 +152,30 @@
   EXPECT_TRUE(served.starts_with("HTTP/1.1 200 ")) << served;
 }
 
+TEST(PromptPartCrash, RequestsWithTheSameBodyAndOtherPartsAreServed)
+{
+  // Guards against a quarantine of all prompts that come with the same body.
+  RelayWorld world;
+  CrashingReplicas replicas{ { &world }, "deadly:" };
+  world.start();
+  replicas.start();
+  const auto call = [&](const std::string& aParts, int aNumber) {
+    const std::string number = std::to_string(aNumber);
+    return world
+      .sendRequest("/again/x",
+                   "id-" + number,
+                   "X-Parts: " + aParts + ",own" + number +
+                     ":9\r\nConnection: close\r\n",
+                   "content")
+      .readToEnd();
+  };
+  for (int i = 0; i < kMaxCrashes; ++i) {
+    call("first:40,deadly:100", i);
+    replicas.publish();
+  }
+  const std::string answer = call("other:40", kMaxCrashes);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 } // namespace
 } // namespace poplartrack
