Let a repeat wait for the holder of its idempotency key

A holder that ends without an answer records an outcome that stays unknown, and repeats are refused at once.

--- a/include/poplartrack/entry/CallerApi.h
+++ b/include/poplartrack/entry/CallerApi.h
@@ -81,6 +81,8 @@
   HttpReply runService(const Context& aContext,
                        const ServiceCall& aCall,
                        bool aIdempotent);
+  /** Claims a key, and waits for another holder of it until the deadline. */
+  ClaimVerdict claimKey(const ClaimRequest& aRequest, TimePoint aDeadline);
   HttpReply dispatchPlain(const Context& aContext,
                           const PlainSpec& aSpec,
                           const ClaimHeld* aClaim);
--- a/include/poplartrack/entry/ClaimKeeper.h
+++ b/include/poplartrack/entry/ClaimKeeper.h
@@ -14,6 +14,7 @@
   std::function<ClaimVerdict(const ClaimRequest&)> claim;
   std::function<void(const ClaimHeld&, std::uint32_t, const std::string&)>
     record;
+  std::function<void(const ClaimHeld&)> recordUnknown;
   std::function<void(const ClaimHeld&)> release;
 
   /** Claims through a platform that outlives the keeper. */
@@ -32,6 +33,9 @@
       (void)IdempotencyClaim<Platform>{ aPlatform }.record(
         aHeld, aStatus, aBody);
     };
+    keeper.recordUnknown = [&aPlatform](const ClaimHeld& aHeld) {
+      (void)IdempotencyClaim<Platform>{ aPlatform }.recordUnknown(aHeld);
+    };
     keeper.release = [&aPlatform](const ClaimHeld& aHeld) {
       (void)IdempotencyClaim<Platform>{ aPlatform }.release(aHeld);
     };
--- a/include/poplartrack/entry/ClaimRecord.h
+++ b/include/poplartrack/entry/ClaimRecord.h
@@ -32,6 +32,9 @@
   ClaimState state = ClaimState::Claimed;
   std::uint32_t status = 0;
   std::string body;
+  /** A claimed call has ended with an unknown outcome. Not a state of its own:
+   * entries that do not know this field read a claim without a result. */
+  bool endedUnknown = false;
 
   friend bool operator==(const ClaimRecord&, const ClaimRecord&) = default;
 };
--- a/include/poplartrack/entry/IdempotencyClaim.h
+++ b/include/poplartrack/entry/IdempotencyClaim.h
@@ -42,11 +42,23 @@
   std::string body;
 };
 
-/** The claim failed: the final answer is this error. */
+/** Whether a later attempt to claim a key may have another result. */
+enum class ClaimProspect : std::uint8_t
+{
+  None,
+  /** The holder of the claim may record its answer or release the key. */
+  HolderMayEnd,
+  /** The platform could not be reached and may be available again. */
+  PlatformMayReturn,
+};
+
+/** The claim failed: unless a later attempt may succeed, the final answer is
+ * this error. */
 struct ClaimRefused
 {
   Error error;
   RunState ran = RunState::Unknown;
+  ClaimProspect prospect = ClaimProspect::None;
 };
 
 using ClaimVerdict = std::variant<ClaimHeld, ClaimReplay, ClaimRefused>;
@@ -87,11 +99,17 @@
                       std::uint32_t aStatus,
                       const std::string& aBody);
 
+  /** Records that the call has ended with an unknown outcome, so that retries
+   * with the key do not wait for an answer. The key stays in use. */
+  Result<Done> recordUnknown(const ClaimHeld& aHeld);
+
   /** Releases the key. Requires proof that the call has not run and never
    * will. */
   Result<Done> release(const ClaimHeld& aHeld);
 
 private:
+  Result<Done> replace(const ClaimHeld& aHeld, const ClaimRecord& aRecord);
+
   Platform& platform;
 };
 
--- a/include/poplartrack/entry/IdempotencyClaim.inl.h
+++ b/include/poplartrack/entry/IdempotencyClaim.inl.h
@@ -13,7 +13,8 @@
 claimUnavailable(const Error& aCause)
 {
   return { fail(ErrorKind::ClaimUnavailable, describe(aCause)),
-           RunState::NotRun };
+           RunState::NotRun,
+           ClaimProspect::PlatformMayReturn };
 }
 
 template<PlatformLike Platform>
@@ -49,7 +50,8 @@
       return cause.kind == ErrorKind::Conflict
                ? ClaimVerdict{ ClaimRefused{
                    fail(ErrorKind::KeyInUse, describe(row.error())),
-                   RunState::Unknown } }
+                   RunState::Unknown,
+                   ClaimProspect::PlatformMayReturn } }
                : claimUnavailable(row.error());
     }
     if (!row.value()) {
@@ -81,11 +83,28 @@
   if (record.state == ClaimState::Answered) {
     record.body = aBody;
   }
+  return this->replace(aHeld, record);
+}
+
+template<PlatformLike Platform>
+Result<Done>
+IdempotencyClaim<Platform>::recordUnknown(const ClaimHeld& aHeld)
+{
+  ClaimRecord record = aHeld.record;
+  record.endedUnknown = true;
+  return this->replace(aHeld, record);
+}
+
+template<PlatformLike Platform>
+Result<Done>
+IdempotencyClaim<Platform>::replace(const ClaimHeld& aHeld,
+                                    const ClaimRecord& aRecord)
+{
   const auto written =
     this->platform.transact({ TableWrite{ std::string{ kClaimTable },
                                           aHeld.rowKey,
                                           aHeld.version,
-                                          toText(record) } });
+                                          toText(aRecord) } });
   if (!written) {
     return written.error();
   }
--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -152,6 +152,8 @@
   [[nodiscard]] Refusal checkToken(const TokenReady& aToken) const;
   [[nodiscard]] std::uint32_t nextPosition() const;
   [[nodiscard]] std::uint32_t tokensLeft() const;
+  /** Returns when the remaining work must start to end by the deadline. */
+  [[nodiscard]] TimePoint latestStart() const;
   [[nodiscard]] bool hasHope(TimePoint aNow) const;
   [[nodiscard]] bool allProved(Proof aProof) const;
   [[nodiscard]] bool anyProved(Proof aProof) const;
--- a/include/poplartrack/entry/RunAction.h
+++ b/include/poplartrack/entry/RunAction.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "poplartrack/base/Clock.h"
 #include "poplartrack/base/Error.h"
 #include "poplartrack/observe/RetryReason.h"
 #include "poplartrack/wire/FenceRequest.h"
@@ -22,6 +23,8 @@
   bool isRetry = false;
   /** Why it is retried, if isRetry. */
   RetryReason reason = RetryReason::StageLost;
+  /** A retry that starts later is not expected to end by the deadline. */
+  TimePoint latest{};
 };
 
 /** Send, and answer with onOpenReply(). */
--- a/src/entry/CallerApiService.cpp
+++ b/src/entry/CallerApiService.cpp
@@ -1,6 +1,9 @@
 #include "poplartrack/entry/CallerApi.h"
 
+#include <thread>
+
 #include "CallerRetryAfter.h"
+#include "poplartrack/entry/ClaimWait.h"
 
 namespace poplartrack {
 
@@ -73,7 +76,7 @@
   request.key = key;
   request.digest = bodyDigest(aCall.service, aCall.operation, aCall.body);
   request.token = toText(aContext.request);
-  const ClaimVerdict verdict = this->parts.claims.claim(request);
+  const ClaimVerdict verdict = this->claimKey(request, aContext.deadline);
   HttpReply reply;
   if (const auto* held = std::get_if<ClaimHeld>(&verdict)) {
     reply = this->dispatchPlain(aContext, spec, held);
@@ -95,6 +98,22 @@
   return reply;
 }
 
+ClaimVerdict
+CallerApi::claimKey(const ClaimRequest& aRequest, TimePoint aDeadline)
+{
+  ClaimWait wait{ aDeadline };
+  while (true) {
+    ClaimVerdict verdict = this->parts.claims.claim(aRequest);
+    const std::optional<Duration> pause =
+      wait.pauseAfter(verdict, runtimeNow());
+    if (!pause) {
+      return verdict;
+    }
+    this->parts.metrics.countRetry(RetryReason::ClaimUnknown);
+    std::this_thread::sleep_for(*pause);
+  }
+}
+
 HttpReply
 CallerApi::dispatchPlain(const Context& aContext,
                          const PlainSpec& aSpec,
@@ -107,6 +126,8 @@
   } else if (aClaim != nullptr && end.ran == RunState::NotRun) {
     // Proved not to have run: the same key may be used for a retry.
     this->parts.claims.release(*aClaim);
+  } else if (aClaim != nullptr) {
+    this->parts.claims.recordUnknown(*aClaim);
   }
   if (!end.answer) {
     return this->refuse(
--- a/src/entry/ClaimRecord.cpp
+++ b/src/entry/ClaimRecord.cpp
@@ -20,7 +20,8 @@
                    { "digest", aRecord.digest },
                    { "state", static_cast<std::uint32_t>(aRecord.state) },
                    { "status", aRecord.status },
-                   { "body", aRecord.body } };
+                   { "body", aRecord.body },
+                   { "ended_unknown", aRecord.endedUnknown } };
   return text.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -49,6 +50,9 @@
   record.state = static_cast<ClaimState>(text["state"].get<std::uint32_t>());
   record.status = text["status"].get<std::uint32_t>();
   record.body = text["body"].get<std::string>();
+  record.endedUnknown = has("ended_unknown", [](const Json& aValue) {
+    return aValue.is_boolean() && aValue.get<bool>();
+  });
   return record;
 }
 
--- a/src/entry/IdempotencyClaim.cpp
+++ b/src/entry/IdempotencyClaim.cpp
@@ -23,10 +23,16 @@
     case ClaimState::Claimed:
       break;
   }
+  if (aRecord.endedUnknown) {
+    return ClaimRefused{ fail(ErrorKind::KeyInUse,
+                              "another try ended with an unknown outcome"),
+                         RunState::Unknown };
+  }
   // Its holder may be running, suspended or dead. No timeout distinguishes
   // these.
   return ClaimRefused{ fail(ErrorKind::KeyInUse, "claimed by another try"),
-                       RunState::Unknown };
+                       RunState::Unknown,
+                       ClaimProspect::HolderMayEnd };
 }
 
 } // namespace poplartrack
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -248,16 +248,29 @@
   // A rejected open has run nothing. A retry elsewhere adds no load to engines,
   // and the budget exists to bound that load.
   const bool repeatsWork = aNeed.reason != RetryReason::OpenRefused;
-  const bool mayRetry =
-    !repeatsWork ||
-    this->parts.decider.with(
-      [&](RouteChooser&, AdmissionControl&, RetryBudget& aBudget) {
-        return aBudget.tryRetry(moment);
-      });
-  if (mayRetry) {
+  const std::optional<TimePoint> start =
+    !repeatsWork
+      ? moment
+      : this->parts.decider.with(
+          [&](RouteChooser&, AdmissionControl&, RetryBudget& aBudget) {
+            return aBudget.bookRetry(moment, aNeed.latest);
+          });
+  if (start == moment) {
     this->chooseAgain(aRun, aNeed, moment);
     return;
   }
+  if (start) {
+    // The caller has time left, so the retry waits for the budget instead of
+    // the whole answer being lost.
+    this->parts.metrics.count("retries_delayed_total");
+    this->parts.timers.at(
+      *start, [this, weak = std::weak_ptr{ aRun }, aNeed, since = *start] {
+        if (const RunPtr run = weak.lock()) {
+          this->chooseAgain(run, aNeed, since);
+        }
+      });
+    return;
+  }
   this->apply(aRun, [&](RequestRun& aState, TimePoint aNow) {
     return aState.onNoRoute(
       attempt,
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -3,6 +3,7 @@
 #include "poplartrack/entry/RequestRun.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace poplartrack {
@@ -96,8 +97,8 @@
   this->phase = Phase::Routing;
   this->currentRoute.clear();
   this->early.clear();
-  aActions.emplace_back(
-    NeedRoute{ this->attemptNumber, this->avoid, true, aReason });
+  aActions.emplace_back(NeedRoute{
+    this->attemptNumber, this->avoid, true, aReason, this->latestStart() });
   return aActions;
 }
 
@@ -254,16 +255,21 @@
   aActions.emplace_back(GiveUp{ this->givenUpFor, aRan });
 }
 
-bool
-RequestRun::hasHope(TimePoint aNow) const
+TimePoint
+RequestRun::latestStart() const
 {
   const Duration expected =
     this->pace.expectedFor(this->nextPosition(), this->tokensLeft());
   const double atLeast =
     static_cast<double>(expected.count()) * this->policy.hopeShare;
-  const auto left =
-    static_cast<double>(Duration{ this->spec.deadline - aNow }.count());
-  return left > 0 && left >= atLeast;
+  return this->spec.deadline -
+         Duration{ static_cast<Duration::rep>(std::ceil(atLeast)) };
+}
+
+bool
+RequestRun::hasHope(TimePoint aNow) const
+{
+  return aNow < this->spec.deadline && aNow <= this->latestStart();
 }
 
 bool
--- a/tests/scenarios/cases/claim_in_outage.lua
+++ b/tests/scenarios/cases/claim_in_outage.lua
@@ -1,6 +1,7 @@
 -- The platform is down when a dispatch with a key comes: without the claim it
--- must not run, since another entry may hold the key. It is refused as not
--- run, with a time to come back, and works after the outage. Model work and
+-- must not run, since another entry may hold the key. When the platform does
+-- not return soon, it is refused as not run, with a time to come back, and
+-- works after the outage. Model work and
 -- calls without a key go on during the outage.
 toy_world {}
 outage(true)
--- a/tests/unit/entry/IdempotencyClaimTest.cpp
+++ b/tests/unit/entry/IdempotencyClaimTest.cpp
@@ -49,6 +49,28 @@
   EXPECT_EQ(std::get<ClaimReplay>(repeat).body, "crew 4");
 }
 
+TEST_F(IdempotencyClaimTest, anOutcomeThatIsUnknownForEverIsNotWaitedFor)
+{
+  // While the holder runs, its answer may come. After it has ended without
+  // one, a repeat that waited would be held back until its deadline for
+  // nothing.
+  const ClaimVerdict first = claim("entry-1");
+  EXPECT_EQ(refusal(claim("entry-2")).prospect, ClaimProspect::HolderMayEnd);
+  ASSERT_TRUE(claims.recordUnknown(std::get<ClaimHeld>(first)));
+  const ClaimRefused ended = refusal(claim("entry-2"));
+  EXPECT_EQ(ended.error.kind, ErrorKind::KeyInUse);
+  EXPECT_EQ(ended.ran, RunState::Unknown);
+  EXPECT_EQ(ended.prospect, ClaimProspect::None);
+}
+
+TEST_F(IdempotencyClaimTest, aClaimOfAnOlderEntryIsRead)
+{
+  const auto record = claimRecordFromText(
+    R"({"token":"t","digest":"d","state":0,"status":0,"body":""})");
+  ASSERT_TRUE(record);
+  EXPECT_FALSE(record.value().endedUnknown);
+}
+
 TEST_F(IdempotencyClaimTest, aLostAnswerIsSettledByTheToken)
 {
   // The write took effect and its answer was lost. Taken for another's row,
@@ -73,6 +95,7 @@
   const ClaimRefused refused = refusal(claim("entry-1"));
   EXPECT_EQ(refused.error.kind, ErrorKind::ClaimUnavailable);
   EXPECT_EQ(refused.ran, RunState::NotRun);
+  EXPECT_EQ(refused.prospect, ClaimProspect::PlatformMayReturn);
 }
 
 TEST_F(IdempotencyClaimTest, theSameKeyWithAnotherBodyIsRefused)
--- a/tests/unit/entry/RequestRunTest.cpp
+++ b/tests/unit/entry/RequestRunTest.cpp
@@ -170,6 +170,30 @@
   EXPECT_EQ(given[0].ran, RunState::Unknown);
 }
 
+TEST_F(RequestRunTest, aRetryHasALatestStart)
+{
+  // Guards against a retry that waits for the budget until it cannot end by
+  // its deadline any more, and against one that is given up before.
+  run.start(now);
+  openAll(routeOver());
+  StageTrouble trouble{ kRequest, 1, "b", ErrorKind::Network, {} };
+  const auto need = all<NeedRoute>(run.onTrouble(trouble, now));
+  ASSERT_EQ(need.size(), 1U);
+  EXPECT_GT(need[0].latest, now);
+  EXPECT_LT(need[0].latest, spec().deadline);
+  samples::RunFixture late;
+  late.run.start(late.now);
+  late.openAll(routeOver());
+  EXPECT_EQ(all<NeedRoute>(late.run.onTrouble(trouble, need[0].latest)).size(),
+            1U);
+  samples::RunFixture tooLate;
+  tooLate.run.start(tooLate.now);
+  tooLate.openAll(routeOver());
+  EXPECT_TRUE(all<NeedRoute>(
+                tooLate.run.onTrouble(trouble, need[0].latest + Duration{ 1 }))
+                .empty());
+}
+
 TEST_F(RequestRunTest, aRefusedOpenIsProvablyNotRun)
 {
   run.start(now);
