Book retries ahead while the budget has none left

Change: RetryBudget::bookRetry gives a retry that is not earned yet a time in the order of the losses, if its work can still end by its deadline. At most as many as the reserve holds are booked ahead. The bound of the budget holds: no retry is made before it is earned.

--- a/include/poplartrack/retry/RetryBudget.h
+++ b/include/poplartrack/retry/RetryBudget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "poplartrack/base/Clock.h"
 
 namespace poplartrack {
@@ -43,6 +45,10 @@
   /** Returns whether one retry may be made now, and takes it from the budget if
    * so. */
   bool tryRetry(TimePoint aNow);
+  /** Takes one retry from the budget and returns when it may be made: aNow, or
+   * the time at which time alone has earned it and all retries booked before.
+   * Returns nullopt and takes nothing if that is after aLatest. */
+  std::optional<TimePoint> bookRetry(TimePoint aNow, TimePoint aLatest);
   /** Returns the retries left, as of the last call that changed the budget. */
   [[nodiscard]] double balance() const
   {
@@ -56,7 +62,8 @@
   RetryBudgetPolicy policy;
   /** Retries earned by requests. */
   double earned = 0;
-  /** Retries earned by time alone; starts with the reserve. */
+  /** Retries earned by time alone; starts with the reserve. Negative while
+   * booked retries wait. */
   double earnedByTime;
   TimePoint last{};
   bool started = false;
--- a/src/retry/RetryBudget.cpp
+++ b/src/retry/RetryBudget.cpp
@@ -72,4 +72,27 @@
   return false;
 }
 
+std::optional<TimePoint>
+RetryBudget::bookRetry(TimePoint aNow, TimePoint aLatest)
+{
+  if (this->tryRetry(aNow)) {
+    return aNow;
+  }
+  // With more booked ahead, a request whose deadline is near would find no
+  // retry for a long time.
+  const bool isFull = this->earnedByTime - 1 < -this->policy.reserve;
+  if (this->policy.perSecond <= 0 || isFull) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> wait{ (1 - this->earnedByTime) /
+                                            this->policy.perSecond };
+  // Rounded up: the bound holds at every moment.
+  const TimePoint when = aNow + std::chrono::ceil<Duration>(wait);
+  if (when > aLatest) {
+    return std::nullopt;
+  }
+  this->earnedByTime -= 1;
+  return when;
+}
+
 } // namespace poplartrack
