Divide a capacity by weighted max-min fairness in one place

Cause: the arithmetic of shares stood in ModelGate only, where the relay could not use it.

Change: FairShare computes the level per unit of weight at which a capacity is used up. ModelGate calls it.

--- a/src/admit/ModelGate.cpp
+++ b/src/admit/ModelGate.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "poplartrack/admit/FairShare.h"
+
 namespace poplartrack {
 namespace {
 
@@ -54,7 +56,10 @@
     return "the free places are kept for more urgent work";
   }
   const Usage& usage = this->usages.at(aAccount);
-  const double fairShare = limit * aWeight / this->activeWeight;
+  // Accounts count as asking without bound: the entry knows what they have in
+  // flight, but not what they will ask for.
+  const double fairShare =
+    usage.weight * unboundedLevel(limit, this->activeWeight);
   if (this->total + 1 > this->policy.fairShareFrom * limit &&
       usage.inFlight + 1 > std::max(1.0, fairShare)) {
     return "the account has its fair share";
@@ -69,8 +74,9 @@
 {
   const auto [found, isNew] = this->usages.try_emplace(aAccount);
   Usage& usage = found->second;
-  this->activeWeight += aWeight - (isNew ? 0 : usage.weight);
-  usage.weight = aWeight;
+  const double weight = usableWeight(aWeight);
+  this->activeWeight += weight - (isNew ? 0 : usage.weight);
+  usage.weight = weight;
   usage.lastRequestAt = aNow;
 }
 
--- a/tests/unit/admit/AdmissionControlTest.cpp
+++ b/tests/unit/admit/AdmissionControlTest.cpp
@@ -1,10 +1,14 @@
 #include "poplartrack/admit/AdmissionControl.h"
 
 #include <algorithm>
+#include <array>
+#include <limits>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "poplartrack/admit/ModelGate.h"
+
 namespace poplartrack {
 namespace {
 
@@ -111,6 +115,27 @@
   EXPECT_EQ(refusalOf(control, query("flood")), ErrorKind::Overloaded);
 }
 
+TEST(AdmissionControl, anUnusableWeightCountsAsOne)
+{
+  // Guards against a weight that makes the sum of all weights useless, so that
+  // every other account is refused.
+  AdmissionPolicy policy;
+  policy.initialLimit = 100;
+  ModelGate gate{ policy };
+  const std::array<double, kPriorityCount> floors{};
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  for (const double weight : { 0.0, nan, -1.0 }) {
+    static_cast<void>(
+      gate.check("odd", weight, Priority::High, floors, kStart));
+  }
+  int admits = 0;
+  while (gate.check("flood", 1, Priority::High, floors, kStart).empty()) {
+    gate.enter("flood", Priority::High);
+    ++admits;
+  }
+  EXPECT_EQ(admits, 75);
+}
+
 TEST(AdmissionControl, lowPriorityKeepsItsFloor)
 {
   // Requests of low priority are still served while urgent ones could use the
