Decide which accounts are beyond their share of a service

Cause: on the users' platform nothing kept the burst of one account from taking the memory of all others.

--- /dev/null
+++ b/include/poplartrack/fleet/AccountShare.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace poplartrack {
+
+/** What an account uses of a service over all relays, and its share. */
+struct AccountShare
+{
+  /** The account may start one more request. */
+  bool within = true;
+  double inUse = 0;
+  double share = 0;
+  /** By which the share is measured, 1 for an account without history. */
+  double weight = 1;
+};
+
+} // namespace poplartrack
