--- a/include/poplartrack/fleet/LayerPath.h
+++ b/include/poplartrack/fleet/LayerPath.h
@@ -30,6 +30,10 @@
   /** Expected time from sending to the first token, and between tokens. */
   Duration firstToken{ 0 };
   Duration perToken{ 0 };
+  /** The part of firstToken in which prompts before it are in prefill. */
+  Duration queued{ 0 };
+  /** The time between tokens if no other request used the path. */
+  Duration idlePerToken{ 0 };
 };
 
 } // namespace poplartrack
--- /dev/null
+++ b/include/poplartrack/fleet/PaceEstimate.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/PaceCorrection.h"
+
+namespace poplartrack {
+
+/**
+ * Corrects the path search's forecasts by what the streams of this relay show.
+ *
+ * Each sample is the ratio of an actual time to its forecast. The correction of
+ * a replica is their moving average over the paths that begin there, since the
+ * forecast errors of one copy's paths have common causes: work of relays whose
+ * reports are late, a busy network, a replica slower than declared. Without
+ * samples it returns to 1, so that a replica that receives no requests because
+ * of its correction is tried again. Pure; not thread-safe.
+ */
+class PaceEstimate
+{
+public:
+  /** Records the time from sending a request to its first event. */
+  void addFirstEvent(const std::string& aReplica,
+                     Duration aForecast,
+                     Duration aActual,
+                     TimePoint aNow);
+  /** Records the time between two events of a stream. */
+  void addPause(const std::string& aReplica,
+                Duration aForecast,
+                Duration aActual,
+                TimePoint aNow);
+  /** Returns the correction for paths that begin at the replica. */
+  [[nodiscard]] PaceCorrection at(const std::string& aReplica,
+                                  TimePoint aNow) const;
+  /** Returns the number of replicas with recent samples. */
+  [[nodiscard]] std::size_t size() const { return this->entries.size(); }
+
+private:
+  /** A moving average of ratios. */
+  struct Average
+  {
+    double value = 1;
+    TimePoint sampledAt{};
+  };
+  /** Weight of a sample above the average, and of one below it relative to
+   * that.
+   */
+  struct SampleWeight
+  {
+    double rise;
+    double fallShare;
+  };
+  struct Entry
+  {
+    Average firstEvent;
+    Average pause;
+  };
+
+  [[nodiscard]] static double valueAt(const Average& aAverage, TimePoint aNow);
+  static void addSample(Average& aAverage,
+                        SampleWeight aWeight,
+                        double aRatio,
+                        TimePoint aNow);
+  Entry& entryOf(const std::string& aReplica, TimePoint aNow);
+
+  /** By the id of the first replica. */
+  std::unordered_map<std::string, Entry> entries;
+};
+
+} // namespace poplartrack
