Move layers to where demand exceeds capacity

Cause: a layout that repairs left behind stayed, and demand that is uneven over zones and kinds of request moved nothing.

Change: relays report demand by service and urgency; the holder of the placement lease weighs it with the measured speed and memory of replicas and announces one release of layers at a time, which busy replicas give up once their requests have ended. Off by default.

--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -5,12 +5,14 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/fleet/CopyGap.h"
 #include "poplartrack/fleet/EngineProfile.h"
 #include "poplartrack/fleet/LayerOrder.h"
+#include "poplartrack/fleet/LayerRelease.h"
 #include "poplartrack/fleet/Replica.h"
 
 namespace poplartrack {
@@ -46,6 +48,17 @@
   /** An order that has had no effect after the load time of the model plus this
    * timeout is issued again. */
   Duration orderTimeout = std::chrono::seconds{ 4 };
+  /** Whether extended replicas that carry requests release layers, and
+   * redundant ones move to where demand exceeds capacity; see LayerRelease and
+   * bestDemandMove(). */
+  bool followsDemand = false;
+};
+
+/** A release was announced, or ended with this outcome. */
+struct ReleaseEvent
+{
+  OpenRelease release;
+  std::optional<ReleaseOutcome> outcome;
 };
 
 /**
@@ -90,6 +103,34 @@
   {
     return this->openGaps;
   }
+  /** Returns the release that is announced, if any. */
+  [[nodiscard]] const std::optional<OpenRelease>& openRelease() const
+  {
+    return this->release.open();
+  }
+  /** Tells the next plans how many requests of all relays pass through the
+   * announced layers of each replica. A replica that is missing is not known
+   * yet. */
+  void setReleaseUse(std::map<std::string, std::uint32_t> aRequests)
+  {
+    this->releaseUse = std::move(aRequests);
+  }
+  /** Tells the next plans what callers ask of the service in each zone. */
+  void setDemand(ZoneDemand aDemand) { this->demand = std::move(aDemand); }
+  /** Tells the next plans how many times as long as declared the work of
+   * replicas takes, where it is longer, and which ones are so slow that they
+   * are not among the replicas to plan for. */
+  void setSpeeds(std::map<std::string, double> aSlowdowns,
+                 std::vector<Replica> aDegraded)
+  {
+    this->slowdowns = std::move(aSlowdowns);
+    this->degraded = std::move(aDegraded);
+  }
+  /** Returns what has happened to releases since the last call. */
+  std::vector<ReleaseEvent> takeReleaseEvents()
+  {
+    return std::exchange(this->releaseEvents, {});
+  }
   /** Drops the open order of a replica that refused it and starts the backoff.
    */
   void onRefused(const std::string& aReplica)
@@ -100,6 +141,13 @@
   /** Forgets open orders and gap times, because another process has been the
    * leader meanwhile. */
   void reset();
+  /** Ends the open release, if any: it is no longer announced. */
+  void withdrawRelease();
+  /** Prevents releases in the next plan and for 10 s: the replica list may be
+   * outdated. */
+  void onListUncertain(TimePoint aNow) { this->release.onLoss(aNow); }
+  /** Tells the next plans when a relay last fell silent. */
+  void onRelaySilent(TimePoint aAt) { this->release.onRelaySilent(aAt); }
 
 private:
   struct OpenOrder
@@ -121,7 +169,8 @@
   using Group = std::vector<Member>;
 
   // The functions are described at their definitions, in LayerPlanner.cpp,
-  // LayerGap.cpp, LayerRepair.cpp and LayerSpeed.cpp.
+  // LayerGap.cpp, LayerRepair.cpp, LayerShrink.cpp and LayerSpeed.cpp.
+  [[nodiscard]] bool hasLostReplica(std::span<const Replica> aReplicas) const;
   [[nodiscard]] bool registrationSettled(std::span<const Replica> aReplicas,
                                          TimePoint aNow);
   void pruneOrders(const EngineProfile& aProfile,
@@ -171,6 +220,19 @@
   void shrink(const EngineProfile& aProfile,
               Group& aGroup,
               const std::set<std::string>& aBusy);
+  [[nodiscard]] static std::uint32_t shareOf(const EngineProfile& aProfile,
+                                             const Member& aMember);
+  [[nodiscard]] static std::optional<OpenRelease> usefulRelease(
+    const EngineProfile& aProfile,
+    const Group& aGroup,
+    const Member& aMember);
+  void releaseLayers(const EngineProfile& aProfile,
+                     std::vector<Group>& aGroups,
+                     const std::set<std::string>& aBusy);
+  [[nodiscard]] std::optional<OpenRelease> usefulMove(
+    const EngineProfile& aProfile,
+    const std::vector<Group>& aGroups) const;
+  void continueRelease(std::vector<Group>& aGroups);
   [[nodiscard]] static bool shouldRepartition(const EngineProfile& aProfile,
                                               Group& aGroup);
   void repartition(const EngineProfile& aProfile, Group& aGroup);
@@ -211,6 +273,18 @@
   /** Orders of the current plan. */
   std::vector<LayerOrder> orders;
   std::vector<CopyGap> openGaps;
+  LayerRelease release;
+  /** Whether this process has been the leader since the last plan, so that it
+   * knows which replicas were lost since then. */
+  bool lossesKnown = true;
+  ZoneDemand demand;
+  std::map<std::string, double> slowdowns;
+  std::vector<Replica> degraded;
+  /** When moves by demand were last considered. */
+  TimePoint movesConsideredAt{};
+  /** Requests through announced layers, by replica. */
+  std::map<std::string, std::uint32_t> releaseUse;
+  std::vector<ReleaseEvent> releaseEvents;
 };
 
 } // namespace poplartrack
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -18,6 +18,31 @@
 {
   this->openOrders.clear();
   this->gapSince.clear();
+  this->withdrawRelease();
+  this->lossesKnown = false;
+}
+
+void
+LayerPlanner::withdrawRelease()
+{
+  if (this->release.open()) {
+    this->releaseEvents.push_back(
+      { *this->release.open(), ReleaseOutcome::Changed });
+  }
+  this->release.reset();
+}
+
+/** Returns whether a replica is missing that was there in the last plan. True
+ * in the first plan as well: what happened before is not known. */
+bool
+LayerPlanner::hasLostReplica(std::span<const Replica> aReplicas) const
+{
+  const auto known = std::count_if(
+    aReplicas.begin(), aReplicas.end(), [this](const Replica& aReplica) {
+      return this->joinedAt.contains(aReplica.id);
+    });
+  return this->joinedAt.empty() ||
+         static_cast<std::size_t>(known) < this->joinedAt.size();
 }
 
 /** Records which replicas are listed. Returns whether planning may begin: some
@@ -131,6 +156,7 @@
   aMember.pending = true;
   this->openOrders.insert_or_assign(aMember.replica->id,
                                     OpenOrder{ aLayers, this->now });
+  this->release.onOrder(aMember.replica->zone, this->now);
   this->orders.push_back(LayerOrder{ aMember.replica->id, aLayers, aReason });
 }
 
@@ -231,6 +257,10 @@
                                  : this->policy.gapRepairDelay;
   this->orders.clear();
   this->openGaps.clear();
+  if (aUncertain || !this->lossesKnown || this->hasLostReplica(aReplicas)) {
+    this->release.onLoss(aNow);
+  }
+  this->lossesKnown = true;
   const bool ready = this->registrationSettled(aReplicas, aNow);
   this->pruneOrders(aProfile, aReplicas, aNow);
   if (!ready) {
@@ -252,6 +282,9 @@
     }
   }
   this->restoreCoverage(aProfile, groups);
+  if (this->policy.followsDemand) {
+    this->releaseLayers(aProfile, groups, aBusy);
+  }
   return std::exchange(this->orders, {});
 }
 
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -1,5 +1,5 @@
 // The part of LayerPlanner that keeps copies complete: it assigns layers to
-// empty replicas, shrinks extended ones and partitions damaged copies again.
+// empty replicas and partitions damaged copies again.
 
 #include <algorithm>
 
@@ -13,13 +13,6 @@
 
 namespace {
 
-/** Extended replicas shrink until they keep memory for this fraction of the
- * token target. It has to stay below the 0.5 that zones with several copies are
- * laid out for. With a larger fraction, the replicas of such zones would count
- * as extended, because another copy holds the same layers, and would release
- * layers again. */
-constexpr double kShrinkFraction = 0.45;
-
 /** A copy that is partitioned again keeps memory for at least this fraction of
  * the most tokens that it could keep. The remaining memory leaves most layers
  * where they are. */
@@ -27,49 +20,6 @@
 
 } // namespace
 
-/** Removes layers from an extended replica once others of its zone hold them
- * again: memory for requests is worth more than a second replica with the same
- * layers. Only a replica that carries no requests shrinks. A replica that does
- * carry requests would refuse all work until the last answer through the
- * released layers ends, and its zone would be out of service for that time. */
-void
-LayerPlanner::shrink(const EngineProfile& aProfile,
-                     Group& aGroup,
-                     const std::set<std::string>& aBusy)
-{
-  for (Member& member : aGroup) {
-    const std::uint32_t maxLayers =
-      layerCapacity(aProfile,
-                    *kindOf(aProfile, *member.replica),
-                    kShrinkFraction * tokenTarget(aProfile));
-    if (member.pending || member.layers.size() <= maxLayers ||
-        aBusy.contains(member.replica->id)) {
-      continue;
-    }
-    LayerRange kept = member.layers;
-    const auto heldByOthers = [&](std::uint32_t aLayer) {
-      return std::any_of(
-        aGroup.begin(), aGroup.end(), [&](const Member& aOther) {
-          return &aOther != &member && !aOther.pending &&
-                 aOther.replica->zone == member.replica->zone &&
-                 aOther.layers.contains({ aLayer, aLayer + 1 });
-        });
-    };
-    while (kept.size() > maxLayers && heldByOthers(kept.from)) {
-      ++kept.from;
-    }
-    while (kept.size() > maxLayers && heldByOthers(kept.to - 1)) {
-      --kept.to;
-    }
-    if (kept != member.layers) {
-      // One replica at a time: two that hold the same layers must not both
-      // release them.
-      this->issueOrder(member, kept, "shrink");
-      return;
-    }
-  }
-}
-
 /**
  * Returns whether a copy with gaps is partitioned again: nothing else is under
  * way to complete it, and the remaining replicas have enough memory. Replicas
