Order the wait queue by shares, returns and limits on crossings

Cause: the queue knew urgency and arrival only. One search that failed stood for all that need as much memory, also for those that may cross more zones, and the reason of the failure was lost.

Change: requests beyond their account's share come after the others; a returned caller goes first shortly before its wait ends; a failed search stands only for requests that it implies, with its reason.

--- a/include/poplartrack/fleet/StorePollSchedule.h
+++ b/include/poplartrack/fleet/StorePollSchedule.h
@@ -17,6 +17,9 @@
    * are declared to take 300 ms. */
   static constexpr Duration kProofReadTimeout =
     std::chrono::milliseconds{ 600 };
+  /** Shortest time between the beginnings of two proof reads. */
+  static constexpr Duration kProofReadInterval =
+    std::chrono::milliseconds{ 1'000 };
 
   /** aPeers: the number of known peers. */
   explicit StorePollSchedule(std::size_t aPeers)
--- a/src/fleet/StorePollSchedule.cpp
+++ b/src/fleet/StorePollSchedule.cpp
@@ -71,8 +71,6 @@
  * used, and the wait between the threads' checks (200 ms). */
 constexpr Duration kProofReadLead =
   StorePollSchedule::kProofReadTimeout + milliseconds{ 500 };
-/** Shortest time between two proof reads. */
-constexpr Duration kProofReadInterval = milliseconds{ 1'000 };
 
 /** Returns a random duration between two bounds. A change ends the polls of all
  * relays at the same moment, and with equal waits they would end together from
--- a/src/fleet/WaitQueue.cpp
+++ b/src/fleet/WaitQueue.cpp
@@ -13,6 +13,7 @@
   if (isNew) {
     entry->second.sequence = this->nextSequence++;
   }
+  entry->second.waiter.beyondShare = aWaiter.beyondShare;
 }
 
 void
@@ -31,9 +32,10 @@
   }
   const auto rank = [aNow](const Entry* aEntry) {
     const Waiter& waiter = aEntry->waiter;
-    return std::tuple{ !waiter.started,
-                       waiter.urgency,
-                       aNow > waiter.latestOnTimeStart,
+    const bool isLastChance = aNow >= waiter.lastChanceFrom;
+    const bool isLate = aNow > waiter.latestOnTimeStart;
+    return std::tuple{ !waiter.started, !isLastChance,    waiter.beyondShare,
+                       waiter.urgency,  !waiter.returned, isLate,
                        aEntry->sequence };
   };
   std::sort(entries.begin(),
@@ -49,23 +51,81 @@
   return order;
 }
 
+std::map<std::string, std::size_t>
+WaitQueue::lengths() const
+{
+  std::map<std::string, std::size_t> lengths;
+  for (const auto& [request, entry] : this->waiters) {
+    if (!entry.waiter.started && !entry.waiter.exempt) {
+      ++lengths[entry.waiter.service];
+    }
+  }
+  return lengths;
+}
+
+std::size_t
+WaitQueue::lengthOf(const std::string& aService) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->waiters.begin(), this->waiters.end(), [&](const auto& aEntry) {
+      const Waiter& waiter = aEntry.second.waiter;
+      return !waiter.started && !waiter.exempt && waiter.service == aService;
+    }));
+}
+
+std::optional<std::uint64_t>
+WaitQueue::lastOf(const std::string& aService) const
+{
+  // Returned callers give up when they are rejected again.
+  const auto evictionRank = [](const Entry& aEntry) {
+    return std::tuple{ !aEntry.waiter.returned,
+                       aEntry.waiter.beyondShare,
+                       aEntry.waiter.urgency,
+                       aEntry.sequence };
+  };
+  const Entry* last = nullptr;
+  for (const auto& [request, entry] : this->waiters) {
+    const Waiter& waiter = entry.waiter;
+    if (waiter.started || waiter.exempt || waiter.service != aService) {
+      continue;
+    }
+    if (last == nullptr || evictionRank(entry) > evictionRank(*last)) {
+      last = &entry;
+    }
+  }
+  return last == nullptr ? std::nullopt : std::optional{ last->waiter.request };
+}
+
 void
-WaitQueue::onNoPath(const Waiter& aWaiter)
+WaitQueue::onNoPath(const Waiter& aWaiter, ErrorKind aReason)
 {
-  const auto [smallest, isNew] = this->smallestFailed.try_emplace(
-    SearchGroup{ aWaiter.service, aWaiter.started }, aWaiter.tokens);
-  if (!isNew) {
-    smallest->second = std::min(smallest->second, aWaiter.tokens);
+  if (this->knownFailure(aWaiter) == aReason) {
+    return;
   }
+  this->failedSearches[SearchGroup{ aWaiter.service, aWaiter.started }]
+    .push_back(FailedSearch{ aWaiter.tokens, aWaiter.maxCrossings, aReason });
 }
 
-bool
-WaitQueue::mayFindPath(const Waiter& aWaiter) const
+std::optional<ErrorKind>
+WaitQueue::knownFailure(const Waiter& aWaiter) const
 {
-  const auto smallest =
-    this->smallestFailed.find(SearchGroup{ aWaiter.service, aWaiter.started });
-  return smallest == this->smallestFailed.end() ||
-         aWaiter.tokens < smallest->second;
+  const auto group =
+    this->failedSearches.find(SearchGroup{ aWaiter.service, aWaiter.started });
+  if (group == this->failedSearches.end()) {
+    return std::nullopt;
+  }
+  std::optional<ErrorKind> reason;
+  for (const FailedSearch& failed : group->second) {
+    if (!failed.implies(aWaiter)) {
+      continue;
+    }
+    reason = failed.reason;
+    if (failed.reason == ErrorKind::NoRoute) {
+      // It does not depend on memory, so it takes precedence.
+      break;
+    }
+  }
+  return reason;
 }
 
 } // namespace poplartrack
