Let tests of the relay say how long they wait

Change: it ends the test program after a minute, with a line that says so; acceptWithin returns nothing in its place.

--- a/tests/harness/RawSocket.cpp
+++ b/tests/harness/RawSocket.cpp
@@ -14,6 +14,9 @@
 namespace poplartrack::harness {
 namespace {
 
+/** Far more than a connect on the loopback interface takes. */
+constexpr Duration kConnectLimit = std::chrono::minutes{ 1 };
+
 void
 makeBlocking(int aFd)
 {
@@ -21,11 +24,15 @@
   PCHECK(::fcntl(aFd, F_SETFL, flags & ~O_NONBLOCK) == 0);
 }
 
-void
-waitFor(int aFd, short aEvents)
+/** Returns whether one of the events came in this time. */
+bool
+waitFor(int aFd, short aEvents, Duration aTime)
 {
   pollfd entry{ aFd, aEvents, 0 };
-  PCHECK(::poll(&entry, 1, -1) == 1);
+  const auto millis = std::chrono::ceil<std::chrono::milliseconds>(aTime);
+  const int ready = ::poll(&entry, 1, static_cast<int>(millis.count()));
+  PCHECK(ready >= 0);
+  return ready == 1;
 }
 
 } // namespace
@@ -35,7 +42,7 @@
 {
   Result<OwnedFd> fd = connectTcp(aPeer);
   CHECK(fd.ok()) << describe(fd.error());
-  waitFor(fd.value().get(), POLLOUT);
+  CHECK(waitFor(fd.value().get(), POLLOUT, kConnectLimit)) << "no connection";
   // A peer that resets at once has accepted before.
   const int error = connectError(fd.value().get());
   CHECK(error == 0 || error == ECONNRESET) << error;
@@ -106,7 +113,17 @@
 RawSocket
 RawListener::accept()
 {
-  waitFor(this->fd.get(), POLLIN);
+  std::optional<RawSocket> taken = this->acceptWithin(kAcceptLimit);
+  CHECK(taken.has_value()) << "no connection came";
+  return std::move(*taken);
+}
+
+std::optional<RawSocket>
+RawListener::acceptWithin(Duration aTime)
+{
+  if (!waitFor(this->fd.get(), POLLIN, aTime)) {
+    return std::nullopt;
+  }
   OwnedFd taken{ ::accept4(this->fd.get(), nullptr, nullptr, SOCK_CLOEXEC) };
   PCHECK(taken.valid());
   return RawSocket{ std::move(taken) };
--- a/tests/harness/RawSocket.h
+++ b/tests/harness/RawSocket.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "poplartrack/base/Address.h"
+#include "poplartrack/base/Clock.h"
 #include "poplartrack/base/OwnedFd.h"
 
 namespace poplartrack::harness {
@@ -35,14 +37,21 @@
   OwnedFd fd;
 };
 
+/** Far more than a test waits for a connection, even on a busy machine or under
+ * a sanitizer. */
+constexpr Duration kAcceptLimit = std::chrono::minutes{ 1 };
+
 /** A loopback port that hands out raw connections. */
 class RawListener
 {
 public:
   RawListener();
   [[nodiscard]] Address address() const { return this->local; }
-  /** Waits for the next connection. */
+  /** Waits for the next connection. Ends the test program after kAcceptLimit:
+   * a connection that never comes must fail its test, not hang it. */
   RawSocket accept();
+  /** Waits for the next connection; nullopt if none comes in this time. */
+  std::optional<RawSocket> acceptWithin(Duration aTime);
   /** Refuses connections from now on. */
   void close() { this->fd.reset(); }
 
--- a/tests/unit/relay/AcceptLoop.h
+++ b/tests/unit/relay/AcceptLoop.h
@@ -39,12 +39,12 @@
 private:
   void run(const Handler& aHandler)
   {
-    while (true) {
-      harness::RawSocket connection = this->listener.accept();
-      if (this->stopping) {
-        return;
+    while (!this->stopping) {
+      // A test may leave its replica without a connection for any time.
+      auto connection = this->listener.acceptWithin(harness::kAcceptLimit);
+      if (connection && !this->stopping) {
+        aHandler(*connection);
       }
-      aHandler(connection);
     }
   }
 
