Read the switches of decisions under load and the accept load

Cause: each decision under load needs a switch, off by default, so that earlier deployments are served as before. On a busy machine the relay of a test turned callers away, since the limit of 0.6 was fixed.

--- a/include/poplartrack/relay/LoopLoad.h
+++ b/include/poplartrack/relay/LoopLoad.h
@@ -14,6 +14,16 @@
 class LoopLoad
 {
 public:
+  /** The rest of the time is for requests that were read and whose work is
+   * still to come. */
+  static constexpr double kDefaultLimit = 0.6;
+
+  /** aLimit: the load from which on new connections are turned away. */
+  explicit LoopLoad(double aLimit = kDefaultLimit)
+    : limit(aLimit)
+  {
+  }
+
   /** Records one iteration of the loop. */
   void record(Duration aWaited, Duration aWorked);
   /** Returns the share of the latest time that was work, from 0 to 1. */
@@ -22,6 +32,7 @@
   [[nodiscard]] bool turnsAway() const;
 
 private:
+  double limit;
   double load = 0;
 };
 
--- a/include/poplartrack/relay/RelaySettings.h
+++ b/include/poplartrack/relay/RelaySettings.h
@@ -10,6 +10,8 @@
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/config/SettingRow.h"
 #include "poplartrack/config/SettingsProblem.h"
+#include "poplartrack/relay/LoadSettings.h"
+#include "poplartrack/relay/LoopLoad.h"
 
 namespace poplartrack {
 
@@ -37,6 +39,9 @@
   double linkMbps = 1'000;
   /** Memory limit of this process, in MB. */
   double memoryMb = 256;
+  /** New connections are closed unread while the event loop works for this
+   * share of its time or more. */
+  double acceptLoad = LoopLoad::kDefaultLimit;
   /** A replica gets no new work from this long after the store acknowledged
    * that it drains. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
@@ -59,6 +64,8 @@
   Duration stall = std::chrono::milliseconds{ 2'500 };
   /** Interval at which replicas renew their registration. */
   Duration heartbeat = std::chrono::milliseconds{ 1'200 };
+  /** Which of the optional decisions under load are made. */
+  LoadSettings load;
 };
 
 /** Returns the description of every setting of a relay process. */
--- a/src/relay/LoopLoad.cpp
+++ b/src/relay/LoopLoad.cpp
@@ -14,10 +14,6 @@
  * has used up its quota, is not overloaded for that. */
 constexpr Duration kMaxIteration = std::chrono::milliseconds{ 100 };
 
-/** New connections are turned away from this load on. The rest is for requests
- * that were read and whose work is still to come. */
-constexpr double kHighLoad = 0.6;
-
 } // namespace
 
 void
@@ -39,7 +35,7 @@
 bool
 LoopLoad::turnsAway() const
 {
-  return this->load >= kHighLoad;
+  return this->load >= this->limit;
 }
 
 } // namespace poplartrack
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -66,6 +66,14 @@
               "",
               "256",
               "memory limit of the process" },
+  SettingRow{ "limits.accept_load",
+              Number,
+              0.05,
+              1,
+              "",
+              "0.6",
+              "new connections are closed unread while the process works for "
+              "this share of its time or more" },
   SettingRow{ "bounds.drain_ms",
               Number,
               0,
@@ -137,6 +145,62 @@
               "",
               "1200",
               "interval between heartbeats of a replica" },
+  SettingRow{ "load.account_shares",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether client accounts share a model service that is short "
+              "of memory" },
+  SettingRow{ "load.pace_admission",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether requests that would be late, or delay others, are "
+              "held back or rejected" },
+  SettingRow{ "load.return_bookings",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether the returns of rejected callers are spread over the "
+              "expected capacity" },
+  SettingRow{ "load.demand_placement",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether layers follow the load of the replicas and the demand "
+              "of the zones, and paths that cost nearly the same are chosen "
+              "by their remaining capacity" },
+  SettingRow{ "load.loss_probes",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether the replicas on the path of a late stream are asked "
+              "whether they are alive" },
+  SettingRow{ "load.outlier_ejection",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether replicas that fail their requests receive only trials" },
+  SettingRow{ "load.outage_placement",
+              Boolean,
+              0,
+              0,
+              "",
+              "false",
+              "whether layers are placed while the store is unavailable to "
+              "all relays" },
 };
 
 /** Reads a time that may be fractional, in units of aMicrosPerUnit
@@ -171,6 +235,7 @@
   bind(limits, "descriptors", settings.descriptors);
   bind(limits, "link_mbps", settings.linkMbps);
   bind(limits, "memory_mb", settings.memoryMb);
+  bind(limits, "accept_load", settings.acceptLoad);
   const SettingsNode& bounds = tableOf(aRoot, "bounds");
   bindTime(bounds, "drain_ms", kMs, settings.drain);
   bindTime(bounds, "grace_s", kSecond, settings.grace);
@@ -182,6 +247,14 @@
   bind(bounds, "retry_slack", settings.retrySlack);
   bindTime(bounds, "stall_ms", kMs, settings.stall);
   bindTime(bounds, "heartbeat_ms", kMs, settings.heartbeat);
+  const SettingsNode& load = tableOf(aRoot, "load");
+  bind(load, "account_shares", settings.load.accountShares);
+  bind(load, "pace_admission", settings.load.paceAdmission);
+  bind(load, "return_bookings", settings.load.returnBookings);
+  bind(load, "demand_placement", settings.load.demandPlacement);
+  bind(load, "loss_probes", settings.load.lossProbes);
+  bind(load, "outlier_ejection", settings.load.outlierEjection);
+  bind(load, "outage_placement", settings.load.outagePlacement);
   return settings;
 }
 
--- a/tests/unit/relay/RelaySettingsTest.cpp
+++ b/tests/unit/relay/RelaySettingsTest.cpp
@@ -15,6 +15,8 @@
 peers = "127.0.0.1:3"
 [store]
 address = "127.0.0.1:4"
+[load]
+account_shares = true
 [bounds]
 grace_s = 7.5
 revoke_ms = 4000
@@ -30,6 +32,8 @@
   EXPECT_EQ(settings.value.grace, std::chrono::milliseconds{ 7'500 });
   EXPECT_EQ(settings.value.revoke, std::chrono::seconds{ 4 });
   EXPECT_FALSE(settings.value.strictRevoke);
+  EXPECT_TRUE(settings.value.load.accountShares);
+  EXPECT_FALSE(settings.value.load.paceAdmission);
 }
 
 TEST(RelaySettings, ReportsEveryMistakeWithFileLineAndKey)
