Carry accounts, demand, returns, releases and ejections to peers

Cause: the decisions count over all relays.

Change: five bounded lists at the end of PeerStatus (32, 16, 64, 8 and 16 rows). Rows beyond these are dropped; a relay of an older version sends none, which counts as empty.

--- a/src/relay/PeerDatagram.cpp
+++ b/src/relay/PeerDatagram.cpp
@@ -40,6 +40,27 @@
                          { most, most, most, most, most, kMaxDepth });
 }
 
+template<typename Row>
+void
+cutTo(std::vector<Row>& aRows, std::size_t aMost)
+{
+  if (aRows.size() > aMost) {
+    aRows.resize(aMost);
+  }
+}
+
+/** Drops rows beyond the bounds that senders keep, so that a faulty relay
+ * cannot make the others spend their time on its rows. */
+void
+boundRows(PeerStatus& aStatus)
+{
+  cutTo(aStatus.accounts, kMaxAccountRows);
+  cutTo(aStatus.demand, kMaxDemandRows);
+  cutTo(aStatus.returns, kMaxReturnRows);
+  cutTo(aStatus.releases, kMaxReleaseRows);
+  cutTo(aStatus.ejected, kMaxEjectedRows);
+}
+
 PeerDatagram
 parse(std::string_view aBytes)
 {
@@ -50,6 +71,7 @@
   }
   PeerMessage message;
   first.get().convert(message.status);
+  boundRows(message.status);
   unpackNext(aBytes, at).get().convert(message.echo);
   if (at < aBytes.size()) {
     unpackNext(aBytes, at).get().convert(message.forward);
@@ -119,6 +141,12 @@
   for (LimitRow& row : status.limits) {
     addAge(row.age, aRow.age);
   }
+  boundRows(status);
+  constexpr std::int64_t kMicrosPerMs = 1'000;
+  const auto ageMs = static_cast<std::uint32_t>(aRow.age / kMicrosPerMs);
+  for (ReturnRow& row : status.returns) {
+    row.dueMs -= std::min(row.dueMs, ageMs);
+  }
   return ReceivedForward{ sender.value(),
                           Duration{ aRow.age },
                           std::move(status) };
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,7 +23,15 @@
   std::uint32_t tokenLayers = 0;
   std::uint32_t prefillTokens = 0;
   std::uint32_t pathStarts = 0;
-  MSGPACK_DEFINE(replica, requests, tokenLayers, prefillTokens, pathStarts);
+  /** Of the requests, those that run none of the layers that are announced for
+   * release there. 0 from a sender that does not know the announcement. */
+  std::uint32_t outsideRelease = 0;
+  MSGPACK_DEFINE(replica,
+                 requests,
+                 tokenLayers,
+                 prefillTokens,
+                 pathStarts,
+                 outsideRelease);
 };
 
 constexpr std::uint64_t kBytesPerKilobyte = 1'000;
@@ -90,6 +99,68 @@
   MSGPACK_DEFINE(replica, perSecond, age);
 };
 
+/** Most rows of one kind below that a status message holds. */
+constexpr std::size_t kMaxAccountRows = 32;
+constexpr std::size_t kMaxDemandRows = 16;
+constexpr std::size_t kMaxReturnRows = 64;
+constexpr std::size_t kMaxReleaseRows = 8;
+constexpr std::size_t kMaxEjectedRows = 16;
+
+/** What one client account has at the sender of a model service that is short
+ * of memory. */
+struct AccountRow
+{
+  std::string service;
+  /** See accountHash(); 0: all accounts without a row of their own. */
+  std::uint64_t account = 0;
+  /** Tokens that its requests in flight reserve. */
+  std::uint32_t inUse = 0;
+  /** Tokens that its waiting requests need. */
+  std::uint32_t waiting = 0;
+  /** Tokens a second that it usually asks of the sender, rounded to two digits;
+   * see UsualUse. 0 without history, for account 0, and from a sender that does
+   * not know the field. */
+  std::uint32_t usual = 0;
+  MSGPACK_DEFINE(service, account, inUse, waiting, usual);
+};
+
+/** What the callers of the sender have asked of a model service lately, with
+ * one urgency. */
+struct DemandRow
+{
+  std::string service;
+  /** Tokens a second, of prompts and of answers, rounded to two digits. */
+  std::uint32_t promptTokens = 0;
+  std::uint32_t answerTokens = 0;
+  /** Thousandths of a request a second, rounded to two digits; 0 from an older
+   * sender, whose rows are not divided by urgency either. */
+  std::uint32_t requests = 0;
+  std::uint8_t urgency = 0;
+  MSGPACK_DEFINE(service, promptTokens, answerTokens, requests, urgency);
+};
+
+/** A rejected caller that was told when to return. */
+struct ReturnRow
+{
+  /** Lower half of the content's fingerprint. */
+  std::uint32_t content = 0;
+  /** Time until it returns, in ms; 0 if it is due already. */
+  std::uint32_t dueMs = 0;
+  /** See serviceHash(). */
+  std::uint16_t service = 0;
+  MSGPACK_DEFINE(content, dueMs, service);
+};
+
+/** Layers that the holder of the placement lease will take from a replica. New
+ * paths do not use them there. */
+struct ReleaseRow
+{
+  std::string replica;
+  std::uint32_t from = 0;
+  std::uint32_t to = 0;
+  MSGPACK_DEFINE(replica, from, to);
+};
+
 /** Identifies the latest status message that the sender has received from the
  * addressee. It follows the PeerStatus in the datagram. The PeerStatus is the
  * same for every addressee; if it held the echoes for all of them, its size
@@ -167,6 +238,16 @@
   /** Replicas that have announced in an answer that they drain, and whose entry
    * in the sender's list does not say so. */
   std::vector<std::string> announcedDrains;
+  /** Use by client account, the largest first; only while a service is short of
+   * memory. */
+  std::vector<AccountRow> accounts;
+  std::vector<DemandRow> demand;
+  /** Returns that were booked within the last second, the newest first. */
+  std::vector<ReturnRow> returns;
+  std::vector<ReleaseRow> releases;
+  /** Replicas that the sender has ejected because requests that began there
+   * failed. */
+  std::vector<std::string> ejected;
   MSGPACK_DEFINE(format,
                  incarnation,
                  zone,
@@ -191,7 +272,12 @@
                  limits,
                  linkMbps,
                  forwards,
-                 announcedDrains);
+                 announcedDrains,
+                 accounts,
+                 demand,
+                 returns,
+                 releases,
+                 ejected);
 };
 
 /** The status message of a relay of another zone, as forwarded by a relay of
