Place layers through an outage and announce releases of layers

Cause: placement stopped with the lease, and nothing told other relays which layers a busy replica gives up. A relay that leaves polling to the store readers saw an outage only when they reported it, and refused requests 2.7 s after the last proof instead of 4 s.

Change: FleetControl asks OutageLeadership for a fence once its lease has run out. PlacementController publishes open releases and withdraws them with the lease. A relay's own failed proof read counts as a sign of the outage.

--- a/include/poplartrack/relay/FleetCatchUp.inl.h
+++ b/include/poplartrack/relay/FleetCatchUp.inl.h
@@ -36,6 +36,12 @@
  * this long: three intervals of the status messages between zones. */
 constexpr Duration kOutageTimeout = std::chrono::milliseconds{ 1'200 };
 
+/** A failed read of this relay counts for this long: until the next proof read
+ * has ended, and the check after it. */
+constexpr Duration kReadFailureTime = StorePollSchedule::kProofReadInterval +
+                                      StorePollSchedule::kProofReadTimeout +
+                                      std::chrono::milliseconds{ 400 };
+
 /** Interval between checks whether a catch-up read is due. */
 constexpr Duration kCatchUpInterval = std::chrono::milliseconds{ 100 };
 
@@ -94,7 +100,12 @@
     // This relay adopts what the store readers report about the store, so that
     // it doesn't query an unavailable store as well.
     this->configReachable = !storeUnavailable;
-    this->shared.configPollFailed = storeUnavailable;
+    // While the store readers change, not all of them report the outage yet.
+    // The relay's own read shows it as well.
+    const bool readFailed =
+      this->catchUpReadFailedAt &&
+      now - *this->catchUpReadFailedAt < fleet_control::kReadFailureTime;
+    this->shared.configPollFailed = storeUnavailable || readFailed;
   }
   // After a failed poll followConfig() retries by itself.
   const bool proofOld =
@@ -108,8 +119,13 @@
     this->proofReadAt = now;
     this->shared.metrics.countStoreCall(behind ? StoreCall::ConfigCatchUp
                                                : StoreCall::ConfigProof);
-    this->onConfigPoll(
-      this->store.readConfig(fleet_control::kCatchUpReadTimeout));
+    const Result<ConfigPoll> poll =
+      this->store.readConfig(fleet_control::kCatchUpReadTimeout);
+    this->catchUpReadFailedAt.reset();
+    if (!poll) {
+      this->catchUpReadFailedAt = this->clock.now();
+    }
+    this->onConfigPoll(poll);
     const auto read = this->shared.config.read();
     const std::uint64_t known = read == nullptr ? 0 : read->version;
     if (behind && this->fetchSnapshot &&
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -15,6 +15,7 @@
 #include "poplartrack/base/PeriodicThread.h"
 #include "poplartrack/fleet/FleetPolls.h"
 #include "poplartrack/fleet/FleetSnapshot.h"
+#include "poplartrack/fleet/OutageLeadership.h"
 #include "poplartrack/fleet/ReplicaList.h"
 #include "poplartrack/fleet/StorePollSchedule.h"
 #include "poplartrack/relay/CountedStore.h"
@@ -110,8 +111,16 @@
   /** Drops expired replicas, contends for the lease, and refreshes the relay
    * directory and the quarantine rows. */
   Duration runHousekeeping();
-  /** Places layers while the lease is held. */
+  /** Places layers while the lease is held, or while this relay leads through
+   * an outage of the store. */
   Duration runPlacement();
+  /** Returns what this relay knows of an outage of the store. */
+  [[nodiscard]] OutageView outageView() const;
+  /** Returns the fencing number under which this relay places layers without
+   * the lease, or nothing. Logs when that begins and ends. */
+  std::optional<std::uint64_t> outageFence();
+  /** Publishes whether this relay leads through an outage. */
+  void setLeadsOutage(bool aLeads);
   /** Puts a newer configuration in force and records the proof of freshness. */
   void applyConfig(const ConfigPoll& aPoll);
   /** Handles the outcome of a configuration poll, including its failure. */
@@ -228,6 +237,8 @@
   TimePoint leasePolledAt{};
   /** When the configuration was last read by the catch-up thread. */
   TimePoint proofReadAt{};
+  /** When that read failed; nullopt if it did not. */
+  std::optional<TimePoint> catchUpReadFailedAt;
   /** The latest poll of the configuration reached the store. On a relay that
    * does not poll: no outage is reported. */
   std::atomic<bool> configReachable{ true };
@@ -237,8 +248,9 @@
   /** The latest poll of the replica list reached the store. */
   std::atomic<bool> replicasReachable{ true };
 
-  /** Used by the placement thread. */
+  // Used by the placement thread.
   PlacementController placement;
+  OutageLeadership leadership;
   // Used by the housekeeping thread.
   CountedStore<Store> directoryStore;
   RelayDirectory<CountedStore<Store>> directory;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -44,6 +44,14 @@
   return static_cast<double>(randomRequestId().low % kSteps) / kSteps;
 }
 
+inline LayerPlannerPolicy
+plannerPolicy(const RelaySettings& aSettings)
+{
+  LayerPlannerPolicy policy;
+  policy.followsDemand = aSettings.load.demandPlacement;
+  return policy;
+}
+
 inline LeaseSettings
 leaseSettings(const RelaySettings& aSettings)
 {
@@ -79,7 +87,9 @@
   , fetchSnapshot(std::move(aFetchSnapshot))
   , startedAt(this->clock.now())
   , nextContact(randomRequestId().low)
-  , placement(aShared, std::move(aSendOrder))
+  , placement(aShared,
+              std::move(aSendOrder),
+              fleet_control::plannerPolicy(aSettings))
   , directoryStore(aStore,
                    aShared.metrics,
                    StoreCall::RelaysRead,
@@ -109,6 +119,7 @@
   // and no layers would be placed for up to 9 s.
   this->shared.holdsLease = false;
   this->shared.releasedFence = this->placementFence.exchange(0);
+  this->placement.withdrawReleases();
   this->lease.release();
 }
 
@@ -300,6 +311,56 @@
   return fleet_control::kHousekeepingInterval;
 }
 
+template<FleetStoreLike Store>
+OutageView
+FleetControl<Store>::outageView() const
+{
+  const TimePoint updatedAt{ Duration{ this->shared.outageViewAt.load() } };
+  const bool current =
+    this->clock.now() - updatedAt <= OutageLeadership::kFreshTime;
+  OutageView view;
+  view.proofAge = this->shared.freshness.age();
+  view.listedPeers = this->shared.peers.read()->size();
+  view.freshPeers = current ? this->shared.freshPeers.load() : 0;
+  view.peerHoldsLease = this->shared.peerHoldsLease;
+  view.peerReleasedFence = this->shared.peerReleasedFence;
+  return view;
+}
+
+template<FleetStoreLike Store>
+std::optional<std::uint64_t>
+FleetControl<Store>::outageFence()
+{
+  if (!this->settings.load.outagePlacement) {
+    return std::nullopt;
+  }
+  const OutageView view = this->outageView();
+  const std::optional<std::uint64_t> fence =
+    this->leadership.fenceToLead(view, this->clock.now());
+  constexpr std::int64_t kMicrosPerMs = 1'000;
+  if (fence.has_value() != this->shared.leadsOutage) {
+    this->shared.log.write(
+      LogLine{ LogPart::Lease, "outage_leader" }
+        .with("leads", fence ? 1 : 0)
+        .with("fence", static_cast<std::int64_t>(fence.value_or(0)))
+        .with("proof_age_ms", view.proofAge.count() / kMicrosPerMs)
+        .with("relays", static_cast<std::int64_t>(view.listedPeers))
+        .with("fresh", static_cast<std::int64_t>(view.freshPeers))
+        .with("other_holds", view.peerHoldsLease ? 1 : 0));
+  }
+  this->setLeadsOutage(fence.has_value());
+  return fence;
+}
+
+template<FleetStoreLike Store>
+void
+FleetControl<Store>::setLeadsOutage(bool aLeads)
+{
+  if (this->shared.leadsOutage.exchange(aLeads) != aLeads) {
+    this->shared.metrics.set("placement_outage_leader", aLeads ? 1 : 0);
+  }
+}
+
 // When this relay no longer holds the lease, it reports that to the others. If
 // the store rejects only this relay, they would otherwise wait until the lease
 // expires for them too, and lost layers would not be replaced for 3 s.
@@ -309,6 +370,9 @@
 {
   if (this->stopping) {
     this->shared.holdsLease = false;
+    this->setLeadsOutage(false);
+    // A round that was under way in releaseLease() may have published some.
+    this->placement.withdrawReleases();
     return fleet_control::kPlacementInterval;
   }
   const std::optional<HeldLease> held = this->lease.held();
@@ -319,12 +383,21 @@
         "fence", static_cast<std::int64_t>(held->fence)));
     }
     this->shared.holdsLease = true;
+    this->setLeadsOutage(false);
+    this->leadership.onHeld(held->fence, this->clock.now() + held->timeLeft);
     this->placement.runRound(held->fence, this->clock.now());
     return fleet_control::kPlacementInterval;
   }
+  if (const auto fence = this->outageFence()) {
+    this->placementFence = *fence;
+    this->shared.holdsLease = true;
+    this->placement.runRound(*fence, this->clock.now());
+    return fleet_control::kPlacementInterval;
+  }
   this->shared.holdsLease = false;
   const std::uint64_t lost = this->placementFence.exchange(0);
   if (lost != 0) {
+    this->placement.withdrawReleases();
     this->shared.releasedFence = this->lease.releaseLocally().value_or(lost);
     this->shared.metrics.set("placement_lease_held", 0);
     this->shared.log.write(LogLine{ LogPart::Lease, "lost" }.with(
--- a/include/poplartrack/relay/PlacementController.h
+++ b/include/poplartrack/relay/PlacementController.h
@@ -26,11 +26,17 @@
 class PlacementController
 {
 public:
-  PlacementController(RelayShared& aShared, SendLayerOrder aSendOrder);
+  PlacementController(RelayShared& aShared,
+                      SendLayerOrder aSendOrder,
+                      LayerPlannerPolicy aPolicy = {});
 
   /** Plans every model service once and sends the orders that are due, under
    * the lease with this fencing number. */
   void runRound(std::uint64_t aFence, TimePoint aNow);
+  /** Ends the announced releases of all services, because this relay no longer
+   * holds the lease: the other relays use the layers again. May be called on
+   * any thread. */
+  void withdrawReleases();
 
 private:
   /** Plans one service and sends its orders. aIndices: where aView holds
@@ -45,6 +51,11 @@
   std::set<std::string> replacedReplicas(const ReplicaView& aView);
   /** Logs the layers that each zone lacks, whenever they change. */
   void logGaps(const std::string& aService, const std::vector<CopyGap>& aGaps);
+  /** Logs and counts what has happened to the releases of a service. The guard
+   * is held. */
+  void logReleases(const std::string& aService, LayerPlanner& aPlanner);
+  /** Publishes the layers that are announced for release. */
+  void publishReleases(std::vector<ReleasedLayers> aReleases);
   /** Logs an order and sends it to the replica. During a backoff that the
    * replica has asked for, the order counts as refused instead. */
   void issueOrder(const LayerOrder& aOrder, const Replica& aReplica);
@@ -53,6 +64,7 @@
 
   RelayShared& shared;
   SendLayerOrder sendLayerOrder;
+  LayerPlannerPolicy policy;
   /** Guards planners and knownReplaced. */
   std::mutex guard;
   /** One planner for each model service. */
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -11,8 +11,10 @@
 
 #include "poplartrack/base/Address.h"
 #include "poplartrack/base/RcuBox.h"
+#include "poplartrack/fleet/DemandTable.h"
 #include "poplartrack/fleet/Freshness.h"
 #include "poplartrack/fleet/RelayConfig.h"
+#include "poplartrack/fleet/ReleasedLayers.h"
 #include "poplartrack/fleet/ReplicaListDelta.h"
 #include "poplartrack/fleet/ReplicaSignals.h"
 #include "poplartrack/fleet/ReplicaView.h"
@@ -70,6 +72,28 @@
   RcuBox<std::set<std::string>> busyReplicas{
     std::make_shared<const std::set<std::string>>()
   };
+  /** Layers that this relay takes from busy replicas as the holder of the
+   * placement lease. */
+  RcuBox<std::vector<ReleasedLayers>> releases{
+    std::make_shared<const std::vector<ReleasedLayers>>()
+  };
+  /** Requests of all relays that run these layers, by replica. Kept up to date
+   * only while this relay holds the placement lease. */
+  RcuBox<std::map<std::string, std::uint32_t>> releaseUse{
+    std::make_shared<const std::map<std::string, std::uint32_t>>()
+  };
+  /** When another relay last fell silent, in microseconds of the clock; 0:
+   * none has. */
+  std::atomic<std::int64_t> peerSilentAt{ 0 };
+  /** Demand for each model service by zone. Kept up to date only while this
+   * relay holds the placement lease. */
+  using Demand = std::map<std::string, ZoneDemand>;
+  RcuBox<Demand> demand{ std::make_shared<const Demand>() };
+  /** How many times as long as declared the work of replicas takes, where it is
+   * longer and the replica is not lost. Kept up to date only while this relay
+   * holds the placement lease, with load.demand_placement. */
+  using Slowdowns = std::map<std::string, double>;
+  RcuBox<Slowdowns> slowdowns{ std::make_shared<const Slowdowns>() };
   /** Ids of the replicas that have announced in an answer that they drain. */
   RcuBox<std::set<std::string>> announcedDrains{
     std::make_shared<const std::set<std::string>>()
@@ -134,6 +158,16 @@
   /** When all store readers last reported that the store is unavailable, in
    * microseconds of the clock; 0: never. */
   std::atomic<std::int64_t> peersSawOutageAt{ 0 };
+  /** Number of listed relays whose status message is fresh, and whether one of
+   * these holds the placement lease. Kept up to date only with
+   * load.outage_placement. */
+  std::atomic<std::size_t> freshPeers{ 0 };
+  std::atomic<bool> peerHoldsLease{ false };
+  /** When these were last updated, in microseconds of the clock. */
+  std::atomic<std::int64_t> outageViewAt{ 0 };
+  /** This relay places layers although its lease has run out, since the store
+   * is unavailable to all. */
+  std::atomic<bool> leadsOutage{ false };
   /** Sends the changes of a replica list poll to the relays of the own zone;
    * empty where there are no peers. */
   std::function<void(const ReplicaListDelta&)> sendListDelta;
--- a/include/poplartrack/relay/ReplicaCalls.h
+++ b/include/poplartrack/relay/ReplicaCalls.h
@@ -23,6 +23,9 @@
 {
   /** The replica answered; otherwise the other fields keep their defaults. */
   bool reached = false;
+  /** No connection could be established; the other fields keep their defaults.
+   */
+  bool refused = false;
   /** The replica answered that it takes no queries for now; the other fields
    * keep their defaults. */
   bool rejected = false;
--- a/src/relay/PlacementController.cpp
+++ b/src/relay/PlacementController.cpp
@@ -3,12 +3,56 @@
 #include <algorithm>
 #include <utility>
 
+#include "poplartrack/fleet/ReplicaHealth.h"
+
 namespace poplartrack {
+namespace {
+
+/** Returns whether paths avoid a replica because it is slow. Such a replica
+ * counts as lost. */
+bool
+isDegraded(const RelayShared::Slowdowns& aSlowdowns,
+           const std::string& aReplica)
+{
+  const auto found = aSlowdowns.find(aReplica);
+  return found != aSlowdowns.end() && found->second >= kDegradedSlowdown;
+}
+
+/** Adds what a release rests on. Rates are in thousandths of a request a
+ * second. */
+void
+addFigures(LogLine& aLine, const OpenRelease& aRelease)
+{
+  const auto whole = [](double aValue) {
+    return static_cast<std::int64_t>(aValue);
+  };
+  constexpr double kMilli = 1'000;
+  aLine.with("why", aRelease.move ? "demand" : "extended")
+    .with("then_from", aRelease.kept.from)
+    .with("then_to", aRelease.kept.to);
+  if (!aRelease.move) {
+    aLine.with("tokens_before", whole(aRelease.tokensBefore))
+      .with("tokens_after", whole(aRelease.tokensAfter))
+      .with("tokens_others", whole(aRelease.tokensOthers));
+    return;
+  }
+  const DemandMove& move = *aRelease.move;
+  aLine.with("demand_milli", whole(kMilli * move.demand))
+    .with("carried_milli", whole(kMilli * move.carriedNow))
+    .with("carried_after_milli", whole(kMilli * move.carriedAfter))
+    .with("shortage_milli", whole(kMilli * move.shortage))
+    .with("gained", whole(move.gained))
+    .with("lost", whole(move.lost));
+}
+
+} // namespace
 
 PlacementController::PlacementController(RelayShared& aShared,
-                                         SendLayerOrder aSendOrder)
+                                         SendLayerOrder aSendOrder,
+                                         LayerPlannerPolicy aPolicy)
   : shared(aShared)
   , sendLayerOrder(std::move(aSendOrder))
+  , policy(aPolicy)
 {
 }
 
@@ -19,22 +63,45 @@
     // Another relay may have held the lease in between. Its orders are unknown
     // here, so the planners must not rely on theirs.
     this->fence = aFence;
-    const std::scoped_lock lock{ this->guard };
-    for (auto& [service, planner] : this->planners) {
-      planner.reset();
+    {
+      const std::scoped_lock lock{ this->guard };
+      for (auto& [service, planner] : this->planners) {
+        planner.reset();
+      }
     }
+    this->withdrawReleases();
   }
   const auto config = this->shared.config.read();
   const auto view = this->shared.replicas.read();
   if (config == nullptr) {
     return;
   }
+  std::vector<ReleasedLayers> releases;
   for (const auto& [name, service] : config->services) {
     const auto listed = view->byService.find(name);
     if (service.engine && listed != view->byService.end()) {
       this->planService(*view, name, *service.engine, listed->second, aNow);
+      const std::scoped_lock lock{ this->guard };
+      const auto& release = this->planners.at(name).openRelease();
+      if (release) {
+        releases.push_back(release->released);
+      }
+    }
+  }
+  this->publishReleases(std::move(releases));
+}
+
+void
+PlacementController::withdrawReleases()
+{
+  {
+    const std::scoped_lock lock{ this->guard };
+    for (auto& [service, planner] : this->planners) {
+      planner.withdrawRelease();
+      this->logReleases(service, planner);
     }
   }
+  this->publishReleases({});
 }
 
 void
@@ -46,7 +113,9 @@
 {
   const auto lost = this->shared.lostReplicas.read();
   const auto announced = this->shared.announcedDrains.read();
+  const auto slowdowns = this->shared.slowdowns.read();
   std::vector<Replica> available;
+  std::vector<Replica> degraded;
   bool uncertain = false;
   const std::set<std::string> replaced = this->replacedReplicas(aView);
   for (const std::size_t index : aIndices) {
@@ -57,18 +126,35 @@
     // Only this relay fails to reach it: the replica may be alive, and the
     // relay cut off. The planner waits longer then.
     uncertain = uncertain || (dead && !found->second && !draining);
-    if (!draining && !dead && !replaced.contains(replica.id)) {
+    if (draining || replaced.contains(replica.id)) {
+      continue;
+    }
+    if (!dead) {
       available.push_back(replica);
+    } else if (isDegraded(*slowdowns, replica.id)) {
+      degraded.push_back(replica);
     }
   }
   std::vector<LayerOrder> orders;
   {
     const std::scoped_lock lock{ this->guard };
     auto& planner =
-      this->planners.try_emplace(aService, LayerPlannerPolicy{}).first->second;
+      this->planners.try_emplace(aService, this->policy).first->second;
+    planner.setReleaseUse(*this->shared.releaseUse.read());
+    if (this->shared.leadsOutage || this->shared.listUncertain) {
+      planner.onListUncertain(aNow);
+    }
+    if (const std::int64_t silentAt = this->shared.peerSilentAt) {
+      planner.onRelaySilent(TimePoint{ Duration{ silentAt } });
+    }
+    const auto demand = this->shared.demand.read();
+    const auto asked = demand->find(aService);
+    planner.setDemand(asked == demand->end() ? ZoneDemand{} : asked->second);
+    planner.setSpeeds(*slowdowns, std::move(degraded));
     orders = planner.plan(
       aEngine, available, uncertain, *this->shared.busyReplicas.read(), aNow);
     this->logGaps(aService, planner.gaps());
+    this->logReleases(aService, planner);
   }
   for (const LayerOrder& order : orders) {
     const auto replica = std::find_if(
@@ -117,6 +203,41 @@
                            .with("open", text.empty() ? "none" : text));
 }
 
+void
+PlacementController::logReleases(const std::string& aService,
+                                 LayerPlanner& aPlanner)
+{
+  for (const ReleaseEvent& event : aPlanner.takeReleaseEvents()) {
+    const OpenRelease& release = event.release;
+    LogLine line{ LogPart::Placement,
+                  event.outcome ? "release_ended" : "release" };
+    line.with("service", aService)
+      .with("replica", release.released.replica)
+      .with("zone", release.zone)
+      .with("from", release.released.layers.from)
+      .with("to", release.released.layers.to);
+    if (event.outcome) {
+      line.with("outcome", std::string{ nameOf(*event.outcome) });
+      this->shared.metrics.count(
+        "layer_releases_" + std::string{ nameOf(*event.outcome) } + "_total");
+    } else {
+      this->shared.metrics.count("layer_releases_total");
+      addFigures(line, release);
+    }
+    this->shared.log.write(line);
+  }
+}
+
+void
+PlacementController::publishReleases(std::vector<ReleasedLayers> aReleases)
+{
+  if (*this->shared.releases.read() != aReleases) {
+    this->shared.releases.replace(
+      std::make_shared<const std::vector<ReleasedLayers>>(
+        std::move(aReleases)));
+  }
+}
+
 void
 PlacementController::issueOrder(const LayerOrder& aOrder,
                                 const Replica& aReplica)
--- a/tests/unit/relay/FleetControlFixture.h
+++ b/tests/unit/relay/FleetControlFixture.h
@@ -11,6 +11,7 @@
 
 #include <gtest/gtest.h>
 
+#include "IgnoreOrder.h"
 #include "ScriptedStore.h"
 #include "poplartrack/relay/FleetControl.h"
 #include "unit/fleet/FleetSamples.h"
@@ -57,13 +58,7 @@
   void runScript()
   {
     FleetControl<ScriptedStore> control{
-      this->settings,
-      this->shared,
-      this->store,
-      [](const Replica&,
-         LayerRange,
-         std::uint64_t,
-         const std::function<void(Result<Done>)>&) {}
+      this->settings, this->shared, this->store, ignoreOrder
     };
     this->store.waitUntilProcessed();
     this->store.end();
@@ -76,13 +71,7 @@
   std::size_t listedAfter(Act aAct, std::size_t aWanted)
   {
     FleetControl<ScriptedStore> control{
-      this->settings,
-      this->shared,
-      this->store,
-      [](const Replica&,
-         LayerRange,
-         std::uint64_t,
-         const std::function<void(Result<Done>)>&) {}
+      this->settings, this->shared, this->store, ignoreOrder
     };
     const auto listed = [this] {
       return this->shared.replicas.read()->replicas.size();
@@ -115,16 +104,11 @@
   {
     this->settings.zone = "a";
     this->shared.joining = true;
-    FleetControl<ScriptedStore> control{
-      this->settings,
-      this->shared,
-      this->store,
-      [](const Replica&,
-         LayerRange,
-         std::uint64_t,
-         const std::function<void(Result<Done>)>&) {},
-      std::move(aFetchSnapshot)
-    };
+    FleetControl<ScriptedStore> control{ this->settings,
+                                         this->shared,
+                                         this->store,
+                                         ignoreOrder,
+                                         std::move(aFetchSnapshot) };
     const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
     while ((this->shared.replicas.read()->replicas.empty() ||
             this->shared.joining) &&
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -82,6 +82,33 @@
   EXPECT_EQ(this->shared.replicas.read()->replicas[1].id, "two");
 }
 
+/** Guards against relays that refuse requests early in an outage: each store
+ * reader that fails is replaced by another one, so that not all of them report
+ * the outage at the same time. */
+TEST_F(FleetControlTest, ARelayThatDoesNotPollKnowsOfAFailedReadOfItsOwn)
+{
+  // Proof reads are due at once.
+  this->settings.configDeadline = std::chrono::milliseconds{ 1'000 };
+  this->shared.polls = false;
+  this->store.scriptConfig(configPoll(5));
+  this->store.scriptConfig(std::nullopt);
+  FleetControl<ScriptedStore> control{
+    this->settings, this->shared, this->store, ignoreOrder
+  };
+  const auto proofReads = [this] {
+    return this->shared.metrics.storeCalls(StoreCall::ConfigProof);
+  };
+  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
+  while (proofReads() < 2 && runtimeNow() < latest) {
+    std::this_thread::yield();
+  }
+  // The second read is in progress, and the checks before it were all made
+  // after the first one had failed.
+  EXPECT_EQ(proofReads(), 2U);
+  EXPECT_TRUE(this->shared.configPollFailed);
+  this->store.end();
+}
+
 TEST_F(FleetControlTest, KeepsReplicasThatVanishInAnOutageReportedByPeers)
 {
   // All store readers report that the store is unavailable, and entries expire
--- a/tests/unit/relay/ScriptedStore.h
+++ b/tests/unit/relay/ScriptedStore.h
@@ -68,10 +68,19 @@
   {
     return this->next(this->lists, this->listPollBlocked);
   }
+  /** Makes the calls that read or write rows fail from now on. */
+  void failRows()
+  {
+    const std::scoped_lock lock{ this->guard };
+    this->rowsFail = true;
+  }
   Result<std::optional<TableRow>> readRow(const std::string& aTable,
                                           const std::string& aKey)
   {
     const std::scoped_lock lock{ this->guard };
+    if (this->rowsFail) {
+      return fail(ErrorKind::PlatformUnavailable);
+    }
     const auto found = this->rows.find(aTable + "/" + aKey);
     return found == this->rows.end() ? std::optional<TableRow>{}
                                      : std::optional<TableRow>{ found->second };
@@ -93,6 +102,9 @@
     const std::vector<TableWrite>& aWrites)
   {
     const std::scoped_lock lock{ this->guard };
+    if (this->rowsFail) {
+      return fail(ErrorKind::PlatformUnavailable);
+    }
     for (const TableWrite& write : aWrites) {
       TableRow& row = this->rows[write.table + "/" + write.key];
       if (row.version != write.expect) {
@@ -144,6 +156,7 @@
   bool configPollBlocked = false;
   bool listPollBlocked = false;
   bool stopped = false;
+  bool rowsFail = false;
 };
 
 static_assert(FleetStoreLike<ScriptedStore>);
--- a/tests/unit/users_platform/StoreRestoreTest.cpp
+++ b/tests/unit/users_platform/StoreRestoreTest.cpp
@@ -14,6 +14,7 @@
 #include "platform/UsersStore.h"
 #include "poplartrack/relay/FleetControl.h"
 #include "standins/lib/UsersStoreStandin.h"
+#include "unit/relay/IgnoreOrder.h"
 
 namespace poplartrack {
 namespace {
@@ -61,13 +62,7 @@
   void start()
   {
     this->control = std::make_unique<FleetControl<UsersStore>>(
-      this->settings,
-      this->shared,
-      this->store,
-      [](const Replica&,
-         LayerRange,
-         std::uint64_t,
-         const std::function<void(Result<Done>)>&) {});
+      this->settings, this->shared, this->store, relaytest::ignoreOrder);
   }
   /** Waits until a condition holds; returns whether it did in time. */
   static bool waitFor(const std::function<bool()>& aCondition)
