--- a/include/poplartrack/relay/RelayLoop.h
+++ b/include/poplartrack/relay/RelayLoop.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 
+#include "poplartrack/base/Clock.h"
 #include "poplartrack/base/Result.h"
 #include "poplartrack/relay/RelayHeaderNames.h"
 #include "poplartrack/relay/RelaySettings.h"
@@ -20,12 +21,17 @@
 class RelayLoop
 {
 public:
+  using LoopClock = std::function<TimePoint()>;
+
   /** Binds the sockets and starts the thread. Fails with ErrorKind::Network,
-   * naming the address, if an address cannot be bound. */
-  static Result<std::unique_ptr<RelayLoop>> create(RelaySettings aSettings,
-                                                   RelayHeaderNames aNames,
-                                                   RelayShared& aShared,
-                                                   ReplicaCalls aCalls);
+   * naming the address, if an address cannot be bound. aClock: the time by
+   * which requests wait and timers expire; tests advance one of their own. */
+  static Result<std::unique_ptr<RelayLoop>> create(
+    RelaySettings aSettings,
+    RelayHeaderNames aNames,
+    RelayShared& aShared,
+    ReplicaCalls aCalls,
+    LoopClock aClock = runtimeNow);
   RelayLoop(const RelayLoop&) = delete;
   RelayLoop& operator=(const RelayLoop&) = delete;
   /** Stops the thread and closes all open connections. */
--- /dev/null
+++ b/src/relay/ConnectionEnd.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace poplartrack {
+
+/** How the connection of an attempt ended. */
+enum class ConnectionEnd : std::uint8_t
+{
+  /** The replica's instance closed or reset it, or the connection became
+   * unusable. */
+  Closed,
+  /** The replica stopped responding. */
+  Silent,
+};
+
+} // namespace poplartrack
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -9,13 +9,21 @@
 
 #include "MessageParser.h"
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/EventTimes.h"
 #include "poplartrack/fleet/LayerPath.h"
+#include "poplartrack/fleet/PaceForecast.h"
 #include "poplartrack/fleet/RelayConfig.h"
+#include "poplartrack/fleet/ReturnSchedule.h"
 #include "poplartrack/relay/EventSplitter.h"
 #include "poplartrack/retry/Fingerprint.h"
+#include "poplartrack/retry/RetryPriority.h"
 
 namespace poplartrack {
 
+/** Number of tokens that an event is assumed to hold: the engine may write
+ * several at once. */
+constexpr int kTokensPerEvent = 2;
+
 /** Number of prompt tokens and expected number of answer tokens. */
 struct TokenNeed
 {
@@ -76,6 +84,13 @@
   bool loadRecorded = false;
   /** The load tracker counts its prompt as being in prefill. */
   bool prefillRecorded = false;
+  /** When the prefill of a whole answer is expected to be over; nothing for a
+   * stream, whose first event shows it. */
+  std::optional<TimePoint> prefillEndsAt;
+  /** The parts that prefill; nothing if all parts of the path do. */
+  std::optional<LayerPath> prefillParts;
+  /** The tokens that they read, as counted by the load tracker. */
+  double prefillTokens = 0;
   /** Number of earlier attempts that may have run. While it is 0, the current
    * attempt is the only one that can have run. */
   int runs = 0;
@@ -91,6 +106,34 @@
   bool needsRetryBudget = false;
   /** Since when it has been waiting for a path or for the retry budget. */
   std::optional<TimePoint> waitingSince;
+  /** Its start was counted for the queue limit; reset when it waits again. */
+  bool startRecorded = false;
+  /** The pace gate has held it back, and refuses it. */
+  bool paceHeld = false;
+  bool paceRefused = false;
+  /** The latest forecast by which it was held back. */
+  std::optional<PaceForecast> pace;
+
+  /** Tokens that AccountCapacity counts for the request as in use and as
+   * waiting.
+   */
+  std::optional<double> countedUse;
+  std::optional<double> countedWaiting;
+  /** Set at the first start or wait: only a first start without a wait counts
+   * as usual use of its account. */
+  bool usualDecided = false;
+  /** The last search found no path because capacity is short. */
+  bool lacksCapacity = false;
+  /** Its account was beyond its share when a path was last looked for. */
+  bool beyondShare = false;
+
+  /** How long after its booked time the caller returned, negative if before it;
+   * set only if it had been told to return. */
+  std::optional<Duration> returnedAfterDue;
+  /** The delay after which a rejected caller is told to return. */
+  std::optional<Duration> retryAfter;
+  /** The booking of that return, if there is one. */
+  std::optional<ReturnBooking> booking;
 
   /** Rate limit of the replica of the current attempt, in requests a second
    * from all relays together, as its answer reports it. */
@@ -108,8 +151,14 @@
   std::uint32_t events = 0;
   /** When the attempt was sent, moved to another path or last sent an event. */
   TimePoint lastProgress{};
-  /** Longest time between two events. */
-  Duration longestPause{ 0 };
+  /** When the events sent to the caller arrived. */
+  EventTimes eventTimes;
+  /** The time of the last progress whose lateness has led to a check for
+   * losses.
+   */
+  TimePoint checkedFor{};
+  /** A replica of its path was lost since the last event. */
+  bool disturbedByLoss = false;
   /** No progress for longer than the stall timeout; the cause is being looked
    * for, or a move to another path has been ordered. */
   bool overdue = false;
@@ -120,8 +169,25 @@
   /** When the last move to another path was ordered; reset by the next
    * event. */
   std::optional<TimePoint> repairedAt;
+  /** When the last move off a draining replica was tried. */
+  TimePoint moveTriedAt{};
   /** Time from arrival to the first event. */
   Duration firstEvent{ 0 };
 };
 
+/** Returns the urgency of a request at a replica, from 0, the most urgent,
+ * to 9. The account's priority takes precedence over the route's. */
+int
+urgencyOf(const Exchange& aExchange);
+
+/** Returns the kind of retry that the request would need, depending on whether
+ * its answer has started. */
+RetryPriority
+retryNeedOf(const Exchange& aExchange);
+
+/** Chooses a service among the route's targets by weight. The choice depends on
+ * the request id only, so a retry goes to the same service. */
+const RelayService*
+pickService(const Exchange& aExchange);
+
 } // namespace poplartrack
--- /dev/null
+++ b/src/relay/ExchangeProgress.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "Exchange.h"
+#include "poplartrack/fleet/StallSuspects.h"
+
+namespace poplartrack {
+
+/** Returns the progress of a stream on its present path. */
+StreamProgress
+progressOf(const Exchange& aExchange);
+
+} // namespace poplartrack
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <charconv>
 
+#include "QueueWait.h"
 #include "RelayLoopImpl.h"
 #include "poplartrack/retry/PromptParts.h"
 
@@ -38,17 +39,6 @@
 
 } // namespace
 
-int
-urgencyOf(const Exchange& aExchange)
-{
-  constexpr int kLeastUrgent = 9;
-  const bool hasOwn =
-    aExchange.account != nullptr && aExchange.account->priority.has_value();
-  const int urgency =
-    hasOwn ? *aExchange.account->priority : aExchange.route->priority;
-  return std::clamp(urgency, 0, kLeastUrgent);
-}
-
 /** Returns the fingerprint of the content of a request. It does not depend on
  * the request id, so a repeated request has the same one. */
 const Fingerprint&
@@ -181,9 +171,11 @@
   aExchange.account = admitted.account;
   aExchange.keyed = admitted.requiresKey;
   aExchange.giveUpAt = aExchange.arrived + admitted.timeout;
-  aExchange.service = this->pickService(aExchange);
+  aExchange.service = pickService(aExchange);
+  this->recognizeReturn(aExchange);
   this->budgetOf(aExchange).onRequest(this->now);
   aExchange.need = this->estimateTokenNeed(aExchange);
+  this->recordDemand(aExchange);
   if (const auto last = parseCount(headers.find(this->names.lastEventId))) {
     aExchange.lastEvent = static_cast<std::uint64_t>(*last);
   }
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
+#include "HttpStatus.h"
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
@@ -53,14 +55,6 @@
 
 } // namespace
 
-bool
-isSuccess(int aStatus)
-{
-  constexpr int kOk = 200;
-  constexpr int kMultipleChoices = 300;
-  return aStatus >= kOk && aStatus < kMultipleChoices;
-}
-
 /** Returns the replica that is responsible for a rejection if the answer names
  * a listed one; otherwise null. */
 const Replica*
@@ -173,20 +167,25 @@
     text = this->answerHead(aExchange,
                             connection->second->parser->head(),
                             "Transfer-Encoding: chunked\r\n");
-  } else if (!out.empty()) {
-    aExchange.longestPause =
-      std::max(aExchange.longestPause, this->now - aExchange.lastProgress);
   }
   if (!out.empty()) {
+    const bool firstOnPath = !aExchange.runningSince || aExchange.repairedAt;
+    this->recordEventTime(aExchange);
+    this->recordPace(aExchange);
     if (!aExchange.runningSince) {
       aExchange.runningSince = this->now;
       this->recordBegun(aExchange);
+      this->recordAnswering(aExchange);
     }
     this->endPrefill(aExchange);
     this->recordRepairTime(aExchange);
     text.append(chunkOf(out));
     aExchange.lastProgress = this->now;
     aExchange.overdue = false;
+    if (firstOnPath && this->settings.load.lossProbes) {
+      // The timer was set by the forecast of the first event.
+      this->armExchange(aExchange);
+    }
   }
   if (aEnd) {
     text.append(kLastChunk);
@@ -196,6 +195,32 @@
   }
 }
 
+/** Records the arrival of events, and the pause of a stream that lost a replica
+ * of its path before them. */
+void
+RelayLoop::Impl::recordEventTime(Exchange& aExchange)
+{
+  const bool lost = std::exchange(aExchange.disturbedByLoss, false);
+  const bool first = !aExchange.eventTimes.last();
+  const bool disturbed =
+    lost || !aExchange.runningSince || aExchange.repairedAt.has_value();
+  const Duration pause = aExchange.eventTimes.onEvents(this->now, disturbed);
+  if (lost && !first) {
+    this->shared.metrics.observe("loss_pause_seconds", pause);
+  }
+}
+
+/** Returns the time since the last event of a stream, or since its attempt was
+ * sent if it has none, in ms. */
+std::int64_t
+RelayLoop::Impl::lateMs(const Exchange& aExchange) const
+{
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  const TimePoint since =
+    aExchange.eventTimes.last().value_or(aExchange.sentAt);
+  return (this->now - since).count() / kMicrosPerMs;
+}
+
 /** Records the time from a repair to the first event after it. */
 void
 RelayLoop::Impl::recordRepairTime(Exchange& aExchange)
@@ -229,8 +254,12 @@
   const bool stream = exchange.streaming && isSuccess(head.status);
   if (!isSuccess(head.status) && head.status >= kInternalError) {
     this->health.onFailure(exchange.replica, ReplicaFailure::Faulty, this->now);
+    // Deadlines also end at sound replicas that are overloaded.
+    if (head.status != kGatewayTimeout) {
+      this->recordFailedStart(exchange);
+    }
     const bool retry =
-      exchange.route->rule == RetryRule::Idempotent &&
+      this->mayRunAgain(exchange, head.status) &&
       exchange.runs + 1 < exchange.route->attempts &&
       exchange.sends < kMaxSends &&
       this->budgetOf(exchange).tryRetry(retryNeedOf(exchange), this->now);
@@ -264,6 +293,10 @@
   }
   if (isSuccess(head.status)) {
     this->recordServed(exchange);
+    this->recordServiceEnd(exchange);
+    if (!stream) {
+      this->recordAnswering(exchange);
+    }
   }
   exchange.connection = 0;
   this->releaseReplica(connection);
@@ -356,6 +389,9 @@
 {
   constexpr std::int64_t kMicrosPerMs = 1000;
   const bool possiblyRan = this->mayHaveRun(aExchange);
+  const bool planned = aFailure == ReplicaFailure::Refused &&
+                       this->drainState.since.contains(aExchange.replica);
+  aExchange.disturbedByLoss = aExchange.disturbedByLoss || !planned;
   this->health.onFailure(aExchange.replica, aFailure, this->now);
   this->shared.log.write(
     LogLine{ LogPart::Path, "attempt_broken" }
@@ -366,7 +402,8 @@
       .with("events", aExchange.events)
       .with("content", toText(this->contentFingerprint(aExchange)))
       .with("parts", joined(this->sharedPartIds(aExchange)))
-      .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs));
+      .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs)
+      .with("late_ms", this->lateMs(aExchange)));
   aExchange.avoid.insert(aExchange.replica);
   this->dropAttempt(aExchange, possiblyRan);
   const RelayRoute& route = *aExchange.route;
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -25,25 +25,6 @@
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
-/**
- * Returns how many zone crossings a prompt can make within half of its latency
- * objective. With more crossings its first event is late, and other requests
- * that could be on time wait for the links.
- */
-std::uint32_t
-maxCrossingsInTime(const Exchange& aExchange, const PathDemand& aDemand)
-{
-  constexpr double kTransferShare = 0.5;
-  const double objectiveMs =
-    std::chrono::duration<double, std::milli>(aExchange.route->objective)
-      .count();
-  const double transfer =
-    transferMs(*aExchange.service->engine, aDemand.promptTokens);
-  constexpr double kMaxCrossings = 1'000;
-  return static_cast<std::uint32_t>(std::min(
-    kTransferShare * objectiveMs / std::max(transfer, 1e-3), kMaxCrossings));
-}
-
 /** Parses a comma-separated list of numbers; an item that is not a number
  * yields 0. */
 std::vector<double>
@@ -62,32 +43,41 @@
   return numbers;
 }
 
-} // namespace
+/** Returns the parts at which the current attempt prefills. */
+const LayerPath&
+prefillPath(const Exchange& aExchange)
+{
+  return aExchange.prefillParts ? *aExchange.prefillParts : aExchange.path;
+}
 
-/** Chooses a service among the route's targets by weight. The choice depends on
- * the request id only, so a retry goes to the same service. */
-const RelayService*
-RelayLoop::Impl::pickService(const Exchange& aExchange) const
+/** Returns the parts of aPath that are not also parts of aKept. */
+LayerPath
+newParts(const LayerPath& aPath, const LayerPath& aKept)
 {
-  const RelayRoute& route = *aExchange.route;
-  std::uint64_t totalWeight = 0;
-  for (const RouteTarget& target : route.targets) {
-    totalWeight += target.weight;
-  }
-  if (totalWeight == 0) {
-    return nullptr;
-  }
-  std::uint64_t position =
-    std::hash<std::string_view>{}(aExchange.requestId) % totalWeight;
-  for (const RouteTarget& target : route.targets) {
-    if (position < target.weight) {
-      return aExchange.config->service(target.service);
+  LayerPath path;
+  for (const PathPart& part : aPath.parts) {
+    if (std::find(aKept.parts.begin(), aKept.parts.end(), part) ==
+        aKept.parts.end()) {
+      path.parts.push_back(part);
     }
-    position -= target.weight;
   }
-  return nullptr;
+  return path;
 }
 
+/** Returns whether a path may begin at the replica once it has a free slot and
+ * memory. One at its rate limit does not count, nor one whose first layers are
+ * announced for release. */
+bool
+mayBeFirst(const PathCandidate& aCandidate)
+{
+  const auto& layers =
+    aCandidate.usable ? aCandidate.usable : aCandidate.replica->layers;
+  return aCandidate.takesRequests && layers && layers->from == 0 &&
+         layers->size() > 0;
+}
+
+} // namespace
+
 /** Returns the tokens that the request states in its headers, or else the means
  * of the service's engine. */
 TokenNeed
@@ -117,9 +107,36 @@
   return need;
 }
 
-/** Records the load of the current attempt at its replicas. */
+/**
+ * Returns how many zone crossings the prompt of a request can make within half
+ * of its latency objective. With more crossings its first event is late, and
+ * other requests that could be on time wait for the links. A started stream may
+ * make any number.
+ */
+std::uint32_t
+RelayLoop::Impl::maxCrossingsOf(const Exchange& aExchange)
+{
+  if (aExchange.service == nullptr || !aExchange.service->engine ||
+      aExchange.service->engine->linkMbps <= 0 || aExchange.answering) {
+    return PathDemand{}.maxCrossings;
+  }
+  constexpr double kTransferShare = 0.5;
+  const double objectiveMs =
+    std::chrono::duration<double, std::milli>(aExchange.route->objective)
+      .count();
+  const double transfer =
+    transferMs(*aExchange.service->engine, aExchange.need.prompt);
+  constexpr double kMaxCrossings = 1'000;
+  return static_cast<std::uint32_t>(std::min(
+    kTransferShare * objectiveMs / std::max(transfer, 1e-3), kMaxCrossings));
+}
+
+/** Records the load of the current attempt at its replicas. aKept: the parts
+ * that keep their KV cache of the path until now. Only the other
+ * parts prefill, and they read the prompt and the answer so far. Without loss
+ * probes, the prompt counts at all parts. */
 void
-RelayLoop::Impl::addLoad(Exchange& aExchange)
+RelayLoop::Impl::addLoad(Exchange& aExchange, const LayerPath* aKept)
 {
   this->removeLoad(aExchange);
   aExchange.loadRecorded = true;
@@ -128,9 +145,32 @@
     return;
   }
   aExchange.reservedTokens = aExchange.need.prompt + aExchange.need.answer;
+  this->countUse(aExchange);
   this->loads.add(aExchange.path, aExchange.reservedTokens);
-  this->loads.beginPrefill(aExchange.path, aExchange.need.prompt);
-  aExchange.prefillRecorded = true;
+  aExchange.prefillParts.reset();
+  aExchange.prefillTokens = aExchange.need.prompt;
+  if (this->settings.load.lossProbes) {
+    aExchange.prefillTokens += aExchange.events * kTokensPerEvent;
+    if (aKept != nullptr) {
+      aExchange.prefillParts = newParts(aExchange.path, *aKept);
+    }
+  }
+  this->loads.beginPrefill(prefillPath(aExchange), aExchange.prefillTokens);
+  aExchange.prefillRecorded = !prefillPath(aExchange).parts.empty();
+  aExchange.prefillEndsAt.reset();
+  if (this->settings.load.paceAdmission &&
+      aExchange.route->rule != RetryRule::Stream) {
+    aExchange.prefillEndsAt = this->now + aExchange.path.firstToken;
+  }
+}
+
+/** Returns the parts of the path whose prefill of the request is over. */
+LayerPath
+RelayLoop::Impl::cachedParts(const Exchange& aExchange) const
+{
+  return aExchange.prefillRecorded
+           ? newParts(aExchange.path, prefillPath(aExchange))
+           : aExchange.path;
 }
 
 /** Records that the prefill of the current attempt is over. */
@@ -139,7 +179,7 @@
 {
   if (aExchange.prefillRecorded) {
     aExchange.prefillRecorded = false;
-    this->loads.endPrefill(aExchange.path, aExchange.need.prompt);
+    this->loads.endPrefill(prefillPath(aExchange), aExchange.prefillTokens);
   }
 }
 
@@ -150,6 +190,7 @@
     return;
   }
   aExchange.loadRecorded = false;
+  this->uncountUse(aExchange);
   this->endPrefill(aExchange);
   if (!aExchange.path.parts.empty()) {
     this->loads.remove(aExchange.path, aExchange.reservedTokens);
@@ -208,16 +249,19 @@
 bool
 RelayLoop::Impl::isLost(const std::string& aReplica) const
 {
-  return this->restartedReplicas.contains(aReplica) ||
+  return this->drainState.restarted.contains(aReplica) ||
          this->reports.lost(aReplica,
                             this->health.dead(aReplica, this->now),
                             this->knownPeers.size() + 1);
 }
 
-/** Returns the replicas of the request's service that can be part of a path;
- * with aSlowToo also those that are degraded. */
+/** Returns the replicas of the request's service that can be part of a path. A
+ * running request keeps its first replica, whatever layers that one releases.
+ */
 std::vector<PathCandidate>
-RelayLoop::Impl::candidatesFor(const Exchange& aExchange, bool aSlowToo)
+RelayLoop::Impl::candidatesFor(const Exchange& aExchange,
+                               const PathDemand& aDemand,
+                               const CandidateFilter& aFilter)
 {
   std::vector<PathCandidate> candidates;
   const auto listed = this->view->byService.find(aExchange.service->name);
@@ -232,18 +276,29 @@
       continue;
     }
     const double slowdown = this->slowdownOf(replica.id);
-    if (slowdown < kDegradedSlowdown || aSlowToo) {
-      candidates.push_back(PathCandidate{ &replica,
-                                          this->loads.at(replica.id),
-                                          slowdown,
-                                          this->takesRequests(replica.id) });
+    if (slowdown < kDegradedSlowdown || aFilter.slow) {
+      const bool mayBegin =
+        aFilter.ejected || this->mayBeginAt(aExchange, replica.id);
+      candidates.push_back(
+        PathCandidate{ &replica,
+                       this->loads.at(replica.id),
+                       slowdown,
+                       mayBegin && this->takesRequests(replica.id) });
+      if (!aFilter.released && replica.layers && !this->releases.empty() &&
+          replica.id != aDemand.firstReplica) {
+        candidates.back().usable =
+          this->releases.usable(replica.id, *replica.layers);
+      }
     }
   }
   return candidates;
 }
 
 /** Finds a path through replicas of normal speed, or else through degraded ones
- * too. It crosses zones only over links with free capacity. */
+ * too, or else, where no healthy replica could be the first, one that begins at
+ * an ejected one or one that failed the request. Before that, where no healthy
+ * replica could be the first, through layers that are announced for release. It
+ * crosses zones only over links with free capacity. */
 Result<LayerPath>
 RelayLoop::Impl::findPathFor(const Exchange& aExchange, PathDemand aDemand)
 {
@@ -260,16 +315,45 @@
                         std::min(reportingRelays / listedRelays, 1.0));
     aDemand.closedLinks = this->links.closedLinks(this->now);
     aDemand.linkWaits = this->links.linkWaits(this->now);
-    if (!aDemand.started) {
-      aDemand.maxCrossings = maxCrossingsInTime(aExchange, aDemand);
-    }
+    aDemand.maxCrossings = maxCrossingsOf(aExchange);
   }
   Result<LayerPath> path = fail(ErrorKind::NoRoute, "");
-  for (const bool slowToo : { false, true }) {
-    path = findPath(engine, this->candidatesFor(aExchange, slowToo), aDemand);
+  std::vector<CandidateFilter> filters{ { false, false, false },
+                                        { true, false, false } };
+  // Without ejection, the filters above leave no first replica out.
+  if (this->settings.load.outlierEjection &&
+      (!this->outliers.empty() || !aExchange.avoid.empty())) {
+    if (!this->releases.empty()) {
+      filters.push_back({ true, false, true });
+    }
+    filters.push_back({ true, true, false });
+  }
+  bool hasHealthyFirst = false;
+  for (const CandidateFilter& filter : filters) {
+    // A request waits for a healthy first replica that is busy. An ejected one,
+    // or one that failed the request, would most likely answer with an error.
+    if (filter.ejected && hasHealthyFirst) {
+      break;
+    }
+    if (filter.released && hasHealthyFirst) {
+      continue;
+    }
+    const auto candidates = this->candidatesFor(aExchange, aDemand, filter);
+    path = findPath(engine, candidates, aDemand);
     if (path) {
       return path;
     }
+    hasHealthyFirst =
+      std::any_of(candidates.begin(), candidates.end(), mayBeFirst);
+  }
+  const bool noHolder = path.error().kind == ErrorKind::NoRoute;
+  if ((noHolder || aDemand.started) && !this->releases.empty()) {
+    // The replicas that were to take over released layers are lost, or are too
+    // full for a stream that would break off. The lease holder gives the
+    // release up as soon as it notices, or waits for the stream.
+    const CandidateFilter filter{ true, true, true };
+    return findPath(
+      engine, this->candidatesFor(aExchange, aDemand, filter), aDemand);
   }
   return path;
 }
@@ -287,18 +371,22 @@
   }
 }
 
-/** Chooses a path for the request. Unless aFirst is empty, the path begins at
- * this replica. */
+/** Chooses a path for the request that uses none of the replicas aAvoided.
+ * Unless aFirst is empty, the path begins at this replica. */
 Result<AttemptTarget>
 RelayLoop::Impl::choosePath(const Exchange& aExchange,
-                            const std::string& aFirst)
+                            const std::string& aFirst,
+                            const std::set<std::string>& aAvoided)
 {
   PathDemand demand;
   demand.promptTokens = aExchange.need.prompt;
   demand.answerTokens = aExchange.need.answer;
   demand.zone = this->settings.zone;
   demand.started = aExchange.answering;
+  demand.spreads = this->settings.load.demandPlacement;
   demand.firstReplica = aFirst;
+  demand.moved = this->settings.load.lossProbes && !aFirst.empty();
+  demand.avoided = aAvoided;
   Result<LayerPath> path = this->findPathFor(aExchange, demand);
   if (!path) {
     return path.error();
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -47,10 +47,11 @@
                                        const std::string& aReplica,
                                        bool aEarly)
 {
-  if (this->drainingSince.contains(aReplica) || !this->mayHaveRun(aExchange)) {
+  if (this->drainState.since.contains(aReplica) ||
+      !this->mayHaveRun(aExchange)) {
     return;
   }
-  this->crashWatch.onBroken(
+  this->crashState.watch.onBroken(
     CrashReport{ this->contentFingerprint(aExchange), aReplica, aEarly },
     this->now);
   if (aExchange.runningSince) {
@@ -58,8 +59,9 @@
   }
   for (const PromptPart& part : this->promptParts(aExchange)) {
     const bool familiar =
-      this->recentlyServed.lastServed(part.part, this->now).has_value();
-    this->crashWatch.onBroken(
+      this->crashState.recentlyServed.lastServed(part.part, this->now)
+        .has_value();
+    this->crashState.watch.onBroken(
       CrashReport{ part.part, aReplica, aEarly, part.accountPart, familiar },
       this->now);
   }
@@ -76,7 +78,7 @@
 {
   // With a count of 1, two reports are enough however many relays there are.
   constexpr std::size_t kRelayCount = 1;
-  return this->restartedReplicas.contains(aReplica) ||
+  return this->drainState.restarted.contains(aReplica) ||
          this->replicaById(aReplica) == nullptr ||
          this->reports.lost(
            aReplica, this->health.dead(aReplica, this->now), kRelayCount);
@@ -86,26 +88,26 @@
 void
 RelayLoop::Impl::confirmCrashes()
 {
-  for (const std::string& replica : this->crashWatch.replicas()) {
+  for (const std::string& replica : this->crashState.watch.replicas()) {
     const Replica* listed = this->replicaById(replica);
     if (listed != nullptr && listed->draining) {
       // A draining replica exits as planned.
-      this->crashWatch.forget(replica);
+      this->crashState.watch.forget(replica);
       continue;
     }
     if (!this->hasExited(replica)) {
       continue;
     }
-    for (const CrashReport& report :
-         this->crashWatch.onCrashed(replica, this->recentlyServed, this->now)) {
+    for (const CrashReport& report : this->crashState.watch.onCrashed(
+           replica, this->crashState.recentlyServed, this->now)) {
       if (!report.accountPart) {
         this->shared.metrics.count("requests_at_ended_replicas_total");
       }
-      this->crashes.onCrash(report, CrashSource::Own, this->now);
+      this->crashState.ledger.onCrash(report, CrashSource::Own, this->now);
     }
   }
   this->applyQuarantineChanges();
-  this->crashWatch.expire(this->now);
+  this->crashState.watch.expire(this->now);
 }
 
 /** Records that a replica has begun to answer the request, which clears the
@@ -114,8 +116,8 @@
 RelayLoop::Impl::recordBegun(Exchange& aExchange)
 {
   for (const PromptPart& part : this->promptParts(aExchange)) {
-    this->recentlyServed.onServed(part.part, this->now);
-    this->crashes.onServed(part.part, this->now);
+    this->crashState.recentlyServed.onServed(part.part, this->now);
+    this->crashState.ledger.onServed(part.part, this->now);
   }
   this->applyQuarantineChanges();
 }
@@ -129,8 +131,8 @@
     this->recordBegun(aExchange);
   }
   const Fingerprint& content = this->contentFingerprint(aExchange);
-  this->recentlyServed.onServed(content, this->now);
-  this->crashes.onServed(content, this->now);
+  this->crashState.recentlyServed.onServed(content, this->now);
+  this->crashState.ledger.onServed(content, this->now);
   this->applyQuarantineChanges();
 }
 
@@ -140,7 +142,7 @@
 RelayLoop::Impl::addCrashes(PeerStatus& aStatus) const
 {
   for (CrashReport& report :
-       this->crashes.latestCrashes(this->now, kMaxCrashRows)) {
+       this->crashState.ledger.latestCrashes(this->now, kMaxCrashRows)) {
     aStatus.crashes.push_back(
       CrashRow{ report.suspect,
                 std::move(report.replica),
@@ -150,7 +152,8 @@
                 report.familiar,
                 (this->now - report.brokenAt).count() });
   }
-  std::vector<QuarantineRecord> records = this->crashes.quarantine(this->now);
+  std::vector<QuarantineRecord> records =
+    this->crashState.ledger.quarantine(this->now);
   std::sort(records.begin(),
             records.end(),
             [](const QuarantineRecord& aLeft, const QuarantineRecord& aRight) {
@@ -165,7 +168,7 @@
                      record.suspect.part,
                      record.trials });
   }
-  aStatus.served = this->crashes.latestServed(this->now);
+  aStatus.served = this->crashState.ledger.latestServed(this->now);
 }
 
 /** Takes over the crashes, the quarantine and what was cleared from another
@@ -174,7 +177,7 @@
 RelayLoop::Impl::onPeerCrashes(const PeerStatus& aStatus)
 {
   for (const Fingerprint& suspect : aStatus.served) {
-    this->crashes.onServed(suspect, this->now);
+    this->crashState.ledger.onServed(suspect, this->now);
   }
   for (const CrashRow& row : aStatus.crashes) {
     const CrashReport report{
@@ -185,11 +188,12 @@
       row.familiar,
       this->now - Duration{ row.age }
     };
-    this->crashes.onCrash(report, CrashSource::Peer, this->now);
+    this->crashState.ledger.onCrash(report, CrashSource::Peer, this->now);
     // The sender has not seen what was served here since.
-    const auto served = this->recentlyServed.lastServed(row.suspect, this->now);
+    const auto served =
+      this->crashState.recentlyServed.lastServed(row.suspect, this->now);
     if (served && *served > report.brokenAt) {
-      this->crashes.onServed(row.suspect, this->now);
+      this->crashState.ledger.onServed(row.suspect, this->now);
     }
   }
   for (const QuarantineRow& row : aStatus.quarantine) {
@@ -199,7 +203,7 @@
     const Suspect suspect{ row.suspect,
                            static_cast<SuspectKind>(row.kind),
                            row.part };
-    this->crashes.onQuarantined(
+    this->crashState.ledger.onQuarantined(
       QuarantineRecord{ suspect, Duration{ row.age }, false, row.trials },
       this->now);
   }
--- a/src/relay/RelayDraining.cpp
+++ b/src/relay/RelayDraining.cpp
@@ -30,6 +30,12 @@
  * in about one second. */
 constexpr std::size_t kMaxMovesPerRound = 5;
 
+/** A stream that could not be moved is tried again after this time. Until then
+ * the other streams of the draining replica have their turn: the same few must
+ * not take all moves of each round because the new path has no memory for them.
+ */
+constexpr Duration kMoveRetryInterval = std::chrono::milliseconds{ 600 };
+
 } // namespace
 
 /** Records which replicas have begun to drain or were removed from the list.
@@ -40,19 +46,19 @@
   std::map<std::string, bool> listed;
   for (const Replica& replica : aLatest.replicas) {
     listed.emplace(replica.id, replica.draining);
-    if (!replica.draining && !this->announcedDrains.contains(replica.id)) {
+    if (!replica.draining && !this->drainState.announced.contains(replica.id)) {
       // Its entry had expired while the store was unavailable, and is renewed.
-      this->drainingSince.erase(replica.id);
+      this->drainState.since.erase(replica.id);
     }
   }
   for (const Replica& replica : this->view->replicas) {
     const auto found = listed.find(replica.id);
     const bool drains = found == listed.end() || found->second;
-    if (drains && !this->restartedReplicas.contains(replica.id)) {
-      this->drainingSince.try_emplace(replica.id, this->now);
+    if (drains && !this->drainState.restarted.contains(replica.id)) {
+      this->drainState.since.try_emplace(replica.id, this->now);
     }
   }
-  std::erase_if(this->drainingSince, [this](const auto& aEntry) {
+  std::erase_if(this->drainState.since, [this](const auto& aEntry) {
     return this->now - aEntry.second > kDrainingRetention;
   });
 }
@@ -83,13 +89,13 @@
 void
 RelayLoop::Impl::endIncarnation(const std::string& aReplica)
 {
-  if (!this->restartedReplicas.try_emplace(aReplica, this->now).second) {
+  if (!this->drainState.restarted.try_emplace(aReplica, this->now).second) {
     return;
   }
   this->shared.metrics.count("replica_restarts_total");
   this->shared.log.write(
     LogLine{ LogPart::Replicas, "restarted" }.with("replica", aReplica));
-  this->drainingSince.erase(aReplica);
+  this->drainState.since.erase(aReplica);
   // Deferred, because the caller may be a request that is choosing its path.
   this->post([this, aReplica] { this->onFaultyReplica(aReplica); });
 }
@@ -99,7 +105,7 @@
 RelayLoop::Impl::drainingReplicas() const
 {
   std::set<std::string> draining;
-  for (const auto& [replica, since] : this->drainingSince) {
+  for (const auto& [replica, since] : this->drainState.since) {
     draining.insert(replica);
   }
   for (const Replica& replica : this->view->replicas) {
@@ -126,7 +132,7 @@
     return;
   }
   for (const std::string& replica : aStatus.draining) {
-    this->peerDrainReports.insert_or_assign(
+    this->drainState.peerReports.insert_or_assign(
       replica, PeerDrainReport{ aStatus.list, this->now });
   }
 }
@@ -135,7 +141,7 @@
 void
 RelayLoop::Impl::expireDrainReports()
 {
-  std::erase_if(this->peerDrainReports, [this](const auto& aEntry) {
+  std::erase_if(this->drainState.peerReports, [this](const auto& aEntry) {
     const PeerDrainReport& report = aEntry.second;
     return report.list <= this->view->lastChange ||
            this->now - report.receivedAt >
@@ -148,8 +154,9 @@
 bool
 RelayLoop::Impl::isDraining(const Replica& aReplica) const
 {
-  return aReplica.draining || this->peerDrainReports.contains(aReplica.id) ||
-         this->announcedDrains.contains(aReplica.id);
+  return aReplica.draining ||
+         this->drainState.peerReports.contains(aReplica.id) ||
+         this->drainState.announced.contains(aReplica.id);
 }
 
 /** Returns whether a stream should be moved: a replica of its path drains and
@@ -163,8 +170,8 @@
   const auto& parts = aExchange.path.parts;
   const bool drains =
     std::any_of(parts.begin(), parts.end(), [this](const PathPart& aPart) {
-      const auto found = this->drainingSince.find(aPart.replica);
-      return found != this->drainingSince.end() &&
+      const auto found = this->drainState.since.find(aPart.replica);
+      return found != this->drainState.since.end() &&
              this->now - found->second >=
                this->settings.drain / kDrainNoticeDivisor;
     });
@@ -186,13 +193,15 @@
 void
 RelayLoop::Impl::moveOffDraining()
 {
-  if (this->drainingSince.empty()) {
+  if (this->drainState.since.empty()) {
     return;
   }
   std::vector<std::uint64_t> moving;
   for (const auto& [id, exchange] : this->exchanges) {
     if (moving.size() < kMaxMovesPerRound &&
+        this->now - exchange->moveTriedAt >= kMoveRetryInterval &&
         this->usesDrainingReplica(*exchange)) {
+      exchange->moveTriedAt = this->now;
       moving.push_back(id);
     }
   }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LoopKeys.h"
+#include "QueueWait.h"
 #include "RelayLoopImpl.h"
 #include "RetryAdvice.h"
 #include "poplartrack/store/StoreVersion.h"
@@ -28,13 +30,6 @@
 
 } // namespace
 
-RetryPriority
-retryNeedOf(const Exchange& aExchange)
-{
-  return aExchange.answering ? RetryPriority::Started
-                             : RetryPriority::Unanswered;
-}
-
 /** Logs an event of a request with the state of the request. */
 void
 RelayLoop::Impl::logRequest(const Exchange& aExchange,
@@ -73,10 +68,18 @@
   if (aExchange.reportedLimit) {
     line.with("limit_milli", toMilliRate(*aExchange.reportedLimit));
   }
+  if (aExchange.retryAfter) {
+    line.with("retry_after_ms", aExchange.retryAfter->count() / kMicrosPerMs);
+  }
+  if (aExchange.booking) {
+    line.with("slot_bookings", aExchange.booking->slotBookings);
+    line.with("slot_room", aExchange.booking->slotRoom);
+  }
   if (aExchange.streaming) {
     line.with("events", aExchange.events);
     line.with("first_ms", aExchange.firstEvent.count() / kMicrosPerMs);
-    line.with("pause_ms", aExchange.longestPause.count() / kMicrosPerMs);
+    line.with("pause_ms",
+              aExchange.eventTimes.longestPause().count() / kMicrosPerMs);
     line.with("repairs", aExchange.repairs);
   }
   this->shared.log.write(line);
@@ -106,6 +109,8 @@
     return;
   }
   Result<AttemptTarget> target = this->chooseQueued(aExchange);
+  aExchange.lacksCapacity =
+    !target && target.error().kind == ErrorKind::Overloaded;
   if (target && this->callerHasDisconnected(aExchange)) {
     this->onCallerDisconnected(aExchange.id);
     return;
@@ -127,7 +132,9 @@
     if (this->waiting.empty()) {
       this->timers.arm(kWaitQueueTimerKey, this->now + kWaitRetryInterval);
     }
+    aExchange.startRecorded = false;
     this->waiting.add(this->waiterOf(aExchange));
+    this->countWaiting(aExchange);
     return;
   }
   this->refuse(aExchange, target.error(), aExchange.runs == 0);
@@ -158,7 +165,9 @@
   aExchange.overdue = false;
   ++aExchange.sends;
   this->waiting.remove(aExchange.id);
+  this->uncountWaiting(aExchange);
   this->replicaLimits.onSent(aTarget.replica, this->now);
+  this->outliers.onSent(aTarget.replica, this->now);
   this->addLoad(aExchange);
   this->reserveLinkCapacity(aExchange, aTarget.path);
   this->armExchange(aExchange);
@@ -171,7 +180,7 @@
 }
 
 /** Sets the timer to the next deadline of the request: its own, the connect
- * timeout or the stall timeout. */
+ * timeout, the stall timeout or the expected end of its prefill. */
 void
 RelayLoop::Impl::armExchange(Exchange& aExchange)
 {
@@ -186,6 +195,10 @@
     const TimePoint since =
       aExchange.overdue ? aExchange.overdueHandledAt : aExchange.lastProgress;
     next = std::min(next, since + this->stallTimeoutOf(aExchange));
+    next = std::min(next, this->lateAt(aExchange).value_or(next));
+  }
+  if (aExchange.prefillRecorded) {
+    next = std::min(next, aExchange.prefillEndsAt.value_or(next));
   }
   this->timers.arm(aExchange.id, next);
 }
@@ -211,6 +224,9 @@
     this->dispatch(aExchange);
     return;
   }
+  if (aExchange.prefillEndsAt && this->now >= *aExchange.prefillEndsAt) {
+    this->endPrefill(aExchange);
+  }
   if (connection->second->state == ReplicaConnection::State::Connecting) {
     if (this->now - aExchange.sentAt >= kConnectTimeout) {
       this->onAttemptFailed(
@@ -218,6 +234,7 @@
       return;
     }
   } else if (!aExchange.path.parts.empty()) {
+    this->checkIfLate(aExchange);
     const TimePoint since =
       aExchange.overdue ? aExchange.overdueHandledAt : aExchange.lastProgress;
     if (this->now - since >= this->stallTimeoutOf(aExchange)) {
@@ -258,6 +275,7 @@
 {
   this->removeLoad(aExchange);
   this->waiting.remove(aExchange.id);
+  this->uncountWaiting(aExchange);
   this->timers.cancel(aExchange.id);
   this->exchanges.erase(aExchange.id);
   --this->openCount;
@@ -297,13 +315,10 @@
   if (aNotRun && error.kind == ErrorKind::Network) {
     error.kind = ErrorKind::NoRoute;
   }
-  this->shared.metrics.countRefusal(error.kind);
-  this->logRequest(aExchange,
-                   "refused",
-                   std::string{ nameOf(error.kind) } + ": " + error.detail);
   const auto found = this->callers.find(aExchange.caller);
   const std::string requestId = aExchange.requestId;
   const bool answering = aExchange.answering;
+  constexpr int kUnavailable = 503;
   RefusalState state;
   state.kind = error.kind;
   state.othersServe = this->now - this->peerProvedFreshAt <= kMaxPeerProofAge;
@@ -313,6 +328,16 @@
   if (state.kind == ErrorKind::Quarantined) {
     state.quarantineLeft = this->quarantineLeft(aExchange);
   }
+  if (found != this->callers.end() && !answering &&
+      rowOf(error.kind).httpStatus == kUnavailable) {
+    aExchange.retryAfter = this->adviseReturn(aExchange, state);
+  }
+  const Duration retryAfter = aExchange.retryAfter.value_or(Duration{ 0 });
+  this->shared.metrics.countRefusal(error.kind);
+  this->countShareRefusal(aExchange);
+  this->logRequest(aExchange,
+                   "refused",
+                   std::string{ nameOf(error.kind) } + ": " + error.detail);
   this->endExchange(aExchange);
   if (found == this->callers.end()) {
     return;
@@ -324,10 +349,6 @@
     this->closeCaller(caller.id);
     return;
   }
-  const int status = rowOf(error.kind).httpStatus;
-  constexpr int kUnavailable = 503;
-  const Duration retryAfter =
-    status == kUnavailable ? retryAdvice(state) : Duration{ 0 };
   this->answerError(caller, error, requestId, retryAfter, caller.closeAfterOut);
   this->onAnswerWritten(caller);
 }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -15,31 +14,44 @@
 
 #include "../wire/Poller.h"
 #include "../wire/TimerQueue.h"
+#include "AttemptTarget.h"
 #include "CallerConnection.h"
+#include "CandidateFilter.h"
+#include "ConnectionEnd.h"
+#include "CrashState.h"
+#include "DemandGauges.h"
+#include "DrainState.h"
 #include "Exchange.h"
+#include "LossProbeState.h"
+#include "OutageProbeState.h"
+#include "PaceState.h"
 #include "PeerDatagram.h"
+#include "PeerState.h"
 #include "PeerStatus.h"
+#include "PostedWork.h"
+#include "RepathOrder.h"
 #include "ReplicaConnection.h"
+#include "RetryAdvice.h"
+#include "ReturnState.h"
+#include "poplartrack/fleet/AccountCapacity.h"
 #include "poplartrack/fleet/LinkBudget.h"
 #include "poplartrack/fleet/LoadTracker.h"
 #include "poplartrack/fleet/LossReports.h"
+#include "poplartrack/fleet/OutlierEjection.h"
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/RecentReplicas.h"
+#include "poplartrack/fleet/ReleaseNotices.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 #include "poplartrack/fleet/ReplicaLimits.h"
 #include "poplartrack/fleet/ReplicaSignals.h"
 #include "poplartrack/fleet/RequestedBackoffs.h"
 #include "poplartrack/fleet/StatusRepeat.h"
-#include "poplartrack/fleet/StoreReaders.h"
 #include "poplartrack/fleet/WaitQueue.h"
 #include "poplartrack/relay/LoopLoad.h"
 #include "poplartrack/relay/ProvenConfig.h"
 #include "poplartrack/relay/RelayLoop.h"
 #include "poplartrack/relay/RequestGate.h"
-#include "poplartrack/retry/CrashLedger.h"
-#include "poplartrack/retry/CrashWatch.h"
 #include "poplartrack/retry/Fingerprint.h"
-#include "poplartrack/retry/RecentlyServedRequests.h"
 #include "poplartrack/retry/RetryBudgets.h"
 
 namespace poplartrack {
@@ -47,73 +59,11 @@
 /** Most bytes that one read takes from a caller or replica. */
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
-/** Number of tokens that an event is assumed to hold: the engine may write
- * several at once. */
-constexpr int kTokensPerEvent = 2;
-
-/** Interval at which a waiting request is tried again. It waits for a path, or
- * after the start of the relay for the configuration and the replica list. */
-constexpr Duration kWaitRetryInterval = std::chrono::milliseconds{ 25 };
-
-/** Key of the timer that retries the requests in the wait queue. */
-constexpr std::uint64_t kWaitQueueTimerKey = 3;
-
-/** Returns the urgency of a request at a replica, from 0, the most urgent,
- * to 9. The account's priority takes precedence over the route's. */
-int
-urgencyOf(const Exchange& aExchange);
-
 /** Converts a rate from requests a second to thousandths of it: the log holds
  * only whole numbers. */
 std::int64_t
 toMilliRate(double aPerSecond);
 
-/** Returns the kind of retry that the request would need, depending on whether
- * its answer has started. */
-RetryPriority
-retryNeedOf(const Exchange& aExchange);
-
-/** Returns whether the status of an answer is a success (2xx). */
-bool
-isSuccess(int aStatus);
-
-/** How the connection of an attempt ended. */
-enum class ConnectionEnd : std::uint8_t
-{
-  /** The replica's instance closed or reset it, or the connection became
-   * unusable. */
-  Closed,
-  /** The replica stopped responding. */
-  Silent,
-};
-
-/** Returns a name for one incarnation of a relay's process. */
-std::string
-incarnationName(const Address& aPeer, std::uint64_t aIncarnation);
-
-/** An order to a replica to move a running request to another path. */
-struct RepathOrder
-{
-  std::uint64_t exchange = 0;
-  LayerPath before;
-  LayerPath after;
-  /** A replica of the old path is draining; none has failed. */
-  bool planned = false;
-};
-
-/** The replica that an attempt is sent to. */
-struct AttemptTarget
-{
-  /** Id of the replica. */
-  std::string replica;
-  /** The name under which it is registered. A replica refuses requests that
-   * name another one. */
-  std::string registeredAs;
-  Address address;
-  /** Empty for plain services. */
-  LayerPath path;
-};
-
 /** The state of the loop's thread. Member functions run on that thread unless
  * their comment says otherwise. */
 class RelayLoop::Impl
@@ -123,6 +73,7 @@
        RelayHeaderNames aNames,
        RelayShared& aShared,
        ReplicaCalls aCalls,
+       LoopClock aClock,
        Poller aPoller);
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -143,15 +94,16 @@
   [[nodiscard]] const Address& peersAddress() const { return this->localPeers; }
 
 private:
-  using ExchangePtr = std::unique_ptr<Exchange>;
-
-  // RelayLoop.cpp: the thread, timers and periodic tasks.
+  // RelayLoop.cpp: the thread, its events and timers.
   void run();
-  void runPosted();
   void onEvent(const ReadyEvent& aEvent);
   void onTimer(std::uint64_t aKey);
+
+  // RelayPeriodic.cpp: periodic tasks.
   void runPeriodicTasks();
   void refreshReplicas();
+
+  // RelayPublication.cpp: lost and busy replicas, for other threads.
   void publishLostReplicas();
   void publishBusyReplicas();
 
@@ -187,6 +139,8 @@
   [[nodiscard]] bool holdsTooMuch(std::size_t aMore);
   [[nodiscard]] bool hasMemoryFor(CallerConnection& aCaller);
   [[nodiscard]] ReplicaConnection* largestAnswer() const;
+  [[nodiscard]] std::size_t countUnwritten() const;
+  [[nodiscard]] const ReplicaConnection* answerToFinish() const;
   void pauseIfTooMuchHeld(ReplicaConnection& aConnection);
   void refreshHeld();
 
@@ -245,9 +199,50 @@
   void dispatchWaiting();
   bool mayKeepWaiting(Exchange& aExchange, ErrorKind aReason);
 
+  // RelayPace.cpp: admission by pace.
+  [[nodiscard]] bool isPaced(const Exchange& aExchange) const;
+  [[nodiscard]] PaceRequest paceRequestOf(const Exchange& aExchange) const;
+  [[nodiscard]] PaceForecast paceForecastOf(const LayerPath& aPath) const;
+  std::optional<Error> heldInRound(Exchange& aExchange);
+  Result<AttemptTarget> admitByPace(Exchange& aExchange, AttemptTarget aTarget);
+  Result<AttemptTarget> chooseFasterPath(const Exchange& aExchange,
+                                         const AttemptTarget& aSlow);
+  Error holdBack(Exchange& aExchange,
+                 const PaceForecast& aForecast,
+                 PaceCause aCause,
+                 PaceVerdict aVerdict);
+  [[nodiscard]] std::string paceText(const Exchange& aExchange) const;
+  void recordStart(Exchange& aExchange);
+  void recordPace(const Exchange& aExchange);
+  void evictFromQueue();
+
+  // RelayAccounts.cpp: the shares of client accounts in a service's capacity.
+  void countUse(Exchange& aExchange);
+  void uncountUse(Exchange& aExchange);
+  void countWaiting(Exchange& aExchange);
+  void uncountWaiting(Exchange& aExchange);
+  [[nodiscard]] std::optional<Error> checkShare(Exchange& aExchange);
+  Result<AttemptTarget> chooseBeyondShare(Exchange& aExchange,
+                                          const Error& aBeyond);
+  void countShareRefusal(const Exchange& aExchange);
+  void addAccounts(PeerStatus& aStatus) const;
+  void onPeerAccounts(const PeerStatus& aStatus, const std::string& aPeer);
+  void refreshAccounts();
+
+  // RelayReturns.cpp: rejected callers that return.
+  [[nodiscard]] Duration adviseReturn(Exchange& aExchange,
+                                      const RefusalState& aState);
+  void recognizeReturn(Exchange& aExchange);
+  void recordServiceEnd(const Exchange& aExchange);
+  void addReturns(PeerStatus& aStatus) const;
+  void onPeerReturns(const PeerStatus& aStatus, TimePoint aReceivedAt);
+  void refreshReturns();
+
   // RelayAnswer.cpp: answers of replicas.
   void onAnswerHead(Exchange& aExchange, ReplicaConnection& aConnection);
   void onAnswerBody(Exchange& aExchange, ReplicaConnection& aConnection);
+  void recordEventTime(Exchange& aExchange);
+  [[nodiscard]] std::int64_t lateMs(const Exchange& aExchange) const;
   void recordRepairTime(Exchange& aExchange);
   void onAnswerDone(std::uint64_t aExchange, std::uint64_t aConnection);
   [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
@@ -288,38 +283,79 @@
   void addLimits(PeerStatus& aStatus) const;
   void onPeerLimits(const PeerStatus& aStatus);
 
+  // RelayReleases.cpp: layers that are taken from busy replicas.
+  void onPeerReleases(const PeerStatus& aStatus, const std::string& aPeer);
+  void addReleases(PeerStatus& aStatus) const;
+  [[nodiscard]] std::map<std::string, std::uint32_t> requestsOutsideReleases()
+    const;
+  void refreshReleases();
+
+  // RelayDemand.cpp: what callers ask of the model services.
+  void recordDemand(const Exchange& aExchange);
+  void addDemand(PeerStatus& aStatus) const;
+  void onPeerDemand(const PeerStatus& aStatus, const std::string& aPeer);
+  void refreshDemand();
+  void publishSlowdowns();
+
   // RelayChoice.cpp: choice of replicas and paths.
   Result<AttemptTarget> choose(Exchange& aExchange);
   Result<AttemptTarget> choosePath(const Exchange& aExchange,
-                                   const std::string& aFirst);
+                                   const std::string& aFirst,
+                                   const std::set<std::string>& aAvoided = {});
   Result<AttemptTarget> choosePlain(const Exchange& aExchange);
-  [[nodiscard]] const RelayService* pickService(
-    const Exchange& aExchange) const;
   [[nodiscard]] double slowdownOf(const std::string& aReplica) const;
   [[nodiscard]] bool isLost(const std::string& aReplica) const;
   [[nodiscard]] std::vector<PathCandidate> candidatesFor(
     const Exchange& aExchange,
-    bool aSlowToo);
+    const PathDemand& aDemand,
+    const CandidateFilter& aFilter);
   [[nodiscard]] const Replica* replicaByAddress(const Address& aAddress) const;
   [[nodiscard]] const Replica* replicaById(const std::string& aId) const;
   [[nodiscard]] TokenNeed estimateTokenNeed(const Exchange& aExchange) const;
+  [[nodiscard]] static std::uint32_t maxCrossingsOf(const Exchange& aExchange);
   [[nodiscard]] Result<LayerPath> findPathFor(const Exchange& aExchange,
                                               PathDemand aDemand);
   void reserveLinkCapacity(const Exchange& aExchange, const LayerPath& aPath);
-  void addLoad(Exchange& aExchange);
+  void addLoad(Exchange& aExchange, const LayerPath* aKept = nullptr);
+  [[nodiscard]] LayerPath cachedParts(const Exchange& aExchange) const;
   void removeLoad(Exchange& aExchange);
   void endPrefill(Exchange& aExchange);
 
+  // RelayOutliers.cpp: replicas that fail the requests they receive.
+  void recordFailedStart(const Exchange& aExchange);
+  void recordAnswering(const Exchange& aExchange);
+  [[nodiscard]] bool mayBeginAt(const Exchange& aExchange,
+                                const std::string& aReplica) const;
+  [[nodiscard]] bool mayRunAgain(const Exchange& aExchange, int aStatus);
+  void expireEjections();
+  void addEjected(PeerStatus& aStatus) const;
+
   // RelayStall.cpp: requests that make no progress.
   [[nodiscard]] Duration stallTimeoutOf(const Exchange& aExchange) const;
   void onStallTimeout(Exchange& aExchange);
-  void requestReport(const PathPart& aPart, Duration aMinInterval);
+  bool requestReport(const PathPart& aPart, Duration aMinInterval);
   void requestPathReports(const std::string& aFirst);
   void requestSlowReplicaReports();
   void onReport(const std::string& aReplica, const ReplicaReport& aReport);
   [[nodiscard]] bool usesLostReplica(const Exchange& aExchange) const;
   void rearmStallTimers(const std::string& aReplica);
   [[nodiscard]] bool hasRecentProgress(const std::string& aReplica) const;
+  void onUnreachableReplica(const std::string& aReplica);
+
+  // RelayLossProbes.cpp: replicas on the paths of late streams.
+  [[nodiscard]] std::optional<TimePoint> lateAt(
+    const Exchange& aExchange) const;
+  void checkIfLate(Exchange& aExchange);
+  void scheduleLossCheck(TimePoint aAt);
+  [[nodiscard]] std::vector<StreamProgress> streamsToCheck() const;
+  void checkLosses();
+  void recordReportAnswer(const std::string& aReplica);
+  [[nodiscard]] bool isLossProven(const std::string& aReplica,
+                                  bool aOutageProbe);
+
+  // RelayOutage.cpp: outages of the store.
+  void updateOutageView();
+  void probeListedReplicas();
 
   // RelayRepair.cpp: moving requests off lost replicas.
   void onFaultyReplica(const std::string& aReplica);
@@ -405,6 +441,7 @@
   RelayHeaderNames names;
   RelayShared& shared;
   ReplicaCalls calls;
+  LoopClock clock;
   /** Bounds on the age of the configuration. */
   GatePolicy gate;
 
@@ -423,7 +460,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<CallerConnection>> callers;
   std::unordered_map<std::uint64_t, std::unique_ptr<ReplicaConnection>>
     connections;
-  std::unordered_map<std::uint64_t, ExchangePtr> exchanges;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges;
   /** Ids of idle connections by replica; the most recently used is last. */
   std::unordered_map<std::string, std::vector<std::uint64_t>> idleConnections;
   /** Bytes held for callers and replicas: counted in each periodic run, and
@@ -435,45 +472,28 @@
   /** When each replica was last asked for a report. */
   std::unordered_map<std::string, TimePoint> reportRequestedAt;
 
+  LossProbeState lossProbeState;
+  OutageProbeState outageProbeState;
+
   /** The replica list that the loop currently works with. */
   std::shared_ptr<const ReplicaView> view;
   RecentReplicas recentReplicas;
   ReplicaHealth health;
+  OutlierEjection outliers;
   LoadTracker loads;
   RetryBudgets budgets;
   LinkBudget links;
   ReplicaLimits replicaLimits;
   RequestedBackoffs backoffs;
-  /** Replicas that have announced in an answer that they drain. They take no
-   * new work until their exit, whatever the replica list says: their entry may
-   * be older than the announcement, or may never show the drain. */
-  std::set<std::string> announcedDrains;
   WaitQueue waiting;
-  CrashWatch crashWatch;
-  CrashLedger crashes;
-  RecentlyServedRequests recentlyServed;
-  /** The quarantine of the store that was last merged into crashes. */
-  std::shared_ptr<const std::vector<Suspect>> lastStoredQuarantine;
   /** When the current round of the wait queue began. */
   TimePoint roundStartedAt{};
+  AccountCapacity accounts;
+  PaceState paceState;
+  ReturnState returnState;
+  CrashState crashState;
   /** Random number of this process's incarnation, sent to other relays. */
   std::uint64_t ownIncarnation;
-  /** From the latest status message of another relay. */
-  struct PeerState
-  {
-    /** Sent back to that relay with the next status message. */
-    PeerEcho echo;
-    std::string zone;
-    TimePoint receivedAt;
-    /** It is a store reader. */
-    bool polls = false;
-    /** Its latest poll failed. */
-    bool pollsFail = false;
-    /** Rate of its instance's network link, in Mbit/s; 0 if it is unknown. */
-    std::uint32_t linkMbps = 0;
-    /** It forwards status messages within its zone on request. */
-    bool forwards = false;
-  };
   /** Relays from which a status message was received within kPeerTimeout. */
   std::map<Address, PeerState> knownPeers;
   /** When another relay last reported a proof of its configuration that is
@@ -484,21 +504,10 @@
   StatusQueue forwardQueue;
   /** Lost and slow replicas, as reported by other relays. */
   LossReports reports;
-  /** Draining replicas, and when this relay learned of it. */
-  std::map<std::string, TimePoint> drainingSince;
-  /** A report from a relay with a newer replica list that a replica is
-   * draining. */
-  struct PeerDrainReport
-  {
-    /** Version of the sender's list. */
-    std::uint64_t list;
-    TimePoint receivedAt;
-  };
-  /** The latest of these reports, by replica. */
-  std::map<std::string, PeerDrainReport> peerDrainReports;
-  /** Replicas whose endpoint has restarted, and when this relay learned of it.
-   * The id names the incarnation before the restart. */
-  std::map<std::string, TimePoint> restartedReplicas;
+  ReleaseNotices releases;
+  DemandTable zoneDemand;
+  DemandGauges demandGauges;
+  DrainState drainState;
   /** Time of the current iteration of the loop. */
   TimePoint now{};
   TimePoint startedAt{};
@@ -506,10 +515,8 @@
   /** Number of runs of runPeriodicTasks. */
   std::uint32_t periodicRuns = 0;
 
-  /** Protects posted. */
-  std::mutex postGuard;
   /** Work that the next iteration of the loop runs. */
-  std::vector<std::function<void()>> posted;
+  PostedWork posted;
   std::atomic<bool> stopping{ false };
   /** Size of exchanges, readable from any thread. */
   std::atomic<std::size_t> openCount{ 0 };
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -96,16 +96,36 @@
   return largest;
 }
 
+/** Returns the bytes of answers that their callers have not read yet. */
+std::size_t
+RelayLoop::Impl::countUnwritten() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [id, caller] : this->callers) {
+    bytes += caller->output.held();
+  }
+  return bytes;
+}
+
+/** Returns the answer that is read although too much is held, or null. It is
+ * the largest unfinished one, so that one ends. There is none while answers
+ * that only wait for their callers reach the limit alone: they need no replica
+ * to end, and each further answer that is read would add to them. */
+const ReplicaConnection*
+RelayLoop::Impl::answerToFinish() const
+{
+  return this->countUnwritten() < this->heldLimit() ? this->largestAnswer()
+                                                    : nullptr;
+}
+
 /** Stops reading a large answer while too much is held, until other answers
- * have been written to their callers. The largest one goes on, so that one
- * ends.
- */
+ * have been written to their callers. */
 void
 RelayLoop::Impl::pauseIfTooMuchHeld(ReplicaConnection& aConnection)
 {
   const bool isLarge = aConnection.parser->unreadBody().size() > kSmallMessage;
   if (aConnection.readPaused || !isLarge || !this->holdsTooMuch(0) ||
-      this->largestAnswer() == &aConnection) {
+      this->answerToFinish() == &aConnection) {
     return;
   }
   aConnection.readPaused = true;
@@ -114,7 +134,7 @@
 }
 
 /** Counts what is held, and reads paused answers again: all if there is room,
- * else the largest. */
+ * else the one to finish. */
 void
 RelayLoop::Impl::refreshHeld()
 {
@@ -122,9 +142,9 @@
   this->shared.metrics.set("held_bytes", static_cast<std::int64_t>(this->held));
   const auto limit = static_cast<double>(this->heldLimit());
   const bool hasRoom = static_cast<double>(this->held) < kResumeShare * limit;
-  const ReplicaConnection* largest = this->largestAnswer();
+  const ReplicaConnection* toFinish = this->answerToFinish();
   for (const auto& [id, connection] : this->connections) {
-    if (connection->readPaused && (hasRoom || connection.get() == largest)) {
+    if (connection->readPaused && (hasRoom || connection.get() == toFinish)) {
       connection->readPaused = false;
       this->updateReplicaInterest(*connection);
     }
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -85,12 +85,6 @@
   this->shared.freshness.prove(std::min(proved, this->shared.clock.now()));
 }
 
-std::string
-incarnationName(const Address& aPeer, std::uint64_t aIncarnation)
-{
-  return toText(aPeer) + "/" + std::to_string(aIncarnation);
-}
-
 /** Returns the retry budget of the service of a request. */
 SharedRetryBudget&
 RelayLoop::Impl::budgetOf(const Exchange& aExchange)
@@ -158,8 +152,10 @@
                                        aStatus.polls,
                                        aStatus.pollsFail,
                                        aStatus.linkMbps,
-                                       aStatus.forwards };
+                                       aStatus.forwards,
+                                       aStatus.holdsLease };
   if (aStatus.holdsLease) {
+    this->shared.peerHoldsLease = true;
     this->shared.leaderSeenAt =
       this->shared.clock.now().time_since_epoch().count();
   }
@@ -186,7 +182,9 @@
   this->onPeerDraining(aStatus);
   this->onPeerCrashes(aStatus);
   this->onPeerLimits(aStatus);
+  this->onPeerReturns(aStatus, aReceivedAt);
   const std::string peer = toText(aFrom);
+  this->outliers.onPeer(peer, aStatus.ejected, this->now);
   // Counts are kept by incarnation: a process that restarts at the same address
   // begins at zero, and what its predecessor spent still counts.
   const std::string incarnation = incarnationName(aFrom, aStatus.incarnation);
@@ -206,14 +204,21 @@
                   ReplicaLoad{ row.requests,
                                static_cast<double>(row.tokenLayers),
                                static_cast<double>(row.prefillTokens),
-                               row.pathStarts });
+                               row.pathStarts,
+                               std::min(row.outsideRelease, row.requests) });
   }
   this->loads.onPeer(peer, std::move(table), this->now);
+  this->onPeerDemand(aStatus, peer);
+  this->onPeerReleases(aStatus, peer);
+  this->onPeerAccounts(aStatus, peer);
   LossReport report{ { aStatus.lost.begin(), aStatus.lost.end() },
                      { aStatus.unreachable.begin(), aStatus.unreachable.end() },
                      aStatus.slow };
+  this->lossProbeState.suspects.onPeer(this->now);
   if (this->reports.onPeer(peer, std::move(report), this->now)) {
     this->publishLostReplicas();
+    // A late stream may pass through a replica that the peer cannot reach.
+    this->scheduleLossCheck(this->now);
   }
 }
 
--- /dev/null
+++ b/src/relay/RelayPublication.cpp
@@ -0,0 +1,85 @@
+// Lost and busy replicas, as published for other threads.
+
+#include <set>
+#include <utility>
+
+#include "RelayLoopImpl.h"
+
+namespace poplartrack {
+
+/**
+ * Updates the shared map of lost replicas. For each replica, it says whether
+ * the loss is certain; a replica that only this relay cannot reach is not
+ * certainly lost. Replicas that are slow, or have restarted, count as lost.
+ * When an entry is added or changes, the other relays are informed at once.
+ */
+void
+RelayLoop::Impl::publishLostReplicas()
+{
+  RelayShared::LostReplicas lost;
+  for (const std::string& replica : this->health.deadReplicas(this->now)) {
+    lost.emplace(replica, false);
+  }
+  for (const std::string& replica : this->health.blockedOn(this->now)) {
+    lost.insert_or_assign(replica, true);
+  }
+  for (const auto& [replica, pace] : this->health.degraded()) {
+    lost.insert_or_assign(replica, true);
+  }
+  for (const std::string& replica : this->reports.slow()) {
+    lost.insert_or_assign(replica, true);
+  }
+  for (const auto& [replica, since] : this->drainState.restarted) {
+    lost.insert_or_assign(replica, true);
+  }
+  for (const std::string& replica : this->reports.suspects()) {
+    if (this->isLost(replica)) {
+      lost.insert_or_assign(replica, true);
+    }
+  }
+  const auto before = this->shared.lostReplicas.read();
+  if (*before == lost) {
+    return;
+  }
+  this->shared.lostReplicas.replace(
+    std::make_shared<const RelayShared::LostReplicas>(lost));
+  bool changed = false;
+  for (const auto& [replica, certain] : lost) {
+    const auto known = before->find(replica);
+    if (known != before->end() && known->second == certain) {
+      continue;
+    }
+    changed = true;
+    this->shared.log.write(LogLine{ LogPart::Replicas, "lost" }
+                             .with("replica", replica)
+                             .with("named", certain ? 1 : 0));
+    if (certain) {
+      this->rearmStallTimers(replica);
+    }
+  }
+  if (changed) {
+    // The next periodic status message is up to 200 ms away. The streams of the
+    // other relays through the lost replica would stall until then.
+    this->broadcastStatus(true);
+  }
+}
+
+/** Publishes which replicas have requests of any relay in flight. Only the
+ * holder of the placement lease needs to know. */
+void
+RelayLoop::Impl::publishBusyReplicas()
+{
+  if (!this->shared.holdsLease) {
+    return;
+  }
+  std::set<std::string> busy;
+  for (const Replica& replica : this->view->replicas) {
+    if (this->loads.at(replica.id).requests > 0) {
+      busy.insert(replica.id);
+    }
+  }
+  this->shared.busyReplicas.replace(
+    std::make_shared<const std::set<std::string>>(std::move(busy)));
+}
+
+} // namespace poplartrack
--- a/src/relay/RelayQuarantine.cpp
+++ b/src/relay/RelayQuarantine.cpp
@@ -25,7 +25,7 @@
 void
 RelayLoop::Impl::applyQuarantineChanges()
 {
-  const QuarantineChanges changes = this->crashes.takeChanges();
+  const QuarantineChanges changes = this->crashState.ledger.takeChanges();
   for (const Suspect& suspect : changes.ended) {
     this->shared.log.write(LogLine{ LogPart::Quarantine, "released" }
                              .with("content", toText(suspect.id))
@@ -49,11 +49,11 @@
                            .with("kind", nameOf(aSuspect.kind))
                            .with("own", aOwn ? 1 : 0));
   if (aSuspect.kind == SuspectKind::Content &&
-      this->recentlyServed.lastServed(aSuspect.id, this->now)) {
+      this->crashState.recentlyServed.lastServed(aSuspect.id, this->now)) {
     const std::size_t earlier = this->trialRank(aSuspect.id);
-    this->crashes.allowTrial(aSuspect.id,
-                             this->now + kTrialDelay +
-                               kTrialInterval * static_cast<int>(earlier));
+    this->crashState.ledger.allowTrial(
+      aSuspect.id,
+      this->now + kTrialDelay + kTrialInterval * static_cast<int>(earlier));
   }
   // Deferred, because the caller may be a request that is choosing its path.
   this->post([this, aSuspect, aOwn] {
@@ -97,7 +97,7 @@
 RelayLoop::Impl::isCertain(const Suspect& aSuspect) const
 {
   return aSuspect.kind == SuspectKind::Content ||
-         this->crashes.isLikelyCulprit(aSuspect.id);
+         this->crashState.ledger.isLikelyCulprit(aSuspect.id);
 }
 
 /**
@@ -138,11 +138,11 @@
 RelayLoop::Impl::quarantinedIn(Exchange& aExchange) const
 {
   std::vector<Suspect> quarantined;
-  if (this->crashes.empty()) {
+  if (this->crashState.ledger.empty()) {
     return quarantined;
   }
   const auto add = [&](const Suspect& aSuspect) {
-    if (this->crashes.quarantineLeft(aSuspect.id, this->now)) {
+    if (this->crashState.ledger.quarantineLeft(aSuspect.id, this->now)) {
       quarantined.push_back(aSuspect);
     }
   };
@@ -164,9 +164,10 @@
     if (!this->isCertain(suspect)) {
       continue;
     }
-    longest = std::max(longest,
-                       this->crashes.quarantineLeft(suspect.id, this->now)
-                         .value_or(Duration{ 0 }));
+    longest =
+      std::max(longest,
+               this->crashState.ledger.quarantineLeft(suspect.id, this->now)
+                 .value_or(Duration{ 0 }));
   }
   return longest;
 }
@@ -186,13 +187,14 @@
     return false;
   }
   if (first.kind == SuspectKind::Content) {
-    return this->crashes.takeTrial(first.id, this->now);
+    return this->crashState.ledger.takeTrial(first.id, this->now);
   }
   const TrialTurn turn{ this->trialRank(first.part),
                         this->knownPeers.size() + 1 };
   return std::all_of(
     aQuarantined.begin(), aQuarantined.end(), [&](const Suspect& aSuspect) {
-      return this->crashes.isPartTrialDue(aSuspect.id, turn, this->now);
+      return this->crashState.ledger.isPartTrialDue(
+        aSuspect.id, turn, this->now);
     });
 }
 
@@ -203,7 +205,7 @@
 {
   this->shared.metrics.count("quarantine_trials_total");
   for (const Suspect& suspect : aQuarantined) {
-    this->crashes.onPartTrial(suspect.id, this->now);
+    this->crashState.ledger.onPartTrial(suspect.id, this->now);
     this->shared.log.write(LogLine{ LogPart::Quarantine, "trial" }
                              .with("id", aExchange.requestId)
                              .with("content", toText(suspect.id))
@@ -229,7 +231,7 @@
 RelayLoop::Impl::publishQuarantine()
 {
   auto records = std::make_shared<const std::vector<QuarantineRecord>>(
-    this->crashes.quarantine(this->now));
+    this->crashState.ledger.quarantine(this->now));
   this->shared.metrics.set("requests_quarantined",
                            static_cast<std::int64_t>(records->size()));
   this->shared.quarantine.replace(std::move(records));
@@ -241,10 +243,10 @@
 RelayLoop::Impl::refreshQuarantine()
 {
   const auto stored = this->shared.storedQuarantine.read();
-  if (stored != this->lastStoredQuarantine) {
-    this->lastStoredQuarantine = stored;
+  if (stored != this->crashState.lastStoredQuarantine) {
+    this->crashState.lastStoredQuarantine = stored;
     for (const Suspect& suspect : *stored) {
-      this->crashes.onQuarantined(
+      this->crashState.ledger.onQuarantined(
         QuarantineRecord{ suspect, Duration{ 0 }, false, kAllTrials },
         this->now);
     }
@@ -252,8 +254,8 @@
   }
   this->confirmCrashes();
   const std::size_t before = this->shared.quarantine.read()->size();
-  this->crashes.expire(this->now);
-  if (this->crashes.quarantine(this->now).size() != before) {
+  this->crashState.ledger.expire(this->now);
+  if (this->crashState.ledger.quarantine(this->now).size() != before) {
     this->publishQuarantine();
   }
 }
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -18,6 +18,13 @@
       continue;
     }
     Exchange& exchange = *found->second;
+    if (this->settings.load.lossProbes) {
+      // Links the request's id to the lost replica.
+      this->shared.log.write(LogLine{ LogPart::Path, "part_lost" }
+                               .with("id", exchange.requestId)
+                               .with("replica", aReplica)
+                               .with("late_ms", this->lateMs(exchange)));
+    }
     if (exchange.replica != aReplica && !exchange.runningSince) {
       // The connection to the first replica shows nothing of a later one.
       this->recordPossibleCrashAt(exchange, aReplica, false);
@@ -78,7 +85,7 @@
   // continues with its other work.
   const bool firstIsAlive = !this->health.dead(first.replica, this->now) &&
                             !this->isLost(first.replica);
-  if (this->drainingSince.contains(first.replica)) {
+  if (this->drainState.since.contains(first.replica)) {
     this->moveOffDrainingFirst(aExchange);
     return;
   }
@@ -88,6 +95,8 @@
       aExchange, ReplicaFailure::Unreachable, "first replica lost");
     return;
   }
+  const LayerPath before = aExchange.path;
+  const LayerPath kept = this->cachedParts(aExchange);
   // The memory that the request itself takes on the old path counts as free.
   this->removeLoad(aExchange);
   const Result<AttemptTarget> target =
@@ -115,20 +124,21 @@
     return;
   }
   if (!target) {
-    this->addLoad(aExchange);
+    this->addLoad(aExchange, &kept);
     this->shared.log.write(LogLine{ LogPart::Path, "no_repair" }
                              .with("id", aExchange.requestId)
                              .with("reason", describe(target.error())));
     return;
   }
   ++aExchange.repairs;
+  aExchange.disturbedByLoss = aExchange.disturbedByLoss || !aPlanned;
   aExchange.repairedAt = this->now;
   this->shared.metrics.countRetry(RetryReason::PathRepaired);
   const RepathOrder order{
-    aExchange.id, aExchange.path, target.value().path, aPlanned
+    aExchange.id, before, target.value().path, aPlanned
   };
   aExchange.path = order.after;
-  this->addLoad(aExchange);
+  this->addLoad(aExchange, &kept);
   this->reserveLinkCapacity(aExchange, order.after);
   this->calls.repath(
     first.address,
@@ -176,7 +186,8 @@
       .with("id", exchange.requestId)
       .with("parts", static_cast<std::int64_t>(aOrder.after.parts.size()))
       .with("planned", aOrder.planned ? 1 : 0)
-      .with("outcome", static_cast<std::int64_t>(aOutcome)));
+      .with("outcome", static_cast<std::int64_t>(aOutcome))
+      .with("late_ms", this->lateMs(exchange)));
   if (aOutcome == RepathOutcome::Moved) {
     exchange.lastProgress = std::max(exchange.lastProgress, this->now);
     exchange.overdue = false;
@@ -191,7 +202,7 @@
     // would break off a stream that is not disturbed.
     this->removeLoad(exchange);
     exchange.path = aOrder.before;
-    this->addLoad(exchange);
+    this->addLoad(exchange, exchange.runningSince ? &aOrder.before : nullptr);
     exchange.repairedAt.reset();
     return;
   }
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -162,6 +162,9 @@
   const bool connecting =
     connection.state == ReplicaConnection::State::Connecting;
   this->recordPossibleCrash(*exchange->second, aEnd);
+  if (!connecting) {
+    this->recordFailedStart(*exchange->second);
+  }
   this->onAttemptFailed(
     *exchange->second, failureOf(connecting, connection.headHandled), aCause);
 }
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -208,6 +208,9 @@
       this->readReplica(aConnection);
       return;
     }
+    if (!aConnection.anySent && exchange != this->exchanges.end()) {
+      this->recordStart(*exchange->second);
+    }
     aConnection.anySent = true;
     if (aConnection.output.empty()) {
       aConnection.bodyLeft -= static_cast<std::size_t>(count);
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "HttpStatus.h"
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
@@ -93,13 +94,13 @@
 bool
 RelayLoop::Impl::recordDrainAnnouncement(const std::string& aReplica)
 {
-  if (!this->announcedDrains.insert(aReplica).second) {
+  if (!this->drainState.announced.insert(aReplica).second) {
     return false;
   }
   this->recentReplicas.onMentioned(aReplica, this->now);
-  this->drainingSince.try_emplace(aReplica, this->now);
+  this->drainState.since.try_emplace(aReplica, this->now);
   this->shared.announcedDrains.replace(
-    std::make_shared<const std::set<std::string>>(this->announcedDrains));
+    std::make_shared<const std::set<std::string>>(this->drainState.announced));
   this->shared.metrics.count("replica_drains_announced_total");
   this->shared.log.write(
     LogLine{ LogPart::Replicas, "drains" }.with("replica", aReplica));
@@ -111,11 +112,11 @@
 void
 RelayLoop::Impl::addDrainAnnouncements(PeerStatus& aStatus) const
 {
-  if (this->announcedDrains.empty()) {
+  if (this->drainState.announced.empty()) {
     return;
   }
   for (const Replica& replica : this->view->replicas) {
-    if (!replica.draining && this->announcedDrains.contains(replica.id)) {
+    if (!replica.draining && this->drainState.announced.contains(replica.id)) {
       aStatus.announcedDrains.push_back(replica.id);
     }
   }
@@ -126,12 +127,13 @@
 RelayLoop::Impl::forgetDrainAnnouncements(const std::set<std::string>& aKept)
 {
   const auto forgotten =
-    std::erase_if(this->announcedDrains, [&](const std::string& aReplica) {
+    std::erase_if(this->drainState.announced, [&](const std::string& aReplica) {
       return !aKept.contains(aReplica);
     });
   if (forgotten > 0) {
     this->shared.announcedDrains.replace(
-      std::make_shared<const std::set<std::string>>(this->announcedDrains));
+      std::make_shared<const std::set<std::string>>(
+        this->drainState.announced));
   }
 }
 
@@ -183,9 +185,9 @@
 {
   const auto takesNone = [this](const std::string& aReplica) {
     return this->isBackingOff(aReplica) ||
-           this->drainingSince.contains(aReplica) ||
-           this->announcedDrains.contains(aReplica) ||
-           this->peerDrainReports.contains(aReplica);
+           this->drainState.since.contains(aReplica) ||
+           this->drainState.announced.contains(aReplica) ||
+           this->drainState.peerReports.contains(aReplica);
   };
   const auto& parts = aExchange.path.parts;
   return takesNone(aExchange.replica) ||
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <set>
 
+#include "ExchangeProgress.h"
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
@@ -69,7 +70,8 @@
 }
 
 /** Returns whether the path includes a replica that is certainly lost and not
- * merely slow. */
+ * merely slow. With loss probes, a replica that this relay cannot reach is lost
+ * for its own streams. */
 bool
 RelayLoop::Impl::usesLostReplica(const Exchange& aExchange) const
 {
@@ -78,7 +80,8 @@
   return !lost->empty() &&
          std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
            const auto found = lost->find(aPart.replica);
-           return found != lost->end() && found->second &&
+           return found != lost->end() &&
+                  (found->second || this->settings.load.lossProbes) &&
                   this->slowdownOf(aPart.replica) < kDegradedSlowdown;
          });
 }
@@ -114,17 +117,18 @@
 }
 
 /** Requests a status report from a replica, unless the last request was less
- * than aMinInterval ago or the replica takes no calls for now. */
-void
+ * than aMinInterval ago or the replica takes no calls for now. Returns whether
+ * the request was sent. */
+bool
 RelayLoop::Impl::requestReport(const PathPart& aPart, Duration aMinInterval)
 {
   if (this->isBackingOff(aPart.replica)) {
-    return;
+    return false;
   }
   const auto lastRequest = this->reportRequestedAt.find(aPart.replica);
   if (lastRequest != this->reportRequestedAt.end() &&
       this->now - lastRequest->second < aMinInterval) {
-    return;
+    return false;
   }
   this->reportRequestedAt[aPart.replica] = this->now;
   this->shared.metrics.count("replica_questions_total");
@@ -134,6 +138,7 @@
       this->post(
         [this, replica, aReport] { this->onReport(replica, aReport); });
     });
+  return true;
 }
 
 /** Requests reports from all replicas on the path of one stalled stream whose
@@ -173,6 +178,13 @@
 RelayLoop::Impl::onReport(const std::string& aReplica,
                           const ReplicaReport& aReport)
 {
+  const bool outageProbe =
+    this->outageProbeState.unanswered.erase(aReplica) > 0;
+  if (outageProbe && !aReport.reached && !aReport.refused) {
+    // It was asked only because the store is unavailable, and it accepted the
+    // connection: it is busy. Moving its layers would cost more than waiting.
+    return;
+  }
   if (!aReport.reached && this->hasRecentProgress(aReplica)) {
     // The replica is too busy to report in time, but its streams make progress.
     // Treating it as dead would use up an attempt of each of them.
@@ -180,11 +192,15 @@
     return;
   }
   if (!aReport.reached) {
-    this->health.onSlowdown(aReplica, 1);
-    this->health.onFailure(aReplica, ReplicaFailure::Unreachable, this->now);
-    this->onFaultyReplica(aReplica);
+    if (this->isLossProven(aReplica, outageProbe)) {
+      this->shared.log.write(LogLine{ LogPart::Replicas, "unreached" }
+                               .with("replica", aReplica)
+                               .with("connected", aReport.refused ? 0 : 1));
+      this->onUnreachableReplica(aReplica);
+    }
     return;
   }
+  this->recordReportAnswer(aReplica);
   if (aReport.rejected) {
     return;
   }
@@ -209,26 +225,51 @@
     }
   }
   for (const std::string& replica : blockedOn) {
+    this->shared.log.write(LogLine{ LogPart::Replicas, "blocks" }
+                             .with("replica", replica)
+                             .with("reported_by", aReplica));
     this->health.onFailure(replica, ReplicaFailure::Stalled, this->now);
     this->onFaultyReplica(replica);
   }
 }
 
+/** Handles a replica that this relay cannot reach: moves its streams. */
+void
+RelayLoop::Impl::onUnreachableReplica(const std::string& aReplica)
+{
+  this->health.onSlowdown(aReplica, 1);
+  this->health.onFailure(aReplica, ReplicaFailure::Unreachable, this->now);
+  this->onFaultyReplica(aReplica);
+  if (this->settings.load.lossProbes) {
+    // Streams that have no other path yet are moved when there is one.
+    this->rearmStallTimers(aReplica);
+  }
+}
+
 /** Returns whether a stream whose path begins at this replica has made progress
- * since the last report request. */
+ * since the last report request. With loss probes, which ask every replica of a
+ * path, the replica may be any part of the path. */
 bool
 RelayLoop::Impl::hasRecentProgress(const std::string& aReplica) const
 {
   const auto lastRequest = this->reportRequestedAt.find(aReplica);
-  return lastRequest != this->reportRequestedAt.end() &&
-         std::any_of(this->exchanges.begin(),
-                     this->exchanges.end(),
-                     [&](const auto& aEntry) {
-                       const Exchange& exchange = *aEntry.second;
-                       return exchange.replica == aReplica &&
-                              exchange.connection != 0 && exchange.events > 0 &&
-                              exchange.lastProgress > lastRequest->second;
-                     });
+  if (lastRequest == this->reportRequestedAt.end()) {
+    return false;
+  }
+  const TimePoint since = lastRequest->second;
+  if (this->settings.load.lossProbes) {
+    const std::vector<std::uint64_t> through = this->requestsThrough(aReplica);
+    return std::any_of(through.begin(), through.end(), [&](std::uint64_t aId) {
+      const StreamProgress progress = progressOf(*this->exchanges.at(aId));
+      return progress.running && progress.lastEvent > since;
+    });
+  }
+  return std::any_of(
+    this->exchanges.begin(), this->exchanges.end(), [&](const auto& aEntry) {
+      const Exchange& exchange = *aEntry.second;
+      return exchange.replica == aReplica && exchange.connection != 0 &&
+             exchange.events > 0 && exchange.lastProgress > since;
+    });
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayStatus.cpp
+++ b/src/relay/RelayStatus.cpp
@@ -14,6 +14,7 @@
 #include "ReplicaListUpdate.h"
 #include "poplartrack/base/TcpSocket.h"
 #include "poplartrack/fleet/StatusTargets.h"
+#include "poplartrack/fleet/StoreReaders.h"
 
 namespace poplartrack {
 
@@ -53,12 +54,13 @@
                load.requests,
                static_cast<std::uint32_t>(std::max(0.0, load.tokenLayers)),
                static_cast<std::uint32_t>(load.prefillTokens),
-               load.pathStarts });
+               load.pathStarts,
+               0 });
   }
   for (const std::string& replica : this->health.blockedOn(this->now)) {
     status.lost.push_back(replica);
   }
-  for (const auto& [replica, since] : this->restartedReplicas) {
+  for (const auto& [replica, since] : this->drainState.restarted) {
     status.lost.push_back(replica);
   }
   for (const std::string& replica : this->drainingReplicas()) {
@@ -88,7 +90,12 @@
   }
   this->addCrashes(status);
   this->addLimits(status);
+  this->addReturns(status);
   this->addDrainAnnouncements(status);
+  this->addEjected(status);
+  this->addDemand(status);
+  this->addReleases(status);
+  this->addAccounts(status);
   status.linkMbps = toWholeMbps(this->settings.linkMbps);
   status.forwards = true;
   return status;
--- a/src/relay/RetryAdvice.cpp
+++ b/src/relay/RetryAdvice.cpp
@@ -5,31 +5,23 @@
 namespace poplartrack {
 namespace {
 
-/** Range of the delays between which the retries of callers are spread. */
-struct DelayRange
-{
-  Duration min;
-  /** Length of the range. */
-  Duration jitter;
-};
-
 /** Only this relay cannot serve, since it stops, starts, is cut off or has been
  * asked for a backoff. Another one can serve at once, and the answer may still
  * be on time. */
 constexpr DelayRange kOtherRelayServes{ std::chrono::milliseconds{ 20 },
-                                        std::chrono::milliseconds{ 150 } };
+                                        std::chrono::milliseconds{ 170 } };
 
 /** Replicas lack capacity. A crashed replica restarts after three to five
  * seconds, and layers that no other replica can hold are loaded two to four
  * seconds later. A caller that uses its one retry earlier is rejected again;
  * its answer is late in either case. */
 constexpr DelayRange kCapacityMissing{ std::chrono::milliseconds{ 2'500 },
-                                       std::chrono::milliseconds{ 3'500 } };
+                                       std::chrono::milliseconds{ 6'000 } };
 
 /** No relay can tell which keys are valid: the store has been unavailable to
  * all for four seconds, and usually is for five to nine. */
 constexpr DelayRange kStoreUnavailable{ std::chrono::milliseconds{ 3'000 },
-                                        std::chrono::milliseconds{ 3'000 } };
+                                        std::chrono::milliseconds{ 6'000 } };
 
 /** Callers wait for at most the remaining time divided by this. */
 constexpr int kMaxDelayDivisor = 3;
@@ -50,6 +42,24 @@
   }
 }
 
+/** Returns the range of delays for the caller. For one with little time the
+ * whole range is scaled down. */
+DelayRange
+scaledRange(const RefusalState& aState)
+{
+  const DelayRange range = rangeFor(aState);
+  const Duration maxDelay =
+    std::max(aState.timeLeft / kMaxDelayDivisor, Duration{ 0 });
+  if (range.max <= maxDelay) {
+    return range;
+  }
+  const double scale = static_cast<double>(maxDelay.count()) /
+                       static_cast<double>(range.max.count());
+  return { Duration{ static_cast<std::int64_t>(
+             scale * static_cast<double>(range.min.count())) },
+           maxDelay };
+}
+
 } // namespace
 
 Duration
@@ -59,22 +69,24 @@
       aState.quarantineLeft > Duration{ 0 }) {
     return aState.quarantineLeft;
   }
-  const DelayRange range = rangeFor(aState);
-  const Duration maxDelay = aState.timeLeft / kMaxDelayDivisor;
-  // For a caller with little time the whole range is scaled down.
-  const Duration rangeEnd = range.min + range.jitter;
+  const DelayRange range = scaledRange(aState);
   const auto fraction = static_cast<double>(aState.jitterSeed % 1'000) / 1'000;
-  const auto delay =
-    range.min + Duration{ static_cast<std::int64_t>(
-                  fraction * static_cast<double>(range.jitter.count())) };
-  if (rangeEnd <= maxDelay) {
-    return delay;
+  return range.min +
+         Duration{ static_cast<std::int64_t>(
+           fraction * static_cast<double>((range.max - range.min).count())) };
+}
+
+std::optional<ReturnBooking>
+bookRetry(const RefusalState& aState,
+          const ReturnRequest& aRequest,
+          ReturnSchedule& aSchedule,
+          TimePoint aNow)
+{
+  const DelayRange range = scaledRange(aState);
+  if (aState.kind == ErrorKind::Quarantined || range.max == Duration{ 0 }) {
+    return std::nullopt;
   }
-  const double scale =
-    static_cast<double>(std::max(maxDelay, Duration{ 0 }).count()) /
-    static_cast<double>(rangeEnd.count());
-  return Duration{ static_cast<std::int64_t>(
-    scale * static_cast<double>(delay.count())) };
+  return aSchedule.book(aRequest, range, aNow);
 }
 
 } // namespace poplartrack
--- a/src/relay/RetryAdvice.h
+++ b/src/relay/RetryAdvice.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/ErrorKind.h"
+#include "poplartrack/fleet/ReturnSchedule.h"
 
 namespace poplartrack {
 
@@ -34,4 +36,13 @@
 Duration
 retryAdvice(const RefusalState& aState);
 
+/** Books the caller's return within the range of delays from which
+ * retryAdvice() chooses by a hash. A request in quarantine is not booked, since
+ * no capacity is meant for it, nor one whose caller has no time left. */
+std::optional<ReturnBooking>
+bookRetry(const RefusalState& aState,
+          const ReturnRequest& aRequest,
+          ReturnSchedule& aSchedule,
+          TimePoint aNow);
+
 } // namespace poplartrack
--- a/tests/unit/relay/LoopLoadTest.cpp
+++ b/tests/unit/relay/LoopLoadTest.cpp
@@ -135,6 +135,7 @@
 {
   RelayWorld world;
   RawListener listener;
+  world.acceptLoad = LoopLoad::kDefaultLimit;
   world.addReplica("one", "plain", listener.address());
   world.start();
   std::atomic<bool> busy{ true };
