Test returning callers between sockets

Cause: a caller may return at another relay, or with another request.

Change: two relays that exchange status messages.

Measured: a return is recognized at either, and is no new demand.

--- /dev/null
+++ b/tests/unit/relay/RelayReturnTest.cpp
@@ -0,0 +1,130 @@
+#include "PeerSocket.h"
+#include "RelayWorld.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace relaytest;
+
+/** Test fixture: a relay whose model has no replica. */
+class RelayReturnTest : public ::testing::Test
+{
+protected:
+  RelayReturnTest()
+  {
+    for (RelayWorld* relay : { &this->world, &this->other }) {
+      relay->load.returnBookings = true;
+      // A relay whose replica list is empty makes requests wait for it.
+      relay->addReplica("plain", "plain", { "127.0.0.1", 1 });
+    }
+  }
+
+  /** Sends a request of a caller with little time, and reads the rejection. */
+  static std::string reject(const RelayWorld& aRelay,
+                            const std::string& aId,
+                            const std::string& aBody)
+  {
+    return aRelay.sendRequest("/stream/x", aId, "X-Deadline: 300\r\n", aBody)
+      .readUntil("\r\n\r\n");
+  }
+
+  RelayWorld world;
+  RelayWorld other;
+};
+
+TEST_F(RelayReturnTest, ARejectedCallerIsRecognizedIfTurnedOn)
+{
+  this->world.start();
+  this->other.load.returnBookings = false;
+  this->other.start();
+  EXPECT_TRUE(has(reject(this->world, "first", "x"), "Retry-After"));
+  reject(this->world, "second", "y");
+  EXPECT_EQ(this->world.counter("returns_recognized_total"), 0U);
+  reject(this->world, "third", "x");
+  EXPECT_EQ(this->world.awaitCounter("returns_booked_total", 2), 2U);
+  EXPECT_EQ(this->world.awaitCounter("returns_recognized_total", 1), 1U);
+  EXPECT_EQ(this->world.awaitCounter("returns_refused_again_total", 1), 1U);
+  EXPECT_TRUE(has(reject(this->other, "first", "x"), "Retry-After"));
+  reject(this->other, "second", "x");
+  EXPECT_EQ(this->other.counter("returns_booked_total"), 0U);
+  EXPECT_EQ(this->other.counter("returns_recognized_total"), 0U);
+}
+
+/** Guards against a caller that counts as new at another relay, or because the
+ * relay that rejected it was stopping and had not looked up its account. */
+TEST_F(RelayReturnTest, ACallerOfAStoppingRelayIsRecognizedAtAnotherOne)
+{
+  const PeerSocket peer;
+  PeerStatus status;
+  status.incarnation = 1;
+  status.zone = "a";
+  this->world.shared.refusesRequests = true;
+  this->world.start();
+  this->other.start();
+  reject(this->world, "first", "x");
+  ASSERT_TRUE(waitFor([&] {
+    if (!status.returns.empty()) {
+      return true;
+    }
+    peer.send(this->world.loop->peersAddress(), status);
+    if (const auto message = peer.receive()) {
+      status = message->status;
+    }
+    return false;
+  }));
+  peer.send(this->other.loop->peersAddress(), status);
+  EXPECT_TRUE(
+    waitFor([this] { return !this->other.shared.peers.read()->empty(); }));
+  reject(this->other, "second", "x");
+  EXPECT_EQ(this->other.awaitCounter("returns_recognized_total", 1), 1U);
+}
+
+/** Guards against demand that rises with each rejection, because rejected
+ * callers return. */
+TEST_F(RelayReturnTest, AReturnIsNotCountedAsDemandAgain)
+{
+  const PeerSocket peer;
+  PeerStatus status;
+  status.incarnation = 1;
+  status.zone = "a";
+  this->world.load.demandPlacement = true;
+  this->world.start();
+  for (const std::string tokens : { "3000", "3000000" }) {
+    this->world
+      .sendRequest("/stream/x",
+                   "id-" + tokens,
+                   "X-Deadline: 300\r\nX-Tokens: " + tokens + "\r\n",
+                   "x")
+      .readUntil("\r\n\r\n");
+  }
+  EXPECT_EQ(this->world.awaitCounter("returns_recognized_total", 1), 1U);
+  EXPECT_TRUE(waitFor([&] {
+    peer.send(this->world.loop->peersAddress(), status);
+    if (const auto message = peer.receive()) {
+      status = message->status;
+    }
+    return !status.demand.empty();
+  }));
+  ASSERT_FALSE(status.demand.empty());
+  EXPECT_LT(status.demand[0].promptTokens, 10'000U);
+}
+
+/** Guards against a return that is rejected at once, although its caller has
+ * time left and the missing replica is about to come. */
+TEST_F(RelayReturnTest, AReturnWaitsForLayersThatAreMissing)
+{
+  RawListener replica;
+  this->world.start();
+  reject(this->world, "first", "x");
+  RawSocket returned = this->world.sendRequest(
+    "/stream/x", "second", "X-Deadline: 60000\r\n", "x");
+  EXPECT_TRUE(waitFor(
+    [this] { return this->world.counter("returns_recognized_total") > 0; }));
+  this->world.addReplica("one", "model", replica.address());
+  this->world.publishReplicas(2);
+  RawSocket attempt = replica.accept();
+  EXPECT_TRUE(has(attempt.readUntil("\r\n\r\n"), "second"));
+}
+
+} // namespace
+} // namespace poplartrack
