--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -168,6 +169,12 @@
       aCall.wrong = "bytes behind the answer";
     }
   }
+  if (const std::size_t at = this->in.find("etry-After: "); at < head) {
+    constexpr double kMsPerSecond = 1'000;
+    const double seconds = std::strtod(this->in.c_str() + at + 12, nullptr);
+    aCall.retryAfter =
+      std::chrono::milliseconds{ std::llround(seconds * kMsPerSecond) };
+  }
   constexpr int kOk = 200;
   aCall.whole = whole && aCall.status == kOk;
   if (aCall.status != kOk || !aCall.wrong.empty()) {
@@ -181,11 +188,12 @@
 }
 
 CallRecord
-SoakCaller::call(const Address& aRelay)
+SoakCaller::call(const Address& aRelay, const std::string& aKey)
 {
   const auto kind = static_cast<RequestKind>(this->random() % 3);
   const bool second = this->random() % 4 == 0;
-  return this->call(aRelay, kind, second ? "key-2" : "key-1");
+  const std::string key = second ? "key-2" : "key-1";
+  return this->call(aRelay, kind, aKey.empty() ? key : aKey);
 }
 
 CallRecord
@@ -198,6 +206,7 @@
   if (!this->connect(aRelay)) {
     return call;
   }
+  call.alone = this->onlyOfAccount && !this->gaveUp;
   this->record.began(id, aKind, aKey);
   this->giveUpAt = nowMillis() + kPatienceMs;
   const std::string text =
@@ -213,6 +222,7 @@
   if (this->send(text)) {
     this->readAnswer(id, call);
   }
+  this->gaveUp = nowMillis() >= this->giveUpAt;
   const bool keep =
     call.whole && this->in.find("onnection: close") == std::string::npos;
   this->in.clear();
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -26,8 +26,11 @@
   /** Sets the parts of the prompts of later streams, "ID:TOKENS,"; each request
    * adds one of its own. */
   void setParts(std::string aParts) { this->parts = std::move(aParts); }
-  /** Sends one request of a random kind; gives what came of it. */
-  CallRecord call(const Address& aRelay);
+  /** Says that no other caller has requests of this one's account. */
+  void setOnlyOfAccount() { this->onlyOfAccount = true; }
+  /** Sends one request of a random kind; gives what came of it.
+   * @param aKey empty: one of the two keys of the first account */
+  CallRecord call(const Address& aRelay, const std::string& aKey = {});
   CallRecord call(const Address& aRelay,
                   RequestKind aKind,
                   const std::string& aKey);
@@ -49,6 +52,10 @@
   Address connected;
   std::string in;
   std::int64_t giveUpAt = 0;
+  bool onlyOfAccount = false;
+  /** The last answer did not come in time: the relay may not know yet that the
+   * caller has left. */
+  bool gaveUp = false;
   int count = 0;
 };
 
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -197,6 +197,29 @@
   }
 }
 
+/** Finds requests that were held back for their account's share though it had
+ * no others, and counts all that were. */
+void
+judgeShares(const SoakRecord& aRecord,
+            const std::vector<std::string>& aLines,
+            SoakVerdict& aVerdict)
+{
+  constexpr std::string_view kBegin = "path: event=beyond_share id=";
+  for (const std::string& line : aLines) {
+    if (!line.starts_with(kBegin)) {
+      continue;
+    }
+    ++aVerdict.beyondShare;
+    const std::string id =
+      line.substr(kBegin.size(), line.find(' ', kBegin.size()) - kBegin.size());
+    const auto call = aRecord.all().find(id);
+    if (call != aRecord.all().end() && call->second.alone) {
+      aVerdict.broken.push_back(
+        id + ": beyond its account's share, without others of it");
+    }
+  }
+}
+
 } // namespace
 
 SoakVerdict
@@ -206,6 +229,7 @@
   judgeBackoffs(aRecord, aLines, verdict.broken);
   judgeDrains(aRecord, aLines, verdict.broken);
   judgeCrashes(aLines, verdict.broken);
+  judgeShares(aRecord, aLines, verdict);
   const Runs runs = runsOf(aLines);
   for (const auto& [id, call] : aRecord.all()) {
     ++verdict.calls;
--- a/tests/soak/SoakJudge.h
+++ b/tests/soak/SoakJudge.h
@@ -14,6 +14,8 @@
   std::size_t whole = 0;
   /** Answered 429 or 503: promised not to have run. */
   std::size_t refused = 0;
+  /** How often a request was held back for its account's share. */
+  std::size_t beyondShare = 0;
   /** Promises that were broken, one line each. */
   std::vector<std::string> broken;
 };
@@ -33,11 +35,14 @@
  *   answer of a replica that announces its drain reaches that replica from it.
  * - at most three replicas crash under a prompt part later than 3 s after the
  *   fifth has.
- * The two before the last hold where neither of the two was disturbed
+ * - no request is held back or refused for its account's share while it is the
+ *   only one of its account.
+ * The backoffs and drains hold where neither of the two was disturbed
  * meanwhile.
  *
- * @param aLines "run ID MS", "rejected REPLICA ID MS", "announced REPLICA ID
- * MS" and "crashed REPLICA ID MS", as replicas printed them
+ * @param aLines the log lines of relays about requests beyond their account's
+ * share; "run ID MS", "rejected REPLICA ID MS", "announced
+ * REPLICA ID MS" and "crashed REPLICA ID MS", as replicas printed them
  */
 SoakVerdict
 judge(const SoakRecord& aRecord, const std::vector<std::string>& aLines);
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -3,6 +3,16 @@
 #include <random>
 
 namespace poplartrack::soak {
+namespace {
+
+std::chrono::milliseconds
+between(std::mt19937_64& aRandom, int aLeast, int aMost)
+{
+  return std::chrono::milliseconds{ aLeast + static_cast<int>(
+                                               aRandom() % (aMost - aLeast)) };
+}
+
+} // namespace
 
 std::vector<PlannedFault>
 planOf(std::uint64_t aSeed,
@@ -10,10 +20,6 @@
        std::size_t aKinds)
 {
   std::mt19937_64 random{ aSeed };
-  const auto between = [&random](int aLeast, int aMost) {
-    return std::chrono::milliseconds{ aLeast + static_cast<int>(
-                                                 random() % (aMost - aLeast)) };
-  };
   std::vector<PlannedFault> plan;
   std::chrono::milliseconds at{ 300 };
   while (at < aLength) {
@@ -24,12 +30,28 @@
     const int times = random() % 4 == 0 ? 3 : 1;
     for (int i = 0; i < times && at < aLength; ++i) {
       fault.at = at;
-      fault.lasts = between(100, 2'500);
+      fault.lasts = between(random, 100, 2'500);
       plan.push_back(fault);
-      at += between(50, 900);
+      at += between(random, 50, 900);
     }
   }
   return plan;
 }
 
+std::vector<PlannedFault>
+contentionPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength)
+{
+  std::mt19937_64 random{ aSeed };
+  std::vector<PlannedFault> plan;
+  for (std::chrono::milliseconds at{ 500 }; at < aLength;
+       at += between(random, 200, 1'500)) {
+    // Every second fault is a flood.
+    const Fault other =
+      random() % 2 == 0 ? Fault::ReplicaFails : Fault::ReplicaSlows;
+    const Fault fault = plan.size() % 2 == 0 ? Fault::AccountFloods : other;
+    plan.push_back({ at, fault, random(), between(random, 800, 3'000) });
+  }
+  return plan;
+}
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -31,30 +31,38 @@
   ReplicaRejects,
   ReplicaAnnounces,
   StoreRestored,
+  ReplicaFails,
+  ReplicaSlows,
+  AccountFloods,
 };
 
-constexpr std::array<std::string_view, 19> kFaultNames{
+constexpr std::array<std::string_view, 22> kFaultNames{
   "relay killed",     "relay paused",        "relay stopped",
   "replica killed",   "replica paused",      "replica leaves",
   "store link cut",   "store link silent",   "store link slow",
   "replica link cut", "replica link silent", "replica link slow",
   "store busy",       "store loses answers", "store forgets",
   "key taken away",   "replica rejects",     "replica announces",
-  "store restored",
+  "store restored",   "replica fails",       "replica slows",
+  "account floods",
 };
 static_assert(kFaultNames.size() ==
-              static_cast<std::size_t>(Fault::StoreRestored) + 1);
+              static_cast<std::size_t>(Fault::AccountFloods) + 1);
 
 /** The faults before ReplicaRejects. Plans of these alone stay as they were
  * when there were no others, so that a seed gives the same run. */
 constexpr std::size_t kFirstFaults = 16;
 
+/** The faults before ReplicaFails, for the same reason. */
+constexpr std::size_t kSignalFaults = 19;
+
 /** One fault of a plan. */
 struct PlannedFault
 {
   std::chrono::milliseconds at{ 0 };
   Fault fault = Fault::RelayKilled;
-  /** Which relay or replica: a number to be taken modulo how many there are. */
+  /** Which relay, replica or account: a number to be taken modulo their count.
+   */
   std::size_t who = 0;
   std::chrono::milliseconds lasts{ 0 };
 };
@@ -71,4 +79,9 @@
        std::chrono::milliseconds aLength,
        std::size_t aKinds = kFirstFaults);
 
+/** The further faults of a run with contention: floods of accounts, and
+ * replicas that fail their requests or are slow. */
+std::vector<PlannedFault>
+contentionPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -33,6 +34,10 @@
   std::string relay = {};
   /** In ms of the clock that counts suspension. */
   std::int64_t sentAt = 0;
+  /** The only request of its account at that time. */
+  bool alone = false;
+  /** When a refusal asked the caller to return; 0: it did not. */
+  std::chrono::milliseconds retryAfter{ 0 };
 };
 
 /** From when to when a relay or a replica did not run, or its link was
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -47,15 +47,34 @@
            { "Resumable", aKind == "streaming" } };
 }
 
-/** A model that three replicas hold together with room for a lost one. */
+constexpr std::string_view kAllDecisions =
+  "[load]\naccount_shares = true\npace_admission = true\n"
+  "return_bookings = true\ndemand_placement = true\nloss_probes = true\n"
+  "outlier_ejection = true\noutage_placement = true\n";
+
+/** An accelerator with less memory and speed; only with contention. */
+constexpr std::string_view kSlowKind = "slow-card";
+constexpr int kSlowKindSlowdown = 2;
+
+/** A model that three replicas hold together with room for a lost one. With
+ * contention, they have memory for about 16 requests in all. */
 Json
-engine()
+engine(bool aContention)
 {
+  Json kinds{
+    { { "Name", "card" }, { "Mb", 1'200 }, { "pace", 1 }, { "ReadX", 1 } }
+  };
+  if (aContention) {
+    kinds.push_back({ { "Name", kSlowKind },
+                      { "Mb", 700 },
+                      { "pace", kSlowKindSlowdown },
+                      { "ReadX", kSlowKindSlowdown } });
+  }
   return {
     { "Slots", 64 },
     { "Layers", kLayers },
     { "LayerMb", 100 },
-    { "KvTokenBytes", 120'000 },
+    { "KvTokenBytes", aContention ? 2'000'000 : 120'000 },
     { "step_ms", 1 },
     { "per_seq_ms", 0.01 },
     { "context_per_k", 0.01 },
@@ -64,11 +83,7 @@
     { "PipeMbps", 8'000 },
     { "usual", { { "prompt", 40 }, { "answer", 60 } } },
     { "Models", { { { "Name", "m" }, { "LoadS", 1.0 } } } },
-    { "Kinds",
-      { { { "Name", "card" },
-          { "Mb", 1'200 },
-          { "pace", 1 },
-          { "ReadX", 1 } } } },
+    { "Kinds", kinds },
     { "delays",
       { { { "From", "a" }, { "Target", "b" }, { "delay_ms", 0.2 } } } }
   };
@@ -85,6 +100,8 @@
   , record(aRecord)
   , nextPort(static_cast<std::uint16_t>(kFirstPort +
                                         getpid() % kPortRanges * kPortsEach))
+  , contention(aSize.contention)
+  , used(aSize.plain + 2)
 {
   this->store.faults.longPolls = true;
   this->pushConfig();
@@ -102,7 +119,11 @@
     add("plain", i % 2 == 0 ? "a" : "b", "");
   }
   for (std::size_t i = 0; i < 2 * aSize.engines; ++i) {
-    add("model", i % 2 == 0 ? "a" : "b", "card");
+    // The second replica of each zone.
+    const bool slow = aSize.contention && i / 2 == 1;
+    add("model",
+        i % 2 == 0 ? "a" : "b",
+        slow ? std::string{ kSlowKind } : "card");
   }
   for (std::size_t i = 0; i < aSize.relays; ++i) {
     this->addRelay(i);
@@ -129,19 +150,24 @@
   if (this->secondKey) {
     keys.push_back("key-2");
   }
-  this->store.put(
-    std::string{ wire_names::kOperatorTable },
-    std::string{ wire_names::kConfigKey },
-    Json{ { "Version", ++this->version },
-          { "Routes",
-            { routeOf("once", "non_idempotent", "plain", 1),
-              routeOf("again", "idempotent", "plain", 2),
-              routeOf("stream", "streaming", "model", 2) } },
-          { "Services",
-            { { { "Name", "plain" } },
-              { { "Name", "model" }, { "Engine", engine() } } } },
-          { "Tenants", { { { "Name", "account" }, { "ApiKeys", keys } } } } }
-      .dump());
+  Json accounts{ { { "Name", "account" }, { "ApiKeys", keys } } };
+  for (std::size_t i = 1; this->contention && i < kAccountKeys.size(); ++i) {
+    accounts.push_back({ { "Name", "account-" + std::to_string(i) },
+                         { "ApiKeys", Json::array({ kAccountKeys.at(i) }) } });
+  }
+  this->store.put(std::string{ wire_names::kOperatorTable },
+                  std::string{ wire_names::kConfigKey },
+                  Json{ { "Version", ++this->version },
+                        { "Routes",
+                          { routeOf("once", "non_idempotent", "plain", 1),
+                            routeOf("again", "idempotent", "plain", 2),
+                            routeOf("stream", "streaming", "model", 2) } },
+                        { "Services",
+                          { { { "Name", "plain" } },
+                            { { "Name", "model" },
+                              { "Engine", engine(this->contention) } } } },
+                        { "Tenants", accounts } }
+                    .dump());
 }
 
 void
@@ -160,7 +186,8 @@
     << toText(this->ownAddress()) << "\"\npeers = \""
     << toText(this->ownAddress()) << "\"\n[store]\naddress = \""
     << toText(relay->storeLink->address()) << "\"\n"
-    << "[bounds]\ngrace_s = 4\nheartbeat_ms = 400\n";
+    << "[bounds]\ngrace_s = 4\nheartbeat_ms = 400\n"
+    << (this->contention ? kAllDecisions : "");
   this->startRelay(*relay);
   this->relayAddresses.push_back(callers);
   this->relays.push_back(std::move(relay));
@@ -177,6 +204,7 @@
     output + ".err");
   CHECK(started.ok()) << describe(started.error());
   aRelay.process = std::move(started).value();
+  this->outputs.push_back(output + ".out");
 }
 
 void
@@ -196,6 +224,8 @@
       "--service=" + aReplica.service,
       "--zone=" + aReplica.zone,
       "--kind=" + aReplica.kind,
+      "--slowdown=" +
+        std::to_string(aReplica.kind == kSlowKind ? kSlowKindSlowdown : 1),
       "--listen=" + toText(aReplica.listen),
       "--advertise=" + toText(aReplica.link->address()),
       "--store=" + toText(this->store.address()) },
@@ -218,6 +248,12 @@
   return *this->replicas[aWho % this->replicas.size()];
 }
 
+SoakWorld::Replica&
+SoakWorld::usedReplica(std::size_t aWho)
+{
+  return this->replica(aWho % this->used);
+}
+
 void
 SoakWorld::sayLeaving(const Replica& aReplica)
 {
@@ -331,6 +367,15 @@
     case Fault::StoreRestored:
       this->store.saveCopy();
       break;
+    case Fault::ReplicaFails:
+      this->usedReplica(aFault.who).process->signal(SIGURG);
+      break;
+    case Fault::ReplicaSlows:
+      this->usedReplica(aFault.who).process->signal(SIGWINCH);
+      break;
+    case Fault::AccountFloods:
+      ++this->flooding.at(aFault.who % kFloodAccounts);
+      break;
   }
 }
 
@@ -362,6 +407,13 @@
     case Fault::ReplicaRejects:
       this->replica(aFault.who).process->signal(SIGUSR2);
       break;
+    case Fault::ReplicaFails:
+    case Fault::ReplicaSlows:
+      this->usedReplica(aFault.who).process->signal(SIGUSR2);
+      break;
+    case Fault::AccountFloods:
+      --this->flooding.at(aFault.who % kFloodAccounts);
+      break;
     case Fault::StoreRestored:
       this->restoreStore();
       break;
@@ -413,14 +465,16 @@
 }
 
 std::vector<std::string>
-SoakWorld::replicaLines() const
+SoakWorld::lines() const
 {
   std::vector<std::string> lines;
   for (const std::string& path : this->outputs) {
     std::ifstream stream{ path };
     std::string line;
     while (std::getline(stream, line)) {
-      if (!line.starts_with("ready ")) {
+      const bool logged = line.find(": ") != std::string::npos;
+      if (logged ? line.find(" event=beyond_share ") != std::string::npos
+                 : !line.starts_with("ready ")) {
         lines.push_back(line);
       }
     }
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -8,6 +10,7 @@
 
 #include "harness/ChildProcess.h"
 #include "harness/TcpForwarder.h"
+#include "soak/SoakAccounts.h"
 #include "soak/SoakPlan.h"
 #include "soak/SoakRecord.h"
 #include "standins/lib/UsersStoreStandin.h"
@@ -21,6 +24,9 @@
   std::size_t plain = 2;
   /** Replicas that hold layers of the model, in each of two zones. */
   std::size_t engines = 3;
+  /** Several client accounts, too little memory for all they ask, engines of
+   * two kinds, and relays that make all decisions under load. */
+  bool contention = false;
 };
 
 /**
@@ -44,10 +50,16 @@
   }
   void begin(const PlannedFault& aFault);
   void end(const PlannedFault& aFault);
+  /** Whether the account sends far more than usual. */
+  [[nodiscard]] bool floods(std::size_t aAccount) const
+  {
+    return this->flooding.at(aAccount) > 0;
+  }
   /** Starts the replicas that have crashed under a request again. */
   void restartCrashed();
-  /** The lines for the judge that replicas have printed, of all their lives. */
-  [[nodiscard]] std::vector<std::string> replicaLines() const;
+  /** The lines for the judge that replicas and relays have printed, of all
+   * their lives. */
+  [[nodiscard]] std::vector<std::string> lines() const;
 
 private:
   struct Relay
@@ -83,6 +95,9 @@
   /** The process of a relay or replica; starts a dead one first. */
   Relay& relay(std::size_t aWho);
   Replica& replica(std::size_t aWho);
+  /** A plain replica, or one at which paths usually begin: others get no
+   * requests of their own. */
+  Replica& usedReplica(std::size_t aWho);
 
   std::string build;
   std::string folder;
@@ -92,9 +107,14 @@
   std::vector<std::unique_ptr<Relay>> relays;
   std::vector<std::unique_ptr<Replica>> replicas;
   std::vector<std::string> outputs;
+  /** By account: floods that have begun and not ended. */
+  std::array<std::atomic<int>, kFloodAccounts> flooding{};
   std::uint16_t nextPort;
   int version = 0;
   bool secondKey = true;
+  bool contention;
+  /** The first replicas, which usedReplica() chooses from. */
+  std::size_t used;
 };
 
 } // namespace poplartrack::soak
--- a/tests/soak/soak.cmake
+++ b/tests/soak/soak.cmake
@@ -25,3 +25,10 @@
   PROPERTIES TIMEOUT 300 PROCESSORS 3)
 set_tests_properties(soak.three_seeds_with_signals
   PROPERTIES TIMEOUT 300 PROCESSORS 3)
+
+# The same with several client accounts, floods, uneven replicas and relays that
+# make all decisions under load.
+add_test(NAME soak.three_seeds_with_contention
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --contention)
+set_tests_properties(soak.three_seeds_with_contention
+  PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,6 +12,7 @@
 
 #include <cxxopts.hpp>
 
+#include "soak/SoakAccounts.h"
 #include "soak/SoakCaller.h"
 #include "soak/SoakClock.h"
 #include "soak/SoakJudge.h"
@@ -97,29 +98,81 @@
   }
 }
 
-/** Waits until every relay serves each kind of request. */
+/** The most that callers wait before they return as told, so that a run ends.
+ */
+constexpr milliseconds kMaxReturnDelay{ 2'000 };
+
+/** Threads by account that send while it floods. Its usual callers are two. */
+constexpr int kFloodThreads = 16;
+
+/** Pause after each request of a flood. Without it, the callers take most of
+ * the machine while requests are refused at once (216,000 in a run). */
+constexpr milliseconds kFloodPause{ 5 };
+
+/** Sends streams of one account while it floods, and repeats what is refused
+ * whatever it is told. */
+void
+sendFlood(const SoakWorld& aWorld,
+          SoakRecord& aRecord,
+          int aNumber,
+          const std::atomic<bool>& aStop)
+{
+  const std::size_t account = aNumber % kFloodAccounts;
+  const std::string key{ kAccountKeys.at(account) };
+  SoakCaller caller{ aRecord, "flood" + std::to_string(aNumber), 0 };
+  for (std::size_t turn = 0; !aStop; ++turn) {
+    std::this_thread::sleep_for(kFloodPause);
+    const auto& relays = aWorld.callers();
+    if (aWorld.floods(account)) {
+      caller.call(relays[turn % relays.size()], RequestKind::Stream, key);
+    }
+  }
+}
+
+/** Sends streams one after the other to one relay, as the only caller of its
+ * account, which returns when told to. */
+void
+sendModestly(const Address& aRelay,
+             SoakRecord& aRecord,
+             const std::atomic<bool>& aStop)
+{
+  SoakCaller caller{ aRecord, "modest", 0 };
+  caller.setOnlyOfAccount();
+  while (!aStop) {
+    const CallRecord call =
+      caller.call(aRelay, RequestKind::Stream, std::string{ kModestKey });
+    std::this_thread::sleep_for(
+      std::clamp(call.retryAfter, kAfterRefusal, kMaxReturnDelay));
+  }
+}
+
+/** Waits until every relay serves each kind of request with each key. */
 std::vector<std::string>
 awaitService(const SoakWorld& aWorld,
              SoakRecord& aRecord,
-             const std::string& aName)
+             const std::string& aName,
+             const std::vector<std::string_view>& aKeys)
 {
   std::vector<std::string> missing;
   SoakCaller caller{ aRecord, aName, 0 };
-  for (const Address& relay : aWorld.callers()) {
-    for (const RequestKind kind :
-         { RequestKind::Once, RequestKind::Again, RequestKind::Stream }) {
+  const auto await =
+    [&](const Address& aRelay, RequestKind aKind, std::string_view aKey) {
       const std::int64_t latest = nowMillis() + kRecoveryMs;
-      bool served = false;
-      while (!served && nowMillis() < latest) {
-        served = caller.call(relay, kind, "key-1").whole;
-        if (!served) {
-          std::this_thread::sleep_for(milliseconds{ 50 });
+      while (!caller.call(aRelay, aKind, std::string{ aKey }).whole) {
+        if (nowMillis() >= latest) {
+          missing.push_back(toText(aRelay) + " does not serve kind " +
+                            std::to_string(static_cast<int>(aKind)) + " to " +
+                            std::string{ aKey });
+          return;
         }
+        std::this_thread::sleep_for(milliseconds{ 50 });
       }
-      if (!served) {
-        missing.push_back(toText(relay) + " does not serve kind " +
-                          std::to_string(static_cast<int>(kind)));
-      }
+    };
+  for (const Address& relay : aWorld.callers()) {
+    for (const std::string_view key : aKeys) {
+      await(relay, RequestKind::Once, key);
+      await(relay, RequestKind::Again, key);
+      await(relay, RequestKind::Stream, key);
     }
   }
   return missing;
@@ -136,9 +189,17 @@
   std::filesystem::create_directories(folder);
   SoakRecord record;
   SoakWorld world{ aOptions.build, folder, aOptions.size, record };
-  std::vector<std::string> broken = awaitService(world, record, "before");
-  const std::vector<PlannedFault> plan =
+  std::vector<std::string> broken =
+    awaitService(world, record, "before", { kAccountKeys.front() });
+  std::vector<PlannedFault> plan =
     planOf(aOptions.seed, aOptions.length, aOptions.faultKinds);
+  const bool contention = aOptions.size.contention;
+  if (contention) {
+    for (const PlannedFault& fault :
+         contentionPlanOf(aOptions.seed, aOptions.length)) {
+      plan.push_back(fault);
+    }
+  }
   std::atomic<bool> stop{ false };
   std::vector<std::thread> threads;
   threads.reserve(static_cast<std::size_t>(aOptions.callers));
@@ -146,12 +207,19 @@
     threads.emplace_back([&, i] {
       SoakCaller caller{ record, "c" + std::to_string(i), aOptions.seed + i };
       std::size_t turn = static_cast<std::size_t>(i);
+      const std::size_t account = contention ? turn % kFloodAccounts : 0;
+      const std::string key{ account > 0 ? kAccountKeys.at(account) : "" };
       while (!stop) {
         // Most calls go where the last one went, on the same connection.
         turn += turn % 4 == 0 ? 1 : 4;
         const auto& relays = world.callers();
-        if (!caller.call(relays[turn / 4 % relays.size()]).whole) {
-          std::this_thread::sleep_for(kAfterRefusal);
+        const CallRecord call =
+          caller.call(relays[turn / 4 % relays.size()], key);
+        if (!call.whole) {
+          // With contention, callers return when told to.
+          const milliseconds told = std::min(call.retryAfter, kMaxReturnDelay);
+          std::this_thread::sleep_for(contention ? std::max(told, kAfterRefusal)
+                                                 : kAfterRefusal);
         }
       }
     });
@@ -159,21 +227,35 @@
   if (aOptions.deadlyPart) {
     threads.emplace_back([&] { sendDeadly(world, record, stop); });
   }
+  if (contention) {
+    for (int i = 0; i < kFloodThreads * static_cast<int>(kFloodAccounts); ++i) {
+      threads.emplace_back([&, i] { sendFlood(world, record, i, stop); });
+    }
+    threads.emplace_back([&] {
+      const auto& relays = world.callers();
+      sendModestly(relays[aOptions.seed % relays.size()], record, stop);
+    });
+  }
   play(world, plan);
   stop = true;
   for (std::thread& thread : threads) {
     thread.join();
   }
   world.restartCrashed();
-  for (std::string& line : awaitService(world, record, "after")) {
+  std::vector<std::string_view> keys{ kAccountKeys.front() };
+  if (contention) {
+    keys.assign(kAccountKeys.begin(), kAccountKeys.end());
+  }
+  for (std::string& line : awaitService(world, record, "after", keys)) {
     broken.push_back(std::move(line));
   }
-  SoakVerdict verdict = judge(record, world.replicaLines());
+  SoakVerdict verdict = judge(record, world.lines());
   broken.insert(broken.end(), verdict.broken.begin(), verdict.broken.end());
   std::cout << "seed " << aOptions.seed << ": " << plan.size() << " faults, "
             << verdict.calls << " calls, " << verdict.whole << " whole, "
-            << verdict.refused << " refused, " << broken.size()
-            << " promises broken" << std::endl;
+            << verdict.refused << " refused, " << verdict.beyondShare
+            << " times beyond a share, " << broken.size() << " promises broken"
+            << std::endl;
   if (broken.empty()) {
     std::filesystem::remove_all(folder);
     return true;
@@ -212,6 +294,9 @@
   add("callers", "callers", cxxopts::value<int>()->default_value("6"));
   add("deadly-part", "also requests with a part that crashes replicas");
   add("signals", "also faults that replicas and the store announce");
+  add("contention",
+      "several accounts, floods, uneven replicas, and relays that make all "
+      "decisions under load");
   options.parse_positional({ "build" });
   try {
     const cxxopts::ParseResult line = options.parse(argc, argv);
@@ -222,9 +307,10 @@
     run.size.plain = static_cast<std::size_t>(line["plain"].as<int>());
     run.size.engines = static_cast<std::size_t>(line["engines"].as<int>());
     run.callers = line["callers"].as<int>();
+    run.size.contention = line.count("contention") > 0;
     run.deadlyPart = line.count("deadly-part") > 0;
     if (line.count("signals") > 0) {
-      run.faultKinds = kFaultNames.size();
+      run.faultKinds = kSignalFaults;
     }
     bool held = true;
     const int first = line["seed"].as<int>();
--- a/tests/standins/lib/UsersReplica.cpp
+++ b/tests/standins/lib/UsersReplica.cpp
@@ -22,11 +22,14 @@
 constexpr int kAccepted = 202;
 constexpr int kBadRequest = 400;
 constexpr int kMisdirected = 421;
+constexpr int kFailed = 500;
 constexpr int kUnavailable = 503;
 
 /** Work of a plain request, and the pause between two events. */
 constexpr std::chrono::milliseconds kWork{ 4 };
 constexpr std::chrono::milliseconds kEventPause{ 15 };
+/** How many times as long work takes while the replica is slow. */
+constexpr int kSlowFactor = 8;
 /** Time that loading layers takes. */
 constexpr std::chrono::milliseconds kLoad{ 100 };
 
@@ -242,6 +245,11 @@
   if (std::find(shared.begin(), shared.end(), kDeadlyPart) != shared.end()) {
     this->crash(id);
   }
+  if (this->failing) {
+    HttpReply reply = stamped(id);
+    reply.status = kFailed;
+    return reply;
+  }
   if (this->settings.kind.empty()) {
     return this->runPlain(id);
   }
@@ -278,10 +286,17 @@
   return reply;
 }
 
+void
+UsersReplica::work(std::chrono::milliseconds aTime) const
+{
+  std::this_thread::sleep_for(aTime * this->settings.slowdown *
+                              (this->slow ? kSlowFactor : 1));
+}
+
 HttpReply
 UsersReplica::runPlain(const std::string& aId)
 {
-  std::this_thread::sleep_for(kWork);
+  this->work(kWork);
   HttpReply reply = stamped(aId);
   reply.body = usersAnswer(aId);
   return reply;
@@ -293,8 +308,8 @@
   HttpReply reply = stamped(aId);
   reply.headers["Content-Type"] = "text/event-stream";
   const int count = usersEventCount(aId);
-  reply.source = [aId, count, next = aAfter + 1]() mutable {
-    std::this_thread::sleep_for(kEventPause);
+  reply.source = [this, aId, count, next = aAfter + 1]() mutable {
+    this->work(kEventPause);
     if (next > count) {
       return BodyChunk{ "", BodyChunk::State::Last };
     }
--- a/tests/standins/lib/UsersReplica.h
+++ b/tests/standins/lib/UsersReplica.h
@@ -27,6 +27,8 @@
   Address advertised;
   /** The store in which it registers. */
   Address store;
+  /** How many times as long as usual its work takes. */
+  int slowdown = 1;
 };
 
 /** How long a replica that rejects requests asks each relay to send nothing. */
@@ -55,7 +57,8 @@
  * suspension. A request with kDeadlyPart as a part that others may share
  * crashes it at its first event; it prints "crashed REPLICA ID MS". While it
  * rejects requests or announces its drain, it also prints "rejected REPLICA ID
- * MS" or "announced REPLICA ID MS" for each one.
+ * MS" or "announced REPLICA ID MS" for each one. While it fails its requests or
+ * is slow, its reports do not show it.
  */
 class UsersReplica
 {
@@ -67,6 +70,10 @@
   void registerSelf();
   /** Rejects all requests and asks for a backoff, or no longer does. */
   void setRejecting(bool aRejecting) { this->rejecting = aRejecting; }
+  /** Answers all requests with 500, or no longer does. */
+  void setFailing(bool aFailing) { this->failing = aFailing; }
+  /** Takes much longer for all requests, or no longer does. */
+  void setSlow(bool aSlow) { this->slow = aSlow; }
   /** Announces its drain in all answers from now on. */
   void announceDrain() { this->draining = true; }
 
@@ -82,6 +89,8 @@
   HttpReply takeOrder(const HttpRequest& aRequest);
   HttpReply runPlain(const std::string& aId);
   HttpReply runStream(const std::string& aId, int aAfter);
+  /** Waits for the time that work takes here which usually takes this long. */
+  void work(std::chrono::milliseconds aTime) const;
   [[nodiscard]] std::string entry();
 
   UsersReplicaSettings settings;
@@ -90,6 +99,8 @@
   std::optional<LayerRange> layers;
   std::atomic<bool> rejecting{ false };
   std::atomic<bool> draining{ false };
+  std::atomic<bool> failing{ false };
+  std::atomic<bool> slow{ false };
   int sequence = 0;
   // Last: it answers from all the above.
   std::unique_ptr<HttpServer> server;
--- a/tests/standins/standin_users_replica.cpp
+++ b/tests/standins/standin_users_replica.cpp
@@ -33,6 +33,7 @@
   settings.listen = addressIn(aLine, "listen");
   settings.advertised = addressIn(aLine, "advertise");
   settings.store = addressIn(aLine, "store");
+  settings.slowdown = aLine["slowdown"].as<int>();
   const auto replica = UsersReplica::create(settings);
   if (!replica) {
     std::cerr << "standin_users_replica: " << describe(replica.error()) << '\n';
@@ -47,6 +48,14 @@
         break;
       case SIGUSR2:
         replica.value()->setRejecting(false);
+        replica.value()->setFailing(false);
+        replica.value()->setSlow(false);
+        break;
+      case SIGURG:
+        replica.value()->setFailing(true);
+        break;
+      case SIGWINCH:
+        replica.value()->setSlow(true);
         break;
       case SIGHUP:
         replica.value()->announceDrain();
@@ -63,14 +72,16 @@
 main(int argc, char** argv)
 {
   StopSignal stop;
-  for (const int signal : { SIGUSR1, SIGUSR2, SIGHUP }) {
+  for (const int signal : { SIGUSR1, SIGUSR2, SIGHUP, SIGURG, SIGWINCH }) {
     stop.add(signal);
   }
   cxxopts::Options options{
     "standin_users_replica",
     "A replica of the users' platform for tests. Prints \"ready id=ID\", then\n"
     "\"run ID MS\" for each request that it begins. Ends on SIGTERM.\n"
-    "SIGUSR1, SIGUSR2: begins, ceases to reject requests with Retry-After.\n"
+    "SIGUSR1: rejects requests with Retry-After. SIGURG: answers them with "
+    "500.\n"
+    "SIGWINCH: is slow. SIGUSR2: ends these three.\n"
     "SIGHUP: announces its drain in all answers."
   };
   auto add = options.add_options();
@@ -82,6 +93,9 @@
   add("listen", "A.B.C.D:PORT", text());
   add("advertise", "where others reach it", text());
   add("store", "the store", text());
+  add("slowdown",
+      "how many times as long as usual its work takes",
+      cxxopts::value<int>()->default_value("1"));
   add("help", "print this");
   try {
     const cxxopts::ParseResult line = options.parse(argc, argv);
--- a/tests/unit/soak/SoakJudgeTest.cpp
+++ b/tests/unit/soak/SoakJudgeTest.cpp
@@ -105,6 +105,46 @@
     1U);
 }
 
+// An account that asks for little is held to the share of one that floods.
+TEST(SoakJudge, ARequestWithoutOthersOfItsAccountIsNotBeyondItsShare)
+{
+  SoakRecord record;
+  CallRecord call = answered(RequestKind::Stream, 503);
+  record.ended("a", call);
+  call.alone = true;
+  record.ended("b", call);
+  const std::string begin = "path: event=beyond_share id=";
+  const std::string end = " in_use_tokens=100 share_tokens=33";
+  const SoakVerdict verdict = judge(record, { begin + "a" + end });
+  EXPECT_TRUE(verdict.broken.empty());
+  EXPECT_EQ(verdict.beyondShare, 1U);
+  EXPECT_EQ(judge(record, { begin + "b" + end }).broken.size(), 1U);
+}
+
+// Plans change with a new kind of fault, so that an old seed gives another run.
+TEST(SoakPlan, PlansOfOlderFaultsStayAsTheyWere)
+{
+  const auto plan = planOf(1, std::chrono::seconds{ 8 }, kSignalFaults);
+  ASSERT_EQ(plan.size(), 15U);
+  EXPECT_EQ(plan.back().at.count(), 7'896);
+  EXPECT_EQ(plan.back().fault, Fault::StoreLinkSilent);
+  EXPECT_EQ(plan.back().who, 225'998'475'647'652'457U);
+  EXPECT_EQ(plan.back().lasts.count(), 611);
+}
+
+TEST(SoakPlan, FloodsAndUnevenReplicasComeInEachContentionPlan)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::set<Fault> kinds;
+    for (const PlannedFault& fault :
+         contentionPlanOf(seed, std::chrono::seconds{ 8 })) {
+      kinds.insert(fault.fault);
+    }
+    EXPECT_TRUE(kinds.contains(Fault::AccountFloods));
+    EXPECT_GT(kinds.size(), 1U);
+  }
+}
+
 TEST(SoakPlan, TheSameSeedGivesTheSamePlan)
 {
   const auto one = planOf(7, std::chrono::seconds{ 60 });
