Define kMilli and kStepsPerToken once

Cause: kMilli was defined in four files and kStepsPerToken in two. Whoever changes one of them can miss the others.

Change: kMilli is in base/Milli.h, kStepsPerToken in PathCosts.h. Names in the same files get their unit.

--- a/src/fleet/CopyCapacity.cpp
+++ b/src/fleet/CopyCapacity.cpp
@@ -4,24 +4,18 @@
 #include <vector>
 
 #include "LayerCopy.h"
+#include "PathCosts.h"
 
 namespace poplartrack {
 
 using namespace layer_copy;
 
-namespace {
-
-/** Decode steps of a token; see PathCosts. */
-constexpr double kStepsPerToken = 1.5;
-
-} // namespace
-
 double
 tokensOf(const EngineProfile& aProfile, const PlacedReplica& aPlaced)
 {
-  const double free = kindOf(aProfile, *aPlaced.replica)->memoryMb -
-                      aProfile.layerMb * aPlaced.layers.size();
-  return std::max(0.0, free) /
+  const double freeMb = kindOf(aProfile, *aPlaced.replica)->memoryMb -
+                        aProfile.layerMb * aPlaced.layers.size();
+  return std::max(0.0, freeMb) /
          (aProfile.tokenLayerMb() * aPlaced.layers.size()) / aPlaced.slowdown;
 }
 
--- a/src/fleet/DemandTable.cpp
+++ b/src/fleet/DemandTable.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "TwoDigits.h"
+#include "poplartrack/base/Milli.h"
 
 namespace poplartrack {
 namespace {
@@ -16,12 +17,10 @@
 /** A relay that is silent for this long has ended or is cut off. */
 constexpr Duration kPeerTimeout = std::chrono::seconds{ 2 };
 
-/** Requests are reported in thousandths a second. */
-constexpr double kMilli = 1'000;
-
-/** Rates below this many tokens a second are not kept. */
-constexpr double kLeastTokens = 1;
+/** Rates below this are not kept. */
+constexpr double kMinTokensPerSecond = 1;
 
+/** Returns the weight of a request of this age. */
 double
 weightAfter(Duration aAge)
 {
@@ -99,7 +98,7 @@
   std::erase_if(this->ownTokens, [aNow](const auto& aEntry) {
     const Recent& recent = aEntry.second;
     const TokenRate rate = rateAt(recent.tokens, recent.at, aNow);
-    return rate.tokens() < kLeastTokens;
+    return rate.tokens() < kMinTokensPerSecond;
   });
 }
 
--- a/src/fleet/PathCosts.cpp
+++ b/src/fleet/PathCosts.cpp
@@ -6,10 +6,6 @@
 namespace poplartrack {
 namespace {
 
-/** Duration of a token at a replica, in decode steps: on average it waits half
- * a step until the replica picks it up, and then takes one. */
-constexpr double kStepsPerToken = 1.5;
-
 /** Fraction of a replica's memory that paths may reserve. A request reserves
  * memory for all tokens that it is expected to have at its end, but holds only
  * half of its answer on average. The difference covers answers that are longer
--- a/src/fleet/PathCosts.h
+++ b/src/fleet/PathCosts.h
@@ -8,6 +8,10 @@
 
 namespace poplartrack {
 
+/** Duration of a token at a replica, in decode steps: on average it waits half
+ * a step until the replica picks it up, and then takes one. */
+inline constexpr double kStepsPerToken = 1.5;
+
 /** A candidate and what it costs a request. */
 struct PathNode
 {
--- a/src/relay/PlacementController.cpp
+++ b/src/relay/PlacementController.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "poplartrack/base/Milli.h"
 #include "poplartrack/fleet/ReplicaHealth.h"
 
 namespace poplartrack {
@@ -26,7 +27,6 @@
   const auto whole = [](double aValue) {
     return static_cast<std::int64_t>(aValue);
   };
-  constexpr double kMilli = 1'000;
   aLine.with("why", aRelease.move ? "demand" : "extended")
     .with("then_from", aRelease.kept.from)
     .with("then_to", aRelease.kept.to);
--- a/src/relay/RelayDemand.cpp
+++ b/src/relay/RelayDemand.cpp
@@ -5,14 +5,12 @@
 #include <limits>
 
 #include "RelayLoopImpl.h"
+#include "poplartrack/base/Milli.h"
 #include "poplartrack/fleet/MeanRequest.h"
 
 namespace poplartrack {
 namespace {
 
-/** Requests are reported in thousandths a second. */
-constexpr double kMilli = 1'000;
-
 std::uint32_t
 toCount(double aValue)
 {
--- a/src/relay/RelayLimits.cpp
+++ b/src/relay/RelayLimits.cpp
@@ -1,12 +1,13 @@
 // Rate limits that replicas state in their answers, and how relays share them.
 
 #include "RelayLoopImpl.h"
+#include "poplartrack/base/Milli.h"
 
 namespace poplartrack {
+
 std::int64_t
 toMilliRate(double aPerSecond)
 {
-  constexpr double kMilli = 1'000;
   return static_cast<std::int64_t>(aPerSecond * kMilli);
 }
 
