Hold the announced releases while they are read

Cause: two range-for loops ran over *releases.read(). The shared pointer that read() returns was destroyed before the first iteration, so the placement thread could free the list while the loop thread read it.

Change: the pointer is kept in a variable during the loops. The periodic task now also announces and counts the same list.

--- a/src/relay/RelayReleases.cpp
+++ b/src/relay/RelayReleases.cpp
@@ -39,7 +39,9 @@
 RelayLoop::Impl::addReleases(PeerStatus& aStatus) const
 {
   if (aStatus.holdsLease) {
-    for (const auto& [replica, layers] : *this->shared.releases.read()) {
+    // Held during the loop: the placement thread may replace the value.
+    const auto announced = this->shared.releases.read();
+    for (const auto& [replica, layers] : *announced) {
       if (aStatus.releases.size() < kMaxReleaseRows) {
         aStatus.releases.push_back({ replica, layers.from, layers.to });
       }
@@ -88,8 +90,10 @@
   }
   this->releases.expire(this->now);
   const bool holder = this->shared.holdsLease;
+  // Held until the end: the placement thread may replace the value.
+  const auto announced = this->shared.releases.read();
   this->releases.onAnnounced(kOwnAnnouncements,
-                             holder ? *this->shared.releases.read()
+                             holder ? *announced
                                     : std::vector<ReleasedLayers>{},
                              this->now);
   if (!holder) {
@@ -100,15 +104,15 @@
     silentAt == TimePoint{} || this->now - silentAt >= kSilenceTime;
   const auto outside = this->requestsOutsideReleases();
   std::map<std::string, std::uint32_t> use;
-  for (const auto& [replica, layers] : *this->shared.releases.read()) {
+  for (const auto& [replica, layers] : *announced) {
     if (!known) {
       break;
     }
     const ReplicaLoad load = this->loads.at(replica);
     const auto own = outside.find(replica);
-    const std::uint32_t clear =
+    const std::uint32_t unaffected =
       load.outsideRelease + (own == outside.end() ? 0 : own->second);
-    use[replica] = load.requests > clear ? load.requests - clear : 0;
+    use[replica] = load.requests > unaffected ? load.requests - unaffected : 0;
   }
   this->shared.releaseUse.replace(
     std::make_shared<const std::map<std::string, std::uint32_t>>(
