--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -273,7 +273,9 @@
 
 } // namespace poplartrack
 
+// These two come first: the others use their constants.
 #include "poplartrack/relay/FleetJoin.inl.h"
+#include "poplartrack/relay/FleetPlacement.inl.h"
 
 #include "poplartrack/relay/FleetCatchUp.inl.h"
 #include "poplartrack/relay/FleetControl.inl.h"
