Split long functions of the relay and of the planner

Cause: onReport, onAnswerDone, findPathFor, onPeerStatus, planService and bestDemandMove each did several things, and the order in which findPathFor tries its filters could only be understood from the code.

Change: onMissingReport, moveBlockedWork, onServerError, limitCrossings, linkTotalsOf, loadTableOf, planInput and bestMoveIn are functions of their own, with the same steps in the same order. findPathFor lists its steps, and its filters are named. isLossProven, whose comment called it something else, is mayDeclareLost; "spare" is "redundant" as in the glossary.

--- a/src/fleet/DemandMove.cpp
+++ b/src/fleet/DemandMove.cpp
@@ -27,8 +27,8 @@
  * estimates. */
 constexpr double kMinShortage = 0.05;
 
-/** A move has to raise what its zone carries by this factor. Less would not be
- * noticed by callers, while the replica is away for seconds. */
+/** A move has to raise what its zone carries by this factor. Callers would not
+ * notice a smaller gain, and the replica serves nothing for seconds. */
 constexpr double kMinMoveGain = 1.05;
 
 /** Weight of a request of urgency 0, relative to the least urgent one, 9. */
@@ -36,14 +36,16 @@
 
 using Placed = std::vector<PlacedReplica>;
 
-/** What a zone lacks. */
+/** The demand of a zone beyond what its copies carry. */
 struct ZoneNeed
 {
   const Placed* zone = nullptr;
   /** Requests a second beyond what its copies carry; negative: what they could
-   * carry more. */
+   * carry in addition. */
   double unmet = 0;
+  /** Mean urgency of its requests, from 0, the most urgent, to 9. */
   double urgency = 0;
+  /** Zones with a higher value are tried first. */
 
   [[nodiscard]] double priority() const
   {
@@ -131,13 +133,13 @@
   move.carriedAfter = carriedRate(aProfile, aMean, later);
   move.gained =
     kPaybackSeconds * std::min(move.carriedAfter - move.carriedNow, aShortage);
-  // Until the layers are loaded, the replica first waits for the answers that
-  // run through it.
-  const double away =
+  // The replica first waits for the answers that run through it, and then loads
+  // the layers.
+  const double unavailableSeconds =
     releaseSeconds(aProfile, aMean, aZone, aZone[aIndex]) +
     seconds(aProfile.loadTime) * move.to.size() / aProfile.layers;
   move.lost =
-    away *
+    unavailableSeconds *
     std::max(0.0, move.carriedNow - carriedRate(aProfile, aMean, others));
   return move;
 }
@@ -151,7 +153,9 @@
 /** Returns whether others of the zone hold all layers of a replica at a normal
  * speed. */
 bool
-isSpare(const EngineProfile& aProfile, const Placed& aZone, std::size_t aIndex)
+isRedundant(const EngineProfile& aProfile,
+            const Placed& aZone,
+            std::size_t aIndex)
 {
   Placed others = without(aZone, aIndex);
   std::erase_if(others, isDegraded);
@@ -159,6 +163,37 @@
          gapsOf(others, aProfile.layers).empty();
 }
 
+/** Returns the move within a zone that serves the most requests, if one pays.
+ */
+std::optional<DemandMove>
+bestMoveIn(const EngineProfile& aProfile,
+           const MeanRequest& aMean,
+           const ZoneNeed& aNeed,
+           double aShortage,
+           const std::function<bool(const Replica&)>& aMayMove)
+{
+  const Placed& placed = *aNeed.zone;
+  std::optional<DemandMove> best;
+  // Of replicas that are alike, only one is evaluated.
+  std::set<std::tuple<std::string, LayerRange, double>> evaluated;
+  for (std::size_t i = 0; i < placed.size(); ++i) {
+    const auto& [replica, layers, pending, slowdown] = placed[i];
+    if (pending || isDegraded(placed[i]) || !aMayMove(*replica) ||
+        !evaluated.emplace(replica->kind, layers, slowdown).second ||
+        !isRedundant(aProfile, placed, i)) {
+      continue;
+    }
+    DemandMove move = evaluate(aProfile, aMean, placed, i, aShortage);
+    move.demand = aNeed.unmet + move.carriedNow;
+    const double net = move.gained - move.lost;
+    const bool isNoticed = move.carriedAfter >= kMinMoveGain * move.carriedNow;
+    if (isNoticed && net > 0 && (!best || net > best->gained - best->lost)) {
+      best = move;
+    }
+  }
+  return best;
+}
+
 } // namespace
 
 std::optional<DemandMove>
@@ -205,26 +240,7 @@
                      return aLeft.priority() > aRight.priority();
                    });
   for (const ZoneNeed& need : needs) {
-    const Placed& placed = *need.zone;
-    std::optional<DemandMove> best;
-    // Of replicas that are alike, one is enough to look at.
-    std::set<std::tuple<std::string, LayerRange, double>> evaluated;
-    for (std::size_t i = 0; i < placed.size(); ++i) {
-      const auto& [replica, layers, pending, slowdown] = placed[i];
-      if (pending || isDegraded(placed[i]) || !aMayMove(*replica) ||
-          !evaluated.emplace(replica->kind, layers, slowdown).second ||
-          !isSpare(aProfile, placed, i)) {
-        continue;
-      }
-      DemandMove move = evaluate(aProfile, mean, placed, i, shortage);
-      move.demand = need.unmet + move.carriedNow;
-      const double net = move.gained - move.lost;
-      const bool isNoticed =
-        move.carriedAfter >= kMinMoveGain * move.carriedNow;
-      if (isNoticed && net > 0 && (!best || net > best->gained - best->lost)) {
-        best = move;
-      }
-    }
+    auto best = bestMoveIn(aProfile, mean, need, shortage, aMayMove);
     if (best) {
       return best;
     }
--- a/src/relay/PlacementController.cpp
+++ b/src/relay/PlacementController.cpp
@@ -19,8 +19,50 @@
   return found != aSlowdowns.end() && found->second >= kDegradedSlowdown;
 }
 
-/** Adds what a release rests on. Rates are in thousandths of a request a
- * second. */
+/** The replicas of one service for a plan. */
+struct PlanInput
+{
+  /** Those that may get orders. */
+  std::vector<Replica> available;
+  std::vector<Replica> degraded;
+  /** A replica is missing that only this relay cannot reach. */
+  bool uncertain = false;
+};
+
+/** Returns the replicas of a service for a plan, without those that drain, are
+ * lost or have been replaced. aIndices: where aView holds them. */
+PlanInput
+planInput(const RelayShared& aShared,
+          const ReplicaView& aView,
+          const std::vector<std::size_t>& aIndices,
+          const std::set<std::string>& aReplaced,
+          const RelayShared::Slowdowns& aSlowdowns)
+{
+  const auto lost = aShared.lostReplicas.read();
+  const auto announced = aShared.announcedDrains.read();
+  PlanInput input;
+  for (const std::size_t index : aIndices) {
+    const Replica& replica = aView.replicas[index];
+    const auto found = lost->find(replica.id);
+    const bool dead = found != lost->end();
+    const bool draining = replica.draining || announced->contains(replica.id);
+    // Only this relay fails to reach it: the replica may be alive, and the
+    // relay cut off. The planner waits longer then.
+    input.uncertain = input.uncertain || (dead && !found->second && !draining);
+    if (draining || aReplaced.contains(replica.id)) {
+      continue;
+    }
+    if (!dead) {
+      input.available.push_back(replica);
+    } else if (isDegraded(aSlowdowns, replica.id)) {
+      input.degraded.push_back(replica);
+    }
+  }
+  return input;
+}
+
+/** Adds the figures for which a release was chosen. Rates are in thousandths of
+ * a request a second. */
 void
 addFigures(LogLine& aLine, const OpenRelease& aRelease)
 {
@@ -111,30 +153,9 @@
                                  const std::vector<std::size_t>& aIndices,
                                  TimePoint aNow)
 {
-  const auto lost = this->shared.lostReplicas.read();
-  const auto announced = this->shared.announcedDrains.read();
   const auto slowdowns = this->shared.slowdowns.read();
-  std::vector<Replica> available;
-  std::vector<Replica> degraded;
-  bool uncertain = false;
-  const std::set<std::string> replaced = this->replacedReplicas(aView);
-  for (const std::size_t index : aIndices) {
-    const Replica& replica = aView.replicas[index];
-    const auto found = lost->find(replica.id);
-    const bool dead = found != lost->end();
-    const bool draining = replica.draining || announced->contains(replica.id);
-    // Only this relay fails to reach it: the replica may be alive, and the
-    // relay cut off. The planner waits longer then.
-    uncertain = uncertain || (dead && !found->second && !draining);
-    if (draining || replaced.contains(replica.id)) {
-      continue;
-    }
-    if (!dead) {
-      available.push_back(replica);
-    } else if (isDegraded(*slowdowns, replica.id)) {
-      degraded.push_back(replica);
-    }
-  }
+  PlanInput input = planInput(
+    this->shared, aView, aIndices, this->replacedReplicas(aView), *slowdowns);
   std::vector<LayerOrder> orders;
   {
     const std::scoped_lock lock{ this->guard };
@@ -150,17 +171,20 @@
     const auto demand = this->shared.demand.read();
     const auto asked = demand->find(aService);
     planner.setDemand(asked == demand->end() ? ZoneDemand{} : asked->second);
-    planner.setSpeeds(*slowdowns, std::move(degraded));
-    orders = planner.plan(
-      aEngine, available, uncertain, *this->shared.busyReplicas.read(), aNow);
+    planner.setSpeeds(*slowdowns, std::move(input.degraded));
+    orders = planner.plan(aEngine,
+                          input.available,
+                          input.uncertain,
+                          *this->shared.busyReplicas.read(),
+                          aNow);
     this->logGaps(aService, planner.gaps());
     this->logReleases(aService, planner);
   }
   for (const LayerOrder& order : orders) {
     const auto replica = std::find_if(
-      available.begin(), available.end(), [&](const Replica& aReplica) {
-        return aReplica.id == order.replica;
-      });
+      input.available.begin(),
+      input.available.end(),
+      [&](const Replica& aReplica) { return aReplica.id == order.replica; });
     this->issueOrder(order, *replica);
   }
 }
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -237,8 +237,38 @@
                            .with("after_ms", duration.count() / kMicrosPerMs));
 }
 
-/** Handles the end of an answer: retries a server error (5xx) of an idempotent
- * request, else completes the answer to the caller. */
+/** Records an answer with a server error (5xx), and retries the request if it
+ * may run again. Returns whether it is retried. */
+bool
+RelayLoop::Impl::onServerError(Exchange& aExchange,
+                               ReplicaConnection& aConnection,
+                               int aStatus)
+{
+  this->health.onFailure(aExchange.replica, ReplicaFailure::Faulty, this->now);
+  // Deadlines also end at sound replicas that are overloaded.
+  if (aStatus != kGatewayTimeout) {
+    this->recordFailedStart(aExchange);
+  }
+  const bool retry =
+    this->mayRunAgain(aExchange, aStatus) &&
+    aExchange.runs + 1 < aExchange.route->attempts &&
+    aExchange.sends < kMaxSends &&
+    this->budgetOf(aExchange).tryRetry(retryNeedOf(aExchange), this->now);
+  if (!retry) {
+    return false;
+  }
+  this->shared.metrics.countRetry(RetryReason::ReplicaFailed);
+  aExchange.avoid.insert(aExchange.replica);
+  aExchange.connection = 0;
+  this->removeLoad(aExchange);
+  ++aExchange.runs;
+  this->releaseReplica(aConnection);
+  this->dispatch(aExchange);
+  return true;
+}
+
+/** Handles the end of an answer: retries the request after a server error if it
+ * may run again, else completes the answer to the caller. */
 void
 RelayLoop::Impl::onAnswerDone(std::uint64_t aExchange,
                               std::uint64_t aConnection)
@@ -252,25 +282,8 @@
   ReplicaConnection& connection = *from->second;
   const MessageHead head = connection.parser->head();
   const bool stream = exchange.streaming && isSuccess(head.status);
-  if (!isSuccess(head.status) && head.status >= kInternalError) {
-    this->health.onFailure(exchange.replica, ReplicaFailure::Faulty, this->now);
-    // Deadlines also end at sound replicas that are overloaded.
-    if (head.status != kGatewayTimeout) {
-      this->recordFailedStart(exchange);
-    }
-    const bool retry =
-      this->mayRunAgain(exchange, head.status) &&
-      exchange.runs + 1 < exchange.route->attempts &&
-      exchange.sends < kMaxSends &&
-      this->budgetOf(exchange).tryRetry(retryNeedOf(exchange), this->now);
-    if (retry) {
-      this->shared.metrics.countRetry(RetryReason::ReplicaFailed);
-      exchange.avoid.insert(exchange.replica);
-      exchange.connection = 0;
-      this->removeLoad(exchange);
-      ++exchange.runs;
-      this->releaseReplica(connection);
-      this->dispatch(exchange);
+  if (head.status >= kInternalError) {
+    if (this->onServerError(exchange, connection, head.status)) {
       return;
     }
   } else {
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -294,39 +294,54 @@
   return candidates;
 }
 
-/** Finds a path through replicas of normal speed, or else through degraded ones
- * too, or else, where no healthy replica could be the first, one that begins at
- * an ejected one or one that failed the request. Before that, where no healthy
- * replica could be the first, through layers that are announced for release. It
- * crosses zones only over links with free capacity. */
+/** Limits the zone crossings of a path to links with free capacity, and to as
+ * many as the request has time for. */
+void
+RelayLoop::Impl::limitCrossings(const Exchange& aExchange, PathDemand& aDemand)
+{
+  const EngineProfile& engine = *aExchange.service->engine;
+  if (engine.linkMbps <= 0) {
+    return;
+  }
+  // Relays that this one doesn't receive reports from use the links too. Their
+  // share of the capacity is left to them.
+  const auto reportingRelays = static_cast<double>(this->knownPeers.size() + 1);
+  const auto listedRelays =
+    static_cast<double>(this->shared.peers.read()->size() + 1);
+  const double share = hasFastLinks(engine) ? kFastLinkShare : kSlowLinkShare;
+  this->links.setRate(share * engine.linkMbps * kBytesPerMegabit *
+                      std::min(reportingRelays / listedRelays, 1.0));
+  aDemand.closedLinks = this->links.closedLinks(this->now);
+  aDemand.linkWaits = this->links.linkWaits(this->now);
+  aDemand.maxCrossings = maxCrossingsOf(aExchange);
+}
+
+/**
+ * Finds a path. Each of these is tried if the ones before give none:
+ * 1. replicas of normal speed;
+ * 2. degraded ones too;
+ * 3. layers that are announced for release too, if no healthy replica could be
+ *    the first;
+ * 4. a path that begins at an ejected replica, or at one that failed or refused
+ *    the request, if still no healthy one could be the first;
+ * 5. all of these together, while a release is announced, if a layer has no
+ *    other holder or the request is a started stream.
+ * Steps 3 and 4 are for relays with outlier ejection; without it, steps 1 and 2
+ * leave no first replica out.
+ */
 Result<LayerPath>
 RelayLoop::Impl::findPathFor(const Exchange& aExchange, PathDemand aDemand)
 {
   const EngineProfile& engine = *aExchange.service->engine;
-  if (engine.linkMbps > 0) {
-    // Relays that this one doesn't receive reports from use the links too.
-    // Their share of the capacity is left to them.
-    const auto reportingRelays =
-      static_cast<double>(this->knownPeers.size() + 1);
-    const auto listedRelays =
-      static_cast<double>(this->shared.peers.read()->size() + 1);
-    const double share = hasFastLinks(engine) ? kFastLinkShare : kSlowLinkShare;
-    this->links.setRate(share * engine.linkMbps * kBytesPerMegabit *
-                        std::min(reportingRelays / listedRelays, 1.0));
-    aDemand.closedLinks = this->links.closedLinks(this->now);
-    aDemand.linkWaits = this->links.linkWaits(this->now);
-    aDemand.maxCrossings = maxCrossingsOf(aExchange);
-  }
+  this->limitCrossings(aExchange, aDemand);
   Result<LayerPath> path = fail(ErrorKind::NoRoute, "");
-  std::vector<CandidateFilter> filters{ { false, false, false },
-                                        { true, false, false } };
-  // Without ejection, the filters above leave no first replica out.
+  std::vector<CandidateFilter> filters{ {}, { .slow = true } };
   if (this->settings.load.outlierEjection &&
       (!this->outliers.empty() || !aExchange.avoid.empty())) {
     if (!this->releases.empty()) {
-      filters.push_back({ true, false, true });
+      filters.push_back({ .slow = true, .released = true });
     }
-    filters.push_back({ true, true, false });
+    filters.push_back({ .slow = true, .ejected = true });
   }
   bool hasHealthyFirst = false;
   for (const CandidateFilter& filter : filters) {
@@ -351,7 +366,9 @@
     // The replicas that were to take over released layers are lost, or are too
     // full for a stream that would break off. The lease holder gives the
     // release up as soon as it notices, or waits for the stream.
-    const CandidateFilter filter{ true, true, true };
+    const CandidateFilter filter{ .slow = true,
+                                  .ejected = true,
+                                  .released = true };
     return findPath(
       engine, this->candidatesFor(aExchange, aDemand, filter), aDemand);
   }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -245,6 +245,9 @@
   [[nodiscard]] std::int64_t lateMs(const Exchange& aExchange) const;
   void recordRepairTime(Exchange& aExchange);
   void onAnswerDone(std::uint64_t aExchange, std::uint64_t aConnection);
+  bool onServerError(Exchange& aExchange,
+                     ReplicaConnection& aConnection,
+                     int aStatus);
   [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
   void onNotExecuted(Exchange& aExchange, const MessageHead& aHead);
   void onAttemptFailed(Exchange& aExchange,
@@ -315,6 +318,7 @@
   [[nodiscard]] static std::uint32_t maxCrossingsOf(const Exchange& aExchange);
   [[nodiscard]] Result<LayerPath> findPathFor(const Exchange& aExchange,
                                               PathDemand aDemand);
+  void limitCrossings(const Exchange& aExchange, PathDemand& aDemand);
   void reserveLinkCapacity(const Exchange& aExchange, const LayerPath& aPath);
   void addLoad(Exchange& aExchange, const LayerPath* aKept = nullptr);
   [[nodiscard]] LayerPath cachedParts(const Exchange& aExchange) const;
@@ -337,6 +341,11 @@
   void requestPathReports(const std::string& aFirst);
   void requestSlowReplicaReports();
   void onReport(const std::string& aReplica, const ReplicaReport& aReport);
+  void onMissingReport(const std::string& aReplica,
+                       bool aRefused,
+                       bool aOutageProbe);
+  void moveBlockedWork(const std::string& aReporter,
+                       const std::vector<StalledWork>& aStalled);
   [[nodiscard]] bool usesLostReplica(const Exchange& aExchange) const;
   void rearmStallTimers(const std::string& aReplica);
   [[nodiscard]] bool hasRecentProgress(const std::string& aReplica) const;
@@ -350,8 +359,8 @@
   [[nodiscard]] std::vector<StreamProgress> streamsToCheck() const;
   void checkLosses();
   void recordReportAnswer(const std::string& aReplica);
-  [[nodiscard]] bool isLossProven(const std::string& aReplica,
-                                  bool aOutageProbe);
+  [[nodiscard]] bool mayDeclareLost(const std::string& aReplica,
+                                    bool aOutageProbe);
 
   // RelayOutage.cpp: outages of the store.
   void updateOutageView();
--- a/src/relay/RelayLossProbes.cpp
+++ b/src/relay/RelayLossProbes.cpp
@@ -132,11 +132,11 @@
   }
 }
 
-/** Returns whether a replica that could not be asked for a report counts as
- * lost. Without it this relay, cut off from the network, would declare every
- * replica as lost. */
+/** Returns whether a replica that has not answered a status query counts as
+ * lost. With loss probes and in an outage of the store, StallSuspects decides:
+ * a relay that is itself cut off would otherwise declare every replica lost. */
 bool
-RelayLoop::Impl::isLossProven(const std::string& aReplica, bool aOutageProbe)
+RelayLoop::Impl::mayDeclareLost(const std::string& aReplica, bool aOutageProbe)
 {
   const bool guarded = this->settings.load.lossProbes || aOutageProbe;
   return !guarded ||
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -16,6 +16,37 @@
 #include "poplartrack/base/TcpSocket.h"
 
 namespace poplartrack {
+namespace {
+
+/** Returns the bytes that the sender has sent over each zone link. */
+LinkTotals
+linkTotalsOf(const PeerStatus& aStatus)
+{
+  LinkTotals totals;
+  for (const LinkRow& row : aStatus.links) {
+    totals.emplace(zonePair(row.firstZone, row.secondZone),
+                   row.kilobytes * kBytesPerKilobyte);
+  }
+  return totals;
+}
+
+/** Returns the sender's work in flight at each replica. */
+LoadTable
+loadTableOf(const PeerStatus& aStatus)
+{
+  LoadTable table;
+  for (const LoadRow& row : aStatus.loads) {
+    table.emplace(row.replica,
+                  ReplicaLoad{ row.requests,
+                               static_cast<double>(row.tokenLayers),
+                               static_cast<double>(row.prefillTokens),
+                               row.pathStarts,
+                               std::min(row.outsideRelease, row.requests) });
+  }
+  return table;
+}
+
+} // namespace
 
 /** Opens the socket for datagrams. */
 Result<Done>
@@ -192,22 +223,8 @@
     this->budgets.of(row.service)
       .onPeer(incarnation, RetryCounts{ row.requests, row.retries }, this->now);
   }
-  LinkTotals totals;
-  for (const LinkRow& row : aStatus.links) {
-    totals.emplace(zonePair(row.firstZone, row.secondZone),
-                   row.kilobytes * kBytesPerKilobyte);
-  }
-  this->links.onPeer(incarnation, totals, this->now);
-  LoadTable table;
-  for (const LoadRow& row : aStatus.loads) {
-    table.emplace(row.replica,
-                  ReplicaLoad{ row.requests,
-                               static_cast<double>(row.tokenLayers),
-                               static_cast<double>(row.prefillTokens),
-                               row.pathStarts,
-                               std::min(row.outsideRelease, row.requests) });
-  }
-  this->loads.onPeer(peer, std::move(table), this->now);
+  this->links.onPeer(incarnation, linkTotalsOf(aStatus), this->now);
+  this->loads.onPeer(peer, loadTableOf(aStatus), this->now);
   this->onPeerDemand(aStatus, peer);
   this->onPeerReleases(aStatus, peer);
   this->onPeerAccounts(aStatus, peer);
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -180,24 +180,8 @@
 {
   const bool outageProbe =
     this->outageProbeState.unanswered.erase(aReplica) > 0;
-  if (outageProbe && !aReport.reached && !aReport.refused) {
-    // It was asked only because the store is unavailable, and it accepted the
-    // connection: it is busy. Moving its layers would cost more than waiting.
-    return;
-  }
-  if (!aReport.reached && this->hasRecentProgress(aReplica)) {
-    // The replica is too busy to report in time, but its streams make progress.
-    // Treating it as dead would use up an attempt of each of them.
-    this->health.onSlowdown(aReplica, kDegradedSlowdown);
-    return;
-  }
   if (!aReport.reached) {
-    if (this->isLossProven(aReplica, outageProbe)) {
-      this->shared.log.write(LogLine{ LogPart::Replicas, "unreached" }
-                               .with("replica", aReplica)
-                               .with("connected", aReport.refused ? 0 : 1));
-      this->onUnreachableReplica(aReplica);
-    }
+    this->onMissingReport(aReplica, aReport.refused, outageProbe);
     return;
   }
   this->recordReportAnswer(aReplica);
@@ -218,8 +202,44 @@
     this->requestPathReports(aReplica);
     return;
   }
+  this->moveBlockedWork(aReplica, aReport.stalled);
+}
+
+/** Handles a replica that has not answered a status query. aRefused: no
+ * connection was established. aOutageProbe: it was asked only because the store
+ * is unavailable. */
+void
+RelayLoop::Impl::onMissingReport(const std::string& aReplica,
+                                 bool aRefused,
+                                 bool aOutageProbe)
+{
+  if (aOutageProbe && !aRefused) {
+    // It accepted the connection, so it is busy. Moving its layers would cost
+    // more than waiting.
+    return;
+  }
+  if (this->hasRecentProgress(aReplica)) {
+    // The replica is too busy to report in time, but its streams make progress.
+    // Treating it as dead would use up an attempt of each of them.
+    this->health.onSlowdown(aReplica, kDegradedSlowdown);
+    return;
+  }
+  if (this->mayDeclareLost(aReplica, aOutageProbe)) {
+    this->shared.log.write(LogLine{ LogPart::Replicas, "unreached" }
+                             .with("replica", aReplica)
+                             .with("connected", aRefused ? 0 : 1));
+    this->onUnreachableReplica(aReplica);
+  }
+}
+
+/** Moves the requests off the replicas that a report names as the cause of
+ * stalled work. */
+void
+RelayLoop::Impl::moveBlockedWork(const std::string& aReporter,
+                                 const std::vector<StalledWork>& aStalled)
+{
   std::set<std::string> blockedOn;
-  for (const StalledWork& work : aReport.stalled) {
+  for (const StalledWork& work : aStalled) {
     if (const Replica* replica = this->replicaByAddress(work.blockedOn)) {
       blockedOn.insert(replica->id);
     }
@@ -227,7 +247,7 @@
   for (const std::string& replica : blockedOn) {
     this->shared.log.write(LogLine{ LogPart::Replicas, "blocks" }
                              .with("replica", replica)
-                             .with("reported_by", aReplica));
+                             .with("reported_by", aReporter));
     this->health.onFailure(replica, ReplicaFailure::Stalled, this->now);
     this->onFaultyReplica(replica);
   }
