Clarify comments and names of the decisions under contention

Cause: some comments restated a name, left out a unit or the condition that matters (PathCandidate::takesRequests did not mention ejection), or used a word for two things: "share" for layers to keep, "short of memory" beside "short of capacity", "rest" for a delay and for a remainder, "pace" for a slowdown.

Change: reworded comments, renamed private and local names. The reasons of orders that the log keeps as former words (recut, double, stretch) are constants that name the glossary's terms. No field, setting, metric or log event changes.

--- a/include/poplartrack/fleet/AccountShare.h
+++ b/include/poplartrack/fleet/AccountShare.h
@@ -7,9 +7,10 @@
 {
   /** The account may start one more request. */
   bool within = true;
+  /** Tokens that its requests reserve, and how many are its share. */
   double inUse = 0;
   double share = 0;
-  /** By which the share is measured, 1 for an account without history. */
+  /** Its weight in the division; 1 for an account without history. */
   double weight = 1;
 };
 
--- a/include/poplartrack/fleet/DemandMove.h
+++ b/include/poplartrack/fleet/DemandMove.h
@@ -29,8 +29,8 @@
   double carriedAfter = 0;
   /** By how much the demand of all zones exceeds what all copies carry. */
   double shortage = 0;
-  /** Requests served more in the payback time, and fewer until the layers are
-   * loaded. */
+  /** Additional requests served within the payback time, and requests that are
+   * not served until the layers are loaded. */
   double gained = 0;
   double lost = 0;
 };
--- a/include/poplartrack/fleet/LayerPlanner.h
+++ b/include/poplartrack/fleet/LayerPlanner.h
@@ -220,8 +220,8 @@
   void shrink(const EngineProfile& aProfile,
               Group& aGroup,
               const std::set<std::string>& aBusy);
-  [[nodiscard]] static std::uint32_t shareOf(const EngineProfile& aProfile,
-                                             const Member& aMember);
+  [[nodiscard]] static std::uint32_t maxLayersOf(const EngineProfile& aProfile,
+                                                 const Member& aMember);
   [[nodiscard]] static std::optional<OpenRelease> usefulRelease(
     const EngineProfile& aProfile,
     const Group& aGroup,
--- a/include/poplartrack/fleet/LayerRelease.h
+++ b/include/poplartrack/fleet/LayerRelease.h
@@ -33,7 +33,8 @@
   double tokensAfter = 0;
   /** Tokens that the others have memory for in the scarcest released layer. */
   double tokensOthers = 0;
-  /** The figures of a move, instead of those of tokens. */
+  /** Set if the replica releases all its layers to load others; the figures of
+   * tokens are 0 then. */
   std::optional<DemandMove> move;
   TimePoint announcedAt{};
 };
@@ -52,8 +53,8 @@
 
 /**
  * The release of layers of one replica of a service, from announcement to
- * order: of some that an extended replica has beyond its share, or of all when
- * it is to load others.
+ * order: of some that an extended replica holds in excess, or of all when it is
+ * to load others.
  *
  * A replica that is ordered to drop layers through which requests pass refuses
  * all work until the last of them ends. So the release is announced first, and
--- a/include/poplartrack/fleet/PathFinder.h
+++ b/include/poplartrack/fleet/PathFinder.h
@@ -24,8 +24,8 @@
   ReplicaLoad load;
   /** How many times as long as declared its work takes; 1 when healthy. */
   double slowdown = 1;
-  /** Whether a path may begin there now. False while the replica's rate limit
-   * allows this relay no request. */
+  /** Whether a path may begin there now. False while it is ejected or at its
+   * rate limit, and if it has failed or refused this request. */
   bool takesRequests = true;
   /** The layers that a path may use there, if not all that it holds. */
   std::optional<LayerRange> usable = std::nullopt;
--- a/include/poplartrack/relay/LoadSettings.h
+++ b/include/poplartrack/relay/LoadSettings.h
@@ -6,8 +6,8 @@
  * All are off unless the settings turn them on. */
 struct LoadSettings
 {
-  /** Divides the memory of a model service that is short of it among the client
-   * accounts. */
+  /** Divides the capacity of a model service that is short of it among the
+   * client accounts. */
   bool accountShares = false;
   /** Rejects or delays requests whose first event or pauses would exceed the
    * route's objectives. */
--- a/include/poplartrack/relay/LoopLoad.h
+++ b/include/poplartrack/relay/LoopLoad.h
@@ -14,8 +14,8 @@
 class LoopLoad
 {
 public:
-  /** The rest of the time is for requests that were read and whose work is
-   * still to come. */
+  /** Default of the limit. The rest of the time is for requests that were read
+   * and whose work is still to come. */
   static constexpr double kDefaultLimit = 0.6;
 
   /** aLimit: the load from which on new connections are turned away. */
--- a/include/poplartrack/relay/RelayShared.h
+++ b/include/poplartrack/relay/RelayShared.h
@@ -77,8 +77,8 @@
   RcuBox<std::vector<ReleasedLayers>> releases{
     std::make_shared<const std::vector<ReleasedLayers>>()
   };
-  /** Requests of all relays that run these layers, by replica. Kept up to date
-   * only while this relay holds the placement lease. */
+  /** Requests of all relays that run these layers, by replica; empty if that is
+   * unknown. Kept up to date only while this relay holds the lease. */
   RcuBox<std::map<std::string, std::uint32_t>> releaseUse{
     std::make_shared<const std::map<std::string, std::uint32_t>>()
   };
--- a/src/admit/FairShare.cpp
+++ b/src/admit/FairShare.cpp
@@ -89,8 +89,8 @@
   return cost;
 }
 
-/** Returns the highest least served fraction up to aWanted whose cost is at
- * most aMaxCost. */
+/** Returns the largest value of FairShare::minServed up to aWanted that costs
+ * at most aMaxCost. */
 double
 affordableMinServed(const std::vector<ShareClaim>& aClaims,
                     double aLevel,
@@ -100,6 +100,7 @@
   if (floorCost(aClaims, aLevel, aWanted) <= aMaxCost) {
     return aWanted;
   }
+  // Bisection to 1/4,096 of aWanted.
   constexpr int kSteps = 12;
   double low = 0;
   double high = aWanted;
--- a/src/fleet/AccountCapacity.cpp
+++ b/src/fleet/AccountCapacity.cpp
@@ -16,12 +16,13 @@
 constexpr Duration kPeerTimeout = std::chrono::seconds{ 2 };
 /** A refusal shows that a service is short of capacity for this long. */
 constexpr Duration kRefusalMemory = std::chrono::seconds{ 1 };
-/** Least age at which a division is computed anew, and the same for each
- * account in it. A division takes 0.2 µs for each account on a busy machine: at
- * most 0.4% of a core. */
+/** A division is kept for the longer of these times: a fixed one, and one for
+ * each account in it. A division takes 0.2 µs for each account on a busy
+ * machine: at most 0.4% of a core. */
 constexpr Duration kDivideInterval = std::chrono::milliseconds{ 50 };
 constexpr Duration kDivideIntervalPerAccount = std::chrono::microseconds{ 50 };
-/** Interval of probes, one round of the wait queue. */
+/** Interval of probes, which are searches for free capacity by requests beyond
+ * their share: one round of the wait queue. */
 constexpr Duration kProbeInterval = std::chrono::milliseconds{ 25 };
 /** Capacity that is free for this long is wanted by no request within its
  * share: relays learn within 200 ms what another one has freed, and look for
@@ -34,8 +35,8 @@
  * from few requests gives one account everything or nothing. */
 constexpr double kMinWeight = 0.125;
 constexpr double kMaxWeight = 8;
-/** After a longer time without a probe, nothing is known of the time between.
- */
+/** After a longer time between two probes, it is not known whether the capacity
+ * was free meanwhile. */
 constexpr Duration kMaxProbeGap = std::chrono::milliseconds{ 100 };
 
 /** Returns the fewest tokens of a row for one account with requests of the
@@ -94,7 +95,7 @@
     return;
   }
   for (AccountTokens* use : { &found->second, &service->second.ownTotal }) {
-    // Sums of fractions may leave a rest when the last request ends.
+    // Rounding may leave a sum other than 0 when the last request ends.
     if (--use->requests == 0) {
       *use = AccountTokens{};
       continue;
@@ -303,7 +304,7 @@
   }
   aService.accounts = claims.size();
   for (const auto& [peer, rest] : aService.peers.byRest()) {
-    // In parts, since the weight of one claim is bounded.
+    // Split into several claims, since the weight of one is bounded.
     const double parts = std::ceil(rest.weight / kMaxShareWeight);
     claims.insert(claims.end(),
                   static_cast<std::size_t>(parts),
@@ -333,8 +334,9 @@
   result.within = result.inUse <= result.share + kRoundingTokens;
   const auto own = service.own.find(aAccount);
   if (own != service.own.end() && use.demand() > result.share) {
-    // Relays see what others start up to 200 ms later. If each took what is
-    // left of the share, the account would pass it by a multiple of that.
+    // Relays learn up to 200 ms later what others have started. If each let the
+    // account use all that is left of its share, the account would exceed the
+    // share by a multiple of what is left.
     const double part = own->second.demand() / use.demand();
     result.within = result.within &&
                     own->second.inUse <= result.share * part + kRoundingTokens;
@@ -386,7 +388,8 @@
       }
     }
     if (service.ownTotal.waiting <= 0 && wasRefused(service, aNow)) {
-      // A single waiting token tells the others that the service is short.
+      // The service is short of capacity although no request waits here. The
+      // other relays learn this from a row with a waiting token.
       named.push_back({ &name, service.refusal->account, 0, 1, 0 });
     }
   }
--- a/src/fleet/AccountRowRef.h
+++ b/src/fleet/AccountRowRef.h
@@ -11,6 +11,7 @@
 {
   const std::string* service;
   std::uint64_t account;
+  /** Tokens in use and waiting, and usual tokens a second; see AccountUse. */
   double inUse;
   double waiting;
   double usual;
--- a/src/fleet/EventTimes.cpp
+++ b/src/fleet/EventTimes.cpp
@@ -5,10 +5,11 @@
 namespace poplartrack {
 namespace {
 
-/** The newest gap counts one in kGapsInMean. */
+/** The newest gap has the weight 1 / kGapsInMean in the smoothed gap. */
 constexpr std::uint32_t kGapsInMean = 8;
 
-/** Gaps between three arrivals. */
+/** Smallest number of gaps that replaces the forecast: those between three
+ * arrivals. */
 constexpr std::uint32_t kMinGaps = 2;
 
 } // namespace
--- a/src/fleet/LayerGap.cpp
+++ b/src/fleet/LayerGap.cpp
@@ -22,6 +22,10 @@
  * service until the missing replica is back. */
 constexpr double kMinExtendedFraction = 0.22;
 
+/** Reason of orders, as the log has it for operators to match. The glossary has
+ * the term: extend. */
+constexpr const char* kExtendReason = "stretch";
+
 } // namespace
 
 /** Returns the tokens that the replica has memory for if it holds aLayers
@@ -121,11 +125,12 @@
   if (own->from > aGap.from) {
     this->issueOrder(*neighbours.before,
                      { neighbours.before->layers.from, own->from },
-                     "stretch");
+                     kExtendReason);
   }
   if (own->to < aGap.to) {
-    this->issueOrder(
-      *neighbours.after, { own->to, neighbours.after->layers.to }, "stretch");
+    this->issueOrder(*neighbours.after,
+                     { own->to, neighbours.after->layers.to },
+                     kExtendReason);
   }
   this->issueOrder(aEmpty, *own, "gap");
   return true;
@@ -210,10 +215,10 @@
     std::min(roomBefore, (aGap.size() * roomBefore + room - 1) / room);
   const std::uint32_t middle = aGap.from + first;
   if (before != nullptr && first > 0) {
-    this->issueOrder(*before, { before->layers.from, middle }, "stretch");
+    this->issueOrder(*before, { before->layers.from, middle }, kExtendReason);
   }
   if (after != nullptr && middle < aGap.to) {
-    this->issueOrder(*after, { middle, after->layers.to }, "stretch");
+    this->issueOrder(*after, { middle, after->layers.to }, kExtendReason);
   }
 }
 
--- a/src/fleet/LayerRelease.cpp
+++ b/src/fleet/LayerRelease.cpp
@@ -9,20 +9,20 @@
 
 /** No release begins this soon after an order in the same zone: the load that
  * moved with the order settles first. */
-constexpr Duration kZoneRestTime = std::chrono::seconds{ 5 };
+constexpr Duration kDelayAfterOrder = std::chrono::seconds{ 5 };
 
 /** No release begins this soon after the loss of a replica. A crashed one is
  * back without layers after 3 to 5 s and then loads them; rejected callers
  * return after 2.5 to 6 s. */
-constexpr Duration kLossRestTime = std::chrono::seconds{ 10 };
+constexpr Duration kDelayAfterLoss = std::chrono::seconds{ 10 };
 
 /** After a release has expired, its replica and those like it keep their layers
  * for this long. A shorter time would keep these layers unused for most of the
  * time while long answers pass through them. */
 constexpr Duration kRetryTime = std::chrono::seconds{ 60 };
 
-/** Returns whether a release of this replica would be like an earlier one: of
- * the same replica, or of the same kind and layers in the same zone. */
+/** Returns whether a release of this replica resembles an earlier one: it is of
+ * the same replica, or of one of the same kind and layers in the same zone. */
 bool
 isAlike(const OpenRelease& aEarlier, const Replica& aReplica, LayerRange aHeld)
 {
@@ -48,9 +48,9 @@
 {
   const auto order = this->lastOrderAt.find(aReplica.zone);
   return !this->current && !this->isUseUnknown(aNow) &&
-         (!this->lossAt || aNow - *this->lossAt >= kLossRestTime) &&
+         (!this->lossAt || aNow - *this->lossAt >= kDelayAfterLoss) &&
          (order == this->lastOrderAt.end() ||
-          aNow - order->second >= kZoneRestTime) &&
+          aNow - order->second >= kDelayAfterOrder) &&
          std::none_of(
            this->expired.begin(), this->expired.end(), [&](const auto& aEntry) {
              return aNow - aEntry.second < kRetryTime &&
--- a/src/fleet/LayerRepair.cpp
+++ b/src/fleet/LayerRepair.cpp
@@ -18,6 +18,11 @@
  * where they are. */
 constexpr double kRepartitionFraction = 0.75;
 
+/** Reasons of orders, as the log has them for operators to match. The glossary
+ * has the terms: repartition and duplicate. */
+constexpr const char* kRepartitionReason = "recut";
+constexpr const char* kDuplicateReason = "double";
+
 } // namespace
 
 /**
@@ -63,7 +68,7 @@
   }
   const auto ranges = repartitionLayers(aProfile.layers, members);
   for (std::size_t i = 0; i < ranges.size(); ++i) {
-    this->issueOrder(*all[i], ranges[i], "recut");
+    this->issueOrder(*all[i], ranges[i], kRepartitionReason);
   }
 }
 
@@ -140,27 +145,27 @@
   if (waits) {
     return;
   }
-  // The layer with memory for the fewest tokens bounds the copy.
+  // The scarcest layer bounds the copy.
   const std::vector<double> tokens = tokenCapacityByLayer(aProfile, aGroup);
-  const auto weakest = static_cast<std::uint32_t>(
+  const auto scarcest = static_cast<std::uint32_t>(
     std::min_element(tokens.begin(), tokens.end()) - tokens.begin());
   const std::uint32_t maxLayers = std::max(
     layerCapacity(
       aProfile, *kindOf(aProfile, *aEmpty.replica), tokenTarget(aProfile)),
     1U);
-  const std::uint32_t from = boundaryBefore(aGroup, weakest);
+  const std::uint32_t from = boundaryBefore(aGroup, scarcest);
   std::uint32_t to = std::min(from + maxLayers, aProfile.layers);
-  if (to <= weakest) {
+  if (to <= scarcest) {
     this->issueOrder(
       aEmpty,
-      { weakest, std::min(weakest + maxLayers, aProfile.layers) },
-      "double");
+      { scarcest, std::min(scarcest + maxLayers, aProfile.layers) },
+      kDuplicateReason);
     return;
   }
   // With the same boundaries, the replica can replace those that it duplicates.
   const std::uint32_t snapped = boundaryBefore(aGroup, to);
-  to = snapped > weakest ? snapped : to;
-  this->issueOrder(aEmpty, { from, to }, "double");
+  to = snapped > scarcest ? snapped : to;
+  this->issueOrder(aEmpty, { from, to }, kDuplicateReason);
 }
 
 /** Closes the gaps of a group and assigns layers to its empty replicas. The
--- a/src/fleet/LayerShrink.cpp
+++ b/src/fleet/LayerShrink.cpp
@@ -25,9 +25,9 @@
  * layers grows by this factor. Less would not be noticed by callers. */
 constexpr double kMinReleaseGain = 1.05;
 
-/** Layers with up to this many times the tokens of the zone's scarcest one
- * limit it as well: of several such replicas, one releases layers after the
- * other. */
+/** A layer limits its zone if there is memory for at most this many times the
+ * tokens of the scarcest one. If several replicas hold such layers, one
+ * releases layers after the other. */
 constexpr double kNearScarcest = 1.05;
 
 /** Interval between two searches for a move, which cost far more than the rest
@@ -73,7 +73,7 @@
 
 /** Returns the most layers that an extended replica keeps. */
 std::uint32_t
-LayerPlanner::shareOf(const EngineProfile& aProfile, const Member& aMember)
+LayerPlanner::maxLayersOf(const EngineProfile& aProfile, const Member& aMember)
 {
   return layerCapacity(aProfile,
                        *kindOf(aProfile, *aMember.replica),
@@ -92,7 +92,7 @@
 {
   const auto& open = this->release.open();
   for (Member& member : aGroup) {
-    const std::uint32_t maxLayers = shareOf(aProfile, member);
+    const std::uint32_t maxLayers = maxLayersOf(aProfile, member);
     const std::string& id = member.replica->id;
     if (member.pending || member.layers.size() <= maxLayers ||
         aBusy.contains(id) || (open && open->released.replica == id)) {
@@ -129,7 +129,7 @@
                             const Member& aMember)
 {
   const LayerRange held = aMember.layers;
-  const std::uint32_t maxLayers = shareOf(aProfile, aMember);
+  const std::uint32_t maxLayers = maxLayersOf(aProfile, aMember);
   LayerRange front = held;
   while (front.size() > maxLayers &&
          heldByOthers(aGroup, aMember, front.from)) {
@@ -208,7 +208,7 @@
   std::optional<OpenRelease> best;
   for (const Group& group : aGroups) {
     for (const Member& member : group) {
-      if (member.layers.size() <= shareOf(aProfile, member) ||
+      if (member.layers.size() <= maxLayersOf(aProfile, member) ||
           !aBusy.contains(member.replica->id) ||
           !this->release.mayAnnounce(
             *member.replica, member.layers, this->now)) {
@@ -257,7 +257,8 @@
     }
   }
   const auto mayMove = [this](const Replica& aReplica) {
-    // Only replicas without an open order are asked about.
+    // Called only for replicas without an open order: they hold the layers that
+    // the replica list shows.
     return this->release.mayAnnounce(
       aReplica, aReplica.layers.value_or(LayerRange{}), this->now);
   };
--- a/src/fleet/OutlierEjection.cpp
+++ b/src/fleet/OutlierEjection.cpp
@@ -10,10 +10,12 @@
 
 /** Duration of the first ejection; each further one takes twice as long. */
 constexpr Duration kFirstEjection = std::chrono::milliseconds{ 1'000 };
+/** The longest ejection is 2^4 times the first, 16 s. */
 constexpr std::uint32_t kMaxDoublings = 4;
 
 /** An ejection ends after this multiple of its duration unless a trial fails. A
- * replica that fails at once looks unloaded, so its trial comes earlier. */
+ * replica that fails requests at once has few in flight, so paths prefer it and
+ * its trial comes earlier. */
 constexpr int kUnconfirmedFactor = 4;
 
 /** A trial without a result after this time was not sent, or was cancelled. */
--- a/src/fleet/StallSuspects.cpp
+++ b/src/fleet/StallSuspects.cpp
@@ -6,7 +6,8 @@
 namespace poplartrack {
 namespace {
 
-/** A stream is late after this many times its expected gap, in quarters. */
+/** A stream is late after this many quarters of its expected gap, that is 1.75
+ * times the gap. */
 constexpr int kLateQuarters = 7;
 
 /** A stream is never late earlier than this. */
@@ -19,8 +20,8 @@
  * be cut off. A replica that is still suspect is probed again before. */
 constexpr Duration kOpenTime = 2 * StallSuspects::kMinProbeInterval;
 
-/** A relay that heard a replica or a peer within this time is not cut off.
- * Peers of the zone send a status message every 200 ms. */
+/** A relay that received something from a replica or a peer within this time is
+ * not cut off. Peers of the zone send a status message every 200 ms. */
 constexpr Duration kHeardTime = std::chrono::milliseconds{ 250 };
 
 } // namespace
--- a/src/fleet/TwoDigits.h
+++ b/src/fleet/TwoDigits.h
@@ -2,8 +2,9 @@
 
 namespace poplartrack {
 
-/** Rounds a rate to two digits, and one below 1 to 0: status messages whose
- * content is the same are sent less often. */
+/** Rounds a rate to two significant digits, or to a whole number if it is below
+ * 10; a rate below 1 becomes 0. Status messages with rounded rates differ less,
+ * and one that is equal to the last one is sent less often. */
 double
 roundToTwoDigits(double aValue);
 
--- a/src/relay/CandidateFilter.h
+++ b/src/relay/CandidateFilter.h
@@ -2,12 +2,13 @@
 
 namespace poplartrack {
 
-/** Which replicas a path may use besides those in good health. */
+/** What a path may use besides replicas in good health. */
 struct CandidateFilter
 {
-  /** Degraded ones. */
+  /** Degraded replicas. */
   bool slow = false;
-  /** A path may begin at ejected ones, and at those that failed the request. */
+  /** As its first replica, an ejected one, or one that failed or refused the
+   * request. */
   bool ejected = false;
   /** Layers that are announced for release. */
   bool released = false;
--- a/src/relay/DemandGauges.cpp
+++ b/src/relay/DemandGauges.cpp
@@ -6,7 +6,8 @@
 namespace poplartrack {
 namespace {
 
-/** Returns a zone's name in the form of a metric's. */
+/** Returns the metric name of a zone's gauge. Characters that metric names
+ * cannot have become underscores. */
 std::string
 metricName(const std::string& aZone)
 {
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -87,9 +87,9 @@
   /** When the prefill of a whole answer is expected to be over; nothing for a
    * stream, whose first event shows it. */
   std::optional<TimePoint> prefillEndsAt;
-  /** The parts that prefill; nothing if all parts of the path do. */
+  /** The parts of the path that prefill; nullopt: all of them. */
   std::optional<LayerPath> prefillParts;
-  /** The tokens that they read, as counted by the load tracker. */
+  /** Tokens that each of them prefills, as counted by the load tracker. */
   double prefillTokens = 0;
   /** Number of earlier attempts that may have run. While it is 0, the current
    * attempt is the only one that can have run. */
@@ -108,19 +108,18 @@
   std::optional<TimePoint> waitingSince;
   /** Its start was counted for the queue limit; reset when it waits again. */
   bool startRecorded = false;
-  /** The pace gate has held it back, and refuses it. */
+  /** The pace gate has held it back. */
   bool paceHeld = false;
+  /** The pace gate refuses it. */
   bool paceRefused = false;
   /** The latest forecast by which it was held back. */
   std::optional<PaceForecast> pace;
 
-  /** Tokens that AccountCapacity counts for the request as in use and as
-   * waiting.
-   */
+  /** Tokens that AccountCapacity counts for it as in use, and as waiting. */
   std::optional<double> countedUse;
   std::optional<double> countedWaiting;
-  /** Set at the first start or wait: only a first start without a wait counts
-   * as usual use of its account. */
+  /** It has started or waited, so that it is decided whether it counts as usual
+   * use of its account: only a first start without a wait does. */
   bool usualDecided = false;
   /** The last search found no path because capacity is short. */
   bool lacksCapacity = false;
@@ -153,9 +152,8 @@
   TimePoint lastProgress{};
   /** When the events sent to the caller arrived. */
   EventTimes eventTimes;
-  /** The time of the last progress whose lateness has led to a check for
-   * losses.
-   */
+  /** StreamProgress::lastEvent when it was last late and led to a check for
+   * losses. It leads to one check for each event. */
   TimePoint checkedFor{};
   /** A replica of its path was lost since the last event. */
   bool disturbedByLoss = false;
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -107,7 +107,7 @@
 constexpr std::size_t kMaxEjectedRows = 16;
 
 /** What one client account has at the sender of a model service that is short
- * of memory. */
+ * of capacity. */
 struct AccountRow
 {
   std::string service;
@@ -135,6 +135,7 @@
   /** Thousandths of a request a second, rounded to two digits; 0 from an older
    * sender, whose rows are not divided by urgency either. */
   std::uint32_t requests = 0;
+  /** From 0, the most urgent, to 9. */
   std::uint8_t urgency = 0;
   MSGPACK_DEFINE(service, promptTokens, answerTokens, requests, urgency);
 };
@@ -151,8 +152,8 @@
   MSGPACK_DEFINE(content, dueMs, service);
 };
 
-/** Layers that the holder of the placement lease will take from a replica. New
- * paths do not use them there. */
+/** The layers [from, to) that the holder of the placement lease will take from
+ * a replica. New paths do not use them there. */
 struct ReleaseRow
 {
   std::string replica;
@@ -239,11 +240,13 @@
    * in the sender's list does not say so. */
   std::vector<std::string> announcedDrains;
   /** Use by client account, the largest first; only while a service is short of
-   * memory. */
+   * capacity. */
   std::vector<AccountRow> accounts;
+  /** By service and urgency, those with the most tokens first. */
   std::vector<DemandRow> demand;
   /** Returns that were booked within the last second, the newest first. */
   std::vector<ReturnRow> returns;
+  /** Announced releases; empty unless the sender holds the placement lease. */
   std::vector<ReleaseRow> releases;
   /** Replicas that the sender has ejected because requests that began there
    * failed. */
--- a/src/relay/RelayOutage.cpp
+++ b/src/relay/RelayOutage.cpp
@@ -9,13 +9,14 @@
 namespace poplartrack {
 namespace {
 
-/** Number of periodic runs over which the questions to all listed replicas are
- * spread: each is asked once a second. */
+/** Number of periodic runs over which the status queries to all listed replicas
+ * are spread: each replica gets one a second. */
 constexpr std::uint32_t kRunsPerRound = 5;
 
 } // namespace
 
-/** Publishes what the placement thread needs to know of an outage. */
+/** Publishes how many relays are in contact, and whether one of them holds the
+ * placement lease, for OutageLeadership on the placement thread. */
 void
 RelayLoop::Impl::updateOutageView()
 {
@@ -39,8 +40,8 @@
 
 /**
  * Asks the listed replicas for a report while the store is unavailable and this
- * relay places layers, and once more when the store is back. The list is stale
- * then, and no request finds out that an idle replica has exited.
+ * relay places layers, and once more when the store is back. The replica list
+ * is stale then, and no request shows that an idle replica has exited.
  */
 void
 RelayLoop::Impl::probeListedReplicas()
--- a/src/relay/RelayPublication.cpp
+++ b/src/relay/RelayPublication.cpp
@@ -23,7 +23,7 @@
   for (const std::string& replica : this->health.blockedOn(this->now)) {
     lost.insert_or_assign(replica, true);
   }
-  for (const auto& [replica, pace] : this->health.degraded()) {
+  for (const auto& [replica, slowdown] : this->health.degraded()) {
     lost.insert_or_assign(replica, true);
   }
   for (const std::string& replica : this->reports.slow()) {
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -152,7 +152,7 @@
               "",
               "false",
               "whether client accounts share a model service that is short "
-              "of memory" },
+              "of capacity" },
   SettingRow{ "load.pace_admission",
               Boolean,
               0,
