End the waits for idempotency keys when an entry drains

Cause: a call that waits for the holder of its key or for the platform slept on its connection thread until its deadline, whether the entry was stopping or not. A drain lasted as long as the longest such wait.

Change: EntryServer announces its drain through a std::stop_source in place of its atomic flag. awaitClaim, the loop formerly in CallerApi::claimKey, pauses on the token; once a stop is requested, the last verdict is final. The entry's destructor requests the stop, too. Calls that come during the drain try to claim their keys once.

--- a/include/poplartrack/entry/CallerApi.h
+++ b/include/poplartrack/entry/CallerApi.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <stop_token>
 #include <string>
 
 #include "poplartrack/base/RcuBox.h"
@@ -27,6 +28,8 @@
   /** The configuration in force; null while there is none. */
   RcuBox<Configuration>& configuration;
   std::string replyTo;
+  /** Ends the waits of calls for their idempotency keys. */
+  std::stop_token draining;
 };
 
 /** Answers callers as docs/CALLING.md specifies. Runs on the threads of their
@@ -81,8 +84,6 @@
   HttpReply runService(const Context& aContext,
                        const ServiceCall& aCall,
                        bool aIdempotent);
-  /** Claims a key, and waits for another holder of it until the deadline. */
-  ClaimVerdict claimKey(const ClaimRequest& aRequest, TimePoint aDeadline);
   HttpReply dispatchPlain(const Context& aContext,
                           const PlainSpec& aSpec,
                           const ClaimHeld* aClaim);
--- a/include/poplartrack/entry/EntryServer.h
+++ b/include/poplartrack/entry/EntryServer.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <stop_token>
 #include <string>
 
 #include "poplartrack/base/PeriodicThread.h"
@@ -35,7 +36,8 @@
 
   /**
    * First step of a graceful shutdown: health checks get 503, so that the load
-   * balancer sends callers elsewhere. Those that still come are served.
+   * balancer sends callers elsewhere. Those that still come are served, but
+   * none waits for another holder of its idempotency key any longer.
    */
   void startDraining();
   /** Second step: accepts no new connections. */
@@ -75,7 +77,7 @@
   PlatformClient platform;
   Decider decider;
   std::unique_ptr<EndpointTracker> tracker;
-  std::atomic<bool> draining{ false };
+  std::stop_source draining;
   /** Whether all parts exist. Frames that arrive before are rejected. */
   std::atomic<bool> assembled{ false };
   std::unique_ptr<StreamServer> server;
--- a/src/entry/CallerApiService.cpp
+++ b/src/entry/CallerApiService.cpp
@@ -1,9 +1,7 @@
 #include "poplartrack/entry/CallerApi.h"
 
-#include <thread>
-
 #include "CallerRetryAfter.h"
-#include "poplartrack/entry/ClaimWait.h"
+#include "poplartrack/entry/AwaitClaim.h"
 
 namespace poplartrack {
 
@@ -76,7 +74,11 @@
   request.key = key;
   request.digest = bodyDigest(aCall.service, aCall.operation, aCall.body);
   request.token = toText(aContext.request);
-  const ClaimVerdict verdict = this->claimKey(request, aContext.deadline);
+  const ClaimVerdict verdict = awaitClaim(this->parts.claims,
+                                          request,
+                                          aContext.deadline,
+                                          this->parts.draining,
+                                          this->parts.metrics);
   HttpReply reply;
   if (const auto* held = std::get_if<ClaimHeld>(&verdict)) {
     reply = this->dispatchPlain(aContext, spec, held);
@@ -98,22 +100,6 @@
   return reply;
 }
 
-ClaimVerdict
-CallerApi::claimKey(const ClaimRequest& aRequest, TimePoint aDeadline)
-{
-  ClaimWait wait{ aDeadline };
-  while (true) {
-    ClaimVerdict verdict = this->parts.claims.claim(aRequest);
-    const std::optional<Duration> pause =
-      wait.pauseAfter(verdict, runtimeNow());
-    if (!pause) {
-      return verdict;
-    }
-    this->parts.metrics.countRetry(RetryReason::ClaimUnknown);
-    std::this_thread::sleep_for(*pause);
-  }
-}
-
 HttpReply
 CallerApi::dispatchPlain(const Context& aContext,
                          const PlainSpec& aSpec,
--- a/src/entry/EntryPages.cpp
+++ b/src/entry/EntryPages.cpp
@@ -41,7 +41,7 @@
                    { "zone", this->settings.zone },
                    { "region", this->settings.region },
                    { "revision", this->configuration->revision() },
-                   { "draining", this->draining.load() },
+                   { "draining", this->draining.stop_requested() },
                    { "active", this->models->active() },
                    { "placer", this->placer && this->placer->holds() },
                    { "endpoints", std::move(endpointList) } };
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -97,6 +97,7 @@
 
 EntryServer::~EntryServer()
 {
+  this->draining.request_stop();
   // The threads end first. Until the last of them has, replies to probes and
   // frames of other entries use the configuration, so it is destroyed later.
   this->callers.reset();
@@ -171,7 +172,8 @@
                     *this->plains,
                     this->claims,
                     this->configuration->published(),
-                    replyTo });
+                    replyTo,
+                    this->draining.get_token() });
   this->assembled = true;
   this->endpoints->start([this] { return this->configuration->revision(); },
                          [this](std::uint64_t aRevision) {
@@ -236,7 +238,8 @@
   }
   if (aRequest.path == "/healthz") {
     HttpReply reply;
-    const bool fit = !this->draining && this->configuration->revision() != 0;
+    const bool fit =
+      !this->draining.stop_requested() && this->configuration->revision() != 0;
     reply.status = fit ? 200 : 503;
     reply.body = fit ? "ok\n" : "draining or without configuration\n";
     return reply;
@@ -282,7 +285,7 @@
 void
 EntryServer::startDraining()
 {
-  this->draining = true;
+  this->draining.request_stop();
   LOG(INFO) << "entry: draining";
 }
 
--- /dev/null
+++ b/tests/unit/entry/AwaitClaimTest.cpp
@@ -0,0 +1,33 @@
+#include "poplartrack/entry/AwaitClaim.h"
+
+#include <gtest/gtest.h>
+
+namespace poplartrack {
+namespace {
+
+TEST(AwaitClaim, aStopEndsTheWait)
+{
+  // Guards against a drain that is held up by calls that wait for their key.
+  std::stop_source stop;
+  int tries = 0;
+  ClaimKeeper claims;
+  claims.claim = [&](const ClaimRequest&) {
+    ++tries;
+    stop.request_stop();
+    return ClaimRefused{ fail(ErrorKind::KeyInUse),
+                         RunState::Unknown,
+                         ClaimProspect::HolderMayEnd };
+  };
+  Metrics metrics;
+  const ClaimVerdict verdict =
+    awaitClaim(claims,
+               {},
+               runtimeNow() + std::chrono::seconds{ 2 },
+               stop.get_token(),
+               metrics);
+  EXPECT_TRUE(std::holds_alternative<ClaimRefused>(verdict));
+  EXPECT_EQ(tries, 1);
+}
+
+} // namespace
+} // namespace poplartrack
