Count waits for idempotency keys apart from retries

Cause: retries_total{reason="claim_unknown"} counted each attempt of a call that waits for its key, although the reason means retries of a claim whose result is not known. A single waiting call raised it many times.

Change: counter claim_waits_total counts a waiting call once.

--- a/include/poplartrack/entry/AwaitClaim.h
+++ b/include/poplartrack/entry/AwaitClaim.h
@@ -9,7 +9,8 @@
 namespace poplartrack {
 
 /** Claims a key and, as ClaimWait decides, waits for another holder of it until
- * the deadline. Blocks. Once aStop is requested, the last verdict is final. */
+ * the deadline. Blocks. Once aStop is requested, the last verdict is final.
+ * Counts a call that waits in claim_waits_total, once. */
 ClaimVerdict
 awaitClaim(const ClaimKeeper& aClaims,
            const ClaimRequest& aRequest,
--- a/src/entry/AwaitClaim.cpp
+++ b/src/entry/AwaitClaim.cpp
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 #include "poplartrack/entry/ClaimWait.h"
 
@@ -30,6 +31,7 @@
            Metrics& aMetrics)
 {
   ClaimWait wait{ aDeadline };
+  bool counted = false;
   while (true) {
     ClaimVerdict verdict = aClaims.claim(aRequest);
     const std::optional<Duration> pause =
@@ -37,7 +39,9 @@
     if (!pause) {
       return verdict;
     }
-    aMetrics.countRetry(RetryReason::ClaimUnknown);
+    if (!std::exchange(counted, true)) {
+      aMetrics.count("claim_waits_total");
+    }
     if (!pauseFor(*pause, aStop)) {
       return verdict;
     }
