Retry the record of a claimed call's end

Cause: a holder that could not write its answer, its unknown outcome or the release of its key, because the platform was unavailable, left the claim without a result. Each repeat with the key then waited until its deadline.

A release whose answer was lost is not repeated, since another entry may hold the key by then. A drain waits for kept ends. claim_ends_kept and claim_ends_dropped_total show them. Ruled out: retries before the caller is answered, which hold back its answer.

--- a/include/poplartrack/entry/CallerApi.h
+++ b/include/poplartrack/entry/CallerApi.h
@@ -10,6 +10,7 @@
 #include "poplartrack/config/Configuration.h"
 #include "poplartrack/entry/AnswerText.h"
 #include "poplartrack/entry/CallerRequest.h"
+#include "poplartrack/entry/ClaimEndWriter.h"
 #include "poplartrack/entry/ClaimKeeper.h"
 #include "poplartrack/entry/ModelRunner.h"
 #include "poplartrack/entry/PlainDispatcher.h"
@@ -25,6 +26,7 @@
   ModelRunner& models;
   PlainDispatcher& plains;
   ClaimKeeper& claims;
+  ClaimEndWriter& claimEnds;
   /** The configuration in force; null while there is none. */
   RcuBox<Configuration>& configuration;
   std::string replyTo;
--- a/include/poplartrack/entry/ClaimKeeper.h
+++ b/include/poplartrack/entry/ClaimKeeper.h
@@ -12,10 +12,7 @@
 struct ClaimKeeper
 {
   std::function<ClaimVerdict(const ClaimRequest&)> claim;
-  std::function<void(const ClaimHeld&, std::uint32_t, const std::string&)>
-    record;
-  std::function<void(const ClaimHeld&)> recordUnknown;
-  std::function<void(const ClaimHeld&)> release;
+  std::function<Result<Done>(const ClaimEnd&)> end;
 
   /** Claims through a platform that outlives the keeper. */
   template<PlatformLike Platform>
@@ -25,19 +22,8 @@
     keeper.claim = [&aPlatform](const ClaimRequest& aRequest) {
       return IdempotencyClaim<Platform>{ aPlatform }.claim(aRequest);
     };
-    // A result that cannot be kept leaves the claim without one. That is safe:
-    // repeats are then answered that the outcome is unknown.
-    keeper.record = [&aPlatform](const ClaimHeld& aHeld,
-                                 std::uint32_t aStatus,
-                                 const std::string& aBody) {
-      (void)IdempotencyClaim<Platform>{ aPlatform }.record(
-        aHeld, aStatus, aBody);
-    };
-    keeper.recordUnknown = [&aPlatform](const ClaimHeld& aHeld) {
-      (void)IdempotencyClaim<Platform>{ aPlatform }.recordUnknown(aHeld);
-    };
-    keeper.release = [&aPlatform](const ClaimHeld& aHeld) {
-      (void)IdempotencyClaim<Platform>{ aPlatform }.release(aHeld);
+    keeper.end = [&aPlatform](const ClaimEnd& aEnd) {
+      return IdempotencyClaim<Platform>{ aPlatform }.end(aEnd);
     };
     return keeper;
   }
--- a/include/poplartrack/entry/EntryServer.h
+++ b/include/poplartrack/entry/EntryServer.h
@@ -42,7 +42,8 @@
   void startDraining();
   /** Second step: accepts no new connections. */
   void stopListening();
-  /** Returns whether every request has been answered completely. */
+  /** Returns whether every request has been answered completely and no end of a
+   * claimed call is kept for a retry. */
   [[nodiscard]] bool drained() const;
 
 private:
@@ -66,6 +67,7 @@
   HttpReply metricsPage();
   HttpReply statusPage();
   Duration pollInstances();
+  Duration retryClaimEnds();
   void onEndpointRestarted(const std::string& aEndpoint);
   void onConfiguration(const Configuration& aConfiguration);
 
@@ -86,12 +88,14 @@
   std::unique_ptr<ModelRunner> models;
   std::unique_ptr<PlainDispatcher> plains;
   ClaimKeeper claims;
+  ClaimEndWriter claimEnds;
   std::unique_ptr<ShareExchange> shares;
   /** Null if placement is disabled in the settings. */
   std::unique_ptr<Placer> placer;
   std::unique_ptr<CallerApi> api;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<PeriodicThread> instanceWatch;
+  std::unique_ptr<PeriodicThread> claimRetries;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/entry/IdempotencyClaim.h
+++ b/include/poplartrack/entry/IdempotencyClaim.h
@@ -27,7 +27,7 @@
   std::string token;
 };
 
-/** The claim succeeded: dispatch the call, then record() or release(). */
+/** The claim succeeded: dispatch the call, then write its end. */
 struct ClaimHeld
 {
   std::string rowKey;
@@ -35,6 +35,32 @@
   std::uint64_t version = 0;
 };
 
+/** The end of a claimed call, as its holder writes it. */
+struct ClaimEnd
+{
+  ClaimHeld held;
+  /** The row's new value; nullopt releases the key. */
+  std::optional<ClaimRecord> record;
+};
+
+/** The call was answered; the answer is stored for retries. A body that cannot
+ * be kept (canKeepBody) is not stored: retries are then answered that the key
+ * was used, with outcome "ran". */
+ClaimEnd
+answeredClaim(const ClaimHeld& aHeld,
+              std::uint32_t aStatus,
+              const std::string& aBody);
+
+/** The call ended with an unknown outcome: retries with the key do not wait for
+ * an answer. The key stays in use. */
+ClaimEnd
+unknownClaim(const ClaimHeld& aHeld);
+
+/** The key is released. Requires proof that the call has not run and never
+ * will. */
+ClaimEnd
+releasedClaim(const ClaimHeld& aHeld);
+
 /** The call was answered before: return the same answer. */
 struct ClaimReplay
 {
@@ -91,25 +117,11 @@
    * platform. */
   ClaimVerdict claim(const ClaimRequest& aRequest);
 
-  /** Stores the answer for retries. A body larger than kMaxClaimBody is not
-   * stored: retries are then answered that the key was used, with outcome
-   * "ran". On an error the claim stays without a result, which is safe: retries
-   * are then answered with outcome "unknown". */
-  Result<Done> record(const ClaimHeld& aHeld,
-                      std::uint32_t aStatus,
-                      const std::string& aBody);
-
-  /** Records that the call has ended with an unknown outcome, so that retries
-   * with the key do not wait for an answer. The key stays in use. */
-  Result<Done> recordUnknown(const ClaimHeld& aHeld);
-
-  /** Releases the key. Requires proof that the call has not run and never
-   * will. */
-  Result<Done> release(const ClaimHeld& aHeld);
+  /** Writes the end of a claimed call. On an error the claim stays without a
+   * result, which is safe: retries are then answered with outcome "unknown". */
+  Result<Done> end(const ClaimEnd& aEnd);
 
 private:
-  Result<Done> replace(const ClaimHeld& aHeld, const ClaimRecord& aRecord);
-
   Platform& platform;
 };
 
--- a/include/poplartrack/entry/IdempotencyClaim.inl.h
+++ b/include/poplartrack/entry/IdempotencyClaim.inl.h
@@ -72,51 +72,15 @@
 
 template<PlatformLike Platform>
 Result<Done>
-IdempotencyClaim<Platform>::record(const ClaimHeld& aHeld,
-                                   std::uint32_t aStatus,
-                                   const std::string& aBody)
+IdempotencyClaim<Platform>::end(const ClaimEnd& aEnd)
 {
-  ClaimRecord record = aHeld.record;
-  record.status = aStatus;
-  record.state =
-    canKeepBody(aBody) ? ClaimState::Answered : ClaimState::AnsweredUnkept;
-  if (record.state == ClaimState::Answered) {
-    record.body = aBody;
+  const ClaimHeld& held = aEnd.held;
+  std::optional<std::string> value;
+  if (aEnd.record) {
+    value = toText(*aEnd.record);
   }
-  return this->replace(aHeld, record);
-}
-
-template<PlatformLike Platform>
-Result<Done>
-IdempotencyClaim<Platform>::recordUnknown(const ClaimHeld& aHeld)
-{
-  ClaimRecord record = aHeld.record;
-  record.endedUnknown = true;
-  return this->replace(aHeld, record);
-}
-
-template<PlatformLike Platform>
-Result<Done>
-IdempotencyClaim<Platform>::replace(const ClaimHeld& aHeld,
-                                    const ClaimRecord& aRecord)
-{
-  const auto written =
-    this->platform.transact({ TableWrite{ std::string{ kClaimTable },
-                                          aHeld.rowKey,
-                                          aHeld.version,
-                                          toText(aRecord) } });
-  if (!written) {
-    return written.error();
-  }
-  return Done{};
-}
-
-template<PlatformLike Platform>
-Result<Done>
-IdempotencyClaim<Platform>::release(const ClaimHeld& aHeld)
-{
   const auto written = this->platform.transact({ TableWrite{
-    std::string{ kClaimTable }, aHeld.rowKey, aHeld.version, std::nullopt } });
+    std::string{ kClaimTable }, held.rowKey, held.version, value } });
   if (!written) {
     return written.error();
   }
--- a/src/entry/CallerApiService.cpp
+++ b/src/entry/CallerApiService.cpp
@@ -4,6 +4,20 @@
 #include "poplartrack/entry/AwaitClaim.h"
 
 namespace poplartrack {
+namespace {
+
+ClaimEnd
+endOf(const ClaimHeld& aClaim, const PlainEnd& aEnd)
+{
+  if (aEnd.answer) {
+    return answeredClaim(aClaim, aEnd.answer->status, aEnd.answer->body);
+  }
+  // Proved not to have run: the same key may be used for a retry.
+  return aEnd.ran == RunState::NotRun ? releasedClaim(aClaim)
+                                      : unknownClaim(aClaim);
+}
+
+} // namespace
 
 HttpReply
 CallerApi::callService(const Context& aContext,
@@ -107,13 +121,8 @@
 {
   const PlainEnd end = this->parts.plains.call(aSpec);
   this->parts.metrics.observe("plain_seconds", runtimeNow() - aContext.arrived);
-  if (aClaim != nullptr && end.answer) {
-    this->parts.claims.record(*aClaim, end.answer->status, end.answer->body);
-  } else if (aClaim != nullptr && end.ran == RunState::NotRun) {
-    // Proved not to have run: the same key may be used for a retry.
-    this->parts.claims.release(*aClaim);
-  } else if (aClaim != nullptr) {
-    this->parts.claims.recordUnknown(*aClaim);
+  if (aClaim != nullptr) {
+    this->parts.claimEnds.write(endOf(*aClaim, end), runtimeNow());
   }
   if (!end.answer) {
     return this->refuse(
--- a/src/entry/EntryPages.cpp
+++ b/src/entry/EntryPages.cpp
@@ -14,6 +14,8 @@
   this->metrics.set(
     "endpoints_known",
     static_cast<std::int64_t>(this->endpoints->view()->endpoints.size()));
+  this->metrics.set("claim_ends_kept",
+                    static_cast<std::int64_t>(this->claimEnds.kept()));
   HttpReply reply;
   reply.headers["content-type"] = "text/plain; version=0.0.4";
   reply.body = this->metrics.render();
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -7,6 +7,10 @@
 namespace poplartrack {
 namespace {
 
+/** Shorter than the longest pause of a call that waits for its key
+ * (ClaimWaitPolicy::maxPause). */
+constexpr Duration kClaimRetryPause = std::chrono::milliseconds{ 250 };
+
 std::uint64_t
 freshSeed()
 {
@@ -92,6 +96,7 @@
   , decider(std::move(*aMade.chooser), std::move(*aMade.admission), {})
   , tracker(std::move(aMade.tracker))
   , claims(ClaimKeeper::through(this->platform))
+  , claimEnds(this->claims.end)
 {
 }
 
@@ -101,6 +106,7 @@
   // The threads end first. Until the last of them has, replies to probes and
   // frames of other entries use the configuration, so it is destroyed later.
   this->callers.reset();
+  this->claimRetries.reset();
   this->instanceWatch.reset();
   this->placer.reset();
   if (this->configuration) {
@@ -171,6 +177,7 @@
                     *this->models,
                     *this->plains,
                     this->claims,
+                    this->claimEnds,
                     this->configuration->published(),
                     replyTo,
                     this->draining.get_token() });
@@ -184,6 +191,8 @@
                          });
   this->instanceWatch =
     std::make_unique<PeriodicThread>([this] { return this->pollInstances(); });
+  this->claimRetries =
+    std::make_unique<PeriodicThread>([this] { return this->retryClaimEnds(); });
   this->shares->start();
   if (this->settings.tuning.placement) {
     this->placer = std::make_unique<Placer>(
@@ -260,6 +269,16 @@
   return jittered(this->settings.tuning.instancePoll);
 }
 
+Duration
+EntryServer::retryClaimEnds()
+{
+  if (const std::uint64_t dropped = this->claimEnds.retry(runtimeNow());
+      dropped > 0) {
+    this->metrics.count("claim_ends_dropped_total", dropped);
+  }
+  return kClaimRetryPause;
+}
+
 void
 EntryServer::onConfiguration(const Configuration& aConfiguration)
 {
@@ -298,7 +317,8 @@
 bool
 EntryServer::drained() const
 {
-  return this->callers->openRequests() == 0 && this->models->active() == 0;
+  return this->callers->openRequests() == 0 && this->models->active() == 0 &&
+         this->claimEnds.kept() == 0;
 }
 
 } // namespace poplartrack
--- a/src/entry/IdempotencyClaim.cpp
+++ b/src/entry/IdempotencyClaim.cpp
@@ -2,6 +2,35 @@
 
 namespace poplartrack {
 
+ClaimEnd
+answeredClaim(const ClaimHeld& aHeld,
+              std::uint32_t aStatus,
+              const std::string& aBody)
+{
+  ClaimRecord record = aHeld.record;
+  record.status = aStatus;
+  record.state =
+    canKeepBody(aBody) ? ClaimState::Answered : ClaimState::AnsweredUnkept;
+  if (record.state == ClaimState::Answered) {
+    record.body = aBody;
+  }
+  return { aHeld, std::move(record) };
+}
+
+ClaimEnd
+unknownClaim(const ClaimHeld& aHeld)
+{
+  ClaimRecord record = aHeld.record;
+  record.endedUnknown = true;
+  return { aHeld, std::move(record) };
+}
+
+ClaimEnd
+releasedClaim(const ClaimHeld& aHeld)
+{
+  return { aHeld, std::nullopt };
+}
+
 ClaimVerdict
 verdictOnOthersClaim(const ClaimRequest& aRequest, const ClaimRecord& aRecord)
 {
--- a/tests/harness/SimEntryPlain.cpp
+++ b/tests/harness/SimEntryPlain.cpp
@@ -114,9 +114,9 @@
   }
   IdempotencyClaim claims{ this->parts.platform };
   if (aAnswer.complete) {
-    (void)claims.record(*aCall.claim, 200, aAnswer.body);
+    (void)claims.end(answeredClaim(*aCall.claim, 200, aAnswer.body));
   } else if (aAnswer.ran == RunState::NotRun) {
-    (void)claims.release(*aCall.claim);
+    (void)claims.end(releasedClaim(*aCall.claim));
   }
 }
 
--- a/tests/unit/entry/IdempotencyClaimTest.cpp
+++ b/tests/unit/entry/IdempotencyClaimTest.cpp
@@ -43,7 +43,8 @@
   clock.advance(std::chrono::hours{ 100 });
   EXPECT_EQ(refusal(claim("entry-2")).error.kind, ErrorKind::KeyInUse);
   EXPECT_EQ(refusal(claim("entry-2")).ran, RunState::Unknown);
-  ASSERT_TRUE(claims.record(std::get<ClaimHeld>(first), 200, "crew 4"));
+  ASSERT_TRUE(
+    claims.end(answeredClaim(std::get<ClaimHeld>(first), 200, "crew 4")));
   const ClaimVerdict repeat = claim("entry-2");
   ASSERT_TRUE(std::holds_alternative<ClaimReplay>(repeat));
   EXPECT_EQ(std::get<ClaimReplay>(repeat).body, "crew 4");
@@ -56,7 +57,7 @@
   // nothing.
   const ClaimVerdict first = claim("entry-1");
   EXPECT_EQ(refusal(claim("entry-2")).prospect, ClaimProspect::HolderMayEnd);
-  ASSERT_TRUE(claims.recordUnknown(std::get<ClaimHeld>(first)));
+  ASSERT_TRUE(claims.end(unknownClaim(std::get<ClaimHeld>(first))));
   const ClaimRefused ended = refusal(claim("entry-2"));
   EXPECT_EQ(ended.error.kind, ErrorKind::KeyInUse);
   EXPECT_EQ(ended.ran, RunState::Unknown);
@@ -78,7 +79,8 @@
   platform.setFaults({ .loseAfter = 1 });
   const ClaimVerdict verdict = claim("entry-1");
   ASSERT_TRUE(holds(verdict));
-  EXPECT_TRUE(claims.record(std::get<ClaimHeld>(verdict), 200, "crew 4"));
+  EXPECT_TRUE(
+    claims.end(answeredClaim(std::get<ClaimHeld>(verdict), 200, "crew 4")));
   platform.setFaults({ .loseBefore = 1 });
   EXPECT_TRUE(std::holds_alternative<ClaimReplay>(claim("entry-2")));
 }
@@ -101,7 +103,8 @@
 TEST_F(IdempotencyClaimTest, theSameKeyWithAnotherBodyIsRefused)
 {
   const ClaimVerdict first = claim("entry-1");
-  ASSERT_TRUE(claims.record(std::get<ClaimHeld>(first), 200, "crew 4"));
+  ASSERT_TRUE(
+    claims.end(answeredClaim(std::get<ClaimHeld>(first), 200, "crew 4")));
   const ClaimRefused refused = refusal(claim("entry-2", R"({"crew":5})"));
   EXPECT_EQ(refused.error.kind, ErrorKind::BadRequest);
   EXPECT_NE(refused.error.detail.find("heap-17"), std::string::npos);
@@ -110,11 +113,11 @@
 TEST_F(IdempotencyClaimTest, onlyTheHolderGivesTheKeyBack)
 {
   const ClaimVerdict first = claim("entry-1");
-  ASSERT_TRUE(claims.release(std::get<ClaimHeld>(first)));
+  ASSERT_TRUE(claims.end(releasedClaim(std::get<ClaimHeld>(first))));
   const ClaimVerdict second = claim("entry-2");
   ASSERT_TRUE(holds(second));
   // The first holder wakes late and releases once more.
-  EXPECT_FALSE(claims.release(std::get<ClaimHeld>(first)));
+  EXPECT_FALSE(claims.end(releasedClaim(std::get<ClaimHeld>(first))));
   EXPECT_FALSE(holds(claim("entry-3")));
 }
 
@@ -122,7 +125,8 @@
 {
   const ClaimVerdict first = claim("entry-1");
   const std::string large(kMaxClaimBody + 1, 'x');
-  ASSERT_TRUE(claims.record(std::get<ClaimHeld>(first), 200, large));
+  ASSERT_TRUE(
+    claims.end(answeredClaim(std::get<ClaimHeld>(first), 200, large)));
   EXPECT_EQ(refusal(claim("entry-2")).ran, RunState::Ran);
   EXPECT_FALSE(canKeepBody("\xff\xfe"));
 }
