Let requests beyond their share wait behind all that the gate holds back

Cause: chooseBeyondShare asked the pace gate about a path without asking first whether a request of the same round was held back. A request beyond its account's share could start on a path that one within its share was too late for. Requests beyond their share that were held back also held back others.

Change: PaceRequest says whether the account is beyond its share. Such a request is behind every request of its service that was held back in the round, whatever its urgency and prompt, since each start on a path delays those that wait for it. It holds no other request back and is not registered, so no headroom is left for its kind. Its refusal still names the account's use and share.

Measured: PaceGateTest.RequestsBeyondTheirShareWaitForAllOthersAndHoldNoneBack and RelayAccounts.ARequestBeyondItsShareWaitsBehindOneThatIsHeldBack pass; both fail without the changes that they cover (the check in the gate, the registration and the record of the hold, the call in chooseBeyondShare). No run with load was made.

--- a/include/poplartrack/fleet/PaceGate.h
+++ b/include/poplartrack/fleet/PaceGate.h
@@ -29,7 +29,9 @@
  * must leave headroom for one of its own kind that can be on time. Otherwise
  * the queue on the path would stay as long as the objective, and each request
  * that waits at all would be late. While a request is held back, so are less
- * urgent ones whose prompt is at least as long.
+ * urgent ones whose prompt is at least as long, and all requests beyond their
+ * account's share: any start delays those that wait for a path. Requests beyond
+ * their share hold no other request back and need no headroom.
  *
  * A path without requests always takes one, whatever the forecast. Otherwise a
  * wrong forecast could keep a service out of use, since only requests that are
--- a/include/poplartrack/fleet/PaceRequest.h
+++ b/include/poplartrack/fleet/PaceRequest.h
@@ -21,6 +21,8 @@
   /** How long it has been in the wait queue, and how long it may be. */
   Duration waited{ 0 };
   Duration maxWait{ 0 };
+  /** Its account uses more than its share; see AccountCapacity. */
+  bool beyondShare = false;
 };
 
 } // namespace poplartrack
--- a/src/fleet/PaceGate.cpp
+++ b/src/fleet/PaceGate.cpp
@@ -124,6 +124,9 @@
 void
 PaceGate::onRequest(const PaceRequest& aRequest, TimePoint aNow)
 {
+  if (aRequest.beyondShare) {
+    return;
+  }
   Kind& kind = this->kindOf(aRequest, aNow);
   kind.requestedAt = aNow;
   kind.objective = aRequest.objective;
@@ -220,6 +223,9 @@
            if (aKind.heldInRound != this->round) {
              return false;
            }
+           if (aRequest.beyondShare) {
+             return true;
+           }
            const bool behindLate =
              aKind.heldLatePrompt <= aRequest.promptTokens &&
              willBeLate(aRequest, aKind.heldLateFirstEvent);
@@ -238,7 +244,7 @@
                PaceCause aCause)
 {
   const auto service = this->services.find(aRequest.service);
-  if (service != this->services.end()) {
+  if (service != this->services.end() && !aRequest.beyondShare) {
     for (Kind& kind : service->second) {
       if (!kind.isOf(aRequest)) {
         continue;
--- a/src/relay/RelayAccounts.cpp
+++ b/src/relay/RelayAccounts.cpp
@@ -131,8 +131,8 @@
 }
 
 /** Chooses a target for a request beyond its account's share, which only gets
- * capacity that no request within its share takes. Returns aBeyond if there is
- * none. */
+ * capacity that no request within its share takes or has been held back from
+ * in this round. Returns aBeyond if there is none. */
 Result<AttemptTarget>
 RelayLoop::Impl::chooseBeyondShare(Exchange& aExchange, const Error& aBeyond)
 {
@@ -146,6 +146,9 @@
              ? fail(ErrorKind::NoRoute, "a layer is held by no live replica")
              : aBeyond;
   }
+  if (this->heldInRound(aExchange)) {
+    return aBeyond;
+  }
   Result<AttemptTarget> target = this->choose(aExchange);
   if (!target && aExchange.avoid.empty()) {
     this->waiting.onNoPath(waiter, target.error().kind);
--- a/src/relay/RelayPace.cpp
+++ b/src/relay/RelayPace.cpp
@@ -54,6 +54,7 @@
   request.waited = aExchange.waitingSince ? this->now - *aExchange.waitingSince
                                           : Duration{ 0 };
   request.maxWait = longestWaitOf(aExchange);
+  request.beyondShare = aExchange.beyondShare;
   return request;
 }
 
--- a/tests/unit/fleet/PaceGateTest.cpp
+++ b/tests/unit/fleet/PaceGateTest.cpp
@@ -161,6 +161,29 @@
   EXPECT_FALSE(this->gate.isBehindHeld(urgent));
 }
 
+/** Guards against a request within its account's share that waits because of
+ * one beyond its share. */
+TEST_F(PaceGateTest, RequestsBeyondTheirShareWaitForAllOthersAndHoldNoneBack)
+{
+  const PaceForecast busy = forecast(milliseconds{ 400 }, milliseconds{ 200 });
+  PaceRequest beyond = urgent;
+  beyond.beyondShare = true;
+  this->gate.onRequest(beyond, kNow);
+  EXPECT_EQ(check(lessUrgent, busy), PaceCause::None);
+  this->gate.onRequest(urgent, kNow);
+  this->gate.onRequest(lessUrgent, kNow);
+  this->gate.hold(beyond, busy, PaceCause::FirstEvent);
+  EXPECT_FALSE(this->gate.isBehindHeld(urgent));
+  EXPECT_FALSE(this->gate.isBehindHeld(lessUrgent));
+  // It may be more urgent and shorter than the one that waits.
+  this->gate.hold(lessUrgent, busy, PaceCause::Headroom);
+  beyond.promptTokens /= 2;
+  EXPECT_TRUE(this->gate.isBehindHeld(beyond));
+  EXPECT_FALSE(this->gate.isBehindHeld(urgent));
+  this->gate.beginRound();
+  EXPECT_FALSE(this->gate.isBehindHeld(beyond));
+}
+
 TEST(PaceForecastTest, CorrectsALoadedPathMoreThanAnIdleOne)
 {
   // A replica that is four times as slow as declared would look like a healthy
--- a/tests/unit/relay/RelayAccountsTest.cpp
+++ b/tests/unit/relay/RelayAccountsTest.cpp
@@ -68,9 +68,11 @@
     }
   }
   /** Sends a request of rival. */
-  void sendRival(const std::string& aId)
+  void sendRival(const std::string& aId,
+                 const std::string& aPath = "/patient/x",
+                 const std::string& aMore = {})
   {
-    std::string text = RelayWorld::request("/patient/x", aId);
+    std::string text = RelayWorld::request(aPath, aId, aMore);
     text.replace(text.find("secret"), 6, "other");
     this->callers.push_back(this->world.caller());
     this->callers.back().send(text);
@@ -209,6 +211,38 @@
   EXPECT_TRUE(has(this->readLog(), "weight_milli=250"));
 }
 
+/** Guards against an account beyond its share whose requests fill the paths on
+ * which requests within their share are too late and wait. */
+TEST_F(RelayAccounts, ARequestBeyondItsShareWaitsBehindOneThatIsHeldBack)
+{
+  this->useManualClock();
+  this->world.load.paceAdmission = true;
+  this->world.start();
+  this->callers.push_back(
+    this->world.sendRequest("/stream/x", "long", "X-Tokens: 300000,5\r\n"));
+  this->running.push_back(this->replica.accept());
+  this->running.back().readUntil("\r\n\r\n");
+  this->sendRival("held", "/stream/x", "X-Tokens: 20000,5\r\n");
+  this->awaitOpen(2);
+  // Shares are divided anew in every second round.
+  this->runRound();
+  this->runRound();
+  this->callers.push_back(this->world.sendRequest("/patient/x", "beyond"));
+  this->awaitOpen(3);
+  // Capacity that stays free for 250 ms is left to accounts beyond their share.
+  for (Duration waited{ 0 }; waited < kLongestWait / 4; waited += kRound) {
+    this->runRound();
+  }
+  EXPECT_EQ(this->world.counter("requests_beyond_share_total"), 1U);
+  EXPECT_EQ(this->world.counter("starts_beyond_share_total"), 0U);
+  this->running.back().send(RelayWorld::streamHead("long") +
+                            RelayWorld::event(1));
+  this->callers.front().readUntil("data: x");
+  this->runRound();
+  this->running.push_back(this->replica.accept());
+  EXPECT_TRUE(has(this->running.back().readUntil("\r\n\r\n"), "X-Id: held"));
+}
+
 TEST_F(RelayAccounts, WithoutTheSwitchNoSharesApply)
 {
   this->world.load.accountShares = false;
