Count each end of a request that ran as capacity that becomes free

Cause: only complete successful answers counted. While callers disconnect, answers break off or deadlines pass, the expected capacity was too low, and refused callers were told to return later than necessary.

Change: endExchange, through which every request ends, counts it once if an attempt of it may have run at a replica. A caller that leaves and an answer of any status now count the last attempt as a run. Requests that no replica ran do not count. New counter returns_capacity_freed_total.

Measured: RelayReturnTest.EachEndOfARequestThatRanCountsOnce (answer, error answer, retry and answer, caller left, deadline, broken connection, not run) passes, and fails when only complete successful answers count, and when a caller that leaves does not.

--- a/include/poplartrack/fleet/ReturnSchedule.h
+++ b/include/poplartrack/fleet/ReturnSchedule.h
@@ -75,8 +75,8 @@
   void setRelays(std::size_t aRelays) { this->relays = aRelays; }
   /** Records a request that is not a return. */
   void onNewRequest(std::uint16_t aService, TimePoint aNow);
-  /** Records that a request which replicas had run has ended, so that its
-   * capacity is free. */
+  /** Records that a request which replicas may have run has ended, whatever its
+   * outcome, so that its capacity is free. */
   void onEnded(std::uint16_t aService, TimePoint aNow);
 
   /** Books the return of a caller within a range of delays. */
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -306,7 +306,6 @@
   }
   if (isSuccess(head.status)) {
     this->recordServed(exchange);
-    this->recordServiceEnd(exchange);
     if (!stream) {
       this->recordAnswering(exchange);
     }
@@ -321,6 +320,7 @@
   this->logRequest(
     exchange, "answered", "status " + std::to_string(head.status));
   const auto caller = this->callers.find(exchange.caller);
+  ++exchange.runs;
   this->endExchange(exchange);
   if (caller != this->callers.end()) {
     this->onAnswerWritten(*caller->second);
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -269,10 +269,14 @@
   aExchange.splitter.reset();
 }
 
-/** Removes the request. aExchange is destroyed. */
+/** Removes the request, whose last attempt counts in its runs if it may have
+ * run. aExchange is destroyed. */
 void
 RelayLoop::Impl::endExchange(Exchange& aExchange)
 {
+  if (aExchange.runs > 0) {
+    this->recordServiceEnd(aExchange);
+  }
   this->removeLoad(aExchange);
   this->waiting.remove(aExchange.id);
   this->uncountWaiting(aExchange);
@@ -293,7 +297,7 @@
   Exchange& exchange = *found->second;
   this->shared.metrics.countRefusal(ErrorKind::Cancelled);
   this->logRequest(exchange, "caller_left", "");
-  this->dropAttempt(exchange, false);
+  this->dropAttempt(exchange, this->mayHaveRun(exchange));
   this->endExchange(exchange);
 }
 
--- a/src/relay/RelayReturns.cpp
+++ b/src/relay/RelayReturns.cpp
@@ -105,11 +105,13 @@
   this->shared.log.write(line);
 }
 
-/** Records that a request has been answered, so that its capacity is free. */
+/** Records the end of a request that may have run at a replica, whatever its
+ * outcome: its capacity is free. */
 void
 RelayLoop::Impl::recordServiceEnd(const Exchange& aExchange)
 {
   if (this->settings.load.returnBookings) {
+    this->shared.metrics.count("returns_capacity_freed_total");
     this->returnState.schedule.onEnded(serviceOf(aExchange), this->now);
   }
 }
--- a/tests/unit/relay/RelayReturnTest.cpp
+++ b/tests/unit/relay/RelayReturnTest.cpp
@@ -1,3 +1,5 @@
+#include <functional>
+
 #include "PeerSocket.h"
 #include "RelayWorld.h"
 
@@ -126,5 +128,69 @@
   EXPECT_TRUE(has(attempt.readUntil("\r\n\r\n"), "second"));
 }
 
+/** Guards against callers that are told to return later than necessary, because
+ * only complete answers count as capacity that becomes free. */
+TEST_F(RelayReturnTest, EachEndOfARequestThatRanCountsOnce)
+{
+  constexpr auto kDeadline = std::chrono::milliseconds{ 300 };
+  ManualClock clock;
+  clock.advance(std::chrono::hours{ 1 });
+  this->world.clock = [&clock] { return clock.now(); };
+  for (RelayRoute& route : this->world.config->routes["shop.example"]) {
+    route.targets = { { "model", 1 } };
+  }
+  RawListener replica;
+  this->world.addReplica("one", "model", replica.address());
+  this->world.start();
+  const auto answer = [](RawSocket& aAttempt, const char* aStatus) {
+    aAttempt.send(RelayWorld::answer(
+      "id", "", aStatus, "X-Stamp: s\r\nConnection: close\r\n"));
+  };
+  using End = std::function<void(RawSocket & aCaller, RawSocket & aAttempt)>;
+  const auto run = [&](const char* aPath, const End& aEnd) {
+    RawSocket caller =
+      this->world.sendRequest(aPath, "id", "X-Deadline: 300\r\n");
+    RawSocket attempt = replica.accept();
+    attempt.readUntil("\r\n\r\n");
+    aEnd(caller, attempt);
+    EXPECT_TRUE(
+      waitFor([this] { return this->world.loop->openRequests() == 0; }));
+    return this->world.counter("returns_capacity_freed_total");
+  };
+  EXPECT_EQ(run("/once/complete",
+                [&](auto&, auto& aAttempt) { answer(aAttempt, "200 OK"); }),
+            1U);
+  EXPECT_EQ(run("/once/error",
+                [&](auto&, auto& aAttempt) { answer(aAttempt, "400 Bad"); }),
+            2U);
+  EXPECT_EQ(run("/again/retried",
+                [&](auto&, auto& aAttempt) {
+                  answer(aAttempt, "500 Failed");
+                  RawSocket second = replica.accept();
+                  second.readUntil("\r\n\r\n");
+                  answer(second, "200 OK");
+                }),
+            3U);
+  EXPECT_EQ(run("/once/left", [](auto& aCaller, auto&) { aCaller.close(); }),
+            4U);
+  EXPECT_EQ(run("/once/late", [&](auto&, auto&) { clock.advance(kDeadline); }),
+            5U);
+  // The replica's backoff lasts longer than the deadline.
+  EXPECT_EQ(
+    run("/once/not-run",
+        [&](auto&, auto& aAttempt) {
+          aAttempt.send(RelayWorld::answer(
+            "id", "", "503 Full", "X-Not-Run: 1\r\nRetry-After: 1\r\n"));
+          EXPECT_EQ(
+            this->world.awaitCounter("replica_backoffs_requested_total", 1),
+            1U);
+          clock.advance(kDeadline);
+        }),
+    5U);
+  clock.advance(std::chrono::seconds{ 1 });
+  EXPECT_EQ(
+    run("/once/broken", [](auto&, auto& aAttempt) { aAttempt.close(); }), 6U);
+}
+
 } // namespace
 } // namespace poplartrack
