Leave the relay's own delay out of pace samples that are too long

Cause: the time of an event is the start of the loop iteration that reads it. A sample therefore contained the length of the iteration before, in which the bytes had arrived, and the part of an iteration that passed before the request was sent or the event before was read. A relay short of processor time took its replicas for slow.

Change: the loop keeps the length of the iteration before, and an exchange how long the iteration had been busy at its last progress. PaceEstimate takes their sum as the relay's own delay, which makes the sample a range: it raises the correction only up to the lower end and lowers it only down to the upper end. A range that contains the correction is left out and does not prolong it. Samples from short iterations count as before.

RelayPaceTest.AnEventThatIsReadOnTimeCountsAlsoAfterABusyIteration passes with and without it; it guards against leaving out too much. The cost of the one clock reading more for each event was not measured, and no run with load was made.

--- a/benchmark/pace_gate.cpp
+++ b/benchmark/pace_gate.cpp
@@ -60,7 +60,8 @@
       gate.onRequest(requestOf(routes[static_cast<std::size_t>(i)], i), kStart);
     }
     PaceEstimate estimate;
-    estimate.addFirstEvent("replica", Duration{ 100 }, Duration{ 90 }, kStart);
+    estimate.addFirstEvent(
+      "replica", Duration{ 100 }, Duration{ 90 }, Duration{ 0 }, kStart);
     const LayerPath path = pathOf(aQueued);
     const PaceRequest last = requestOf(routes.back(), kinds - 1);
     const auto decide = [&] {
@@ -90,7 +91,8 @@
   QueueBound bound;
   TimePoint now = kStart;
   const double sample = microsPerCall(kCalls, [&] {
-    estimate.addPause("replica", Duration{ 100 }, Duration{ 90 }, now);
+    estimate.addPause(
+      "replica", Duration{ 100 }, Duration{ 90 }, Duration{ 0 }, now);
   });
   const double start = microsPerCall(kCalls, [&] {
     now += std::chrono::milliseconds{ 10 };
--- a/include/poplartrack/fleet/PaceEstimate.h
+++ b/include/poplartrack/fleet/PaceEstimate.h
@@ -16,20 +16,28 @@
  * forecast errors of one copy's paths have common causes: work of relays whose
  * reports are late, a busy network, a replica slower than declared. Without
  * samples it returns to 1, so that a replica that receives no requests because
- * of its correction is tried again. Pure; not thread-safe.
+ * of its correction is tried again.
+ *
+ * An actual time can include a delay of this relay: its event loop was busy
+ * when it sent the request, or when the bytes arrived. Such a sample raises the
+ * correction only as far as its time without that delay does. Pure; not
+ * thread-safe.
  */
 class PaceEstimate
 {
 public:
-  /** Records the time from sending a request to its first event. */
+  /** Records the time from sending a request to its first event.
+   * aOwnDelay: the part of it by which this relay at most delayed it. */
   void addFirstEvent(const std::string& aReplica,
                      Duration aForecast,
                      Duration aActual,
+                     Duration aOwnDelay,
                      TimePoint aNow);
-  /** Records the time between two events of a stream. */
+  /** The same for the time between two events of a stream. */
   void addPause(const std::string& aReplica,
                 Duration aForecast,
                 Duration aActual,
+                Duration aOwnDelay,
                 TimePoint aNow);
   /** Returns the correction for paths that begin at the replica. */
   [[nodiscard]] PaceCorrection at(const std::string& aReplica,
@@ -52,6 +60,12 @@
     double rise;
     double fallShare;
   };
+  /** The ratio to the forecast lies between these. */
+  struct RatioRange
+  {
+    double least;
+    double most;
+  };
   struct Entry
   {
     Average firstEvent;
@@ -61,8 +75,11 @@
   [[nodiscard]] static double valueAt(const Average& aAverage, TimePoint aNow);
   static void addSample(Average& aAverage,
                         SampleWeight aWeight,
-                        double aRatio,
+                        RatioRange aRatio,
                         TimePoint aNow);
+  [[nodiscard]] static RatioRange ratiosOf(Duration aForecast,
+                                           Duration aActual,
+                                           Duration aOwnDelay);
   Entry& entryOf(const std::string& aReplica, TimePoint aNow);
 
   /** By the id of the first replica. */
--- a/src/fleet/PaceEstimate.cpp
+++ b/src/fleet/PaceEstimate.cpp
@@ -46,16 +46,31 @@
   return 1 + (aAverage.value - 1) * std::max(kept, 0.0);
 }
 
+/** Returns the range of the ratio, since the actual time without this relay's
+ * delay is not known exactly. */
+PaceEstimate::RatioRange
+PaceEstimate::ratiosOf(Duration aForecast, Duration aActual, Duration aOwnDelay)
+{
+  return { ratioOf(aActual - aOwnDelay, aForecast),
+           ratioOf(aActual, aForecast) };
+}
+
+/** Adds a sample. It is left out if the average lies within its range: it does
+ * not show whether the average is too low or too high. */
 void
 PaceEstimate::addSample(Average& aAverage,
                         SampleWeight aWeight,
-                        double aRatio,
+                        RatioRange aRatio,
                         TimePoint aNow)
 {
   const double before = valueAt(aAverage, aNow);
+  if (aRatio.least < before && before < aRatio.most) {
+    return;
+  }
+  const double nearest = std::clamp(before, aRatio.least, aRatio.most);
   const double weight =
-    aRatio > before ? aWeight.rise : aWeight.rise * aWeight.fallShare;
-  aAverage.value = before + weight * (aRatio - before);
+    nearest > before ? aWeight.rise : aWeight.rise * aWeight.fallShare;
+  aAverage.value = before + weight * (nearest - before);
   aAverage.sampledAt = aNow;
 }
 
@@ -80,12 +95,13 @@
 PaceEstimate::addFirstEvent(const std::string& aReplica,
                             Duration aForecast,
                             Duration aActual,
+                            Duration aOwnDelay,
                             TimePoint aNow)
 {
   if (aForecast > Duration{ 0 }) {
     addSample(this->entryOf(aReplica, aNow).firstEvent,
               { kFirstEventWeight, kFirstEventFallShare },
-              ratioOf(aActual, aForecast),
+              ratiosOf(aForecast, aActual, aOwnDelay),
               aNow);
   }
 }
@@ -94,12 +110,13 @@
 PaceEstimate::addPause(const std::string& aReplica,
                        Duration aForecast,
                        Duration aActual,
+                       Duration aOwnDelay,
                        TimePoint aNow)
 {
   if (aForecast > Duration{ 0 }) {
     addSample(this->entryOf(aReplica, aNow).pause,
               { kPauseWeight, kPauseFallShare },
-              ratioOf(aActual, aForecast),
+              ratiosOf(aForecast, aActual, aOwnDelay),
               aNow);
   }
 }
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -150,6 +150,10 @@
   std::uint32_t events = 0;
   /** When the attempt was sent, moved to another path or last sent an event. */
   TimePoint lastProgress{};
+  /** How long the iteration of the loop that sent the attempt, or its last
+   * event, had been busy before. lastProgress is the start of that iteration.
+   */
+  Duration progressDelay{ 0 };
   /** When the events sent to the caller arrived. */
   EventTimes eventTimes;
   /** StreamProgress::lastEvent when it was last late and led to a check for
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -181,6 +181,7 @@
     this->recordRepairTime(aExchange);
     text.append(chunkOf(out));
     aExchange.lastProgress = this->now;
+    aExchange.progressDelay = this->clock() - this->now;
     aExchange.overdue = false;
     if (firstOnPath && this->settings.load.lossProbes) {
       // The timer was set by the forecast of the first event.
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -162,6 +162,7 @@
   aExchange.runningSince.reset();
   aExchange.reportedLimit.reset();
   aExchange.lastProgress = this->now;
+  aExchange.progressDelay = this->clock() - this->now;
   aExchange.overdue = false;
   ++aExchange.sends;
   this->waiting.remove(aExchange.id);
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -111,7 +111,8 @@
     const TimePoint waitsFrom = this->clock();
     const auto events = this->poller.wait(waitsFrom, until);
     const TimePoint wokeAt = this->clock();
-    this->loopLoad.record(wokeAt - waitsFrom, waitsFrom - this->now);
+    this->readDelay = waitsFrom - this->now;
+    this->loopLoad.record(wokeAt - waitsFrom, this->readDelay);
     this->now = wokeAt;
     this->posted.run();
     for (const ReadyEvent& event : events) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -519,6 +519,9 @@
   DrainState drainState;
   /** Time of the current iteration of the loop. */
   TimePoint now{};
+  /** How long the iteration before took, without its wait. Bytes that are read
+   * in this one may have arrived that long before. */
+  Duration readDelay{ 0 };
   TimePoint startedAt{};
   TimePoint nextPeriodicAt{};
   /** Number of runs of runPeriodicTasks. */
--- a/src/relay/RelayPace.cpp
+++ b/src/relay/RelayPace.cpp
@@ -222,7 +222,9 @@
 
 /** Records how the first events and pauses of a stream compare with the
  * forecast. Called when an event was received, before it is recorded. A retry
- * or a repaired stream is left out: its times include a loss. */
+ * or a repaired stream is left out: its times include a loss. The times at
+ * which this relay sent and read are known up to the length of the iterations
+ * of its loop in which it did. */
 void
 RelayLoop::Impl::recordPace(const Exchange& aExchange)
 {
@@ -234,15 +236,18 @@
   }
   const PaceForecast forecast =
     paceForecast(aExchange.path, {}, kTokensPerEvent, false);
+  const Duration ownDelay = aExchange.progressDelay + this->readDelay;
   if (!aExchange.runningSince) {
     this->paceState.estimate.addFirstEvent(aExchange.replica,
                                            forecast.firstEvent,
                                            this->now - aExchange.sentAt,
+                                           ownDelay,
                                            this->now);
   } else if (this->now - *aExchange.runningSince <= kPauseSampleTime) {
     this->paceState.estimate.addPause(aExchange.replica,
                                       forecast.pause,
                                       this->now - aExchange.lastProgress,
+                                      ownDelay,
                                       this->now);
   }
 }
--- a/tests/unit/fleet/PaceLoadTest.cpp
+++ b/tests/unit/fleet/PaceLoadTest.cpp
@@ -104,9 +104,10 @@
           const std::string first = std::to_string(call.path);
           const Duration actual = call.firstAt - call.sentAt;
           this->estimate.addFirstEvent(
-            first, told.firstEvent, actual, this->now);
+            first, told.firstEvent, actual, Duration{ 0 }, this->now);
           for (Duration at{ 0 }; at < milliseconds{ 500 }; at += call.pause) {
-            this->estimate.addPause(first, told.pause, call.pause, this->now);
+            this->estimate.addPause(
+              first, told.pause, call.pause, Duration{ 0 }, this->now);
           }
         }
         return arrived;
--- a/tests/unit/relay/RelayPaceTest.cpp
+++ b/tests/unit/relay/RelayPaceTest.cpp
@@ -1,7 +1,9 @@
 // Admission by pace in the relay's loop. The replicas prefill a million tokens
 // a second; a prompt is in prefill until its first event.
 
+#include <atomic>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -42,6 +44,47 @@
     aReplica.readUntil("\r\n\r\n");
     aReplica.send(RelayWorld::streamHead(aId) + RelayWorld::event(1));
   }
+  /** Gives the relay a clock that only the test advances. */
+  void useManualClock()
+  {
+    // The relay takes the time 0 for "never".
+    this->clock.advance(std::chrono::hours{ 1 });
+    this->world.clock = [this] { return this->clock.now(); };
+  }
+  /** Runs work on the relay's thread and waits until it is done. */
+  void runInLoop(const std::function<void()>& aWork)
+  {
+    std::atomic<bool> done{ false };
+    this->world.loop->post([&] {
+      aWork();
+      done = true;
+    });
+    ASSERT_TRUE(waitFor([&] { return done.load(); }));
+  }
+  /** Waits until the relay has ended its current iteration and the next one. */
+  void finishIteration()
+  {
+    this->runInLoop([] {});
+    this->runInLoop([] {});
+  }
+  void acceptAtNear()
+  {
+    this->atNear.emplace(this->near.accept());
+    this->atNear->readUntil("\r\n\r\n");
+  }
+  void sendEventFromNear()
+  {
+    this->atNear->send(RelayWorld::streamHead("id-1") + RelayWorld::event(1));
+  }
+  /** Sends id-2, which is on time at near unless near takes longer than
+   * forecast, once the first caller has an event. Returns its head as the
+   * replica receives it. */
+  std::string nextHeadAt(RawListener& aReplica)
+  {
+    this->callers.front().readUntil("data: x");
+    this->callers.push_back(this->send("id-2", "320000"));
+    return aReplica.accept().readUntil("\r\n\r\n");
+  }
   /** Starts a prefill of so many tokens at each replica: of id-1 at near, and
    * of id-2 at far. */
   void fillBoth(const char* aTokens)
@@ -52,6 +95,7 @@
     this->atFar.emplace(this->far.accept());
   }
 
+  ManualClock clock;
   RawListener near;
   RawListener far;
   RelayWorld world;
@@ -105,9 +149,7 @@
  * that have long been in generation. */
 TEST_F(RelayPaceTest, APromptOfAWholeAnswerIsInPrefillForItsExpectedTime)
 {
-  ManualClock clock;
-  clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [&clock] { return clock.now(); };
+  this->useManualClock();
   for (RelayRoute& route : this->world.config->routes["shop.example"]) {
     route.targets = { { "model", 1 } };
   }
@@ -117,11 +159,11 @@
   RawSocket two = this->world.sendRequest("/once/x", "id-2", tokens);
   this->atNear.emplace(this->near.accept());
   this->atFar.emplace(this->far.accept());
-  clock.advance(milliseconds{ 1'100 });
+  this->clock.advance(milliseconds{ 1'100 });
   RawSocket third = this->send("id-3", "10");
   EXPECT_TRUE(
     waitFor([this] { return this->world.loop->openRequests() == 3; }));
-  clock.advance(milliseconds{ 50 });
+  this->clock.advance(milliseconds{ 50 });
   RawSocket sent = this->near.accept();
   EXPECT_TRUE(has(sent.readUntil("\r\n\r\n"), "X-Id: id-3"));
 }
@@ -138,13 +180,63 @@
   EXPECT_EQ(this->world.counter("pace_waits_total"), 0U);
 }
 
+/** Guards against a relay that avoids its replicas because its own loop was
+ * busy when their events arrived. */
+TEST_F(RelayPaceTest, AnEventThatIsReadLateDoesNotCountAsLate)
+{
+  this->useManualClock();
+  this->start(milliseconds{ 500 });
+  this->callers.push_back(this->send("id-1", "10"));
+  this->acceptAtNear();
+  this->runInLoop([this] {
+    this->sendEventFromNear();
+    this->clock.advance(milliseconds{ 150 });
+  });
+  EXPECT_TRUE(has(this->nextHeadAt(this->near), "X-Id: id-2"));
+  EXPECT_EQ(this->world.counter("pace_other_paths_total"), 0U);
+}
+
+/** The same for a loop that was busy before it sent the request. */
+TEST_F(RelayPaceTest, AnEventOfARequestThatIsSentLateDoesNotCountAsLate)
+{
+  this->useManualClock();
+  this->start(milliseconds{ 500 });
+  this->callers.push_back(this->world.sendRequest("/unknown/", "id-0"));
+  this->callers.front().readUntil("}\n");
+  // The second work runs in the iteration that reads the request, before that.
+  this->runInLoop([this] {
+    this->callers.front().send(
+      RelayWorld::request("/stream/x", "id-1", "X-Tokens: 10,5\r\n"));
+    this->world.loop->post(
+      [this] { this->clock.advance(milliseconds{ 150 }); });
+  });
+  this->acceptAtNear();
+  this->finishIteration();
+  this->sendEventFromNear();
+  EXPECT_TRUE(has(this->nextHeadAt(this->near), "X-Id: id-2"));
+  EXPECT_EQ(this->world.counter("pace_other_paths_total"), 0U);
+}
+
+/** Guards against a relay that learns nothing from events that it reads on
+ * time after it was busy. */
+TEST_F(RelayPaceTest, AnEventThatIsReadOnTimeCountsAlsoAfterABusyIteration)
+{
+  this->useManualClock();
+  this->start(milliseconds{ 500 });
+  this->callers.push_back(this->send("id-1", "10"));
+  this->acceptAtNear();
+  this->runInLoop([this] { this->clock.advance(milliseconds{ 150 }); });
+  this->finishIteration();
+  this->sendEventFromNear();
+  EXPECT_TRUE(has(this->nextHeadAt(this->far), "X-Id: id-2"));
+  EXPECT_EQ(this->world.awaitCounter("pace_other_paths_total", 1), 1U);
+}
+
 /** Guards against a limit of the wait queue that ignores how fast requests are
  * started which replicas refused once: they wait and count in its length. */
 TEST_F(RelayPaceTest, AStartAfterARefusalAndAWaitCounts)
 {
-  ManualClock clock;
-  clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [&clock] { return clock.now(); };
+  this->useManualClock();
   this->world.load.paceAdmission = true;
   this->world.addReplica("near", "model", this->near.address());
   this->world.replicas.at("near").slots = 1;
@@ -162,7 +254,7 @@
   ASSERT_TRUE(waitFor(
     [this] { return this->world.counter("path_searches_saved_total") == 1; }));
   // A replica that has refused a request is left alone for 400 ms.
-  clock.advance(milliseconds{ 425 });
+  this->clock.advance(milliseconds{ 425 });
   RawSocket again = this->near.accept();
   EXPECT_TRUE(has(again.readUntil("\r\n\r\n"), "X-Id: id-2"));
   again.send(RelayWorld::answer("id-2",
@@ -171,7 +263,7 @@
                                 "X-Stamp: s\r\nConnection: close\r\n"));
   ASSERT_TRUE(
     waitFor([this] { return this->world.loop->openRequests() == 1; }));
-  clock.advance(milliseconds{ 25 });
+  this->clock.advance(milliseconds{ 25 });
   again = this->near.accept();
   EXPECT_TRUE(has(again.readUntil("\r\n\r\n"), "X-Id: id-1"));
   EXPECT_EQ(this->world.awaitCounter("queue_starts_total", 3), 3U);
