Test that a request which avoids a replica does not keep others from it

Cause: the failed search of a request that avoids a replica must not count for the others of the round; no test showed that.

Change: a test only. A request that a replica refused is tried before another one, finds no path, and the other one gets the replica in the same round.

Measured: RelayOutlier.ARequestThatAvoidsAReplicaDoesNotKeepOthersFromIt passes, and fails if the failed search is recorded all the same.

--- a/tests/unit/relay/RelayOutlierTest.cpp
+++ b/tests/unit/relay/RelayOutlierTest.cpp
@@ -227,5 +227,43 @@
   EXPECT_TRUE(this->good.heads().empty());
 }
 
+/** Guards against requests that wait for a free replica behind one that avoids
+ * it, because the failed search of that one counts for them as well. */
+TEST_F(RelayOutlier, ARequestThatAvoidsAReplicaDoesNotKeepOthersFromIt)
+{
+  RawListener near;
+  RawListener far;
+  this->world.load.outlierEjection = true;
+  this->world.addModelReplica("near", near.address(), { 0, 10 }, "a");
+  this->world.addModelReplica("far", far.address(), { 0, 10 }, "b");
+  for (const char* replica : { "near", "far" }) {
+    this->world.replicas.at(replica).slots = 1;
+  }
+  // Requests wait for longer than the backoff that is requested below.
+  for (RelayRoute& route : this->world.config->routes["shop.example"]) {
+    route.objective = std::chrono::seconds{ 1 };
+  }
+  this->clock.advance(std::chrono::hours{ 1 });
+  this->world.clock = [this] { return this->clock.now(); };
+  this->world.start();
+  const RawSocket running = this->send(0);
+  const RawSocket atNear = near.accept();
+  const RawSocket avoiding = this->send(1);
+  RawSocket refusing = far.accept();
+  refusing.readUntil("\r\n\r\n");
+  refusing.send(RelayWorld::answer(
+    "id-1", "", "503 Full", "X-Not-Run: 1\r\nRetry-After: 1\r\n"));
+  EXPECT_EQ(this->world.awaitCounter("replica_backoffs_requested_total", 1),
+            1U);
+  const RawSocket other = this->send(2);
+  EXPECT_TRUE(
+    waitFor([this] { return this->world.loop->openRequests() == 3; }));
+  // The backoff has ended, and the request that avoids the replica is tried
+  // first.
+  this->clock.advance(std::chrono::milliseconds{ 1'025 });
+  RawSocket served = far.accept();
+  EXPECT_TRUE(has(served.readUntil("\r\n\r\n"), "X-Id: id-2"));
+}
+
 } // namespace
 } // namespace poplartrack
