Rename what readers of the pace decisions found unclear

Change: QueueBound::excess is requestsOverLimit, its times are formedAt and lastSeenAt; PaceGate::hold is onHeldBack, holdBehind is verdictBehindHeld, the member heldInRound is lastHeldRound and the relay's function of that name is checkOrder; the average of PaceEstimate is exponential smoothing in names and comments; the number of recent time slots has a name. An empty line is added in RelayWaiting.cpp. No behaviour changes.

--- a/benchmark/pace_gate.cpp
+++ b/benchmark/pace_gate.cpp
@@ -72,7 +72,7 @@
         paceForecast(path, estimate.at("replica", kStart), 2, false);
       const PaceCause cause = gate.check(last, forecast, kStart);
       if (cause != PaceCause::None) {
-        gate.hold(last, forecast, cause);
+        gate.onHeldBack(last, forecast, cause);
       }
       if (behind || (cause == PaceCause::None) != aSent) {
         std::abort();
@@ -101,7 +101,8 @@
   const double excess = microsPerCall(kCalls, [&] {
     now += std::chrono::milliseconds{ 10 };
     bound.onStart("model", now);
-    if (bound.excess("model", 1, std::chrono::milliseconds{ 1'200 }, now) > 0) {
+    if (bound.requestsOverLimit(
+          "model", 1, std::chrono::milliseconds{ 1'200 }, now) > 0) {
       std::abort();
     }
   });
--- a/include/poplartrack/fleet/PaceEstimate.h
+++ b/include/poplartrack/fleet/PaceEstimate.h
@@ -12,11 +12,13 @@
  * Corrects the path search's forecasts by what the streams of this relay show.
  *
  * Each sample is the ratio of an actual time to its forecast. The correction of
- * a replica is their moving average over the paths that begin there, since the
- * forecast errors of one copy's paths have common causes: work of relays whose
- * reports are late, a busy network, a replica slower than declared. Without
- * samples it returns to 1, so that a replica that receives no requests because
- * of its correction is tried again.
+ * a replica follows the samples of the paths that begin there by exponential
+ * smoothing, in which a sample above the correction has more weight than one
+ * below it. One value serves all of these paths, since the forecast errors of
+ * one copy's paths have common causes: work of relays whose reports are late, a
+ * busy network, a replica slower than declared. Without samples it returns to
+ * 1, so that a replica that receives no requests because of its correction is
+ * tried again.
  *
  * An actual time can include a delay of this relay: its event loop was busy
  * when it sent the request, or when the bytes arrived. Such a sample raises the
@@ -46,14 +48,14 @@
   [[nodiscard]] std::size_t size() const { return this->entries.size(); }
 
 private:
-  /** A moving average of ratios. */
-  struct Average
+  /** Ratios, exponentially smoothed. */
+  struct SmoothedRatio
   {
     double value = 1;
     TimePoint sampledAt{};
   };
-  /** Weight of a sample above the average, and of one below it relative to
-   * that.
+  /** Weight of a sample above the smoothed value, and of one below it relative
+   * to that.
    */
   struct SampleWeight
   {
@@ -68,12 +70,13 @@
   };
   struct Entry
   {
-    Average firstEvent;
-    Average pause;
+    SmoothedRatio firstEvent;
+    SmoothedRatio pause;
   };
 
-  [[nodiscard]] static double valueAt(const Average& aAverage, TimePoint aNow);
-  static void addSample(Average& aAverage,
+  [[nodiscard]] static double valueAt(const SmoothedRatio& aSmoothed,
+                                      TimePoint aNow);
+  static void addSample(SmoothedRatio& aSmoothed,
                         SampleWeight aWeight,
                         RatioRange aRatio,
                         TimePoint aNow);
--- a/include/poplartrack/fleet/PaceGate.h
+++ b/include/poplartrack/fleet/PaceGate.h
@@ -53,12 +53,13 @@
   [[nodiscard]] bool isBehindHeld(const PaceRequest& aRequest) const;
   /** Records that the request is held back because of this forecast, that of
    * the fastest path found. Returns whether it waits or is refused. */
-  PaceVerdict hold(const PaceRequest& aRequest,
-                   const PaceForecast& aForecast,
-                   PaceCause aCause);
+  PaceVerdict onHeldBack(const PaceRequest& aRequest,
+                         const PaceForecast& aForecast,
+                         PaceCause aCause);
   /** Returns whether a request for which isBehindHeld() is true waits or is
    * refused. */
-  [[nodiscard]] static PaceVerdict holdBehind(const PaceRequest& aRequest);
+  [[nodiscard]] static PaceVerdict verdictBehindHeld(
+    const PaceRequest& aRequest);
   /** Starts a new round over the wait queue: paths may have become faster since
    * the last one. */
   void beginRound() { ++this->round; }
@@ -73,12 +74,12 @@
     int urgency = 0;
     Duration objective{ 0 };
     Duration maxPause{ 0 };
-    /** Moving average of the prompts' lengths. */
+    /** The prompts' lengths, exponentially smoothed. */
     double promptTokens = 0;
     /** When a request of this kind was last received or waited. */
     TimePoint requestedAt{};
     /** The round in which requests of this kind were last held back. */
-    std::uint64_t heldInRound = 0;
+    std::uint64_t lastHeldRound = 0;
     /** Shortest prompt, in tokens, of the requests held back in that round that
      * could have been on time. */
     double heldPrompt = kNoneHeld;
--- a/include/poplartrack/fleet/QueueBound.h
+++ b/include/poplartrack/fleet/QueueBound.h
@@ -25,24 +25,25 @@
 public:
   /** Records that a request of the service was started. */
   void onStart(const std::string& aService, TimePoint aNow);
-  /** Returns by how many requests the queue of the service exceeds its limit.
-   * Called in each round of the wait queue in which requests of the service
-   * wait; without calls for 100 ms, the queue counts as new.
+  /** Records that requests of the service wait, and returns how many of them
+   * are over the limit. Called in each round of the wait queue in which
+   * requests of the service wait; without calls for 100 ms, the queue counts as
+   * new.
    * @param aLength Number of requests of the service that wait.
    * @param aLongestWait How long a new request may wait. */
-  std::size_t excess(const std::string& aService,
-                     std::size_t aLength,
-                     Duration aLongestWait,
-                     TimePoint aNow);
+  std::size_t requestsOverLimit(const std::string& aService,
+                                std::size_t aLength,
+                                Duration aLongestWait,
+                                TimePoint aNow);
 
 private:
   struct Service
   {
     /** Start times of the last seconds, the oldest first. */
     std::deque<TimePoint> starts;
-    /** When its queue formed, and when excess() was last called for it. */
-    TimePoint queuedSince{};
-    TimePoint queuedAt{};
+    /** When its queue formed, and when it was last seen to hold requests. */
+    TimePoint formedAt{};
+    TimePoint lastSeenAt{};
   };
 
   std::unordered_map<std::string, Service> services;
--- a/include/poplartrack/fleet/ReturnSchedule.h
+++ b/include/poplartrack/fleet/ReturnSchedule.h
@@ -110,10 +110,13 @@
     std::map<std::uint64_t, std::uint32_t> byAccount;
     std::array<std::uint32_t, kUrgencies> byUrgency{};
   };
-  /** Number of events in each of the last 20 slots. */
+  /** Time slots of the last two seconds, over which rates are measured. */
+  static constexpr std::size_t kRecentSlots = 20;
+
+  /** Number of events in each of the recent slots. */
   struct RecentCount
   {
-    std::array<std::uint32_t, 20> counts{};
+    std::array<std::uint32_t, kRecentSlots> counts{};
     SlotIndex latest = 0;
 
     void add(SlotIndex aSlot);
--- a/src/fleet/PaceEstimate.cpp
+++ b/src/fleet/PaceEstimate.cpp
@@ -18,11 +18,11 @@
 constexpr double kFirstEventWeight = 0.2;
 constexpr double kPauseWeight = 0.05;
 
-/** Weight of a sample below the average, relative to one above. Most requests
- * must be on time, so a forecast that only half of them meet is too low. First
- * events need the safer forecast: under overload, the queue of a path is as
- * long as the objective permits, and a late first event wastes the whole
- * prefill. */
+/** Weight of a sample below the smoothed value, relative to one above it. Most
+ * requests must be on time, so a forecast that only half of them meet is too
+ * low. First events need the safer forecast: under overload, the queue of a
+ * path is as long as the objective permits, and a late first event wastes the
+ * whole prefill. */
 constexpr double kFirstEventFallShare = 0.1;
 constexpr double kPauseFallShare = 0.25;
 
@@ -38,12 +38,12 @@
 } // namespace
 
 double
-PaceEstimate::valueAt(const Average& aAverage, TimePoint aNow)
+PaceEstimate::valueAt(const SmoothedRatio& aSmoothed, TimePoint aNow)
 {
-  const Duration age = std::max(aNow - aAverage.sampledAt, Duration{ 0 });
+  const Duration age = std::max(aNow - aSmoothed.sampledAt, Duration{ 0 });
   const double kept = 1 - static_cast<double>(age.count()) /
                             static_cast<double>(kMaxSampleAge.count());
-  return 1 + (aAverage.value - 1) * std::max(kept, 0.0);
+  return 1 + (aSmoothed.value - 1) * std::max(kept, 0.0);
 }
 
 /** Returns the range of the ratio, since the actual time without this relay's
@@ -55,23 +55,23 @@
            ratioOf(aActual, aForecast) };
 }
 
-/** Adds a sample. It is left out if the average lies within its range: it does
- * not show whether the average is too low or too high. */
+/** Adds a sample. It is left out if the smoothed value lies within its range:
+ * it does not show whether the value is too low or too high. */
 void
-PaceEstimate::addSample(Average& aAverage,
+PaceEstimate::addSample(SmoothedRatio& aSmoothed,
                         SampleWeight aWeight,
                         RatioRange aRatio,
                         TimePoint aNow)
 {
-  const double before = valueAt(aAverage, aNow);
+  const double before = valueAt(aSmoothed, aNow);
   if (aRatio.least < before && before < aRatio.most) {
     return;
   }
   const double nearest = std::clamp(before, aRatio.least, aRatio.most);
   const double weight =
     nearest > before ? aWeight.rise : aWeight.rise * aWeight.fallShare;
-  aAverage.value = before + weight * (nearest - before);
-  aAverage.sampledAt = aNow;
+  aSmoothed.value = before + weight * (nearest - before);
+  aSmoothed.sampledAt = aNow;
 }
 
 /** Returns the entry of a replica. Adding one drops those without recent
--- a/src/fleet/PaceGate.cpp
+++ b/src/fleet/PaceGate.cpp
@@ -27,7 +27,7 @@
  * its route divided by this. */
 constexpr int kLateDivisor = 2;
 
-/** Weight of a new request in a kind's average prompt. */
+/** Weight of a new request in a kind's smoothed prompt length. */
 constexpr double kPromptWeight = 0.1;
 
 /** Bound of the factor by which a forecast is converted to another prompt
@@ -138,10 +138,10 @@
 }
 
 /** Returns why the path would have too little headroom left for requests of a
- * kind. The time to the first event of such a request, with its average prompt,
- * is compared with a share of the kind's objective, and the time between two
- * events with a share of its longest pause. aLevels: the urgencies that need
- * headroom, a bit each. */
+ * kind. The time to the first event of such a request, with its smoothed prompt
+ * length, is compared with a share of the kind's objective, and the time
+ * between two events with a share of its longest pause. aLevels: the urgencies
+ * that need headroom, a bit each. */
 PaceCause
 PaceGate::checkHeadroom(const PaceRequest& aRequest,
                         const Kind& aKind,
@@ -220,7 +220,7 @@
   const Kinds* kinds = this->kindsOf(aRequest);
   return kinds != nullptr &&
          std::any_of(kinds->begin(), kinds->end(), [&](const Kind& aKind) {
-           if (aKind.heldInRound != this->round) {
+           if (aKind.lastHeldRound != this->round) {
              return false;
            }
            if (aRequest.beyondShare) {
@@ -239,9 +239,9 @@
 }
 
 PaceVerdict
-PaceGate::hold(const PaceRequest& aRequest,
-               const PaceForecast& aForecast,
-               PaceCause aCause)
+PaceGate::onHeldBack(const PaceRequest& aRequest,
+                     const PaceForecast& aForecast,
+                     PaceCause aCause)
 {
   const auto service = this->services.find(aRequest.service);
   if (service != this->services.end() && !aRequest.beyondShare) {
@@ -249,8 +249,8 @@
       if (!kind.isOf(aRequest)) {
         continue;
       }
-      if (kind.heldInRound != this->round) {
-        kind.heldInRound = this->round;
+      if (kind.lastHeldRound != this->round) {
+        kind.lastHeldRound = this->round;
         kind.heldPrompt = kNoneHeld;
         kind.heldLatePrompt = kNoneHeld;
         kind.heldLateFirstEvent = Duration::max();
@@ -277,7 +277,7 @@
 }
 
 PaceVerdict
-PaceGate::holdBehind(const PaceRequest& aRequest)
+PaceGate::verdictBehindHeld(const PaceRequest& aRequest)
 {
   return aRequest.waited >= aRequest.maxWait ? PaceVerdict::Refuse
                                              : PaceVerdict::Wait;
--- a/src/fleet/QueueBound.cpp
+++ b/src/fleet/QueueBound.cpp
@@ -33,20 +33,20 @@
 }
 
 std::size_t
-QueueBound::excess(const std::string& aService,
-                   std::size_t aLength,
-                   Duration aLongestWait,
-                   TimePoint aNow)
+QueueBound::requestsOverLimit(const std::string& aService,
+                              std::size_t aLength,
+                              Duration aLongestWait,
+                              TimePoint aNow)
 {
   Service& service = this->services[aService];
-  if (aNow - service.queuedAt > kMaxRoundGap) {
-    service.queuedSince = aNow;
+  if (aNow - service.lastSeenAt > kMaxRoundGap) {
+    service.formedAt = aNow;
   }
-  service.queuedAt = aNow;
-  if (aNow - service.queuedSince < kMinQueueAge) {
+  service.lastSeenAt = aNow;
+  if (aNow - service.formedAt < kMinQueueAge) {
     return 0;
   }
-  const TimePoint from = std::max(service.queuedSince, aNow - kRateWindow);
+  const TimePoint from = std::max(service.formedAt, aNow - kRateWindow);
   const auto first =
     std::upper_bound(service.starts.begin(), service.starts.end(), from);
   const auto started = static_cast<double>(service.starts.end() - first);
--- a/src/fleet/ReturnSchedule.cpp
+++ b/src/fleet/ReturnSchedule.cpp
@@ -93,8 +93,7 @@
   if (ended <= started) {
     return 1;
   }
-  const std::uint64_t room =
-    (ended - started) * this->relays / aService.ended.counts.size();
+  const std::uint64_t room = (ended - started) * this->relays / kRecentSlots;
   return static_cast<std::uint32_t>(
     std::clamp<std::uint64_t>(room, 1, kMaxBookings));
 }
--- a/src/relay/RelayAccounts.cpp
+++ b/src/relay/RelayAccounts.cpp
@@ -146,7 +146,7 @@
              ? fail(ErrorKind::NoRoute, "a layer is held by no live replica")
              : aBeyond;
   }
-  if (this->heldInRound(aExchange)) {
+  if (this->checkOrder(aExchange)) {
     return aBeyond;
   }
   Result<AttemptTarget> target = this->choose(aExchange);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -203,7 +203,7 @@
   [[nodiscard]] bool isPaced(const Exchange& aExchange) const;
   [[nodiscard]] PaceRequest paceRequestOf(const Exchange& aExchange) const;
   [[nodiscard]] PaceForecast paceForecastOf(const LayerPath& aPath) const;
-  std::optional<Error> heldInRound(Exchange& aExchange);
+  std::optional<Error> checkOrder(Exchange& aExchange);
   Result<AttemptTarget> admitByPace(Exchange& aExchange, AttemptTarget aTarget);
   Result<AttemptTarget> chooseFasterPath(const Exchange& aExchange,
                                          const AttemptTarget& aSlow);
--- a/src/relay/RelayPace.cpp
+++ b/src/relay/RelayPace.cpp
@@ -73,9 +73,11 @@
     idle);
 }
 
-/** Returns why the request need not search for a path in this round, if so. */
+/** Records the request with the pace gate. Returns an error if it needs no
+ * search for a path in this round, because one that goes before it was held
+ * back. */
 std::optional<Error>
-RelayLoop::Impl::heldInRound(Exchange& aExchange)
+RelayLoop::Impl::checkOrder(Exchange& aExchange)
 {
   if (!this->isPaced(aExchange)) {
     return std::nullopt;
@@ -86,7 +88,7 @@
     return std::nullopt;
   }
   return this->holdBack(
-    aExchange, {}, PaceCause::Order, PaceGate::holdBehind(request));
+    aExchange, {}, PaceCause::Order, PaceGate::verdictBehindHeld(request));
 }
 
 /** Returns the path if it is fast enough for the request, or another one that
@@ -108,7 +110,7 @@
         aExchange,
         forecast,
         cause,
-        this->paceState.gate.hold(request, forecast, cause));
+        this->paceState.gate.onHeldBack(request, forecast, cause));
     }
     this->shared.metrics.count("pace_other_paths_total");
     aTarget = std::move(other.value());
@@ -261,9 +263,9 @@
     return;
   }
   for (const auto& [service, length] : this->waiting.lengths()) {
-    std::size_t excess = this->paceState.queueBound.excess(
+    std::size_t overLimit = this->paceState.queueBound.requestsOverLimit(
       service, length, kMaxQueueWait, this->now);
-    for (; excess > 0; --excess) {
+    for (; overLimit > 0; --overLimit) {
       const auto last = this->waiting.lastOf(service);
       const auto found =
         last ? this->exchanges.find(*last) : this->exchanges.end();
--- a/src/relay/RelayWaiting.cpp
+++ b/src/relay/RelayWaiting.cpp
@@ -7,6 +7,7 @@
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
+
 /** Describes the request to the wait queue. */
 Waiter
 RelayLoop::Impl::waiterOf(const Exchange& aExchange) const
@@ -57,7 +58,7 @@
                   ? "a layer is held by no live replica"
                   : "no path has memory and a slot for the request");
   }
-  if (const std::optional<Error> early = this->heldInRound(aExchange)) {
+  if (const std::optional<Error> early = this->checkOrder(aExchange)) {
     return *early;
   }
   Result<AttemptTarget> target = this->choose(aExchange);
--- a/tests/unit/fleet/PaceGateTest.cpp
+++ b/tests/unit/fleet/PaceGateTest.cpp
@@ -131,12 +131,12 @@
     forecast(milliseconds{ 1'000 }, milliseconds{ 200 });
   const PaceCause cause = check(urgent, soon);
   ASSERT_EQ(cause, PaceCause::FirstEvent);
-  EXPECT_EQ(this->gate.hold(urgent, soon, cause), PaceVerdict::Wait);
+  EXPECT_EQ(this->gate.onHeldBack(urgent, soon, cause), PaceVerdict::Wait);
   PaceRequest waited = urgent;
   waited.waited = milliseconds{ 400 };
-  EXPECT_EQ(this->gate.hold(waited, soon, cause), PaceVerdict::Refuse);
+  EXPECT_EQ(this->gate.onHeldBack(waited, soon, cause), PaceVerdict::Refuse);
   waited.waited = waited.maxWait;
-  EXPECT_EQ(PaceGate::holdBehind(waited), PaceVerdict::Refuse);
+  EXPECT_EQ(PaceGate::verdictBehindHeld(waited), PaceVerdict::Refuse);
 }
 
 TEST_F(PaceGateTest, RequestsBehindAHeldOneNeedNoSearch)
@@ -147,7 +147,7 @@
   this->gate.onRequest(lessUrgent, kNow);
   EXPECT_FALSE(this->gate.isBehindHeld(urgent));
   const PaceForecast busy = forecast(milliseconds{ 400 }, milliseconds{ 200 });
-  this->gate.hold(urgent, busy, PaceCause::FirstEvent);
+  this->gate.onHeldBack(urgent, busy, PaceCause::FirstEvent);
   PaceRequest shorter = urgent;
   shorter.promptTokens /= 2;
   EXPECT_TRUE(this->gate.isBehindHeld(urgent));
@@ -157,7 +157,7 @@
   EXPECT_FALSE(this->gate.isBehindHeld(shorter));
   this->gate.beginRound();
   EXPECT_FALSE(this->gate.isBehindHeld(lessUrgent));
-  this->gate.hold(lessUrgent, busy, PaceCause::Headroom);
+  this->gate.onHeldBack(lessUrgent, busy, PaceCause::Headroom);
   EXPECT_FALSE(this->gate.isBehindHeld(urgent));
 }
 
@@ -172,11 +172,11 @@
   EXPECT_EQ(check(lessUrgent, busy), PaceCause::None);
   this->gate.onRequest(urgent, kNow);
   this->gate.onRequest(lessUrgent, kNow);
-  this->gate.hold(beyond, busy, PaceCause::FirstEvent);
+  this->gate.onHeldBack(beyond, busy, PaceCause::FirstEvent);
   EXPECT_FALSE(this->gate.isBehindHeld(urgent));
   EXPECT_FALSE(this->gate.isBehindHeld(lessUrgent));
   // It may be more urgent and shorter than the one that waits.
-  this->gate.hold(lessUrgent, busy, PaceCause::Headroom);
+  this->gate.onHeldBack(lessUrgent, busy, PaceCause::Headroom);
   beyond.promptTokens /= 2;
   EXPECT_TRUE(this->gate.isBehindHeld(beyond));
   EXPECT_FALSE(this->gate.isBehindHeld(urgent));
--- a/tests/unit/fleet/PaceLoadTest.cpp
+++ b/tests/unit/fleet/PaceLoadTest.cpp
@@ -81,7 +81,7 @@
         for (const std::uint64_t id : this->waiting.order(this->now)) {
           this->tryCall(id);
         }
-        for (auto left = this->bound.excess(
+        for (auto left = this->bound.requestsOverLimit(
                "model", this->waiting.size(), milliseconds{ 1'200 }, this->now);
              left > 0;
              --left) {
@@ -120,7 +120,7 @@
     PaceRequest& request = call.request;
     request.waited = this->now - call.arrived;
     this->gate.onRequest(request, this->now);
-    PaceVerdict verdict = PaceGate::holdBehind(request);
+    PaceVerdict verdict = PaceGate::verdictBehindHeld(request);
     if (!this->gate.isBehindHeld(request)) {
       std::vector<std::pair<Duration, std::size_t>> order;
       for (std::size_t at = 0; at < this->paths.size(); ++at) {
@@ -141,7 +141,7 @@
           return;
         }
         if (at == order.front().second) {
-          verdict = this->gate.hold(request, forecast, cause);
+          verdict = this->gate.onHeldBack(request, forecast, cause);
         }
       }
     }
--- a/tests/unit/fleet/QueueBoundTest.cpp
+++ b/tests/unit/fleet/QueueBoundTest.cpp
@@ -13,18 +13,20 @@
 {
 protected:
   /** Lets time pass in rounds with a queue of this length; a request is started
-   * at each aInterval. Returns the excess of the last round. */
+   * at each aInterval. Returns how many are over the limit in the last round.
+   */
   std::size_t pass(Duration aTime, std::size_t aLength, Duration aInterval)
   {
-    std::size_t excess = 0;
+    std::size_t overLimit = 0;
     for (const TimePoint end = this->now + aTime; this->now < end;) {
       this->now += milliseconds{ 25 };
       if (this->now.time_since_epoch() % aInterval == Duration{ 0 }) {
         this->bound.onStart("model", this->now);
       }
-      excess = this->bound.excess("model", aLength, kLongestWait, this->now);
+      overLimit = this->bound.requestsOverLimit(
+        "model", aLength, kLongestWait, this->now);
     }
-    return excess;
+    return overLimit;
   }
 
   TimePoint now{ std::chrono::hours{ 1 } };
