--- a/include/poplartrack/fleet/WaitQueue.h
+++ b/include/poplartrack/fleet/WaitQueue.h
@@ -26,10 +26,10 @@
   bool beyondShare = false;
   /** 0 is the most urgent. */
   int urgency = 0;
-  /** Its caller was rejected before and has returned when it was told to. */
+  /** Its caller was refused before and has returned when it was told to. */
   bool returned = false;
   /** For a returned caller: when it goes before new requests of all urgencies,
-   * since it would soon be rejected again. */
+   * since it would soon be refused again. */
   TimePoint lastChanceFrom = TimePoint::max();
   /** Tokens that it needs memory for. */
   double tokens = 0;
@@ -54,7 +54,7 @@
  * Started streams go first, then returned callers at their last chance, then
  * requests of accounts within their share, then the others; within each of
  * these, requests go by urgency. Among equals, returned callers go first, since
- * those that are rejected again give up; then those that can still be on time,
+ * those that are refused again give up; then those that can still be on time,
  * the oldest ahead. The others are late whenever they start and get what is
  * left, because an answer on time is worth four times as much. Pure; not
  * thread-safe.
@@ -77,7 +77,7 @@
   [[nodiscard]] std::map<std::string, std::size_t> lengths() const;
   /** The same for one service. */
   [[nodiscard]] std::size_t lengthOf(const std::string& aService) const;
-  /** Returns the waiting request of a service that is evicted first: one beyond
+  /** Returns the waiting request of a service that is refused first: one beyond
    * its account's share, else any; of these the least urgent, then the newest.
    * Returned callers come last, and started streams are left out. */
   [[nodiscard]] std::optional<std::uint64_t> lastOf(
--- a/src/fleet/WaitQueue.cpp
+++ b/src/fleet/WaitQueue.cpp
@@ -76,8 +76,8 @@
 std::optional<std::uint64_t>
 WaitQueue::lastOf(const std::string& aService) const
 {
-  // Returned callers give up when they are rejected again.
-  const auto evictionRank = [](const Entry& aEntry) {
+  // Returned callers give up when they are refused again.
+  const auto refusalRank = [](const Entry& aEntry) {
     return std::tuple{ !aEntry.waiter.returned,
                        aEntry.waiter.beyondShare,
                        aEntry.waiter.urgency,
@@ -89,7 +89,7 @@
     if (waiter.started || waiter.exempt || waiter.service != aService) {
       continue;
     }
-    if (last == nullptr || evictionRank(entry) > evictionRank(*last)) {
+    if (last == nullptr || refusalRank(entry) > refusalRank(*last)) {
       last = &entry;
     }
   }
--- a/src/relay/QueueWait.cpp
+++ b/src/relay/QueueWait.cpp
@@ -10,7 +10,7 @@
 constexpr Duration kMaxResumeWait = std::chrono::milliseconds{ 1'500 };
 
 /** Maximum wait of a caller that has returned when it was told to, as far as
- * its deadline permits. It gives up when it is rejected again, and gives up a
+ * its deadline permits. It gives up when it is refused again, and gives up a
  * stream without an event after 2 s. */
 constexpr Duration kMaxReturnWait = std::chrono::milliseconds{ 1'900 };
 
--- a/src/relay/QueueWait.h
+++ b/src/relay/QueueWait.h
@@ -11,9 +11,9 @@
 
 /** Maximum wait of a request for a path with enough memory; twice the latency
  * objective if that is shorter. Callers give up a stream without an event after
- * four objectives, and the prefill is still to come. Rejecting callers sooner
+ * four objectives, and the prefill is still to come. Refusing callers sooner
  * does not help: they retry only once, the retry comes too late, and it is
- * rejected again. */
+ * refused again. */
 constexpr Duration kMaxQueueWait = std::chrono::milliseconds{ 1'200 };
 
 /** Returns how long a new request may wait for memory. */
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -214,7 +214,7 @@
   [[nodiscard]] std::string paceText(const Exchange& aExchange) const;
   void recordStart(Exchange& aExchange);
   void recordPace(const Exchange& aExchange);
-  void evictFromQueue();
+  void refuseOverLimit();
 
   // RelayAccounts.cpp: the shares of client accounts in a service's capacity.
   void countUse(Exchange& aExchange);
--- a/src/relay/RelayPace.cpp
+++ b/src/relay/RelayPace.cpp
@@ -257,7 +257,7 @@
 /** Refuses the requests that wait beyond what can be started within the longest
  * wait; WaitQueue::lastOf() gives their order. */
 void
-RelayLoop::Impl::evictFromQueue()
+RelayLoop::Impl::refuseOverLimit()
 {
   if (!this->settings.load.paceAdmission) {
     return;
--- a/src/relay/RelayWaiting.cpp
+++ b/src/relay/RelayWaiting.cpp
@@ -93,7 +93,7 @@
       this->dispatch(*found->second);
     }
   }
-  this->evictFromQueue();
+  this->refuseOverLimit();
   if (!this->waiting.empty()) {
     this->timers.arm(kWaitQueueTimerKey, this->now + kWaitRetryInterval);
   }
--- a/tests/unit/fleet/WaitQueueTest.cpp
+++ b/tests/unit/fleet/WaitQueueTest.cpp
@@ -83,7 +83,7 @@
 
 TEST_F(WaitQueueTest, TheLeastUrgentAndNewestIsTheLast)
 {
-  // Started streams must never be evicted: their callers lose most.
+  // Started streams must never be refused: their callers lose most.
   for (const auto& [request, urgency] : { std::pair{ 1U, 2 },
                                           std::pair{ 2U, 2 },
                                           std::pair{ 3U, 0 },
@@ -101,8 +101,8 @@
 }
 
 /** Guards against an account that asks for no more than usual and whose callers
- * are rejected because another account fills the queue with urgent requests. */
-TEST_F(WaitQueueTest, RequestsBeyondTheirAccountsShareAreEvictedFirst)
+ * are refused because another account fills the queue with urgent requests. */
+TEST_F(WaitQueueTest, RequestsBeyondTheirAccountsShareAreRefusedFirst)
 {
   constexpr std::uint64_t kBeyond = 48;
   for (std::uint64_t request = 1; request <= kBeyond; ++request) {
@@ -116,7 +116,7 @@
   this->queue.add(within);
   EXPECT_EQ(this->queue.order(in(milliseconds{ 1 })).front(), kBeyond + 1);
   EXPECT_EQ(this->queue.lastOf("model"), kBeyond);
-  // A returned caller gives up when it is rejected again.
+  // A returned caller gives up when it is refused again.
   Waiter returned = waiter(kBeyond + 2, milliseconds{ 0 });
   returned.returned = true;
   returned.beyondShare = true;
@@ -128,7 +128,7 @@
   EXPECT_EQ(this->queue.lastOf("model"), kBeyond + 1);
 }
 
-/** Guards against a caller that returned when told and is rejected again behind
+/** Guards against a caller that returned when told and is refused again behind
  * new requests: at first those of its urgency, then all of them. */
 TEST_F(WaitQueueTest, ReturnsGoBeforeNewRequests)
 {
