--- a/tests/unit/relay/CrashingReplicas.h
+++ b/tests/unit/relay/CrashingReplicas.h
@@ -68,12 +68,8 @@
    * version. The same status message reports the quarantine. */
   void awaitReportAt(const RelayWorld& aWorld) const
   {
-    const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-    while (aWorld.shared.peerListVersion < this->version &&
-           runtimeNow() < waitUntil) {
-      std::this_thread::yield();
-    }
-    ASSERT_EQ(aWorld.shared.peerListVersion, this->version);
+    ASSERT_TRUE(
+      waitFor([&] { return aWorld.shared.peerListVersion == this->version; }));
   }
   /** Number of requests under which a replica crashed. */
   [[nodiscard]] int sent() const { return this->runs; }
--- a/tests/unit/relay/LoopLoadTest.cpp
+++ b/tests/unit/relay/LoopLoadTest.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <thread>
 
 #include "RelayWorld.h"
 
@@ -135,33 +134,35 @@
 {
   RelayWorld world;
   RawListener listener;
+  // On a busy machine, the relay would lose real time while it waits, and take
+  // that for idle time.
+  world.useManualClock();
   world.acceptLoad = LoopLoad::kDefaultLimit;
   world.addReplica("one", "plain", listener.address());
   world.start();
   std::atomic<bool> busy{ true };
   std::function<void()> work = [&] {
-    const TimePoint until = runtimeNow() + milliseconds{ 20 };
-    while (runtimeNow() < until) {
-    }
+    world.manualClock.advance(milliseconds{ 20 });
     if (busy) {
       world.loop->post(work);
     }
   };
   world.loop->post(work);
-  const TimePoint waitUntil = runtimeNow() + seconds{ 60 };
-  while (world.shared.metrics.counter("callers_turned_away_total") == 0 &&
-         runtimeNow() < waitUntil) {
+  EXPECT_TRUE(waitFor([&] {
     world.caller().close();
-  }
-  EXPECT_GT(world.shared.metrics.counter("callers_turned_away_total"), 0U);
+    return world.counter("callers_turned_away_total") > 0;
+  }));
   RawSocket turnedAway = world.sendRequest("/again/x", "id-1", "", "content");
   EXPECT_EQ(turnedAway.readToEnd(), "");
   busy = false;
   std::string answer;
-  while (answer.empty() && runtimeNow() < waitUntil) {
-    RawSocket caller = world.sendRequest("/unknown/", "id-2");
-    answer = caller.readUntil("}\n");
-  }
+  waitFor([&] {
+    if (answer.empty()) {
+      world.advance(milliseconds{ 100 });
+      answer = world.sendRequest("/unknown/", "id-2").readUntil("}\n");
+    }
+    return !answer.empty();
+  });
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 404 ")) << answer;
 }
 
--- a/tests/unit/relay/OutagePlacementTest.cpp
+++ b/tests/unit/relay/OutagePlacementTest.cpp
@@ -20,13 +20,16 @@
   this->shared.peers.replace(std::make_shared<const std::vector<Address>>(
     std::vector{ Address{ "10.0.0.1", 7 } }));
   this->shared.freshPeers = 1;
+  // The view stays up to date, however slowly the test runs.
+  this->shared.outageViewAt =
+    (this->shared.clock.now() + std::chrono::hours{ 1 })
+      .time_since_epoch()
+      .count();
+  // The thread sets these one after the other.
   EXPECT_TRUE(waitFor([this] {
-    this->shared.outageViewAt =
-      this->shared.clock.now().time_since_epoch().count();
-    return this->shared.leadsOutage.load();
+    return this->shared.leadsOutage && this->shared.holdsLease &&
+           has(this->shared.metrics.render(), "placement_outage_leader 1");
   }));
-  EXPECT_TRUE(this->shared.holdsLease);
-  EXPECT_TRUE(has(this->shared.metrics.render(), "placement_outage_leader 1"));
   this->shared.peerHoldsLease = true;
   EXPECT_TRUE(waitFor([this] { return this->shared.releasedFence != 0; }));
   EXPECT_FALSE(this->shared.holdsLease);
@@ -46,13 +49,7 @@
   // A relay that regained the lease announced the releases of its last one
   // until its first round had ended.
   FleetControl<ScriptedStore> control{
-    this->settings,
-    this->shared,
-    this->store,
-    [](const Replica&,
-       LayerRange,
-       std::uint64_t,
-       const std::function<void(Result<Done>)>&) {}
+    this->settings, this->shared, this->store, ignoreOrder
   };
   EXPECT_TRUE(waitFor([this] { return this->shared.holdsLease.load(); }));
   publishRelease(this->shared);
@@ -67,13 +64,7 @@
 {
   // The layers would not be used until the announcement times out.
   FleetControl<ScriptedStore> control{
-    this->settings,
-    this->shared,
-    this->store,
-    [](const Replica&,
-       LayerRange,
-       std::uint64_t,
-       const std::function<void(Result<Done>)>&) {}
+    this->settings, this->shared, this->store, ignoreOrder
   };
   EXPECT_TRUE(waitFor([this] { return this->shared.holdsLease.load(); }));
   publishRelease(this->shared);
--- a/tests/unit/relay/PromptPartCrashTest.cpp
+++ b/tests/unit/relay/PromptPartCrashTest.cpp
@@ -69,8 +69,7 @@
   CrashingReplicas replicas{ { &first, &second }, "deadly:" };
   first.start();
   second.start();
-  first.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-    std::vector<Address>{ second.loop->peersAddress() }));
+  first.setPeers({ second.loop->peersAddress() });
   replicas.start();
   for (int i = 0; i < kMaxCrashes; ++i) {
     callWith(first, "first:40,deadly:100", i);
@@ -121,12 +120,8 @@
            refused() == 0 && runtimeNow() < waitUntil) {
       std::this_thread::yield();
     }
-    // A later periodic run has entered the crash.
-    std::atomic<bool> entered{ false };
-    world.loop->post([&] { world.loop->post([&entered] { entered = true; }); });
-    while (!entered) {
-      std::this_thread::yield();
-    }
+    // The run that took over the list has entered the crash.
+    world.settle();
   }
   EXPECT_GT(refused(), 0U);
   EXPECT_LE(sent, kMaxCrashes + kMaxSentAfter);
@@ -141,10 +136,8 @@
       1, partSuspect(fingerprintOfPart("deadly"))));
   world.start();
   replicas.start();
-  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-  while (world.shared.quarantine.read()->empty() && runtimeNow() < waitUntil) {
-    std::this_thread::yield();
-  }
+  ASSERT_TRUE(
+    waitFor([&] { return !world.shared.quarantine.read()->empty(); }));
   const std::string refused = callWith(world, "first:40,deadly:100", 1);
   EXPECT_TRUE(refused.starts_with("HTTP/1.1 503 ")) << refused;
   EXPECT_EQ(replicas.sent(), 0);
--- a/tests/unit/relay/RelayAccountsTest.cpp
+++ b/tests/unit/relay/RelayAccountsTest.cpp
@@ -1,9 +1,7 @@
 // Shares of client accounts in a model service that is short of capacity.
 
 #include <algorithm>
-#include <atomic>
 #include <cstdio>
-#include <thread>
 
 #include "PeerSocket.h"
 #include "RelayWorld.h"
@@ -16,8 +14,7 @@
 
 /** Requests that the replica of the model takes at once. */
 constexpr int kSlots = 8;
-/** Interval of the rounds of the relay's wait queue, and its longest wait. */
-constexpr Duration kRound = std::chrono::milliseconds{ 25 };
+/** Longest wait in the relay's wait queue. */
 constexpr Duration kLongestWait = std::chrono::milliseconds{ 1'200 };
 
 /** A relay with accounts shop and rival, and one replica of the model. Requests
@@ -77,34 +74,8 @@
     this->callers.push_back(this->world.caller());
     this->callers.back().send(text);
   }
-  /** Gives the relay a clock that only the test advances. */
-  void useManualClock()
-  {
-    // The relay takes the time 0 for "never".
-    this->clock.advance(std::chrono::hours{ 1 });
-    this->world.clock = [this] { return this->clock.now(); };
-  }
-  /** Advances the clock by one round of the wait queue and waits until the
-   * relay has done what is due then. */
-  void runRound()
-  {
-    this->clock.advance(kRound);
-    // The loop may have read the clock before. Its next iteration runs what is
-    // posted before the timers, so only the third one comes after them.
-    for (int i = 0; i < 3; ++i) {
-      std::atomic<bool> done{ false };
-      this->world.loop->post([&done] { done = true; });
-      ASSERT_TRUE(waitFor([&done] { return done.load(); }));
-    }
-  }
-  /** Waits until the relay has this many open requests. */
-  void awaitOpen(std::size_t aRequests)
-  {
-    ASSERT_TRUE(
-      waitFor([&] { return this->world.loop->openRequests() == aRequests; }));
-  }
+
   std::FILE* log = std::tmpfile();
-  ManualClock clock;
   RelayWorld world;
   RawListener replica;
   std::vector<RawSocket> callers;
@@ -116,32 +87,32 @@
   // Guards against an account that keeps all capacity because its requests
   // have waited for longer. The requests must wait at the same time, however
   // slowly the relay runs.
-  this->useManualClock();
+  this->world.useManualClock();
   this->world.start();
   this->fillSlots();
   RawSocket waiting = this->world.sendRequest("/patient/x", "more");
-  this->awaitOpen(kSlots + 1);
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 1));
   this->sendRival("rival-1");
-  this->awaitOpen(kSlots + 2);
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 2));
   // Shares are divided anew in every second round.
-  this->runRound();
-  this->runRound();
+  this->world.advance(kRound);
+  this->world.advance(kRound);
   ASSERT_EQ(this->world.awaitCounter("requests_beyond_share_total", 1), 1U);
   this->running.front().send(
     RelayWorld::answer("full-0",
                        "id: 1\ndata: x\n\n",
                        "200 OK",
                        "X-Stamp: s\r\nConnection: close\r\n"));
-  this->awaitOpen(kSlots + 1);
-  this->runRound();
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 1));
+  this->world.advance(kRound);
   this->running.push_back(this->replica.accept());
   const std::string head = this->running.back().readUntil("\r\n\r\n");
   EXPECT_TRUE(has(head, "X-Account: rival")) << head;
   // The refusal of the account beyond its share is counted as such.
   this->sendRival("rival-2");
-  this->awaitOpen(kSlots + 2);
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 2));
   for (Duration waited{ 0 }; waited < kLongestWait; waited += kRound) {
-    this->runRound();
+    this->world.advance(kRound);
   }
   const std::string refused = waiting.readUntil("}\n");
   EXPECT_TRUE(has(refused, "503")) << refused;
@@ -155,25 +126,28 @@
 
 TEST_F(RelayAccounts, RowsAreSentOnlyWhileAServiceIsShortOfCapacity)
 {
-  // Guards against messages that grow with the accounts at all times.
-  PeerSocket peer;
-  this->world.shared.peers.replace(
-    std::make_shared<const std::vector<Address>>(1, peer.address()));
+  // Guards against messages that grow with the accounts at all times. The
+  // request must still wait when the relay sends its next message.
+  this->world.useManualClock();
+  const PeerSocket peer;
+  this->world.setPeers({ peer.address() });
   this->world.start();
   PeerStatus status;
   const auto receiveUntil = [&](const auto& aFound) {
-    while (!aFound()) {
-      if (const auto message = peer.receive()) {
+    return this->world.advanceUntil([&] {
+      const auto message = peer.receive();
+      if (message) {
         status = message->status;
       }
-      std::this_thread::yield();
-    }
+      return message && aFound();
+    });
   };
   this->fillSlots();
-  receiveUntil([&] { return !status.loads.empty(); });
+  ASSERT_TRUE(receiveUntil([&] { return !status.loads.empty(); }));
   EXPECT_TRUE(status.accounts.empty());
   this->sendRival("rival-1");
-  receiveUntil([&] { return !status.accounts.empty(); });
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 1));
+  ASSERT_TRUE(receiveUntil([&] { return !status.accounts.empty(); }));
   ASSERT_EQ(status.accounts.size(), 2U);
   // The rows have no order while there are few.
   const bool first = status.accounts[0].inUse > 0;
@@ -184,30 +158,24 @@
 TEST_F(RelayAccounts, SharesAreMeasuredByTheUsualUseOfAllRelays)
 {
   // Guards against weights that the relays do not exchange.
-  this->useManualClock();
-  PeerSocket peer;
-  this->world.shared.peers.replace(
-    std::make_shared<const std::vector<Address>>(1, peer.address()));
+  this->world.useManualClock();
+  const PeerSocket peer;
+  this->world.setPeers({ peer.address() });
   this->world.start();
   this->fillSlots();
   PeerStatus report;
   report.incarnation = 7;
   report.accounts.push_back({ "model", accountHash("rival"), 0, 1, 64 });
   std::optional<PeerMessage> own;
-  EXPECT_TRUE(waitFor([&] {
+  ASSERT_TRUE(this->world.advanceUntil([&] {
+    own = peer.receive();
     peer.send(this->world.loop->peersAddress(), report);
-    this->runRound();
-    const auto message = peer.receive();
-    if (message && !message->status.accounts.empty()) {
-      own = message;
-    }
-    return own.has_value();
+    return own && !own->status.accounts.empty();
   }));
-  ASSERT_TRUE(own);
   // Eight requests of 20 tokens before the shortage, as the use of 10 s.
   EXPECT_EQ(own->status.accounts[0].usual, 16U);
   const RawSocket waiting = this->world.sendRequest("/patient/x", "more");
-  this->awaitOpen(kSlots + 1);
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 1));
   EXPECT_TRUE(has(this->readLog(), "weight_milli=250"));
 }
 
@@ -251,8 +219,8 @@
   RawSocket waiting = this->world.sendRequest("/patient/x", "more");
   this->sendRival("rival-1");
   waiting.readUntil("}\n");
-  EXPECT_EQ(this->world.shared.metrics.counter("requests_beyond_share_total"),
-            0U);
+  this->world.settle();
+  EXPECT_EQ(this->world.counter("requests_beyond_share_total"), 0U);
   EXPECT_FALSE(has(this->readLog(), "share"));
 }
 
--- a/tests/unit/relay/RelayBackoffTest.cpp
+++ b/tests/unit/relay/RelayBackoffTest.cpp
@@ -98,8 +98,8 @@
     this->streaming->send(RelayWorld::streamHead("earlier") +
                           RelayWorld::event(1));
     this->earlier->readUntil("id: 1");
-    RawSocket rejected =
-      this->world.sendRequest("/stream/x", "rejected", "X-Deadline: 3000\r\n");
+    // Without a deadline, which could pass before the replica has rejected it.
+    RawSocket rejected = this->world.sendRequest("/stream/x", "rejected");
     RawSocket rejecting = this->replica.accept();
     rejecting.readUntil("\r\n\r\n");
     rejecting.send(rejectAndAskForPause("rejected"));
@@ -135,8 +135,7 @@
   RelayWorld world;
   world.addReplica("one", "plain", replica.address());
   world.start();
-  RawSocket rejected =
-    world.sendRequest("/again/x", "rejected", "X-Deadline: 3000\r\n");
+  RawSocket rejected = world.sendRequest("/again/x", "rejected");
   RawSocket rejecting = replica.accept();
   rejecting.readUntil("\r\n\r\n");
   RawSocket opening = world.caller();
--- a/tests/unit/relay/RelayCrashTest.cpp
+++ b/tests/unit/relay/RelayCrashTest.cpp
@@ -1,7 +1,5 @@
 // Requests that crash replicas, and their quarantine.
 
-#include <thread>
-
 #include "CrashingReplicas.h"
 #include "RelayWorld.h"
 
@@ -47,8 +45,7 @@
   CrashingReplicas replicas{ { &first, &second } };
   first.start();
   second.start();
-  first.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-    std::vector<Address>{ second.loop->peersAddress() }));
+  first.setPeers({ second.loop->peersAddress() });
   replicas.start();
   for (int i = 0; i < kMaxCrashes; ++i) {
     callOnce(first, i);
@@ -97,11 +94,8 @@
   world.shared.storedQuarantine.replace(
     std::make_shared<const std::vector<Suspect>>(1, contentSuspect(content)));
   world.start();
-  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-  while (world.shared.quarantine.read()->empty() && runtimeNow() < waitUntil) {
-    std::this_thread::yield();
-  }
-  ASSERT_FALSE(world.shared.quarantine.read()->empty());
+  ASSERT_TRUE(
+    waitFor([&] { return !world.shared.quarantine.read()->empty(); }));
   const std::string refused = callOnce(world, 1);
   EXPECT_TRUE(refused.starts_with("HTTP/1.1 503 ")) << refused;
   EXPECT_NE(refused.find("quarantined"), std::string::npos) << refused;
@@ -164,6 +158,8 @@
   world.addReplica("two", "plain", crashing.address());
   world.addReplica("three", "plain", staying.address());
   world.replicas["three"].zone = "b";
+  // The replicas that failed are avoided only for a while.
+  world.useManualClock();
   world.start();
   RawSocket failedCaller = world.sendRequest("/again/x", "id-0", "", "content");
   for (int attempt = 0; attempt < 2; ++attempt) {
--- a/tests/unit/relay/RelayDrainTest.cpp
+++ b/tests/unit/relay/RelayDrainTest.cpp
@@ -1,7 +1,5 @@
 // Replicas that announce in their answers that they drain.
 
-#include <chrono>
-
 #include "AnsweringReplica.h"
 #include "RelayWorld.h"
 
@@ -24,8 +22,7 @@
 std::string
 headOfAnswer(const RelayWorld& aWorld, const std::string& aId)
 {
-  return aWorld.sendRequest("/again/x", aId, "X-Deadline: 2000\r\n")
-    .readUntil("\r\n\r\n");
+  return aWorld.sendRequest("/again/x", aId).readUntil("\r\n\r\n");
 }
 
 TEST(RelayDrain, AReplicaThatAnnouncesItsDrainGetsNoNewRequests)
@@ -127,14 +124,10 @@
     world->addReplica("one", "plain", replica.address());
     world->start();
   }
-  first.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-    std::vector<Address>{ second.loop->peersAddress() }));
+  first.setPeers({ second.loop->peersAddress() });
   headOfAnswer(first, "first");
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (second.shared.announcedDrains.read()->empty() &&
-         runtimeNow() < latest) {
-    std::this_thread::yield();
-  }
+  ASSERT_TRUE(
+    waitFor([&] { return !second.shared.announcedDrains.read()->empty(); }));
   EXPECT_TRUE(headOfAnswer(second, "second").starts_with("HTTP/1.1 503"));
   EXPECT_EQ(replica.heads().size(), 1U);
 }
--- a/tests/unit/relay/RelayLimitTest.cpp
+++ b/tests/unit/relay/RelayLimitTest.cpp
@@ -2,7 +2,6 @@
 
 #include <atomic>
 #include <cmath>
-#include <thread>
 
 #include "AcceptLoop.h"
 #include "RelayWorld.h"
@@ -51,22 +50,32 @@
   AcceptLoop loop;
 };
 
-/** Sends a request with a short deadline and reads the answer. */
+/** Sends a request and reads the answer. */
 void
-callOnce(const RelayWorld& aWorld, int aNumber)
+callOnce(const RelayWorld& aWorld,
+         int aNumber,
+         const std::string& aDeadline = "X-Deadline: 40\r\n")
 {
-  RawSocket caller = aWorld.sendRequest(
-    "/again/x", "id-" + std::to_string(aNumber), "X-Deadline: 40\r\n");
+  RawSocket caller =
+    aWorld.sendRequest("/again/x", "id-" + std::to_string(aNumber), aDeadline);
   caller.readUntil("}\n");
 }
 
+/** Lets a relay learn the limit. A deadline could pass before the answer that
+ * states it, and the relay would send further requests without a limit. */
+void
+learnLimit(const RelayWorld& aWorld)
+{
+  callOnce(aWorld, 0, "");
+}
+
 TEST(RelayLimit, ARelayKeepsToAReplicasLimit)
 {
   LimitingReplica replica{ "0.5" };
   RelayWorld world;
   world.addReplica("one", "plain", replica.address());
   world.start();
-  callOnce(world, 0);
+  learnLimit(world);
   const int before = replica.requests();
   const TimePoint start = runtimeNow();
   constexpr int kCalls = 40;
@@ -84,7 +93,7 @@
   world.addReplica("one", "plain", replica.address());
   world.addReplica("other", "model", replica.address());
   world.start();
-  callOnce(world, 0);
+  learnLimit(world);
   const Replica kept = world.replicas.at("one");
   const int before = replica.requests();
   const TimePoint start = runtimeNow();
@@ -111,23 +120,17 @@
     world->addReplica("one", "plain", replica.address());
     world->start();
   }
-  const auto addPeer = [](RelayWorld& aFrom, const RelayWorld& aTo) {
-    aFrom.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-      std::vector<Address>{ aTo.loop->peersAddress() }));
-  };
-  addPeer(first, second);
-  addPeer(second, first);
-  callOnce(first, 0);
-  callOnce(second, 1);
+  first.setPeers({ second.loop->peersAddress() });
+  second.setPeers({ first.loop->peersAddress() });
+  learnLimit(first);
+  learnLimit(second);
   // A status message with the new list version also reports the limit.
   first.publishReplicas(7);
   second.publishReplicas(7);
-  const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-  while (
-    (second.shared.peerListVersion < 7 || first.shared.peerListVersion < 7) &&
-    runtimeNow() < waitUntil) {
-    std::this_thread::yield();
-  }
+  ASSERT_TRUE(waitFor([&] {
+    return first.shared.peerListVersion == 7 &&
+           second.shared.peerListVersion == 7;
+  }));
   const int before = replica.requests();
   const TimePoint start = runtimeNow();
   constexpr int kCalls = 40;
--- a/tests/unit/relay/RelayLoopTest.cpp
+++ b/tests/unit/relay/RelayLoopTest.cpp
@@ -8,10 +8,12 @@
 
 using namespace relaytest;
 
+/** Longest time for which a relay that is cut off accepts a revoked key. */
+constexpr Duration kRevoke = std::chrono::seconds{ 5 };
+
 class RelayLoopTest : public ::testing::Test
 {
 protected:
-  ManualClock clock;
   RelayWorld world;
   RawListener one;
   RawListener two;
@@ -44,11 +46,15 @@
 {
   // After all relays crashed, callers retry once, possibly before a restarted
   // relay has read the configuration. The request must wait, not be refused.
+  // The relay counts as just started for 700 ms.
+  this->world.useManualClock();
   this->world.addReplica("one", "plain", this->one.address());
   this->world.startLoop();
   RawSocket caller = this->world.sendRequest("/once/x", "id-1");
+  ASSERT_TRUE(this->world.awaitOpen(1));
   this->world.publishConfig();
   this->world.publishReplicas(1);
+  this->world.advance(kRound);
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
   replica.send(RelayWorld::answer("id-1", "hello"));
@@ -59,6 +65,7 @@
 {
   // The configuration is too old to trust the key, and no other relay is known.
   // The caller has 9 s, so the advised delay is up to a third of that.
+  this->world.revoke = kRevoke;
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start(std::chrono::seconds{ 60 });
   RawSocket caller =
@@ -321,15 +328,10 @@
   this->world.replicas["three"].layers = LayerRange{ 5, 10 };
   this->world.replicas["two"].draining = true;
   this->world.publishReplicas(2);
-  // The limit ends a failing test.
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  std::size_t tried = 0;
-  while (tried < kStreams && runtimeNow() < latest) {
-    std::this_thread::yield();
+  EXPECT_TRUE(waitFor([this] {
     const std::scoped_lock lock{ this->world.repathGuard };
-    tried = this->world.repathRequests.size();
-  }
-  EXPECT_EQ(tried, kStreams);
+    return this->world.repathRequests.size() == kStreams;
+  }));
 }
 
 TEST_F(RelayLoopTest, AStreamStaysAtADrainingReplicaWithoutRetryBudget)
@@ -351,12 +353,8 @@
   this->world.addReplica("two", "model", this->two.address());
   this->world.replicas["one"].draining = true;
   this->world.publishReplicas(2);
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (!has(this->world.shared.metrics.render(),
-              "planned_moves_without_budget_total") &&
-         runtimeNow() < latest) {
-    std::this_thread::yield();
-  }
+  ASSERT_GT(this->world.awaitCounter("planned_moves_without_budget_total", 1),
+            0U);
   first.send(RelayWorld::event(2) + RelayWorld::kLastChunk);
   EXPECT_TRUE(has(caller.readUntil("0\r\n\r\n"), "id: 2"));
 }
@@ -486,6 +484,7 @@
 {
   // The relay has been cut off from the store for longer than a revoked key may
   // be accepted. The error must advise a retry, not call the key wrong.
+  this->world.revoke = kRevoke;
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start(std::chrono::seconds{ 10 });
   RawSocket caller = this->world.sendRequest("/once/x", "id-1");
@@ -542,10 +541,18 @@
 
 TEST_F(RelayLoopTest, AnIncompleteHeadTimesOut)
 {
-  this->world.config->limits.headerTimeout = std::chrono::milliseconds{ 50 };
+  // The relay must have the first bytes before the time limit, or it closes the
+  // connection as an unused one.
+  constexpr Duration kHeaderTimeout = std::chrono::milliseconds{ 50 };
+  this->world.useManualClock();
+  this->world.config->limits.headerTimeout = kHeaderTimeout;
   this->world.start();
   RawSocket caller = this->world.caller();
   caller.send("POST /once/ HTTP/1.1\r\nHost:");
+  // One time to accept the connection, one to read from it.
+  this->world.settle();
+  this->world.settle();
+  this->world.advance(kHeaderTimeout);
   EXPECT_TRUE(has(caller.readToEnd(), "408 Request Timeout"));
 }
 
@@ -573,16 +580,15 @@
 TEST_F(RelayLoopTest, ATimeoutBeforeTheAnswerIsReportedAtOnce)
 {
   // The deadline passes when the replica has the request, however slowly the
-  // relay runs. The relay takes the time 0 for "never".
-  this->clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [this] { return this->clock.now(); };
+  // relay runs.
+  this->world.useManualClock();
   this->world.addReplica("one", "plain", this->one.address());
   this->world.start();
   RawSocket caller =
     this->world.sendRequest("/once/x", "id-1", "X-Deadline: 60\r\n");
   RawSocket replica = this->one.accept();
   replica.readUntil("\r\n\r\n");
-  this->clock.advance(std::chrono::milliseconds{ 60 });
+  this->world.advance(std::chrono::milliseconds{ 60 });
   EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), "504 Gateway Timeout"));
   EXPECT_EQ(replica.readToEnd(), "");
 }
--- a/tests/unit/relay/RelayLossProbeTest.cpp
+++ b/tests/unit/relay/RelayLossProbeTest.cpp
@@ -18,12 +18,14 @@
    * end, by the port of the replica, and whether with a report. */
   void startStream(const std::map<std::uint16_t, bool>& aReaches)
   {
+    // The stream is late, and replicas are asked, only when the test says so.
+    this->world.useManualClock();
     this->world.load.lossProbes = true;
-    this->world.shared.peers.replace(
-      std::make_shared<const std::vector<Address>>(
-        std::vector{ this->peer.address() }));
+    this->world.setPeers({ this->peer.address() });
     this->world.onQuery = [this, aReaches](const Address& aTo, auto aDone) {
       this->lastAsked += aTo.port == 3 ? 1 : 0;
+      // The answer comes later than the question.
+      this->world.manualClock.advance(std::chrono::milliseconds{ 1 });
       const auto found = aReaches.find(aTo.port);
       if (found != aReaches.end()) {
         ReplicaReport report;
@@ -73,14 +75,14 @@
   // The first replica was asked alone, at the stall timeout, and the others
   // only after its report. Here it never reports.
   this->startStream({ { 2, false }, { 3, true } });
-  EXPECT_TRUE(waitFor([this] {
+  EXPECT_TRUE(this->world.advanceUntil([this] {
     const std::scoped_lock lock{ this->guard };
     return this->newPath == "one;four;three;";
   }));
   // Only the new part prefills, and it reads the answer so far as well. Other
   // moved streams would avoid the parts that keep their cache.
   std::map<std::string, std::uint32_t> prefill;
-  EXPECT_TRUE(waitFor([&] {
+  EXPECT_TRUE(this->world.advanceUntil([&] {
     if (const auto message = this->peer.receive()) {
       prefill.clear();
       for (const LoadRow& row : message->status.loads) {
@@ -101,7 +103,7 @@
   // seconds after it is connected again.
   this->startStream(
     { { this->first.address().port, false }, { 2, false }, { 3, false } });
-  EXPECT_TRUE(waitFor([this] { return this->lastAsked > 2; }));
+  EXPECT_TRUE(this->world.advanceUntil([this] { return this->lastAsked > 2; }));
   EXPECT_TRUE(this->world.shared.lostReplicas.read()->empty());
   EXPECT_EQ(this->world.repaths, 0);
   this->expectEnd();
--- a/tests/unit/relay/RelayMemoryTest.cpp
+++ b/tests/unit/relay/RelayMemoryTest.cpp
@@ -18,15 +18,12 @@
 protected:
   RelayMemory() { this->world.config->limits.bodyBytes = 2 * kLargeBytes; }
 
-  /** Waits until a condition holds; fails the test after a minute. */
-  template<typename Condition>
-  static void waitFor(Condition aCondition)
+  /** Waits until so many answers are not written completely. */
+  [[nodiscard]] bool awaitUnwritten(std::size_t aAnswers) const
   {
-    const TimePoint waitUntil = runtimeNow() + std::chrono::seconds{ 60 };
-    while (!aCondition() && runtimeNow() < waitUntil) {
-      std::this_thread::yield();
-    }
-    ASSERT_TRUE(aCondition());
+    return waitFor([this, aAnswers] {
+      return this->world.loop->unwrittenAnswers() == aAnswers;
+    });
   }
   /** Returns a large answer, after which the replica's connection ends. */
   static std::string largeAnswer(const std::string& aId)
@@ -97,7 +94,7 @@
   RawSocket second = this->world.caller();
   RawSocket third = this->world.caller();
   this->requestLargeAnswer(first, "id-1");
-  waitFor([&] { return this->world.loop->unwrittenAnswers() == 1; });
+  ASSERT_TRUE(this->awaitUnwritten(1));
   second.send(RelayWorld::request("/again/x", "id-2"));
   third.send(RelayWorld::request("/again/x", "id-3"));
   std::vector<std::thread> senders;
@@ -109,9 +106,7 @@
       replica.send(largeAnswer(id));
     });
   }
-  waitFor([&] {
-    return this->world.shared.metrics.counter("answers_paused_total") > 0;
-  });
+  EXPECT_GT(this->world.awaitCounter("answers_paused_total", 1), 0U);
   for (RawSocket* caller : { &first, &second, &third }) {
     EXPECT_EQ(caller->readBytes(kLargeBytes).size(), kLargeBytes);
   }
@@ -132,16 +127,14 @@
   RawSocket second = this->world.caller();
   RawSocket third = this->world.caller();
   this->requestLargeAnswer(first, "id-1");
-  waitFor([&] { return this->world.loop->unwrittenAnswers() == 1; });
+  ASSERT_TRUE(this->awaitUnwritten(1));
   this->requestLargeAnswer(second, "id-2");
-  waitFor([&] { return this->world.loop->unwrittenAnswers() == 2; });
+  ASSERT_TRUE(this->awaitUnwritten(2));
   third.send(RelayWorld::request("/again/x", "id-3"));
   RawSocket replica = this->listener.accept();
   replica.readUntil("\r\n\r\n");
   std::thread sender{ [&] { replica.send(largeAnswer("id-3")); } };
-  waitFor([&] {
-    return this->world.shared.metrics.counter("answers_paused_total") > 0;
-  });
+  EXPECT_GT(this->world.awaitCounter("answers_paused_total", 1), 0U);
   EXPECT_EQ(this->world.loop->openRequests(), 1U);
   for (RawSocket* caller : { &first, &second, &third }) {
     EXPECT_EQ(caller->readBytes(kLargeBytes).size(), kLargeBytes);
@@ -155,24 +148,32 @@
   this->world.addReplica("one", "plain", this->listener.address());
   this->world.start();
   RawSocket caller = this->requestLargeAnswer("id-1");
-  waitFor([&] { return this->world.loop->openRequests() == 0; });
+  ASSERT_TRUE(this->world.awaitOpen(0));
   EXPECT_EQ(this->world.loop->unwrittenAnswers(), 1U);
   EXPECT_EQ(caller.readBytes(kLargeBytes).size(), kLargeBytes);
-  waitFor([&] { return this->world.loop->unwrittenAnswers() == 0; });
+  EXPECT_TRUE(this->awaitUnwritten(0));
 }
 
 TEST_F(RelayMemory, ACallerThatReadsSlowlyIsNotIdle)
 {
-  this->world.config->limits.idleTimeout = std::chrono::milliseconds{ 100 };
+  // Connections must not be idle for the time limit before their requests
+  // arrive, however slowly the test runs.
+  constexpr Duration kIdleTimeout = std::chrono::milliseconds{ 100 };
+  this->world.useManualClock();
+  this->world.config->limits.idleTimeout = kIdleTimeout;
   this->world.addReplica("one", "plain", this->listener.address());
   this->world.start();
   RawSocket slow = this->requestLargeAnswer("id-1");
-  waitFor([&] { return this->world.loop->openRequests() == 0; });
+  ASSERT_TRUE(this->world.awaitOpen(0));
   RawSocket idle = this->world.sendRequest("/again/x", "id-2");
   RawSocket replica = this->listener.accept();
   replica.readUntil("\r\n\r\n");
   replica.send(RelayWorld::answer("id-2", "whole"));
-  EXPECT_TRUE(has(idle.readToEnd(), "whole"));
+  EXPECT_TRUE(has(idle.readUntil("whole"), "HTTP/1.1 200 "));
+  // The bytes come before the relay takes the connection for idle.
+  this->world.settle();
+  this->world.advance(kIdleTimeout);
+  EXPECT_EQ(idle.readToEnd(), "");
   EXPECT_EQ(slow.readBytes(kLargeBytes).size(), kLargeBytes);
 }
 
--- a/tests/unit/relay/RelayOutlierTest.cpp
+++ b/tests/unit/relay/RelayOutlierTest.cpp
@@ -38,6 +38,8 @@
   }
   void start(bool aEjection)
   {
+    // No ejection ends while a test runs.
+    this->world.useManualClock();
     this->world.load.outlierEjection = aEjection;
     this->world.addModelReplica("bad", this->bad.address(), { 0, 10 }, "a");
     this->world.start();
@@ -55,10 +57,37 @@
                                    "id-" + std::to_string(aNumber));
   }
 
+  /** Adds a second replica, which the test plays, and takes all its slots. */
+  void fillBusy(int aSlots)
+  {
+    this->world.addModelReplica("busy", this->busy.address(), { 0, 10 }, "b");
+    this->world.replicas.at("busy").slots = static_cast<std::uint32_t>(aSlots);
+    this->start(true);
+    for (int i = 0; i < aSlots; ++i) {
+      this->connections.push_back(this->send(i));
+      this->connections.push_back(this->busy.accept());
+      this->connections.back().readUntil("\r\n\r\n");
+    }
+  }
+  /** Ends the latest request at that replica, and expects that the one that
+   * waits is sent there next. */
+  void expectNextAtBusy(int aSlots)
+  {
+    const std::string last = std::to_string(aSlots - 1);
+    this->connections.back().send(streaming("X-Id: id-" + last + "\r\n"));
+    ASSERT_TRUE(this->world.awaitOpen(static_cast<std::size_t>(aSlots)));
+    this->world.advance(2 * kRound);
+    RawSocket served = this->busy.accept();
+    EXPECT_TRUE(has(served.readUntil("\r\n\r\n"),
+                    "X-Id: id-" + std::to_string(aSlots) + "\r\n"));
+    EXPECT_EQ(this->bad.heads().size(), 3U);
+  }
+
   AnsweringReplica bad{ failing };
   AnsweringReplica good{ streaming };
-  ManualClock clock;
+  RawListener busy;
   RelayWorld world;
+  std::vector<RawSocket> connections;
 };
 
 /** Guards against callers that receive the errors of a replica that is never
@@ -92,39 +121,17 @@
 TEST_F(RelayOutlier, ARequestWaitsWhileTheHealthyReplicaIsBusy)
 {
   constexpr int kSlots = 8;
-  RawListener busy;
-  std::vector<RawSocket> connections;
-  this->world.addModelReplica("busy", busy.address(), { 0, 10 }, "b");
-  this->world.replicas.at("busy").slots = kSlots;
-  // The ejection does not end while the test runs.
-  this->clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [this] { return this->clock.now(); };
-  this->start(true);
-  for (int i = 0; i < kSlots; ++i) {
-    connections.push_back(this->send(i));
-    connections.push_back(busy.accept());
-    connections.back().readUntil("\r\n\r\n");
-  }
-  EXPECT_EQ(this->bad.heads().size(), 3U);
-  RawSocket caller = this->send(kSlots);
-  EXPECT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() == kSlots + 1; }));
-  connections.back().send(streaming("X-Id: id-7\r\n"));
-  EXPECT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() == kSlots; }));
-  this->clock.advance(std::chrono::milliseconds{ 50 });
-  RawSocket served = busy.accept();
-  EXPECT_TRUE(has(served.readUntil("\r\n\r\n"), "X-Id: id-8"));
+  this->fillBusy(kSlots);
   EXPECT_EQ(this->bad.heads().size(), 3U);
+  const RawSocket caller = this->send(kSlots);
+  ASSERT_TRUE(this->world.awaitOpen(kSlots + 1));
+  this->expectNextAtBusy(kSlots);
 }
 
 /** Guards against a service that rejects requests because its only healthy
  * replica releases its layers while the other one is ejected. */
 TEST_F(RelayOutlier, ARequestUsesAnnouncedLayersRatherThanAnEjectedReplica)
 {
-  // The ejection does not end while the test runs.
-  this->clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [this] { return this->clock.now(); };
   this->world.load.demandPlacement = true;
   this->addGood();
   this->start(true);
@@ -165,6 +172,7 @@
     RawSocket failed = this->world.sendRequest("/once/x", "fails-" + id);
     EXPECT_TRUE(has(failed.readUntil("\r\n\r\n"), " 500 ")) << i;
   }
+  this->world.settle();
   EXPECT_EQ(this->world.counter("replica_ejections_total"), 0U);
 }
 
@@ -185,6 +193,7 @@
     RawSocket caller = this->send(i);
     EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), " 504 ")) << i;
   }
+  this->world.settle();
   EXPECT_EQ(this->world.counter("replica_ejections_total"), 0U);
 }
 
@@ -193,28 +202,12 @@
 TEST_F(RelayOutlier, ARequestThatFailedWaitsWhileTheHealthyReplicaIsBusy)
 {
   constexpr int kSlots = 2;
-  RawListener busy;
-  std::vector<RawSocket> connections;
-  this->world.addModelReplica("busy", busy.address(), { 0, 10 }, "b");
-  this->world.replicas.at("busy").slots = kSlots;
-  this->clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [this] { return this->clock.now(); };
-  this->start(true);
-  for (int i = 0; i < kSlots; ++i) {
-    connections.push_back(this->send(i));
-    connections.push_back(busy.accept());
-    connections.back().readUntil("\r\n\r\n");
-  }
-  RawSocket caller = this->send(kSlots);
-  EXPECT_TRUE(waitFor([this] { return this->bad.heads().size() >= 3; }));
-  connections.back().send(streaming("X-Id: id-1\r\n"));
-  EXPECT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() <= kSlots; }));
-  EXPECT_EQ(this->bad.heads().size(), 3U);
-  ASSERT_EQ(this->world.loop->openRequests(), kSlots);
-  this->clock.advance(std::chrono::milliseconds{ 50 });
-  RawSocket served = busy.accept();
-  EXPECT_TRUE(has(served.readUntil("\r\n\r\n"), "X-Id: id-2"));
+  this->fillBusy(kSlots);
+  const RawSocket caller = this->send(kSlots);
+  // Its failure is the third one. If the relay handled the end of another
+  // request before, there would be nothing to wait for.
+  EXPECT_EQ(this->world.awaitCounter("replica_ejections_total", 1), 1U);
+  this->expectNextAtBusy(kSlots);
 }
 
 /** Guards against a change for deployments that do not ask for it. */
--- a/tests/unit/relay/RelayPaceTest.cpp
+++ b/tests/unit/relay/RelayPaceTest.cpp
@@ -26,6 +26,8 @@
     for (RelayRoute& route : this->world.config->routes["shop.example"]) {
       route.objective = aObjective;
     }
+    // Requests wait no longer than the test says.
+    this->world.useManualClock();
     this->world.load.paceAdmission = true;
     this->world.addModelReplica("near", this->near.address(), { 0, 10 }, "a");
     this->world.addModelReplica("far", this->far.address(), { 0, 10 }, "b");
@@ -44,13 +46,6 @@
     aReplica.readUntil("\r\n\r\n");
     aReplica.send(RelayWorld::streamHead(aId) + RelayWorld::event(1));
   }
-  /** Gives the relay a clock that only the test advances. */
-  void useManualClock()
-  {
-    // The relay takes the time 0 for "never".
-    this->clock.advance(std::chrono::hours{ 1 });
-    this->world.clock = [this] { return this->clock.now(); };
-  }
   /** Runs work on the relay's thread and waits until it is done. */
   void runInLoop(const std::function<void()>& aWork)
   {
@@ -61,12 +56,6 @@
     });
     ASSERT_TRUE(waitFor([&] { return done.load(); }));
   }
-  /** Waits until the relay has ended its current iteration and the next one. */
-  void finishIteration()
-  {
-    this->runInLoop([] {});
-    this->runInLoop([] {});
-  }
   void acceptAtNear()
   {
     this->atNear.emplace(this->near.accept());
@@ -95,7 +84,6 @@
     this->atFar.emplace(this->far.accept());
   }
 
-  ManualClock clock;
   RawListener near;
   RawListener far;
   RelayWorld world;
@@ -114,7 +102,8 @@
   RawSocket second = this->send("id-2", "20000");
   this->atFar.emplace(this->far.accept());
   EXPECT_TRUE(has(this->atFar->readUntil("\r\n\r\n"), "X-Id: id-2"));
-  EXPECT_EQ(this->world.awaitCounter("pace_other_paths_total", 1), 1U);
+  this->world.settle();
+  EXPECT_EQ(this->world.counter("pace_other_paths_total"), 1U);
   EXPECT_EQ(this->world.counter("pace_waits_total"), 0U);
 }
 
@@ -140,6 +129,9 @@
            this->world.counter("pace_refusals_total") > 0;
   }));
   answerFirst(*this->atNear, "id-1");
+  this->callers.front().readUntil("id: 1");
+  this->world.settle();
+  this->world.advance(kRound);
   RawSocket again = this->near.accept();
   EXPECT_TRUE(has(again.readUntil("\r\n\r\n"), "X-Id: id-3"));
   EXPECT_EQ(this->world.awaitCounter("pace_waits_total", 1), 1U);
@@ -149,7 +141,6 @@
  * that have long been in generation. */
 TEST_F(RelayPaceTest, APromptOfAWholeAnswerIsInPrefillForItsExpectedTime)
 {
-  this->useManualClock();
   for (RelayRoute& route : this->world.config->routes["shop.example"]) {
     route.targets = { { "model", 1 } };
   }
@@ -159,11 +150,13 @@
   RawSocket two = this->world.sendRequest("/once/x", "id-2", tokens);
   this->atNear.emplace(this->near.accept());
   this->atFar.emplace(this->far.accept());
-  this->clock.advance(milliseconds{ 1'100 });
+  // The prefill begins when the relay has sent the request.
+  this->atNear->readUntil("\r\n\r\n");
+  this->atFar->readUntil("\r\n\r\n");
+  this->world.advance(milliseconds{ 1'100 });
   RawSocket third = this->send("id-3", "10");
-  EXPECT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() == 3; }));
-  this->clock.advance(milliseconds{ 50 });
+  ASSERT_TRUE(this->world.awaitOpen(3));
+  this->world.advance(milliseconds{ 50 });
   RawSocket sent = this->near.accept();
   EXPECT_TRUE(has(sent.readUntil("\r\n\r\n"), "X-Id: id-3"));
 }
@@ -184,13 +177,12 @@
  * busy when their events arrived. */
 TEST_F(RelayPaceTest, AnEventThatIsReadLateDoesNotCountAsLate)
 {
-  this->useManualClock();
   this->start(milliseconds{ 500 });
   this->callers.push_back(this->send("id-1", "10"));
   this->acceptAtNear();
   this->runInLoop([this] {
     this->sendEventFromNear();
-    this->clock.advance(milliseconds{ 150 });
+    this->world.manualClock.advance(milliseconds{ 150 });
   });
   EXPECT_TRUE(has(this->nextHeadAt(this->near), "X-Id: id-2"));
   EXPECT_EQ(this->world.counter("pace_other_paths_total"), 0U);
@@ -199,7 +191,6 @@
 /** The same for a loop that was busy before it sent the request. */
 TEST_F(RelayPaceTest, AnEventOfARequestThatIsSentLateDoesNotCountAsLate)
 {
-  this->useManualClock();
   this->start(milliseconds{ 500 });
   this->callers.push_back(this->world.sendRequest("/unknown/", "id-0"));
   this->callers.front().readUntil("}\n");
@@ -208,10 +199,10 @@
     this->callers.front().send(
       RelayWorld::request("/stream/x", "id-1", "X-Tokens: 10,5\r\n"));
     this->world.loop->post(
-      [this] { this->clock.advance(milliseconds{ 150 }); });
+      [this] { this->world.manualClock.advance(milliseconds{ 150 }); });
   });
   this->acceptAtNear();
-  this->finishIteration();
+  this->world.settle();
   this->sendEventFromNear();
   EXPECT_TRUE(has(this->nextHeadAt(this->near), "X-Id: id-2"));
   EXPECT_EQ(this->world.counter("pace_other_paths_total"), 0U);
@@ -221,12 +212,12 @@
  * time after it was busy. */
 TEST_F(RelayPaceTest, AnEventThatIsReadOnTimeCountsAlsoAfterABusyIteration)
 {
-  this->useManualClock();
   this->start(milliseconds{ 500 });
   this->callers.push_back(this->send("id-1", "10"));
   this->acceptAtNear();
-  this->runInLoop([this] { this->clock.advance(milliseconds{ 150 }); });
-  this->finishIteration();
+  this->runInLoop(
+    [this] { this->world.manualClock.advance(milliseconds{ 150 }); });
+  this->world.settle();
   this->sendEventFromNear();
   EXPECT_TRUE(has(this->nextHeadAt(this->far), "X-Id: id-2"));
   EXPECT_EQ(this->world.awaitCounter("pace_other_paths_total", 1), 1U);
@@ -236,7 +227,7 @@
  * started which replicas refused once: they wait and count in its length. */
 TEST_F(RelayPaceTest, AStartAfterARefusalAndAWaitCounts)
 {
-  this->useManualClock();
+  this->world.useManualClock();
   this->world.load.paceAdmission = true;
   this->world.addReplica("near", "model", this->near.address());
   this->world.replicas.at("near").slots = 1;
@@ -245,8 +236,7 @@
   this->atNear.emplace(this->near.accept());
   this->atNear->readUntil("\r\n\r\n");
   const RawSocket second = this->send("id-2", "10");
-  ASSERT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() == 2; }));
+  ASSERT_TRUE(this->world.awaitOpen(2));
   // The search for the second one has failed in this round, so the first one
   // waits behind it.
   this->atNear->send(RelayWorld::answer(
@@ -254,16 +244,15 @@
   ASSERT_TRUE(waitFor(
     [this] { return this->world.counter("path_searches_saved_total") == 1; }));
   // A replica that has refused a request is left alone for 400 ms.
-  this->clock.advance(milliseconds{ 425 });
+  this->world.advance(milliseconds{ 425 });
   RawSocket again = this->near.accept();
   EXPECT_TRUE(has(again.readUntil("\r\n\r\n"), "X-Id: id-2"));
   again.send(RelayWorld::answer("id-2",
                                 "id: 1\ndata: x\n\n",
                                 "200 OK",
                                 "X-Stamp: s\r\nConnection: close\r\n"));
-  ASSERT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() == 1; }));
-  this->clock.advance(milliseconds{ 25 });
+  ASSERT_TRUE(this->world.awaitOpen(1));
+  this->world.advance(kRound);
   again = this->near.accept();
   EXPECT_TRUE(has(again.readUntil("\r\n\r\n"), "X-Id: id-1"));
   EXPECT_EQ(this->world.awaitCounter("queue_starts_total", 3), 3U);
@@ -278,6 +267,7 @@
   this->world.start();
   RawSocket caller = this->send("id-1", "10");
   EXPECT_TRUE(has(caller.readUntil("\r\n\r\n"), " 503 "));
+  this->world.settle();
   EXPECT_EQ(this->world.counter("queue_starts_total"), 0U);
 }
 
--- a/tests/unit/relay/RelayPeersTest.cpp
+++ b/tests/unit/relay/RelayPeersTest.cpp
@@ -1,7 +1,5 @@
 // What relays take over from each other's datagrams.
 
-#include <thread>
-
 #include "RelayWorld.h"
 
 namespace poplartrack {
@@ -18,6 +16,8 @@
   RawListener readyListener;
   RelayWorld upToDate;
   RelayWorld outdated;
+  // The report must not expire before the request arrives.
+  outdated.useManualClock();
   for (RelayWorld* world : { &upToDate, &outdated }) {
     world->addReplica("one", "plain", drainingListener.address());
     world->start();
@@ -27,13 +27,8 @@
   outdated.addReplica("two", "plain", readyListener.address());
   outdated.replicas["two"].zone = "b";
   outdated.publishReplicas(2);
-  upToDate.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-    std::vector<Address>{ outdated.loop->peersAddress() }));
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (outdated.shared.peerListVersion < 7 && runtimeNow() < latest) {
-    std::this_thread::yield();
-  }
-  ASSERT_EQ(outdated.shared.peerListVersion, 7U);
+  upToDate.setPeers({ outdated.loop->peersAddress() });
+  ASSERT_TRUE(waitFor([&] { return outdated.shared.peerListVersion == 7; }));
   RawSocket caller = outdated.sendRequest("/once/x", "id-1");
   RawSocket replica = readyListener.accept();
   EXPECT_TRUE(has(replica.readUntil("\r\n\r\n"), "X-Expect: two\r\n"));
@@ -47,8 +42,7 @@
   RelayWorld receiver;
   reader.start();
   receiver.start();
-  reader.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-    std::vector<Address>{ receiver.loop->peersAddress() }));
+  reader.setPeers({ receiver.loop->peersAddress() });
   Replica replica;
   replica.registeredAs = "one";
   replica.startedAtMs = 7;
@@ -63,15 +57,15 @@
   delta.poll.next = 5;
   delta.poll.present.push_back(replica);
   delta.poll.removed = { "two" };
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
   std::vector<ReplicaListDelta> received;
-  while (received.empty() && runtimeNow() < latest) {
-    // Only known peers receive it; a status message is sent every 200 ms.
-    reader.shared.sendListDelta(delta);
-    std::this_thread::yield();
-    received = receiver.shared.listInbox.take();
-  }
-  ASSERT_FALSE(received.empty());
+  ASSERT_TRUE(waitFor([&] {
+    if (received.empty()) {
+      // Only known peers receive it; a status message is sent every 200 ms.
+      reader.shared.sendListDelta(delta);
+      received = receiver.shared.listInbox.take();
+    }
+    return !received.empty();
+  }));
   EXPECT_EQ(received[0].after, 4U);
   EXPECT_EQ(received[0].poll.next, 5U);
   EXPECT_EQ(received[0].poll.removed, std::vector<std::string>{ "two" });
@@ -87,20 +81,13 @@
   RelayWorld cutOff;
   connected.start();
   cutOff.start(std::chrono::hours{ 1 });
-  const auto setPeer = [](RelayWorld& aFrom, const RelayWorld& aTo) {
-    aFrom.shared.peers.replace(std::make_shared<const std::vector<Address>>(
-      std::vector<Address>{ aTo.loop->peersAddress() }));
-  };
-  setPeer(connected, cutOff);
-  setPeer(cutOff, connected);
-  // The limit ends a failing test; a status message is sent every 200 ms.
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (cutOff.shared.freshness.age() > std::chrono::minutes{ 2 } &&
-         runtimeNow() < latest) {
-    std::this_thread::yield();
-  }
-  EXPECT_LT(cutOff.shared.freshness.age(), std::chrono::minutes{ 2 });
-  EXPECT_GE(cutOff.shared.freshness.age(), connected.shared.freshness.age());
+  connected.setPeers({ cutOff.loop->peersAddress() });
+  cutOff.setPeers({ connected.loop->peersAddress() });
+  EXPECT_TRUE(waitFor(
+    [&] { return cutOff.shared.freshness.age() < std::chrono::minutes{ 2 }; }));
+  // The ages grow: the one that must not be less is read last.
+  const Duration proved = connected.shared.freshness.age();
+  EXPECT_GE(cutOff.shared.freshness.age(), proved);
 }
 
 } // namespace
--- a/tests/unit/relay/RelayReleaseTest.cpp
+++ b/tests/unit/relay/RelayReleaseTest.cpp
@@ -1,7 +1,7 @@
 // Layers that the holder of the placement lease takes from busy replicas.
 
 #include <mutex>
-#include <thread>
+#include <optional>
 
 #include "PeerSocket.h"
 #include "RelayWorld.h"
@@ -11,7 +11,9 @@
 
 using namespace relaytest;
 
-/** A replica with all layers and one with the first half of them. */
+/** A replica with all layers and one with the first half of them. The time
+ * stands still between the exchanges of status messages: what a peer reports
+ * expires after 2 s, which could pass before a request on a busy machine. */
 class RelayReleaseTest : public ::testing::Test
 {
 protected:
@@ -23,28 +25,29 @@
   }
   void start()
   {
+    this->world.useManualClock();
+    this->world.setPeers({ this->peer.address() });
     this->world.start();
-    this->world.shared.peers.replace(
-      std::make_shared<const std::vector<Address>>(
-        std::vector<Address>{ this->peer.address() }));
   }
-  /** Sends this status message until the relay's own satisfies a condition. The
-   * limit ends a failing test. */
+  /** Sends this status message to the relay, which applies it. */
+  void send(PeerStatus& aStatus)
+  {
+    ++aStatus.sentAt;
+    this->peer.send(this->world.loop->peersAddress(), aStatus);
+    this->world.settle();
+  }
+  /** Sends this status message until the relay's own satisfies a condition. */
   template<typename Condition>
   PeerStatus exchangeUntil(PeerStatus aStatus, Condition aCondition)
   {
-    const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-    while (runtimeNow() < latest) {
-      ++aStatus.sentAt;
-      this->peer.send(this->world.loop->peersAddress(), aStatus);
-      const auto message = this->peer.receive();
-      if (message && aCondition(message->status)) {
-        return message->status;
-      }
-      std::this_thread::yield();
-    }
-    ADD_FAILURE() << "the relay has not sent the expected status";
-    return {};
+    std::optional<PeerMessage> message;
+    EXPECT_TRUE(this->world.advanceUntil([&] {
+      this->send(aStatus);
+      message = this->peer.receive();
+      return message && aCondition(message->status);
+    }))
+      << "the relay has not sent the expected status";
+    return message ? message->status : PeerStatus{};
   }
   static PeerStatus statusOf(bool aHoldsLease)
   {
@@ -143,7 +146,7 @@
     const auto use = this->world.shared.releaseUse.read();
     return use->contains("big") && use->at("big") == 2;
   });
-  EXPECT_TRUE(waitFor([this] {
+  EXPECT_TRUE(this->world.advanceUntil([this] {
     const auto use = this->world.shared.releaseUse.read();
     return !use->contains("big") || use->at("big") == 0;
   }));
@@ -190,9 +193,8 @@
     replica.send(RelayWorld::streamHead("id-1") + RelayWorld::event(1) +
                  RelayWorld::event(2) + RelayWorld::event(3));
     caller.readUntil("id: 3");
-    EXPECT_TRUE(waitFor([&] {
-      ++status.sentAt;
-      this->peer.send(this->world.loop->peersAddress(), status);
+    EXPECT_TRUE(this->world.advanceUntil([&] {
+      this->send(status);
       const std::scoped_lock lock{ this->guard };
       return !this->newPath.empty();
     }));
--- a/tests/unit/relay/RelayReturnTest.cpp
+++ b/tests/unit/relay/RelayReturnTest.cpp
@@ -30,24 +30,40 @@
       .readUntil("\r\n\r\n");
   }
 
+  /** Sends a request that the relay recognizes as a return, and that waits. A
+   * return is recognized only for 2 s after it is due. */
+  static RawSocket sendReturn(RelayWorld& aRelay,
+                              const std::string& aId,
+                              const std::string& aMore)
+  {
+    RawSocket caller = aRelay.sendRequest("/stream/x", aId, aMore, "x");
+    EXPECT_EQ(aRelay.awaitCounter("returns_recognized_total", 1), 1U);
+    return caller;
+  }
+
   RelayWorld world;
   RelayWorld other;
 };
 
 TEST_F(RelayReturnTest, ARejectedCallerIsRecognizedIfTurnedOn)
 {
+  this->world.useManualClock();
   this->world.start();
   this->other.load.returnBookings = false;
   this->other.start();
   EXPECT_TRUE(has(reject(this->world, "first", "x"), "Retry-After"));
   reject(this->world, "second", "y");
   EXPECT_EQ(this->world.counter("returns_recognized_total"), 0U);
-  reject(this->world, "third", "x");
-  EXPECT_EQ(this->world.awaitCounter("returns_booked_total", 2), 2U);
-  EXPECT_EQ(this->world.awaitCounter("returns_recognized_total", 1), 1U);
-  EXPECT_EQ(this->world.awaitCounter("returns_refused_again_total", 1), 1U);
+  RawSocket third = sendReturn(this->world, "third", "X-Deadline: 300\r\n");
+  this->world.advance(std::chrono::milliseconds{ 300 });
+  third.readUntil("\r\n\r\n");
+  this->world.settle();
+  EXPECT_EQ(this->world.counter("returns_booked_total"), 2U);
+  EXPECT_EQ(this->world.counter("returns_recognized_total"), 1U);
+  EXPECT_EQ(this->world.counter("returns_refused_again_total"), 1U);
   EXPECT_TRUE(has(reject(this->other, "first", "x"), "Retry-After"));
   reject(this->other, "second", "x");
+  this->other.settle();
   EXPECT_EQ(this->other.counter("returns_booked_total"), 0U);
   EXPECT_EQ(this->other.counter("returns_recognized_total"), 0U);
 }
@@ -61,7 +77,11 @@
   status.incarnation = 1;
   status.zone = "a";
   this->world.shared.refusesRequests = true;
+  // A return is reported for a second: the peer is known before, so that the
+  // relay sends it at once.
+  this->world.setPeers({ peer.address() });
   this->world.start();
+  this->other.useManualClock();
   this->other.start();
   reject(this->world, "first", "x");
   ASSERT_TRUE(waitFor([&] {
@@ -77,8 +97,7 @@
   peer.send(this->other.loop->peersAddress(), status);
   EXPECT_TRUE(
     waitFor([this] { return !this->other.shared.peers.read()->empty(); }));
-  reject(this->other, "second", "x");
-  EXPECT_EQ(this->other.awaitCounter("returns_recognized_total", 1), 1U);
+  sendReturn(this->other, "second", "X-Deadline: 300\r\n");
 }
 
 /** Guards against demand that rises with each rejection, because rejected
@@ -116,14 +135,18 @@
 TEST_F(RelayReturnTest, AReturnWaitsForLayersThatAreMissing)
 {
   RawListener replica;
+  this->world.useManualClock();
   this->world.start();
   reject(this->world, "first", "x");
-  RawSocket returned = this->world.sendRequest(
-    "/stream/x", "second", "X-Deadline: 60000\r\n", "x");
-  EXPECT_TRUE(waitFor(
-    [this] { return this->world.counter("returns_recognized_total") > 0; }));
+  const RawSocket returned =
+    sendReturn(this->world, "second", "X-Deadline: 60000\r\n");
   this->world.addReplica("one", "model", replica.address());
   this->world.publishReplicas(2);
+  // It waits for 1.9 s; the relay reads its list every 200 ms.
+  for (Duration waited{ 0 }; waited < std::chrono::milliseconds{ 300 };
+       waited += kRound) {
+    this->world.advance(kRound);
+  }
   RawSocket attempt = replica.accept();
   EXPECT_TRUE(has(attempt.readUntil("\r\n\r\n"), "second"));
 }
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -12,6 +12,8 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -66,12 +68,18 @@
 waitFor(const std::function<bool()>& aCondition)
 {
   const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (!aCondition() && runtimeNow() < latest) {
+  while (!aCondition()) {
+    if (runtimeNow() >= latest) {
+      return false;
+    }
     std::this_thread::yield();
   }
-  return aCondition();
+  return true;
 }
 
+/** Interval of the rounds of the relay's wait queue. */
+constexpr Duration kRound = std::chrono::milliseconds{ 25 };
+
 /** Test fixture: a relay on the loopback interface, between sockets that the
  * test drives as callers and replicas. */
 class RelayWorld
@@ -146,6 +154,58 @@
     this->shared.config.replace(this->config);
     this->shared.freshness.prove(this->shared.clock.now() - aProofAge);
   }
+  /** Gives the relay that is started later a clock that only the test advances.
+   * Its timers then expire when the test says so, however slowly it runs. */
+  void useManualClock()
+  {
+    // The relay takes the time 0 for "never".
+    this->manualClock.advance(std::chrono::hours{ 1 });
+    this->clock = [this] { return this->manualClock.now(); };
+  }
+  /** Advances the manual clock, and waits until the relay has done what is due
+   * then. */
+  void advance(Duration aStep)
+  {
+    this->manualClock.advance(aStep);
+    this->settle();
+  }
+  /** Waits until the relay has handled all that has reached it. What did not
+   * happen by then does not follow from it. */
+  void settle()
+  {
+    // The loop may have read the clock and its events before. Its next
+    // iteration runs what is posted before the events and timers, so only the
+    // third one comes after them.
+    for (int i = 0; i < 3; ++i) {
+      const auto done = std::make_shared<std::atomic<bool>>(false);
+      this->loop->post([done] { *done = true; });
+      ASSERT_TRUE(waitFor([&done] { return done->load(); }));
+    }
+  }
+  /** Advances the manual clock in rounds of the wait queue until the condition
+   * holds. Returns whether it does within a minute of that clock. */
+  bool advanceUntil(const std::function<bool()>& aCondition)
+  {
+    constexpr int kMostRounds = 2'400;
+    for (int i = 0; i < kMostRounds; ++i) {
+      if (aCondition()) {
+        return true;
+      }
+      this->advance(kRound);
+    }
+    return false;
+  }
+  /** Waits until the relay has this many open requests. */
+  [[nodiscard]] bool awaitOpen(std::size_t aRequests) const
+  {
+    return waitFor([&] { return this->loop->openRequests() == aRequests; });
+  }
+  /** Makes these the relays of the fleet that the relay knows of. */
+  void setPeers(std::vector<Address> aPeers)
+  {
+    this->shared.peers.replace(
+      std::make_shared<const std::vector<Address>>(std::move(aPeers)));
+  }
   /** Starts the relay without publishing anything. */
   void startLoop()
   {
@@ -154,6 +214,7 @@
     settings.zone = "a";
     // Longer than any test takes, even on a busy machine.
     settings.configDeadline = std::chrono::minutes{ 10 };
+    settings.revoke = this->revoke;
     settings.drain = this->drain;
     settings.memoryMb = this->memoryMb;
     settings.acceptLoad = this->acceptLoad;
@@ -288,7 +349,10 @@
   std::atomic<int> statusQueries{ 0 };
   std::function<void(const Address&, std::function<void(ReplicaReport)>)>
     onQuery;
-  /** Settings that tests may change before the start. */
+  /** Settings that tests may change before the start. The first one bounds the
+   * time for which a configuration without a new proof is used for requests
+   * with a key: longer than any test takes, even on a busy machine. */
+  Duration revoke = std::chrono::minutes{ 10 };
   Duration drain = std::chrono::milliseconds{ 2'000 };
   double memoryMb = 256;
   /** No load reaches it: on a busy machine, or under a sanitizer, a relay would
@@ -297,6 +361,7 @@
   double retryRatio = 0.2;
   double retrySlack = 100;
   LoadSettings load;
+  ManualClock manualClock;
   RelayLoop::LoopClock clock = runtimeNow;
   std::unique_ptr<RelayLoop> loop;
 
