--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -17,6 +17,8 @@
 
 #include <gtest/gtest.h>
 
+#include "RelayMessages.h"
+#include "WaitFor.h"
 #include "harness/RawSocket.h"
 #include "poplartrack/relay/RelayLoop.h"
 
@@ -25,64 +27,12 @@
 using harness::RawListener;
 using harness::RawSocket;
 
-/** Header names as the tests send and expect them. */
-inline RelayHeaderNames
-names()
-{
-  RelayHeaderNames names;
-  names.requestId = "X-Id";
-  names.deadline = "X-Deadline";
-  names.tokens = "X-Tokens";
-  names.promptParts = "X-Parts";
-  names.lengthHint = "X-Hint";
-  names.apiKey = "X-Key";
-  names.account = "X-Account";
-  names.expectReplica = "X-Expect";
-  names.notRun = "X-Not-Run";
-  names.path = "X-Path";
-  names.urgency = "X-Urgency";
-  names.faultyReplica = "X-Faulty";
-  names.rateLimit = "X-Limit";
-  names.draining = "X-Draining";
-  names.lastEventId = "Last-Event-Id";
-  names.stamp = "X-Stamp";
-  names.pathText = [](const LayerPath& aPath) {
-    std::string text;
-    for (const PathPart& part : aPath.parts) {
-      text += part.replica + ";";
-    }
-    return text;
-  };
-  return names;
-}
-
-/** Returns whether a text contains another one. */
-inline bool
-has(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
-/** Waits until the condition holds; bounded, so that a fault ends the test. */
-inline bool
-waitFor(const std::function<bool()>& aCondition)
-{
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (!aCondition()) {
-    if (runtimeNow() >= latest) {
-      return false;
-    }
-    std::this_thread::yield();
-  }
-  return true;
-}
-
 /** Interval of the rounds of the relay's wait queue. */
 constexpr Duration kRound = std::chrono::milliseconds{ 25 };
 
 /** Test fixture: a relay on the loopback interface, between sockets that the
  * test drives as callers and replicas. */
-class RelayWorld
+class RelayWorld : public RelayMessages
 {
 public:
   RelayWorld()
@@ -297,43 +247,6 @@
     return caller;
   }
 
-  /** Returns a valid request with an API key. */
-  static std::string request(const std::string& aPath,
-                             const std::string& aId,
-                             const std::string& aMore = {},
-                             const std::string& aBody = {})
-  {
-    std::string text = "POST " + aPath + " HTTP/1.1\r\nHost: shop.example\r\n";
-    text += "X-Id: " + aId + "\r\nX-Key: secret\r\n" + aMore;
-    text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
-    return text + aBody;
-  }
-  /** Returns a complete answer of a replica. */
-  static std::string answer(const std::string& aId,
-                            const std::string& aBody,
-                            const std::string& aStatus = "200 OK",
-                            const std::string& aMore = "X-Stamp: s\r\n")
-  {
-    return "HTTP/1.1 " + aStatus + "\r\nX-Id: " + aId + "\r\n" + aMore +
-           "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
-           aBody;
-  }
-  /** Returns the head of a chunked answer. */
-  static std::string streamHead(const std::string& aId)
-  {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + aId +
-           "\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
-  }
-  /** Returns a chunk with one event. */
-  static std::string event(int aId)
-  {
-    const std::string text = "id: " + std::to_string(aId) + "\ndata: x\n\n";
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-  }
-  static constexpr const char* kLastChunk = "0\r\n\r\n";
-
   int logFd;
   RelayShared shared;
   std::shared_ptr<RelayConfig> config;
