Wait for conditions instead of fixed times in two tests

Cause: StatusForwardTest and EntryServerTest slept for fixed times, so that they were slow, or checked less, depending on the machine.

Change: A status message is sent once and the test waits until it has arrived; the message that must not be forwarded is followed by one that is, so that the latter's arrival proves it. The choice of forwarders is checked on a manual clock. The entry is called until it has closed the port of its callers, which shows that it stops, and 200 times after that.

--- a/tests/unit/entry/EntryServerTest.cpp
+++ b/tests/unit/entry/EntryServerTest.cpp
@@ -1,19 +1,22 @@
 #include "poplartrack/entry/EntryServer.h"
 
+#include <poll.h>
+
 #include <atomic>
 #include <future>
 #include <thread>
 
 #include <gtest/gtest.h>
 
+#include "poplartrack/base/TcpSocket.h"
 #include "poplartrack/wire/ConfigFetch.h"
 #include "standins/lib/PlatformHttp.h"
 
 namespace poplartrack {
 namespace {
 
-constexpr Duration kTimeout = std::chrono::seconds{ 5 };
-constexpr Duration kCallPause = std::chrono::milliseconds{ 2 };
+/** Far more than a call takes, even on a busy machine. */
+constexpr Duration kTimeout = std::chrono::minutes{ 1 };
 
 /** An entry whose platform answers no read of the configuration until it is
  * told to. */
@@ -62,6 +65,18 @@
     return ended.get_future().get();
   }
 
+  /** Returns whether nobody listens at an address any more. */
+  static bool isClosed(const Address& aAddress)
+  {
+    const Result<OwnedFd> fd = connectTcp(aAddress);
+    if (!fd) {
+      return true;
+    }
+    pollfd entry{ fd.value().get(), POLLOUT, 0 };
+    ::poll(&entry, 1, -1);
+    return connectError(fd.value().get()) != 0;
+  }
+
   SystemClock clock;
   standins::ServedPlatform platform{ clock };
   std::atomic<bool> reading{ false };
@@ -79,13 +94,19 @@
 {
   const Address address = this->entry->wireAddress();
   this->readStarted.get_future().wait();
+  const Address callers = this->entry->callersAddress();
   std::thread stopping{ [this] { this->entry.reset(); } };
-  constexpr int kCalls = 200;
+  // The entry closes the port for its callers first. It answers peers until the
+  // read ends, which on a busy machine may be by its timeout of 2 s.
+  constexpr int kCallsAfterwards = 200;
   int answered = 0;
-  while (answered < kCalls &&
+  int afterwards = 0;
+  bool stops = false;
+  while (afterwards < kCallsAfterwards &&
          this->fetchConfig(address) == CallOutcome::Replied) {
     ++answered;
-    std::this_thread::sleep_for(kCallPause);
+    stops = stops || isClosed(callers);
+    afterwards += stops ? 1 : 0;
   }
   this->release.set_value();
   stopping.join();
--- a/tests/unit/relay/StatusForwardTest.cpp
+++ b/tests/unit/relay/StatusForwardTest.cpp
@@ -2,9 +2,7 @@
 // large zone, which forward them.
 
 #include <algorithm>
-#include <chrono>
 #include <set>
-#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -16,12 +14,7 @@
 namespace poplartrack {
 namespace {
 
-using relaytest::PeerSocket;
-using relaytest::RelayWorld;
-
-/** Ends a test that fails. */
-constexpr Duration kTimeout = std::chrono::seconds{ 60 };
-constexpr Duration kPause = std::chrono::milliseconds{ 10 };
+using namespace relaytest;
 
 /** Returns a status message of a relay of zone "b". */
 PeerStatus
@@ -46,63 +39,62 @@
   return status;
 }
 
-void
-setPeers(RelayWorld& aWorld, std::vector<Address> aPeers)
+/** Test fixture: a relay that forwards to another one of its zone. */
+class StatusForward : public ::testing::Test
 {
-  aWorld.shared.peers.replace(
-    std::make_shared<const std::vector<Address>>(std::move(aPeers)));
-}
+protected:
+  StatusForward()
+  {
+    this->forwarder.start();
+    this->receiver.start();
+    this->forwarder.setPeers({ this->receiver.loop->peersAddress() });
+  }
+  /** Sends the forwarder a status message with this configuration. */
+  void sendConfig(const PeerSocket& aFrom,
+                  std::uint64_t aVersion,
+                  std::string_view aSection)
+  {
+    PeerStatus status = remoteStatus(aVersion);
+    status.config = aVersion;
+    aFrom.send(this->forwarder.loop->peersAddress(), status, aSection);
+  }
 
-TEST(StatusForward, AStatusReachesTheRelaysOfTheForwardersZone)
+  RelayWorld forwarder;
+  RelayWorld receiver;
+};
+
+TEST_F(StatusForward, AStatusReachesTheRelaysOfTheForwardersZone)
 {
   // A relay of another zone sends its status to one relay of this zone only.
   // The others must learn of it, and of the configuration that it has.
-  RelayWorld forwarder;
-  RelayWorld receiver;
-  forwarder.start();
-  receiver.start();
-  setPeers(forwarder, { receiver.loop->peersAddress() });
   const PeerSocket remote;
-  const TimePoint latest = runtimeNow() + kTimeout;
-  while (receiver.shared.peerConfigVersion < 9 && runtimeNow() < latest) {
-    PeerStatus status = remoteStatus(1);
-    status.config = 9;
-    remote.send(forwarder.loop->peersAddress(), status, packForwardRequest());
-    std::this_thread::sleep_for(kPause);
-  }
-  EXPECT_EQ(receiver.shared.peerConfigVersion, 9U);
-  const auto peers = receiver.shared.peers.read();
+  this->sendConfig(remote, 9, packForwardRequest());
+  EXPECT_TRUE(
+    waitFor([this] { return this->receiver.shared.peerConfigVersion == 9; }));
+  this->receiver.settle();
+  const auto peers = this->receiver.shared.peers.read();
   EXPECT_EQ(std::count(peers->begin(), peers->end(), remote.address()), 1);
 }
 
-TEST(StatusForward, AStatusThatIsNotToBeForwardedIsNot)
+TEST_F(StatusForward, AStatusThatIsNotToBeForwardedIsNot)
 {
   // Store readers send to all relays directly. If their messages were forwarded
   // as well, each relay would receive them several times.
-  RelayWorld forwarder;
-  RelayWorld receiver;
-  forwarder.start();
-  receiver.start();
-  setPeers(forwarder, { receiver.loop->peersAddress() });
   const PeerSocket direct;
   const PeerSocket forwarded;
-  const TimePoint latest = runtimeNow() + kTimeout;
-  while (receiver.shared.peerConfigVersion < 9 && runtimeNow() < latest) {
-    PeerStatus status = remoteStatus(1);
-    status.config = 20;
-    direct.send(forwarder.loop->peersAddress(), status);
-    status = remoteStatus(2);
-    status.config = 9;
-    forwarded.send(
-      forwarder.loop->peersAddress(), status, packForwardRequest());
-    std::this_thread::sleep_for(kPause);
-  }
-  EXPECT_EQ(receiver.shared.peerConfigVersion, 9U);
+  this->sendConfig(direct, 20, {});
+  // Sent later, so that it is forwarded with the first one or after it.
+  this->sendConfig(forwarded, 9, packForwardRequest());
+  EXPECT_TRUE(
+    waitFor([this] { return this->receiver.shared.peerConfigVersion >= 9; }));
+  this->receiver.settle();
+  EXPECT_EQ(this->receiver.shared.peerConfigVersion, 9U);
 }
 
-TEST(StatusForward, TwoRelaysOfALargeZoneAreAskedToForward)
+TEST(StatusForwarders, TwoRelaysOfALargeZoneAreAskedToForward)
 {
   RelayWorld world;
+  world.useManualClock();
   world.start();
   std::vector<PeerSocket> remotes(12);
   // The relays of its zone that poll the store, so that it does not.
@@ -122,23 +114,23 @@
         requests += message->forward.wanted ? 1 : 0;
       }
     }
-    std::this_thread::sleep_for(kPause);
+    world.advance(kRound);
     return requests;
   };
-  const TimePoint latest = runtimeNow() + kTimeout;
-  while (world.shared.peers.read()->size() < remotes.size() + readers.size() &&
-         runtimeNow() < latest) {
+  ASSERT_TRUE(waitFor([&] {
     exchange();
-  }
+    return world.shared.peers.read()->size() == remotes.size() + readers.size();
+  }));
   // What it sent before it knew all of them does not count.
-  while (exchange() == 0 && runtimeNow() < latest) {
-  }
+  ASSERT_TRUE(waitFor([&] { return exchange() > 0; }));
   exchange();
   asked.clear();
   sentDirectly.clear();
-  for (int requests = 0; requests < 4 && runtimeNow() < latest;) {
+  int requests = 0;
+  ASSERT_TRUE(waitFor([&] {
     requests += exchange();
-  }
+    return requests >= 4;
+  }));
   EXPECT_EQ(asked.size(), kForwardersPerZone);
   EXPECT_TRUE(sentDirectly.empty());
 }
