Take out repetition among tests of the relay and the retry budget

Cause: `duplicates` showed setup that tests of the last changes repeat: a holder of the placement lease and its peer, a path of three parts that moves, three callers with large answers, bounded waits, two properties of one bound.

--- a/tests/unit/relay/DemandGaugesTest.cpp
+++ b/tests/unit/relay/DemandGaugesTest.cpp
@@ -50,24 +50,44 @@
     (std::map<std::string, double>{ { "zone_demand_milli_a_1", 5.0 } }));
 }
 
-// Guards against requests of a relay of an older version that are not counted:
-// its rows have three fields.
-TEST(DemandGauges, RowsWithoutRequestsHaveTheDeclaredSize)
+/** Test fixture: a relay that holds the placement lease, and another one in
+ * zone "b" that the test plays. */
+class LeaseHolder : public ::testing::Test
 {
+protected:
+  LeaseHolder()
+  {
+    this->world.load.demandPlacement = true;
+    this->world.shared.holdsLease = true;
+    this->status.incarnation = 1;
+    this->status.zone = "b";
+  }
+  /** Sends the status message until a condition holds; returns whether it does.
+   */
+  template<typename Condition>
+  bool sendUntil(Condition aCondition)
+  {
+    return waitFor([&] {
+      ++this->status.sentAt;
+      this->peer.send(this->world.loop->peersAddress(), this->status);
+      return aCondition();
+    });
+  }
+
   const PeerSocket peer;
   RelayWorld world;
-  world.load.demandPlacement = true;
-  world.shared.holdsLease = true;
-  world.start();
   PeerStatus status;
-  status.incarnation = 1;
-  status.zone = "b";
-  status.demand.push_back(DemandRow{ "model", 3'000, 1'000 });
-  status.demand.push_back(DemandRow{ "model", 3'000, 1'000, 500, 4 });
-  EXPECT_TRUE(waitFor([&] {
-    ++status.sentAt;
-    peer.send(world.loop->peersAddress(), status);
-    const auto demand = world.shared.demand.read();
+};
+
+// Guards against requests of a relay of an older version that are not counted:
+// its rows have three fields.
+TEST_F(LeaseHolder, RowsWithoutRequestsHaveTheDeclaredSize)
+{
+  this->world.start();
+  this->status.demand = { { "model", 3'000, 1'000 },
+                          { "model", 3'000, 1'000, 500, 4 } };
+  EXPECT_TRUE(this->sendUntil([this] {
+    const auto demand = this->world.shared.demand.read();
     return demand->contains("model") &&
            demand->at("model").at("b") == TokenRate{ 6'000, 2'000, 200.5, 2 };
   }));
@@ -75,56 +95,37 @@
 
 // Guards against a planner that does not know how slow replicas are, or takes a
 // lost one for a slow one.
-TEST(DemandGauges, TheLeaseHolderPublishesHowSlowReplicasAre)
+TEST_F(LeaseHolder, PublishesHowSlowReplicasAre)
 {
-  const PeerSocket peer;
-  RelayWorld world;
-  world.load.demandPlacement = true;
-  world.shared.holdsLease = true;
-  world.addModelReplica("slow", { "127.0.0.1", 1 }, { 0, 10 }, "a");
-  world.addModelReplica("gone", { "127.0.0.1", 2 }, { 0, 10 }, "a");
-  world.start();
-  PeerStatus status;
-  status.incarnation = 1;
-  status.zone = "b";
-  status.slow = { { "slow", 4.04 }, { "gone", 4 } };
-  status.lost = { "gone" };
-  EXPECT_TRUE(waitFor([&] {
-    ++status.sentAt;
-    peer.send(world.loop->peersAddress(), status);
-    return *world.shared.slowdowns.read() ==
+  this->world.addModelReplica("slow", { "127.0.0.1", 1 }, { 0, 10 }, "a");
+  this->world.addModelReplica("gone", { "127.0.0.1", 2 }, { 0, 10 }, "a");
+  this->world.start();
+  this->status.slow = { { "slow", 4.04 }, { "gone", 4 } };
+  this->status.lost = { "gone" };
+  EXPECT_TRUE(this->sendUntil([this] {
+    return *this->world.shared.slowdowns.read() ==
            RelayShared::Slowdowns{ { "slow", 4 } };
   }));
 }
 
 // Guards against demand that a relay still shows, and would plan by at first,
 // after another relay has held the placement lease.
-TEST(DemandGauges, ARelayThatLosesTheLeaseShowsNoDemand)
+TEST_F(LeaseHolder, ARelayThatLosesTheLeaseShowsNoDemand)
 {
-  const PeerSocket peer;
-  RelayWorld world;
-  world.load.demandPlacement = true;
-  world.shared.holdsLease = true;
-  world.start();
-  PeerStatus status;
-  status.incarnation = 1;
-  status.zone = "b";
-  status.demand.push_back(DemandRow{ "model", 500'000, 500'000 });
-  const auto gauge = [&world] {
-    const std::string text = world.shared.metrics.render();
+  this->world.start();
+  this->status.demand = { { "model", 500'000, 500'000 } };
+  const auto gauge = [this] {
+    const std::string text = this->world.shared.metrics.render();
     const std::string name = "zone_demand_milli_b ";
     const auto at = text.rfind(name);
     return at == std::string::npos ? -1
                                    : std::stoll(text.substr(at + name.size()));
   };
-  EXPECT_TRUE(waitFor([&] {
-    ++status.sentAt;
-    peer.send(world.loop->peersAddress(), status);
-    return gauge() > 0 && !world.shared.demand.read()->empty();
-  }));
-  world.shared.holdsLease = false;
-  EXPECT_TRUE(waitFor([&] { return gauge() == 0; }));
-  EXPECT_TRUE(waitFor([&] { return world.shared.demand.read()->empty(); }));
+  EXPECT_TRUE(this->sendUntil(
+    [&] { return gauge() > 0 && !this->world.shared.demand.read()->empty(); }));
+  this->world.shared.holdsLease = false;
+  EXPECT_TRUE(waitFor(
+    [&] { return gauge() == 0 && this->world.shared.demand.read()->empty(); }));
 }
 
 } // namespace
--- a/tests/unit/relay/FleetControlFixture.h
+++ b/tests/unit/relay/FleetControlFixture.h
@@ -6,13 +6,13 @@
 #include <chrono>
 #include <memory>
 #include <string>
-#include <thread>
 #include <utility>
 
 #include <gtest/gtest.h>
 
 #include "IgnoreOrder.h"
 #include "ScriptedStore.h"
+#include "WaitFor.h"
 #include "poplartrack/relay/FleetControl.h"
 #include "unit/fleet/FleetSamples.h"
 
@@ -76,14 +76,9 @@
     const auto listed = [this] {
       return this->shared.replicas.read()->replicas.size();
     };
-    const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-    while (listed() == 0 && runtimeNow() < latest) {
-      std::this_thread::yield();
-    }
+    waitFor([&] { return listed() > 0; });
     aAct();
-    while (listed() < aWanted && runtimeNow() < latest) {
-      std::this_thread::yield();
-    }
+    waitFor([&] { return listed() >= aWanted; });
     const std::size_t count = listed();
     this->store.end();
     return count;
@@ -109,16 +104,12 @@
                                          this->store,
                                          ignoreOrder,
                                          std::move(aFetchSnapshot) };
-    const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-    while ((this->shared.replicas.read()->replicas.empty() ||
-            this->shared.joining) &&
-           runtimeNow() < latest) {
-      std::this_thread::yield();
-    }
+    waitFor([this] {
+      return !this->shared.replicas.read()->replicas.empty() &&
+             !this->shared.joining;
+    });
     aAct();
-    while (!aIsDone() && runtimeNow() < latest) {
-      std::this_thread::yield();
-    }
+    waitFor(aIsDone);
     this->store.end();
   }
   /** The same without anything to do after the join. */
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -98,10 +98,7 @@
   const auto proofReads = [this] {
     return this->shared.metrics.storeCalls(StoreCall::ConfigProof);
   };
-  const TimePoint latest = runtimeNow() + std::chrono::seconds{ 60 };
-  while (proofReads() < 2 && runtimeNow() < latest) {
-    std::this_thread::yield();
-  }
+  waitFor([&] { return proofReads() >= 2; });
   // The second read is in progress, and the checks before it were all made
   // after the first one had failed.
   EXPECT_EQ(proofReads(), 2U);
--- a/tests/unit/relay/RelayLossProbeTest.cpp
+++ b/tests/unit/relay/RelayLossProbeTest.cpp
@@ -1,5 +1,4 @@
 #include <map>
-#include <mutex>
 
 #include "PeerSocket.h"
 #include "RelayWorld.h"
@@ -20,7 +19,6 @@
   {
     // The stream is late, and replicas are asked, only when the test says so.
     this->world.useManualClock();
-    this->world.load.lossProbes = true;
     this->world.setPeers({ this->peer.address() });
     this->world.onQuery = [this, aReaches](const Address& aTo, auto aDone) {
       this->lastAsked += aTo.port == 3 ? 1 : 0;
@@ -33,15 +31,7 @@
         aDone(report);
       }
     };
-    this->world.onRepath = [this](const LayerPath& aPath) {
-      const std::scoped_lock lock{ this->guard };
-      this->newPath = names().pathText(aPath);
-      return RepathOutcome::Moved;
-    };
-    const std::string local = "127.0.0.1";
-    this->world.addModelReplica("one", this->first.address(), { 0, 3 }, "a");
-    this->world.addModelReplica("two", { local, 2 }, { 3, 6 }, "a");
-    this->world.addModelReplica("three", { local, 3 }, { 6, 10 }, "a");
+    this->world.addThreeParts(this->first.address());
     this->world.start();
     this->caller.emplace(this->world.sendRequest(
       "/stream/x", "id-1", "X-Tokens: 5,50\r\nX-Hint: 50\r\n"));
@@ -50,7 +40,7 @@
     this->replica->send(RelayWorld::streamHead("id-1") + RelayWorld::event(1) +
                         RelayWorld::event(2) + RelayWorld::event(3));
     this->caller->readUntil("id: 3");
-    this->world.addModelReplica("four", { local, 4 }, { 3, 6 }, "a");
+    this->world.addModelReplica("four", { "127.0.0.1", 4 }, { 3, 6 }, "a");
     this->world.publishReplicas(2);
   }
   void expectEnd()
@@ -61,8 +51,6 @@
 
   RawListener first;
   PeerSocket peer;
-  std::mutex guard;
-  std::string newPath;
   /** How often the last replica of the path was asked. */
   std::atomic<int> lastAsked{ 0 };
   RelayWorld world;
@@ -75,10 +63,8 @@
   // The first replica was asked alone, at the stall timeout, and the others
   // only after its report. Here it never reports.
   this->startStream({ { 2, false }, { 3, true } });
-  EXPECT_TRUE(this->world.advanceUntil([this] {
-    const std::scoped_lock lock{ this->guard };
-    return this->newPath == "one;four;three;";
-  }));
+  EXPECT_TRUE(this->world.advanceUntil(
+    [this] { return this->world.lastRepath() == "one;four;three;"; }));
   // Only the new part prefills, and it reads the answer so far as well. Other
   // moved streams would avoid the parts that keep their cache.
   std::map<std::string, std::uint32_t> prefill;
--- a/tests/unit/relay/RelayMemoryTest.cpp
+++ b/tests/unit/relay/RelayMemoryTest.cpp
@@ -16,8 +16,31 @@
 class RelayMemory : public ::testing::Test
 {
 protected:
-  RelayMemory() { this->world.config->limits.bodyBytes = 2 * kLargeBytes; }
-
+  RelayMemory()
+  {
+    this->world.config->limits.bodyBytes = 2 * kLargeBytes;
+    this->world.addReplica("one", "plain", this->listener.address());
+  }
+  /** Starts a relay that holds at most 0.4 of 80 MB for requests and answers,
+   * and connects three callers. They come first: a relay whose loop was busy
+   * with a large request turns new connections away for a while. */
+  void startSmall()
+  {
+    this->world.memoryMb = 80;
+    this->world.start();
+    for (int i = 0; i < 3; ++i) {
+      this->callers.push_back(this->world.caller());
+    }
+  }
+  /** Expects that the relay has stopped to read an answer, and that each caller
+   * receives all of its own. */
+  void expectPausedAndWhole()
+  {
+    EXPECT_GT(this->world.awaitCounter("answers_paused_total", 1), 0U);
+    for (RawSocket& caller : this->callers) {
+      EXPECT_EQ(caller.readBytes(kLargeBytes).size(), kLargeBytes);
+    }
+  }
   /** Waits until so many answers are not written completely. */
   [[nodiscard]] bool awaitUnwritten(std::size_t aAnswers) const
   {
@@ -51,21 +74,16 @@
 
   RelayWorld world;
   RawListener listener;
+  std::vector<RawSocket> callers;
   std::vector<RawSocket> replicas;
 };
 
 TEST_F(RelayMemory, SlowReplicasLeaveMemoryForOtherRequests)
 {
-  // Limit of what is held: 0.4 of 80 MB.
-  constexpr double kMemoryMb = 80;
-  this->world.memoryMb = kMemoryMb;
-  this->world.addReplica("one", "plain", this->listener.address());
-  this->world.start();
-  // Connected at first: a relay whose loop was busy with a large request turns
-  // new connections away for a while.
-  RawSocket first = this->world.caller();
-  RawSocket second = this->world.caller();
-  RawSocket small = this->world.caller();
+  this->startSmall();
+  RawSocket& first = this->callers[0];
+  RawSocket& second = this->callers[1];
+  RawSocket& small = this->callers[2];
   const std::string body(kLargeBytes, 'x');
   first.send(RelayWorld::request("/again/x", "id-1", "", body));
   RawSocket slow = this->listener.accept();
@@ -84,19 +102,11 @@
 
 TEST_F(RelayMemory, AnswersForSlowCallersAreNotReadWithoutLimit)
 {
-  constexpr double kMemoryMb = 80;
-  this->world.memoryMb = kMemoryMb;
-  this->world.addReplica("one", "plain", this->listener.address());
-  this->world.start();
-  // Connected at first: a relay whose loop was busy with a large answer turns
-  // new connections away for a while.
-  RawSocket first = this->world.caller();
-  RawSocket second = this->world.caller();
-  RawSocket third = this->world.caller();
-  this->requestLargeAnswer(first, "id-1");
+  this->startSmall();
+  this->requestLargeAnswer(this->callers[0], "id-1");
   ASSERT_TRUE(this->awaitUnwritten(1));
-  second.send(RelayWorld::request("/again/x", "id-2"));
-  third.send(RelayWorld::request("/again/x", "id-3"));
+  this->callers[1].send(RelayWorld::request("/again/x", "id-2"));
+  this->callers[2].send(RelayWorld::request("/again/x", "id-3"));
   std::vector<std::thread> senders;
   for (int i = 0; i < 2; ++i) {
     RawSocket replica = this->listener.accept();
@@ -106,10 +116,7 @@
       replica.send(largeAnswer(id));
     });
   }
-  EXPECT_GT(this->world.awaitCounter("answers_paused_total", 1), 0U);
-  for (RawSocket* caller : { &first, &second, &third }) {
-    EXPECT_EQ(caller->readBytes(kLargeBytes).size(), kLargeBytes);
-  }
+  this->expectPausedAndWhole();
   for (std::thread& sender : senders) {
     sender.join();
   }
@@ -119,33 +126,24 @@
 {
   // Guards against a relay that reads the only unfinished answer however much
   // the finished ones hold.
-  constexpr double kMemoryMb = 80;
-  this->world.memoryMb = kMemoryMb;
-  this->world.addReplica("one", "plain", this->listener.address());
-  this->world.start();
-  RawSocket first = this->world.caller();
-  RawSocket second = this->world.caller();
-  RawSocket third = this->world.caller();
-  this->requestLargeAnswer(first, "id-1");
+  this->startSmall();
+  this->requestLargeAnswer(this->callers[0], "id-1");
   ASSERT_TRUE(this->awaitUnwritten(1));
-  this->requestLargeAnswer(second, "id-2");
+  this->requestLargeAnswer(this->callers[1], "id-2");
   ASSERT_TRUE(this->awaitUnwritten(2));
-  third.send(RelayWorld::request("/again/x", "id-3"));
+  this->callers[2].send(RelayWorld::request("/again/x", "id-3"));
   RawSocket replica = this->listener.accept();
   replica.readUntil("\r\n\r\n");
   std::thread sender{ [&] { replica.send(largeAnswer("id-3")); } };
   EXPECT_GT(this->world.awaitCounter("answers_paused_total", 1), 0U);
   EXPECT_EQ(this->world.loop->openRequests(), 1U);
-  for (RawSocket* caller : { &first, &second, &third }) {
-    EXPECT_EQ(caller->readBytes(kLargeBytes).size(), kLargeBytes);
-  }
+  this->expectPausedAndWhole();
   sender.join();
 }
 
 TEST_F(RelayMemory, AnAnswerThatIsNotWrittenYetIsKnown)
 {
   // Guards against a process that exits while callers still read their answers.
-  this->world.addReplica("one", "plain", this->listener.address());
   this->world.start();
   RawSocket caller = this->requestLargeAnswer("id-1");
   ASSERT_TRUE(this->world.awaitOpen(0));
@@ -161,7 +159,6 @@
   constexpr Duration kIdleTimeout = std::chrono::milliseconds{ 100 };
   this->world.useManualClock();
   this->world.config->limits.idleTimeout = kIdleTimeout;
-  this->world.addReplica("one", "plain", this->listener.address());
   this->world.start();
   RawSocket slow = this->requestLargeAnswer("id-1");
   ASSERT_TRUE(this->world.awaitOpen(0));
--- a/tests/unit/relay/RelayReleaseTest.cpp
+++ b/tests/unit/relay/RelayReleaseTest.cpp
@@ -1,6 +1,5 @@
 // Layers that the holder of the placement lease takes from busy replicas.
 
-#include <mutex>
 #include <optional>
 
 #include "PeerSocket.h"
@@ -29,6 +28,15 @@
     this->world.setPeers({ this->peer.address() });
     this->world.start();
   }
+  /** Starts it as the holder of the lease, with an announced release. */
+  void startAsHolder()
+  {
+    this->world.shared.holdsLease = true;
+    this->world.shared.releases.replace(
+      std::make_shared<const std::vector<ReleasedLayers>>(
+        std::vector<ReleasedLayers>{ { "big", { 0, 5 } } }));
+    this->start();
+  }
   /** Sends this status message to the relay, which applies it. */
   void send(PeerStatus& aStatus)
   {
@@ -112,11 +120,7 @@
 // requests at the replica.
 TEST_F(RelayReleaseTest, RequestsOfARelayThatDoesNotKnowItCountAsThroughIt)
 {
-  this->world.shared.holdsLease = true;
-  this->world.shared.releases.replace(
-    std::make_shared<const std::vector<ReleasedLayers>>(
-      std::vector<ReleasedLayers>{ { "big", { 0, 5 } } }));
-  this->start();
+  this->startAsHolder();
   const auto used = [&](std::uint32_t aRequests) {
     return [this, aRequests](const PeerStatus& aStatus) {
       const auto use = this->world.shared.releaseUse.read();
@@ -135,11 +139,7 @@
 // replica: they were no longer counted once the relay fell silent.
 TEST_F(RelayReleaseTest, UseIsUnknownAfterARelayHasFallenSilent)
 {
-  this->world.shared.holdsLease = true;
-  this->world.shared.releases.replace(
-    std::make_shared<const std::vector<ReleasedLayers>>(
-      std::vector<ReleasedLayers>{ { "big", { 0, 5 } } }));
-  this->start();
+  this->startAsHolder();
   PeerStatus status = statusOf(false);
   status.loads.push_back(LoadRow{ "big", 2 });
   this->exchangeUntil(status, [this](const PeerStatus&) {
@@ -163,28 +163,19 @@
   std::string pathAfterLoss()
   {
     this->world.replicas.clear();
-    this->world.load.lossProbes = true;
     this->world.onQuery = [](const Address& aTo, auto aDone) {
       ReplicaReport report;
       report.reached = aTo.port != 2;
       aDone(report);
     };
-    this->world.onRepath = [this](const LayerPath& aPath) {
-      const std::scoped_lock lock{ this->guard };
-      this->newPath = names().pathText(aPath);
-      return RepathOutcome::Moved;
-    };
-    const std::string local = "127.0.0.1";
-    this->world.addModelReplica("one", this->big.address(), { 0, 3 }, "a");
-    this->world.addModelReplica("two", { local, 2 }, { 3, 6 }, "a");
-    this->world.addModelReplica("three", { local, 3 }, { 6, 10 }, "a");
+    this->world.addThreeParts(this->big.address());
     this->start();
     RawSocket caller = this->world.sendRequest(
       "/stream/x", "id-1", "X-Tokens: 5,50\r\nX-Hint: 50\r\n");
     RawSocket replica = this->big.accept();
     replica.readUntil("\r\n\r\n");
-    this->world.addModelReplica("released", { local, 4 }, { 3, 6 }, "a");
-    this->world.addModelReplica("full", { local, 5 }, { 3, 6 }, "a");
+    this->world.addModelReplica("released", { "127.0.0.1", 4 }, { 3, 6 }, "a");
+    this->world.addModelReplica("full", { "127.0.0.1", 5 }, { 3, 6 }, "a");
     this->world.publishReplicas(2);
     PeerStatus status = statusOf(true);
     status.releases.push_back(ReleaseRow{ "released", 3, 6 });
@@ -195,15 +186,10 @@
     caller.readUntil("id: 3");
     EXPECT_TRUE(this->world.advanceUntil([&] {
       this->send(status);
-      const std::scoped_lock lock{ this->guard };
-      return !this->newPath.empty();
+      return !this->world.lastRepath().empty();
     }));
-    const std::scoped_lock lock{ this->guard };
-    return this->newPath;
+    return this->world.lastRepath();
   }
-
-  std::mutex guard;
-  std::string newPath;
 };
 
 // Guards against a stream that breaks off for lack of memory although a replica
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -156,6 +156,23 @@
     this->shared.peers.replace(
       std::make_shared<const std::vector<Address>>(std::move(aPeers)));
   }
+  /** Returns the path of the last order to move a request. */
+  [[nodiscard]] std::string lastRepath()
+  {
+    const std::scoped_lock lock{ this->repathGuard };
+    return this->repathPath;
+  }
+  /** Adds replicas with three parts of the layers, of which only the first one
+   * accepts connections. Requests may be moved. */
+  void addThreeParts(const Address& aFirst)
+  {
+    const std::string local = "127.0.0.1";
+    this->addModelReplica("one", aFirst, { 0, 3 }, "a");
+    this->addModelReplica("two", { local, 2 }, { 3, 6 }, "a");
+    this->addModelReplica("three", { local, 3 }, { 6, 10 }, "a");
+    this->repathOutcome = RepathOutcome::Moved;
+    this->load.lossProbes = true;
+  }
   /** Starts the relay without publishing anything. */
   void startLoop()
   {
@@ -190,9 +207,9 @@
       {
         const std::scoped_lock lock{ this->repathGuard };
         this->repathRequests.insert(aRequest);
+        this->repathPath = names().pathText(aPath);
       }
-      aDone(this->onRepath ? this->onRepath(aPath)
-                           : RepathOutcome::PartMissing);
+      aDone(this->repathOutcome);
     };
     auto made =
       RelayLoop::create(settings, names(), this->shared, calls, this->clock);
@@ -251,12 +268,12 @@
   RelayShared shared;
   std::shared_ptr<RelayConfig> config;
   std::map<std::string, Replica> replicas;
-  /** Number of orders to move a request to another path. Replicas refuse them
-   * all, unless onRepath is set. */
+  /** Number of orders to move a request to another path, and their outcome. */
   std::atomic<int> repaths{ 0 };
-  std::function<RepathOutcome(const LayerPath&)> onRepath;
-  /** The requests that such orders were for. */
+  RepathOutcome repathOutcome = RepathOutcome::PartMissing;
+  /** The requests that such orders were for, and the path of the last one. */
   std::set<std::string> repathRequests;
+  std::string repathPath;
   std::mutex repathGuard;
   /** Number of status queries. None is answered, unless onQuery does. */
   std::atomic<int> statusQueries{ 0 };
--- a/tests/unit/retry/RetryBudgetTest.cpp
+++ b/tests/unit/retry/RetryBudgetTest.cpp
@@ -11,7 +11,9 @@
 namespace poplartrack {
 namespace {
 
-RC_GTEST_PROP(RetryBudget, retriesNeverExceedTheBound, (std::uint64_t aSeed))
+/** Checks the bound on retries, of which some are booked if aBooks. */
+void
+checkBound(std::uint64_t aSeed, bool aBooks)
 {
   std::mt19937_64 random(aSeed);
   RetryBudgetPolicy policy;
@@ -22,21 +24,41 @@
   const TimePoint start{ std::chrono::hours{ 1 } };
   TimePoint now = start;
   double requests = 0;
-  double retries = 0;
+  std::multiset<TimePoint> booked;
   for (int i = 0; i < 2000; ++i) {
     now += Duration{ static_cast<std::int64_t>(random() % 20'000) };
     if (random() % 3 == 0) {
       budget.onRequest(now);
       requests += 1;
-    } else {
-      retries += budget.tryRetry(now) ? 1 : 0;
+    } else if (!aBooks || random() % 2 == 0) {
+      if (budget.tryRetry(now)) {
+        booked.insert(now);
+      }
+    } else if (const auto when =
+                 budget.bookRetry(now, now + std::chrono::seconds{ 5 })) {
+      RC_ASSERT(*when >= now && *when <= now + std::chrono::seconds{ 5 });
+      booked.insert(*when);
     }
+    const auto retries = static_cast<double>(
+      std::distance(booked.begin(), booked.upper_bound(now)));
     const double seconds = std::chrono::duration<double>(now - start).count();
     RC_ASSERT(retries <= policy.ratio * requests + policy.perSecond * seconds +
                            std::max(policy.perSecond, policy.reserve) + 1e-6);
   }
 }
 
+RC_GTEST_PROP(RetryBudget, retriesNeverExceedTheBound, (std::uint64_t aSeed))
+{
+  checkBound(aSeed, false);
+}
+
+RC_GTEST_PROP(RetryBudget,
+              bookedRetriesNeverExceedTheBound,
+              (std::uint64_t aSeed))
+{
+  checkBound(aSeed, true);
+}
+
 TEST(RetryBudget, anEntryWithFewRequestsMayStillRetry)
 {
   RetryBudgetPolicy policy;
@@ -64,42 +86,6 @@
   EXPECT_LE(more, 6);
 }
 
-RC_GTEST_PROP(RetryBudget,
-              bookedRetriesNeverExceedTheBound,
-              (std::uint64_t aSeed))
-{
-  std::mt19937_64 random(aSeed);
-  RetryBudgetPolicy policy;
-  policy.ratio = 0.01 * static_cast<double>(random() % 50);
-  policy.perSecond = static_cast<double>(random() % 4);
-  policy.reserve = static_cast<double>(random() % 20);
-  RetryBudget budget(policy);
-  const TimePoint start{ std::chrono::hours{ 1 } };
-  TimePoint now = start;
-  double requests = 0;
-  std::multiset<TimePoint> booked;
-  for (int i = 0; i < 2000; ++i) {
-    now += Duration{ static_cast<std::int64_t>(random() % 20'000) };
-    if (random() % 3 == 0) {
-      budget.onRequest(now);
-      requests += 1;
-    } else if (random() % 2 == 0) {
-      if (budget.tryRetry(now)) {
-        booked.insert(now);
-      }
-    } else if (const auto when =
-                 budget.bookRetry(now, now + std::chrono::seconds{ 5 })) {
-      RC_ASSERT(*when >= now && *when <= now + std::chrono::seconds{ 5 });
-      booked.insert(*when);
-    }
-    const auto retries = static_cast<double>(
-      std::distance(booked.begin(), booked.upper_bound(now)));
-    const double seconds = std::chrono::duration<double>(now - start).count();
-    RC_ASSERT(retries <= policy.ratio * requests + policy.perSecond * seconds +
-                           std::max(policy.perSecond, policy.reserve) + 1e-6);
-  }
-}
-
 TEST(RetryBudget, aRetryWaitsForItsTurn)
 {
   // Guards against streams that are cut in a second loss within seconds,
--- a/tests/unit/users_platform/StoreRestoreTest.cpp
+++ b/tests/unit/users_platform/StoreRestoreTest.cpp
@@ -2,9 +2,7 @@
 // gone, and its versions are given out again.
 
 #include <chrono>
-#include <functional>
 #include <memory>
-#include <thread>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -15,15 +13,14 @@
 #include "poplartrack/relay/FleetControl.h"
 #include "standins/lib/UsersStoreStandin.h"
 #include "unit/relay/IgnoreOrder.h"
+#include "unit/relay/WaitFor.h"
 
 namespace poplartrack {
 namespace {
 
+using relaytest::waitFor;
 using standins::UsersStoreStandin;
 
-/** Bounds the waits, so that a fault ends the test. */
-constexpr Duration kMaxWait = std::chrono::seconds{ 20 };
-
 std::string
 entry(const std::string& aState)
 {
@@ -64,15 +61,6 @@
     this->control = std::make_unique<FleetControl<UsersStore>>(
       this->settings, this->shared, this->store, relaytest::ignoreOrder);
   }
-  /** Waits until a condition holds; returns whether it did in time. */
-  static bool waitFor(const std::function<bool()>& aCondition)
-  {
-    const TimePoint latest = runtimeNow() + kMaxWait;
-    while (!aCondition() && runtimeNow() < latest) {
-      std::this_thread::yield();
-    }
-    return aCondition();
-  }
   /** Waits until the relay lists this many replicas. */
   bool waitUntilListed(std::size_t aCount)
   {
