Use the fixture's manual clock in two tests of the relay

Change: they call RelayWorld::useManualClock, advance and awaitOpen. A header that nothing uses goes.

--- a/tests/unit/relay/RelayAccountsTest.cpp
+++ b/tests/unit/relay/RelayAccountsTest.cpp
@@ -183,7 +183,7 @@
  * which requests within their share are too late and wait. */
 TEST_F(RelayAccounts, ARequestBeyondItsShareWaitsBehindOneThatIsHeldBack)
 {
-  this->useManualClock();
+  this->world.useManualClock();
   this->world.load.paceAdmission = true;
   this->world.start();
   this->callers.push_back(
@@ -191,22 +191,22 @@
   this->running.push_back(this->replica.accept());
   this->running.back().readUntil("\r\n\r\n");
   this->sendRival("held", "/stream/x", "X-Tokens: 20000,5\r\n");
-  this->awaitOpen(2);
+  ASSERT_TRUE(this->world.awaitOpen(2));
   // Shares are divided anew in every second round.
-  this->runRound();
-  this->runRound();
+  this->world.advance(kRound);
+  this->world.advance(kRound);
   this->callers.push_back(this->world.sendRequest("/patient/x", "beyond"));
-  this->awaitOpen(3);
+  ASSERT_TRUE(this->world.awaitOpen(3));
   // Capacity that stays free for 250 ms is left to accounts beyond their share.
   for (Duration waited{ 0 }; waited < kLongestWait / 4; waited += kRound) {
-    this->runRound();
+    this->world.advance(kRound);
   }
   EXPECT_EQ(this->world.counter("requests_beyond_share_total"), 1U);
   EXPECT_EQ(this->world.counter("starts_beyond_share_total"), 0U);
   this->running.back().send(RelayWorld::streamHead("long") +
                             RelayWorld::event(1));
   this->callers.front().readUntil("data: x");
-  this->runRound();
+  this->world.advance(kRound);
   this->running.push_back(this->replica.accept());
   EXPECT_TRUE(has(this->running.back().readUntil("\r\n\r\n"), "X-Id: held"));
 }
--- a/tests/unit/relay/RelayOutlierTest.cpp
+++ b/tests/unit/relay/RelayOutlierTest.cpp
@@ -236,8 +236,7 @@
   for (RelayRoute& route : this->world.config->routes["shop.example"]) {
     route.objective = std::chrono::seconds{ 1 };
   }
-  this->clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [this] { return this->clock.now(); };
+  this->world.useManualClock();
   this->world.start();
   const RawSocket running = this->send(0);
   const RawSocket atNear = near.accept();
@@ -249,11 +248,10 @@
   EXPECT_EQ(this->world.awaitCounter("replica_backoffs_requested_total", 1),
             1U);
   const RawSocket other = this->send(2);
-  EXPECT_TRUE(
-    waitFor([this] { return this->world.loop->openRequests() == 3; }));
+  ASSERT_TRUE(this->world.awaitOpen(3));
   // The backoff has ended, and the request that avoids the replica is tried
   // first.
-  this->clock.advance(std::chrono::milliseconds{ 1'025 });
+  this->world.advance(std::chrono::milliseconds{ 1'025 });
   RawSocket served = far.accept();
   EXPECT_TRUE(has(served.readUntil("\r\n\r\n"), "X-Id: id-2"));
 }
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -11,7 +11,6 @@
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
