Hold the replica list while a test reads it

Cause: a range-for loop over a member of a temporary shared pointer; the list could be freed while the test reads it.

Change: the pointer is held.

--- a/tests/unit/users_platform/StoreRestoreTest.cpp
+++ b/tests/unit/users_platform/StoreRestoreTest.cpp
@@ -71,7 +71,8 @@
   /** Returns whether the relay lists the replica as one that takes work. */
   bool takesWork(const std::string& aName)
   {
-    for (const Replica& replica : this->shared.replicas.read()->replicas) {
+    const auto view = this->shared.replicas.read();
+    for (const Replica& replica : view->replicas) {
       if (replica.registeredAs == aName) {
         return !replica.draining;
       }
