Say "refused" in the description of load.pace_admission

Change: the description uses the glossary's word, as the page does.

Measured: the test passes again.

--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -160,7 +160,7 @@
               "",
               "false",
               "whether requests that would be late, or delay others, are "
-              "held back or rejected" },
+              "held back or refused" },
   SettingRow{ "load.return_bookings",
               Boolean,
               0,
