Bound what is read of a reply without end

What callers see: a replica that answers a status query or an order with bytes that do not end takes the time of the relay's only core until the call's timeout.

The reply then counts as lost, which a status query takes for a replica that does not answer.

Measured: HttpClient.aReplyWithoutEndIsUnknownAndBounded tries nine forms (body with and without chunks, extension of one chunk and of each, size line, trailers, status line, fields, interim replies); all end the call.

--- a/include/poplartrack/http/HttpClient.h
+++ b/include/poplartrack/http/HttpClient.h
@@ -25,6 +25,8 @@
    * sends a request again by itself when a kept-alive connection dies under
    * it, and nothing switches that off but a fresh connection. */
   bool freshConnection = false;
+  /** Largest body of the reply; 0: the client's limit. */
+  std::size_t maxBodyBytes = 0;
   /** Called with body bytes as they arrive, on the client's thread; the
    * result's body then stays empty. Returning false cancels the call. */
   std::function<bool(std::string_view)> onBytes;
@@ -39,6 +41,8 @@
   std::map<std::string, std::string> headers;
   std::string body;
   std::string detail;
+  /** The call was ended because the reply exceeded a limit. */
+  bool overLimit = false;
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/src/http/HttpTransfer.cpp
+++ b/src/http/HttpTransfer.cpp
@@ -11,6 +11,14 @@
 namespace poplartrack {
 namespace {
 
+/** Most bytes of header lines of a reply, with interim replies and trailers. */
+constexpr std::size_t kMaxHeadBytes = std::size_t{ 64 } * 1024;
+
+/** Most bytes of chunk sizes and chunk extensions, and how many more each byte
+ * of the body allows. A chunk of one byte takes five. */
+constexpr std::size_t kMaxFramingBytes = std::size_t{ 64 } * 1024;
+constexpr std::size_t kMaxFramingPerByte = 8;
+
 /** libcurl takes 0 for "no limit", so a shorter time is made one. */
 long
 wholeMillis(Duration aDuration)
@@ -75,7 +83,8 @@
                            std::size_t aMaxBodyBytes)
   : call(std::move(aCall))
   , done(std::move(aDone))
-  , maxBodyBytes(aMaxBodyBytes)
+  , maxBodyBytes(this->call.maxBodyBytes == 0 ? aMaxBodyBytes
+                                              : this->call.maxBodyBytes)
 {
 }
 
@@ -202,8 +211,9 @@
   using Writer = std::size_t (*)(char*, std::size_t, std::size_t, void*);
   const Writer onHeader =
     [](char* aData, std::size_t, std::size_t aSize, void* aSelf) {
-      static_cast<HttpTransfer*>(aSelf)->takeHeader({ aData, aSize });
-      return aSize;
+      const bool taken =
+        static_cast<HttpTransfer*>(aSelf)->takeHeader({ aData, aSize });
+      return taken ? aSize : std::size_t{ 0 };
     };
   const Writer onBody =
     [](char* aData, std::size_t, std::size_t aSize, void* aSelf) {
@@ -216,27 +226,79 @@
   curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, onBody);
   curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(this->easy, CURLOPT_ERRORBUFFER, this->errorText.data());
+  this->countRawBytes();
 }
 
+/** Bounds chunk extensions, which libcurl reads and drops without a limit. Only
+ * its debug output shows them. */
 void
+HttpTransfer::countRawBytes()
+{
+  using Debug = int (*)(CURL*, curl_infotype, char*, std::size_t, void*);
+  using Progress =
+    int (*)(void*, curl_off_t, curl_off_t, curl_off_t, curl_off_t);
+  const Debug onDebug =
+    [](CURL*, curl_infotype aType, char*, std::size_t aSize, void* aSelf) {
+      if (aType == CURLINFO_DATA_IN) {
+        static_cast<HttpTransfer*>(aSelf)->rawBytes += aSize;
+      }
+      return 0;
+    };
+  const Progress onProgress =
+    [](void* aSelf, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
+      auto* self = static_cast<HttpTransfer*>(aSelf);
+      const bool ends = self->hasTooMuchFraming() &&
+                        !self->refuse("the reply's framing is over the limit");
+      return ends ? 1 : 0;
+    };
+  curl_easy_setopt(this->easy, CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt(this->easy, CURLOPT_DEBUGFUNCTION, onDebug);
+  curl_easy_setopt(this->easy, CURLOPT_DEBUGDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(this->easy, CURLOPT_XFERINFOFUNCTION, onProgress);
+  curl_easy_setopt(this->easy, CURLOPT_XFERINFODATA, this);
+}
+
+bool
+HttpTransfer::hasTooMuchFraming() const
+{
+  return this->rawBytes >
+         kMaxFramingBytes + (1 + kMaxFramingPerByte) * this->bodyBytes;
+}
+
+bool
+HttpTransfer::refuse(const char* aProblem)
+{
+  this->problem = aProblem;
+  this->result.overLimit = true;
+  return false;
+}
+
+bool
 HttpTransfer::takeHeader(std::string_view aLine)
 {
+  this->headBytes += aLine.size();
+  if (this->headBytes > kMaxHeadBytes) {
+    return this->refuse("the reply's head is over the limit");
+  }
   if (aLine.starts_with("HTTP/")) {
     // A new status line, as after "100 Continue".
     this->result.headers.clear();
-    return;
+    return true;
   }
   const std::size_t colon = aLine.find(':');
   if (colon == std::string_view::npos) {
-    return;
+    return true;
   }
   this->result.headers[lowerCase(aLine.substr(0, colon))] =
     std::string{ trim(aLine.substr(colon + 1)) };
+  return true;
 }
 
 bool
 HttpTransfer::takeBytes(std::string_view aBytes)
 {
+  this->bodyBytes += aBytes.size();
   if (this->call.onBytes) {
     if (this->call.onBytes(aBytes)) {
       return true;
@@ -245,8 +307,7 @@
     return false;
   }
   if (this->result.body.size() + aBytes.size() > this->maxBodyBytes) {
-    this->problem = "the reply's body is over the limit";
-    return false;
+    return this->refuse("the reply's body is over the limit");
   }
   this->result.body += aBytes;
   return true;
--- a/src/http/HttpTransfer.h
+++ b/src/http/HttpTransfer.h
@@ -38,13 +38,23 @@
   void setMethod();
   void setBounds();
   void setCallbacks();
+  void countRawBytes();
   [[nodiscard]] CallOutcome outcomeOf(CURLcode aCode) const;
-  void takeHeader(std::string_view aLine);
+  bool takeHeader(std::string_view aLine);
   bool takeBytes(std::string_view aBytes);
+  /** Whether too many bytes have come that are neither head nor body. */
+  [[nodiscard]] bool hasTooMuchFraming() const;
+  /** Records that the reply exceeds a limit. Returns false. */
+  bool refuse(const char* aProblem);
 
   HttpCall call;
   HttpDone done;
   std::size_t maxBodyBytes;
+  /** Bytes of header lines: of interim replies, the reply and its trailers. */
+  std::size_t headBytes = 0;
+  std::size_t bodyBytes = 0;
+  /** Bytes behind the head, of which body is only a part. */
+  std::size_t rawBytes = 0;
   HttpResult result;
   std::string problem;
   CURL* easy = nullptr;
--- a/tests/unit/http/HttpClientTest.cpp
+++ b/tests/unit/http/HttpClientTest.cpp
@@ -144,6 +144,58 @@
   EXPECT_LE(end.body.size(), 1U);
 }
 
+/** Returns how a call ends whose reply begins so and goes on without end. */
+HttpResult
+endlessReply(const std::string& aStart, const std::string& aRepeated)
+{
+  constexpr std::size_t kEnough = std::size_t{ 64 } << 20U;
+  const auto client = newClient();
+  RawListener listener;
+  HttpCall call = callTo(listener.address());
+  call.timeout = std::chrono::minutes{ 1 };
+  call.maxBodyBytes = 100'000;
+  std::future<HttpResult> result = start(*client, call);
+  RawSocket peer = listener.accept();
+  peer.readUntil(kHeadEnd);
+  std::string block;
+  while (block.size() < 4'096) {
+    block += aRepeated;
+  }
+  bool isOpen = peer.send(aStart);
+  for (std::size_t sent = 0; isOpen && sent < kEnough; sent += block.size()) {
+    isOpen = peer.send(block);
+  }
+  EXPECT_FALSE(isOpen);
+  peer.close();
+  return result.get();
+}
+
+const std::string kChunked =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+TEST(HttpClient, aReplyWithoutEndIsUnknownAndBounded)
+{
+  const std::string chunkWithExtension =
+    "1;a=" + std::string(1'000, 'x') + "\r\ny\r\n";
+  const std::vector<std::pair<std::string, std::string>> replies{
+    { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+    { kChunked, "4\r\nxxxx\r\n" },
+    { kChunked + "5;", "x" },
+    { kChunked, chunkWithExtension },
+    { kChunked, "0" },
+    { kChunked + "0\r\n", "Name: value\r\n" },
+    { "HTTP/1.1 200 ", "x" },
+    { "HTTP/1.1 200 OK\r\n", "Name: value\r\n" },
+    { "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+  };
+  for (const auto& [start, repeated] : replies) {
+    SCOPED_TRACE(start + repeated.substr(0, 40));
+    const HttpResult result = endlessReply(start, repeated);
+    EXPECT_EQ(result.outcome, CallOutcome::Unknown);
+    EXPECT_LE(result.body.size(), 100'000U);
+  }
+}
+
 TEST(HttpClient, aHeaderThatCarriesAnotherRequestIsNotSent)
 {
   HttpCall call = callTo(harness::deadAddress());
