Take a stream that brings no event for broken off

What callers see: a stream that ends as complete although its replica stopped before the first event, or before the first one of a resumed run; an answer to HEAD on a streaming route that is followed by a last chunk, which the caller takes for the next answer; a stream without ids that begins anew at another replica, so that its events come twice.

Cause: the same as of streams that ended inside an event: the end of the message was taken for the end of the stream. Only bodies that end with their connection were asked for an event, and only for one of any attempt. Now each attempt must bring an event, and comments are none. A run that goes on after an event and brings nothing says that there is no more: that is believed if a second replica says so, and never if a run has ended inside a further event. Answers to HEAD are no streams, and a stream with an event that has no id is not resumed. Also, an empty line after the last event no longer makes a complete stream a broken one.

The event splitter now searches each byte once, however long an event grows.

--- a/src/relay/EventSplitter.cpp
+++ b/src/relay/EventSplitter.cpp
@@ -1,45 +1,81 @@
 #include "poplartrack/relay/EventSplitter.h"
 
 #include <charconv>
+#include <utility>
 
 namespace poplartrack {
 namespace {
 
-/** Returns the value of the first "id:" line that begins with a number. */
+/** Returns the number that follows "id:", if there is one. */
 std::optional<std::uint64_t>
-eventId(std::string_view aEvent)
+numberOf(std::string_view aValue)
+{
+  while (!aValue.empty() && aValue.front() == ' ') {
+    aValue.remove_prefix(1);
+  }
+  std::uint64_t number = 0;
+  const auto [stop, error] =
+    std::from_chars(aValue.data(), aValue.data() + aValue.size(), number);
+  return error == std::errc{} ? std::optional{ number } : std::nullopt;
+}
+
+/** Returns the event with these bytes. Its id is that of the first "id:" line
+ * that begins with a number. */
+StreamEvent
+eventOf(std::string_view aBytes)
 {
   constexpr std::string_view kId = "id:";
+  constexpr std::string_view kData = "data";
+  StreamEvent event;
+  event.bytes = aBytes;
   std::size_t at = 0;
-  while (at < aEvent.size()) {
-    std::size_t end = aEvent.find('\n', at);
-    end = end == std::string_view::npos ? aEvent.size() : end;
-    std::string_view line = aEvent.substr(at, end - at);
+  while (at < aBytes.size()) {
+    std::size_t end = aBytes.find('\n', at);
+    end = end == std::string_view::npos ? aBytes.size() : end;
+    const std::string_view line = aBytes.substr(at, end - at);
     at = end + 1;
-    if (!line.starts_with(kId)) {
-      continue;
+    if (!event.id && line.starts_with(kId)) {
+      event.id = numberOf(line.substr(kId.size()));
     }
-    line.remove_prefix(kId.size());
-    while (!line.empty() && line.front() == ' ') {
-      line.remove_prefix(1);
+    event.hasData = event.hasData || line.starts_with(kData);
+  }
+  return event;
+}
+
+/** Returns the position after the first empty line that ends an event, whose
+ * line break is at aFrom or later; npos if there is none. Lines may end with LF
+ * or CRLF. */
+std::size_t
+endOfEvent(std::string_view aBytes, std::size_t aFrom)
+{
+  std::size_t at = aBytes.find('\n', aFrom);
+  while (at != std::string_view::npos) {
+    const std::string_view after = aBytes.substr(at + 1);
+    if (after.starts_with('\n')) {
+      return at + 2;
     }
-    std::uint64_t id = 0;
-    const auto [stop, error] =
-      std::from_chars(line.data(), line.data() + line.size(), id);
-    if (error == std::errc{}) {
-      return id;
+    if (after.starts_with("\r\n")) {
+      return at + 3;
     }
+    at = aBytes.find('\n', at + 1);
   }
-  return std::nullopt;
+  return std::string_view::npos;
 }
 
 } // namespace
 
 bool
-EventSplitter::mayEndAfter(std::string_view aBytes) const
+EventSplitter::endsBetweenEvents() const
+{
+  // Further empty lines may follow the one that ends the last event.
+  return this->pending.find_first_not_of("\r\n") == std::string::npos;
+}
+
+std::string
+EventSplitter::takePartial()
 {
-  const std::string rest = this->pending + std::string{ aBytes };
-  return rest.empty() || rest.ends_with("\n\n") || rest.ends_with("\n\r\n");
+  this->searched = 0;
+  return std::exchange(this->pending, {});
 }
 
 std::vector<StreamEvent>
@@ -47,23 +83,20 @@
 {
   std::vector<StreamEvent> events;
   this->pending.append(aBytes);
+  const std::string_view bytes = this->pending;
   std::size_t start = 0;
-  while (true) {
-    // An empty line ends an event. Lines may end with LF or CRLF.
-    const std::size_t lfEnd = this->pending.find("\n\n", start);
-    const std::size_t crlfEnd = this->pending.find("\n\r\n", start);
-    if (lfEnd == std::string::npos && crlfEnd == std::string::npos) {
-      break;
-    }
-    const std::size_t end =
-      lfEnd < crlfEnd || crlfEnd == std::string::npos ? lfEnd + 2 : crlfEnd + 3;
-    StreamEvent event;
-    event.bytes = this->pending.substr(start, end - start);
-    event.id = eventId(event.bytes);
-    events.push_back(std::move(event));
+  std::size_t end = endOfEvent(bytes, this->searched);
+  while (end != std::string_view::npos) {
+    events.push_back(eventOf(bytes.substr(start, end - start)));
     start = end;
+    end = endOfEvent(bytes, start);
   }
   this->pending.erase(0, start);
+  // The last two bytes may begin an empty line that the next bytes complete.
+  constexpr std::size_t kLineBreakBytes = 2;
+  this->searched = this->pending.size() > kLineBreakBytes
+                     ? this->pending.size() - kLineBreakBytes
+                     : 0;
   return events;
 }
 
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -148,6 +148,17 @@
   std::optional<std::uint64_t> lastEvent;
   /** Number of events sent to the caller. */
   std::uint32_t events = 0;
+  /** Number of new events of the current attempt that bring anything. */
+  std::uint32_t attemptEvents = 0;
+  /** Number of earlier attempts that went on after an event and then ended in
+   * the regular way without a further one. */
+  std::uint32_t emptyEnds = 0;
+  /** An attempt ended inside an event, and none has come since: there is at
+   * least that one to come. */
+  bool hasLostPartialEvent = false;
+  /** An event without an id was sent to the caller. A further attempt could not
+   * be told to go on after it. */
+  bool hasUnnumberedEvent = false;
   /** When the attempt was sent, moved to another path or last sent an event. */
   TimePoint lastProgress{};
   /** How long the iteration of the loop that sent the attempt, or its last
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -117,31 +117,37 @@
     this->onAttemptFailed(aExchange, ReplicaFailure::Faulty, "no stamp");
     return;
   }
-  if (isSuccess(head.status) && aExchange.route->rule == RetryRule::Stream) {
+  if (isSuccess(head.status) && aExchange.route->rule == RetryRule::Stream &&
+      aExchange.head.method != "HEAD") {
     aExchange.streaming = true;
   }
 }
 
+/** Returns whether an answer with this status is the stream of the exchange. */
+bool
+RelayLoop::Impl::isStream(const Exchange& aExchange, int aStatus)
+{
+  return aExchange.streaming && isSuccess(aStatus);
+}
+
 /** Forwards the part of a stream that has been received. Other answers are
  * forwarded whole, by onAnswerDone. */
 void
 RelayLoop::Impl::onAnswerBody(Exchange& aExchange,
                               ReplicaConnection& aConnection)
 {
-  const int status = aConnection.parser->head().status;
-  if (aExchange.streaming && isSuccess(status)) {
-    this->forwardEvents(aExchange, aConnection.parser->takeBody(), false);
+  if (isStream(aExchange, aConnection.parser->head().status)) {
+    const std::string bytes = aConnection.parser->takeBody();
+    this->forwardEvents(aExchange, takeNewEvents(aExchange, bytes), false);
   }
 }
 
-/** Forwards the complete events among the bytes to the caller; the first ones
- * with the head of the answer. With aEnd, also ends the chunked body. */
-void
-RelayLoop::Impl::forwardEvents(Exchange& aExchange,
-                               const std::string& aBytes,
-                               bool aEnd)
+/** Returns the complete events among the bytes that the caller does not have
+ * yet, as received. */
+std::string
+RelayLoop::Impl::takeNewEvents(Exchange& aExchange, std::string_view aBytes)
 {
-  std::string out;
+  std::string text;
   for (const StreamEvent& event : aExchange.splitter.feed(aBytes)) {
     // A resumed run may repeat events that the caller has already received.
     if (event.id && aExchange.lastEvent && *event.id <= *aExchange.lastEvent) {
@@ -150,16 +156,60 @@
     if (event.id) {
       aExchange.lastEvent = event.id;
     }
+    aExchange.hasUnnumberedEvent =
+      aExchange.hasUnnumberedEvent || (event.hasData && !event.id);
+    if (event.hasData || event.id) {
+      ++aExchange.attemptEvents;
+      aExchange.hasLostPartialEvent = false;
+    }
     ++aExchange.events;
-    out.append(event.bytes);
+    text.append(event.bytes);
   }
+  return text;
+}
+
+/** Returns whether a stream whose body has ended in the regular way is
+ * complete. A replica may stop inside an event, or before the first one. A run
+ * that goes on after an event and brings none says that there are no more; that
+ * is true if another replica says so, too. */
+bool
+RelayLoop::Impl::isCompleteStream(Exchange& aExchange)
+{
+  if (!aExchange.splitter.endsBetweenEvents()) {
+    return false;
+  }
+  if (aExchange.attemptEvents > 0) {
+    return true;
+  }
+  return aExchange.lastEvent && !aExchange.hasLostPartialEvent &&
+         aExchange.emptyEnds++ > 0;
+}
+
+/** Returns whether the end of the connection may be the end of the answer. A
+ * stream without an event cannot be told from one whose replica crashed. */
+bool
+RelayLoop::Impl::mayEndAtClose(const Exchange& aExchange,
+                               const ResponseParser& aParser)
+{
+  return !isStream(aExchange, aParser.head().status) ||
+         (aExchange.attemptEvents > 0 &&
+          aExchange.splitter.endsBetweenEvents());
+}
+
+/** Forwards events to the caller, the first ones with the head of the answer.
+ * With aEnd, also ends the chunked body. */
+void
+RelayLoop::Impl::forwardEvents(Exchange& aExchange,
+                               const std::string& aEvents,
+                               bool aEnd)
+{
   const auto caller = this->callers.find(aExchange.caller);
   if (caller == this->callers.end()) {
     return;
   }
   std::string text;
   const bool first = !aExchange.answering;
-  if (first && (!out.empty() || aEnd)) {
+  if (first && (!aEvents.empty() || aEnd)) {
     aExchange.answering = true;
     aExchange.firstEvent = this->now - aExchange.arrived;
     this->shared.metrics.observe("first_event_seconds", aExchange.firstEvent);
@@ -168,7 +218,7 @@
                             connection->second->parser->head(),
                             "Transfer-Encoding: chunked\r\n");
   }
-  if (!out.empty()) {
+  if (!aEvents.empty()) {
     const bool firstOnPath = !aExchange.runningSince || aExchange.repairedAt;
     this->recordEventTime(aExchange);
     this->recordPace(aExchange);
@@ -179,7 +229,7 @@
     }
     this->endPrefill(aExchange);
     this->recordRepairTime(aExchange);
-    text.append(chunkOf(out));
+    text.append(chunkOf(aEvents));
     aExchange.lastProgress = this->now;
     aExchange.progressDelay = this->clock() - this->now;
     aExchange.overdue = false;
@@ -282,7 +332,7 @@
   Exchange& exchange = *found->second;
   ReplicaConnection& connection = *from->second;
   const MessageHead head = connection.parser->head();
-  const bool stream = exchange.streaming && isSuccess(head.status);
+  const bool stream = isStream(exchange, head.status);
   if (head.status >= kInternalError) {
     if (this->onServerError(exchange, connection, head.status)) {
       return;
@@ -295,15 +345,8 @@
     this->onAttemptFailed(exchange, ReplicaFailure::Faulty, "resume refused");
     return;
   }
-  std::string body = connection.parser->takeBody();
-  if (stream) {
-    const bool isWhole = exchange.splitter.mayEndAfter(body);
-    this->forwardEvents(exchange, body, isWhole);
-    if (!isWhole) {
-      this->onAttemptFailed(
-        exchange, ReplicaFailure::Faulty, "ended inside an event");
-      return;
-    }
+  if (stream && !this->endStream(exchange, connection)) {
+    return;
   }
   if (isSuccess(head.status)) {
     this->recordServed(exchange);
@@ -311,6 +354,7 @@
       this->recordAnswering(exchange);
     }
   }
+  std::string body = connection.parser->takeBody();
   exchange.connection = 0;
   this->releaseReplica(connection);
   if (!stream) {
@@ -329,6 +373,28 @@
 }
 
 /** Sends an answer that is no stream to the caller. */
+/** Forwards the end of a stream whose body has ended. Returns false if the
+ * stream is not complete, and its attempt has failed. */
+bool
+RelayLoop::Impl::endStream(Exchange& aExchange, ReplicaConnection& aConnection)
+{
+  const std::string bytes = aConnection.parser->takeBody();
+  std::string events = takeNewEvents(aExchange, bytes);
+  const bool isComplete = this->isCompleteStream(aExchange);
+  if (isComplete) {
+    events.append(aExchange.splitter.takePartial());
+  }
+  this->forwardEvents(aExchange, events, isComplete);
+  if (!isComplete) {
+    this->onAttemptFailed(aExchange,
+                          ReplicaFailure::Faulty,
+                          aExchange.splitter.endsBetweenEvents()
+                            ? "ended without an event"
+                            : "ended inside an event");
+  }
+  return isComplete;
+}
+
 void
 RelayLoop::Impl::forwardWholeAnswer(Exchange& aExchange,
                                     const MessageHead& aHead,
@@ -421,9 +487,9 @@
   aExchange.avoid.insert(aExchange.replica);
   this->dropAttempt(aExchange, possiblyRan);
   const RelayRoute& route = *aExchange.route;
-  const bool isRepeatable =
-    route.rule == RetryRule::Idempotent ||
-    (route.rule == RetryRule::Stream && route.resumable);
+  const bool isRepeatable = route.rule == RetryRule::Idempotent ||
+                            (route.rule == RetryRule::Stream &&
+                             route.resumable && !aExchange.hasUnnumberedEvent);
   const bool retryAllowed =
     !possiblyRan || (isRepeatable && aExchange.runs < route.attempts);
   if (aFailure == ReplicaFailure::Unreachable) {
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -164,6 +164,7 @@
   aExchange.lastProgress = this->now;
   aExchange.progressDelay = this->clock() - this->now;
   aExchange.overdue = false;
+  aExchange.attemptEvents = 0;
   ++aExchange.sends;
   this->waiting.remove(aExchange.id);
   this->uncountWaiting(aExchange);
@@ -276,6 +277,8 @@
 RelayLoop::Impl::endExchange(Exchange& aExchange)
 {
   if (aExchange.runs > 0) {
+  aExchange.hasLostPartialEvent =
+    aExchange.hasLostPartialEvent || !aExchange.splitter.endsBetweenEvents();
     this->recordServiceEnd(aExchange);
   }
   this->removeLoad(aExchange);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -253,7 +253,16 @@
   void onAttemptFailed(Exchange& aExchange,
                        ReplicaFailure aFailure,
                        std::string_view aCause);
-  void forwardEvents(Exchange& aExchange, const std::string& aBytes, bool aEnd);
+  [[nodiscard]] static bool isStream(const Exchange& aExchange, int aStatus);
+  static std::string takeNewEvents(Exchange& aExchange,
+                                   std::string_view aBytes);
+  static bool isCompleteStream(Exchange& aExchange);
+  [[nodiscard]] static bool mayEndAtClose(const Exchange& aExchange,
+                                          const ResponseParser& aParser);
+  void forwardEvents(Exchange& aExchange,
+                     const std::string& aEvents,
+                     bool aEnd);
+  bool endStream(Exchange& aExchange, ReplicaConnection& aConnection);
   void forwardWholeAnswer(Exchange& aExchange,
                           const MessageHead& aHead,
                           std::string aBody);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -6,6 +6,17 @@
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
+namespace {
+
+/** Returns whether the stream may go on with another attempt after this one. */
+bool
+mayBeResumed(const Exchange& aExchange)
+{
+  return aExchange.route->resumable && !aExchange.hasUnnumberedEvent &&
+         aExchange.runs + 1 < aExchange.route->attempts;
+}
+
+} // namespace
 
 /** Handles the loss of a replica: moves all requests that pass through it. */
 void
@@ -104,8 +115,7 @@
   const bool needsMoreCrossings =
     !target ||
     target.value().path.crossings.size() > aExchange.path.crossings.size();
-  const bool mayResume = aExchange.route->resumable &&
-                         aExchange.runs + 1 < aExchange.route->attempts;
+  const bool mayResume = mayBeResumed(aExchange);
   // Only a few planned moves happen at a time, so they may cross a link. They
   // don't use up the attempt. It is needed if the first replica drains, because
   // no other path can replace that one. When a release drains six replicas one
@@ -158,9 +168,7 @@
 void
 RelayLoop::Impl::moveOffDrainingFirst(Exchange& aExchange)
 {
-  const bool mayMove = aExchange.route->resumable &&
-                       aExchange.runs + 1 < aExchange.route->attempts;
-  if (!mayMove) {
+  if (!mayBeResumed(aExchange)) {
     return;
   }
   if (!this->budgetOf(aExchange).mayRetry(RetryPriority::Planned, this->now)) {
@@ -194,9 +202,7 @@
     this->armExchange(exchange);
     return;
   }
-  const bool mayResume =
-    exchange.route->resumable && exchange.runs + 1 < exchange.route->attempts;
-  if (aOrder.planned || !mayResume) {
+  if (aOrder.planned || !mayBeResumed(exchange)) {
     // The request is still on the old path. A stream that was moved as planned
     // still runs there, and the move is tried again later. Ending its attempt
     // would break off a stream that is not disturbed.
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -145,12 +145,10 @@
     return;
   }
   ResponseParser& parser = *connection.parser;
-  const bool hasNoEvent =
-    exchange->second->streaming && exchange->second->events == 0;
-  const bool endsAtClose =
-    aClean && connection.headHandled && !connection.discardingAnswer &&
-    parser.need_eof() && parser.problem() == ParseProblem::None &&
-    !hasNoEvent && exchange->second->splitter.mayEndAfter("");
+  const bool endsAtClose = aClean && connection.headHandled &&
+                           !connection.discardingAnswer && parser.need_eof() &&
+                           parser.problem() == ParseProblem::None &&
+                           this->mayEndAtClose(*exchange->second, parser);
   if (endsAtClose) {
     parser.feedEnd();
     if (parser.problem() == ParseProblem::None) {
--- a/tests/unit/relay/EventSplitterTest.cpp
+++ b/tests/unit/relay/EventSplitterTest.cpp
@@ -14,9 +14,9 @@
   ASSERT_EQ(events.size(), 1U);
   EXPECT_EQ(events[0].id, 7U);
   EXPECT_EQ(events[0].bytes, "id: 7\ndata: a\n\n");
-  EXPECT_FALSE(splitter.mayEndAfter(""));
+  EXPECT_FALSE(splitter.endsBetweenEvents());
   EXPECT_EQ(splitter.feed("ta: b\n\n").front().id, 8U);
-  EXPECT_TRUE(splitter.mayEndAfter(""));
+  EXPECT_TRUE(splitter.endsBetweenEvents());
 }
 
 TEST(EventSplitter, AnEventNeedsNoId)
@@ -51,16 +51,55 @@
   RC_ASSERT(joined == text);
 }
 
+/** Returns whether a stream with these bytes ends between two events. */
+bool
+endsBetweenEvents(std::string_view aBytes)
+{
+  EventSplitter splitter;
+  splitter.feed(aBytes);
+  return splitter.endsBetweenEvents();
+}
+
 TEST(EventSplitter, AStreamMayEndOnlyBetweenEvents)
 {
+  EXPECT_TRUE(endsBetweenEvents(""));
+  EXPECT_TRUE(endsBetweenEvents("data: a\n\n"));
+  EXPECT_TRUE(endsBetweenEvents("data: a\r\n\r\n"));
+  EXPECT_FALSE(endsBetweenEvents("data: a\n"));
+  EXPECT_FALSE(endsBetweenEvents("data: a\r\n\r"));
+  EXPECT_FALSE(endsBetweenEvents("data: a\n\nid: 1"));
   EventSplitter splitter;
-  EXPECT_TRUE(splitter.mayEndAfter(""));
-  EXPECT_TRUE(splitter.mayEndAfter("data: a\n\n"));
-  EXPECT_TRUE(splitter.mayEndAfter("data: a\r\n\r\n"));
-  EXPECT_FALSE(splitter.mayEndAfter("data: a\n"));
   splitter.feed("data: a\n");
-  EXPECT_FALSE(splitter.mayEndAfter(""));
-  EXPECT_TRUE(splitter.mayEndAfter("\n"));
+  EXPECT_FALSE(splitter.endsBetweenEvents());
+  splitter.feed("\n");
+  EXPECT_TRUE(splitter.endsBetweenEvents());
+}
+
+TEST(EventSplitter, FurtherEmptyLinesAfterTheLastEventAreNoPartOfAnother)
+{
+  EXPECT_TRUE(endsBetweenEvents("data: a\n\n\n"));
+  EXPECT_TRUE(endsBetweenEvents("data: a\r\n\r\n\r\n"));
+}
+
+TEST(EventSplitter, CommentsAndEmptyLinesBringNoData)
+{
+  EventSplitter splitter;
+  const auto events = splitter.feed(": alive\n\ndata\n\nid: 1\n\n");
+  ASSERT_EQ(events.size(), 3U);
+  EXPECT_FALSE(events[0].hasData);
+  EXPECT_TRUE(events[1].hasData);
+  EXPECT_FALSE(events[2].hasData);
+}
+
+TEST(EventSplitter, FindsAnEmptyLineThatArrivesByteByByte)
+{
+  for (const std::string text : { "data: a\n\n", "data: a\r\n\r\n" }) {
+    EventSplitter splitter;
+    for (const char byte : text.substr(0, text.size() - 1)) {
+      EXPECT_TRUE(splitter.feed({ &byte, 1 }).empty());
+    }
+    EXPECT_EQ(splitter.feed("\n").size(), 1U);
+  }
 }
 
 } // namespace
--- a/tests/unit/relay/RelayMessages.h
+++ b/tests/unit/relay/RelayMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdio>
 #include <string>
 
@@ -75,14 +76,20 @@
     return "HTTP/1.1 200 OK\r\nX-Id: " + aId +
            "\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
   }
-  /** Returns a chunk with one event. */
-  static std::string event(int aId)
+  /** Returns the text of an event. */
+  static std::string eventText(int aId, const std::string& aData = "x")
+  {
+    return "id: " + std::to_string(aId) + "\ndata: " + aData + "\n\n";
+  }
+  /** Returns a chunk of a chunked body. */
+  static std::string chunk(const std::string& aBytes)
   {
-    const std::string text = "id: " + std::to_string(aId) + "\ndata: x\n\n";
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
+    return size.data() + aBytes + "\r\n";
   }
+  /** Returns a chunk with one event. */
+  static std::string event(int aId) { return chunk(eventText(aId)); }
   static constexpr const char* kLastChunk = "0\r\n\r\n";
 };
 
--- a/tests/unit/relay/UnframedAnswerTest.cpp
+++ b/tests/unit/relay/UnframedAnswerTest.cpp
@@ -9,13 +9,6 @@
 
 constexpr const char* kHead = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n";
 
-/** The text of an event, without the framing of a chunk. */
-std::string
-eventText(int aId)
-{
-  return "id: " + std::to_string(aId) + "\ndata: x\n\n";
-}
-
 class UnframedAnswer : public RelayFixture
 {
 protected:
@@ -31,8 +24,8 @@
 TEST_F(UnframedAnswer, AStreamEndsWithItsConnection)
 {
   this->requestStream();
-  this->replica->send(kHead + std::string{ "\r\n" } + eventText(1) +
-                      eventText(2));
+  this->replica->send(kHead + std::string{ "\r\n" } + RelayWorld::eventText(1) +
+                      RelayWorld::eventText(2));
   this->replica->close();
   const std::string answer = this->caller->readUntil("0\r\n\r\n");
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
@@ -43,7 +36,7 @@
 TEST_F(UnframedAnswer, AStreamThatEndsInAnEventIsResumed)
 {
   this->requestStream();
-  this->replica->send(kHead + std::string{ "\r\n" } + eventText(1) +
+  this->replica->send(kHead + std::string{ "\r\n" } + RelayWorld::eventText(1) +
                       "id: 2\nda");
   this->replica->close();
   this->expectResumed(this->one);
@@ -74,7 +67,7 @@
 TEST_F(UnframedAnswer, AStreamWithALengthThatEndsInAnEventIsResumed)
 {
   this->requestStream();
-  const std::string body = eventText(1) + "id: 2\nda";
+  const std::string body = RelayWorld::eventText(1) + "id: 2\nda";
   this->replica->send(kHead +
                       ("Content-Length: " + std::to_string(body.size())) +
                       "\r\n\r\n" + body);
