Bound the memory and the time that an answer of a replica takes

What callers see: bytes without end from one replica got a relay killed, with all its requests: a whole answer (status 500), a chunk extension, or many small events for a caller that reads more slowly. One event without an end took the only thread's time, and an answer to another request was read and dropped for good.

Causes: answers had no limit; the largest unfinished one was always read, however large; parts of events did not count as held; nothing stopped reading a stream whose caller does not read; the parser keeps an incomplete size line, extension or trailer without a limit.

Change: head, framing, body, stream, event, interim answers and answers to other requests have bounds (`limits.answer_*`, `limits.stream_mb`, `limits.event_kb`). At a bound the connection is closed, the replica counts as faulty, and the request runs elsewhere if it may, else it ends with 502. More than 256 KB of a stream that the caller has not read are not read from its replica. Reads of more than 4 KB in 200 ms for one request have 0.1 of the loop's time together (`limits.bulk_read_share`). If too much is held, the unfinished answer with the least announced bytes to come ends first. Large answers are kept in blocks, which no longer take twice their size while they grow. Framing of requests has the same bound. Interim answers (1xx) are skipped; the first one was taken for the answer itself. A counter (`answers_over_limit_total`) and a log line name the cause.

--- a/include/poplartrack/observe/Metrics.h
+++ b/include/poplartrack/observe/Metrics.h
@@ -11,6 +11,7 @@
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/ErrorKind.h"
+#include "poplartrack/observe/AnswerExcess.h"
 #include "poplartrack/observe/RetryReason.h"
 #include "poplartrack/observe/StoreCall.h"
 
@@ -34,6 +35,8 @@
   void countRefusal(ErrorKind aKind);
   /** One piece of work tried again. */
   void countRetry(RetryReason aReason);
+  /** One answer of a replica that exceeded this bound. */
+  void countExcess(AnswerExcess aExcess);
   /** Calls of the store for this reason. */
   void countStoreCall(StoreCall aCall, std::uint64_t aAmount = 1);
   /** Adds to a named counter; names follow Prometheus ("..._total"). */
@@ -45,6 +48,7 @@
 
   [[nodiscard]] std::uint64_t refusals(ErrorKind aKind) const;
   [[nodiscard]] std::uint64_t retries(RetryReason aReason) const;
+  [[nodiscard]] std::uint64_t excesses(AnswerExcess aExcess) const;
   [[nodiscard]] std::uint64_t storeCalls(StoreCall aCall) const;
   [[nodiscard]] std::uint64_t counter(std::string_view aName) const;
   /** All of it as Prometheus text. */
@@ -53,6 +57,7 @@
 private:
   std::array<std::atomic<std::uint64_t>, kErrorKindCount> refusalCounts{};
   std::array<std::atomic<std::uint64_t>, kRetryReasonCount> retryCounts{};
+  std::array<std::atomic<std::uint64_t>, kAnswerExcessCount> excessCounts{};
   std::array<std::atomic<std::uint64_t>, kStoreCallCount> storeCallCounts{};
   mutable std::mutex named;
   std::map<std::string, std::uint64_t, std::less<>> counters;
--- a/include/poplartrack/relay/RelaySettings.h
+++ b/include/poplartrack/relay/RelaySettings.h
@@ -42,6 +42,16 @@
   /** New connections are closed unread while the event loop works for this
    * share of its time or more. */
   double acceptLoad = LoopLoad::kDefaultLimit;
+  /** Largest head of an answer of a replica; also of its trailers, and of the
+   * size line of a chunk. */
+  double answerHeadKb = 64;
+  /** Largest body of an answer that is forwarded as a whole. */
+  double answerMb = 32;
+  /** Largest stream, and largest event in it. */
+  double streamMb = 16;
+  double eventKb = 1'024;
+  /** Largest share of the event loop's time for reading answers in bulk. */
+  double bulkReadShare = 0.1;
   /** A replica gets no new work from this long after the store acknowledged
    * that it drains. */
   Duration drain = std::chrono::milliseconds{ 2'000 };
--- a/src/observe/Metrics.cpp
+++ b/src/observe/Metrics.cpp
@@ -34,6 +34,23 @@
   return text;
 }
 
+/** Renders a counter with one label, whose values are the names of Kind. */
+template<typename Kind>
+void
+renderCounts(std::ostringstream& aOut,
+             std::string_view aName,
+             std::string_view aKey,
+             const auto& aCounts)
+{
+  renderType(aOut, aName, "counter");
+  for (std::size_t i = 0; i < aCounts.size(); ++i) {
+    renderLine(aOut,
+               aName,
+               label(aKey, nameOf(static_cast<Kind>(i))),
+               aCounts[i].load());
+  }
+}
+
 } // namespace
 
 Metrics::Metrics() = default;
@@ -53,6 +70,13 @@
     1, std::memory_order_relaxed);
 }
 
+void
+Metrics::countExcess(AnswerExcess aExcess)
+{
+  this->excessCounts[static_cast<std::size_t>(aExcess)].fetch_add(
+    1, std::memory_order_relaxed);
+}
+
 void
 Metrics::countStoreCall(StoreCall aCall, std::uint64_t aAmount)
 {
@@ -103,6 +127,12 @@
   return this->retryCounts[static_cast<std::size_t>(aReason)].load();
 }
 
+std::uint64_t
+Metrics::excesses(AnswerExcess aExcess) const
+{
+  return this->excessCounts[static_cast<std::size_t>(aExcess)].load();
+}
+
 std::uint64_t
 Metrics::storeCalls(StoreCall aCall) const
 {
@@ -121,30 +151,12 @@
 Metrics::render() const
 {
   std::ostringstream out;
-  renderType(out, "refusals_total", "counter");
-  for (std::size_t i = 0; i < kErrorKindCount; ++i) {
-    const auto kind = static_cast<ErrorKind>(i);
-    renderLine(out,
-               "refusals_total",
-               label("kind", nameOf(kind)),
-               this->refusalCounts[i].load());
-  }
-  renderType(out, "retries_total", "counter");
-  for (std::size_t i = 0; i < kRetryReasonCount; ++i) {
-    const auto reason = static_cast<RetryReason>(i);
-    renderLine(out,
-               "retries_total",
-               label("reason", nameOf(reason)),
-               this->retryCounts[i].load());
-  }
-  renderType(out, "store_calls_total", "counter");
-  for (std::size_t i = 0; i < kStoreCallCount; ++i) {
-    const auto call = static_cast<StoreCall>(i);
-    renderLine(out,
-               "store_calls_total",
-               label("reason", nameOf(call)),
-               this->storeCallCounts[i].load());
-  }
+  renderCounts<ErrorKind>(out, "refusals_total", "kind", this->refusalCounts);
+  renderCounts<RetryReason>(out, "retries_total", "reason", this->retryCounts);
+  renderCounts<AnswerExcess>(
+    out, "answers_over_limit_total", "cause", this->excessCounts);
+  renderCounts<StoreCall>(
+    out, "store_calls_total", "reason", this->storeCallCounts);
   const std::scoped_lock lock{ this->named };
   for (const auto& [name, value] : this->counters) {
     renderType(out, name, "counter");
--- a/src/relay/CallerConnection.h
+++ b/src/relay/CallerConnection.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string>
 
+#include "ByteBlocks.h"
 #include "MessageParser.h"
-#include "OutputBuffer.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/OwnedFd.h"
 
@@ -19,7 +19,7 @@
   /** Bytes received but not parsed yet. */
   std::string input;
   /** Bytes not yet written to the socket. */
-  OutputBuffer output;
+  ByteBlocks output;
   /** When the socket last accepted bytes. */
   TimePoint writtenAt{};
   /** Bytes of memory set aside for the body of the request that is being
@@ -39,6 +39,8 @@
   bool watchesWrite = false;
   /** The poller does not report readable bytes: too many are buffered. */
   bool readPaused = false;
+  /** Reading the stream for this caller was paused until it has read more. */
+  bool pausesStream = false;
   /** The connection closes after the current answer; the head of the answer
    * says so. */
   bool closeWhenAnswered = false;
--- a/src/relay/MessageParser.h
+++ b/src/relay/MessageParser.h
@@ -8,6 +8,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include "ByteBlocks.h"
 #include "poplartrack/relay/HeaderList.h"
 
 namespace poplartrack {
@@ -18,6 +19,9 @@
   None,
   Malformed,
   HeadTooLarge,
+  /** Too many bytes are neither head nor body: chunk sizes, chunk extensions,
+   * trailers. */
+  FramingTooLarge,
   BodyTooLarge,
 };
 
@@ -50,6 +54,7 @@
 
   /** Limits are in bytes; a body limit of 0 means no limit. */
   MessageParser(std::size_t aHeadLimit, std::uint64_t aBodyLimit)
+    : headLimit(aHeadLimit)
   {
     this->eager(true);
     this->header_limit(static_cast<std::uint32_t>(aHeadLimit));
@@ -68,12 +73,15 @@
   [[nodiscard]] ParseProblem problem() const { return this->parseProblem; }
   [[nodiscard]] const MessageHead& head() const { return this->parsedHead; }
   /** Returns and clears the body bytes parsed since the last call. */
-  std::string takeBody() { return std::exchange(this->bodyBytes, {}); }
-  /** Body bytes that takeBody() would return. */
-  [[nodiscard]] const std::string& unreadBody() const
-  {
-    return this->bodyBytes;
-  }
+  std::string takeBody() { return this->body.takeJoined(); }
+  /** The same without joining the blocks of a large body. */
+  ByteBlocks takeBodyBlocks() { return std::exchange(this->body, {}); }
+  /** Number of body bytes that takeBody() would return. */
+  [[nodiscard]] std::size_t unreadBytes() const { return this->body.size(); }
+  /** Number of all body bytes so far. */
+  [[nodiscard]] std::uint64_t bodyBytes() const { return this->bodyCount; }
+  /** Number of all bytes so far, of which body is only a part. */
+  [[nodiscard]] std::uint64_t consumedBytes() const { return this->consumed; }
 
 private:
   void on_request_impl(boost::beast::http::verb,
@@ -112,22 +120,36 @@
   }
   std::size_t on_body_impl(Text aBody, ErrorCode&) override
   {
-    this->bodyBytes.append(aBody.data(), aBody.size());
-    return aBody.size();
+    return this->addBody(aBody);
   }
   void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t, Text aBody, ErrorCode&) override
   {
-    this->bodyBytes.append(aBody.data(), aBody.size());
-    return aBody.size();
+    return this->addBody(aBody);
   }
   void on_finish_impl(ErrorCode&) override {}
 
+  std::size_t addBody(Text aBytes)
+  {
+    this->body.append(std::string_view{ aBytes.data(), aBytes.size() });
+    this->bodyCount += aBytes.size();
+    return aBytes.size();
+  }
   /** Sets parseProblem unless the parser only needs more bytes. */
   void recordError(const ErrorCode& aError);
+  /** Sets parseProblem if too many bytes are framing. aUnparsed: number of
+   * bytes that the parser cannot consume yet. */
+  void checkFraming(std::size_t aUnparsed);
 
+  /** Framing that each byte of a body may have. A chunk of one byte takes five.
+   */
+  static constexpr std::uint64_t kMaxFramingPerByte = 8;
+
+  std::size_t headLimit;
   MessageHead parsedHead;
-  std::string bodyBytes;
+  ByteBlocks body;
+  std::uint64_t bodyCount = 0;
+  std::uint64_t consumed = 0;
   /** The header is complete; later fields are trailers and are dropped. */
   bool headerDone = false;
   ParseProblem parseProblem = ParseProblem::None;
@@ -166,9 +188,25 @@
       break;
     }
   }
+  this->consumed += taken;
+  this->checkFraming(aBytes.size() - taken);
   return taken;
 }
 
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::checkFraming(std::size_t aUnparsed)
+{
+  // A head and trailers, each of which may have the size of a head.
+  const std::uint64_t allowed =
+    2 * this->headLimit + kMaxFramingPerByte * this->bodyCount;
+  const bool incompleteLine = !this->is_done() && aUnparsed > this->headLimit;
+  if (this->parseProblem == ParseProblem::None &&
+      (incompleteLine || this->consumed - this->bodyCount > allowed)) {
+    this->parseProblem = ParseProblem::FramingTooLarge;
+  }
+}
+
 template<bool kIsRequest>
 void
 MessageParser<kIsRequest>::feedEnd()
@@ -183,4 +221,12 @@
 using RequestParser = MessageParser<true>;
 using ResponseParser = MessageParser<false>;
 
+/** Returns the length of the body that the head announces; 0 if none. */
+template<bool kIsRequest>
+std::uint64_t
+announcedBytes(const MessageParser<kIsRequest>& aParser)
+{
+  return aParser.is_header_done() ? aParser.content_length().value_or(0) : 0;
+}
+
 } // namespace poplartrack
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -242,7 +242,7 @@
     text.append(kLastChunk);
   }
   if (!text.empty()) {
-    this->sendToCaller(*caller->second, std::move(text));
+    this->sendToCaller(*caller->second, ByteBlocks{ std::move(text) });
   }
 }
 
@@ -354,7 +354,7 @@
       this->recordAnswering(exchange);
     }
   }
-  std::string body = connection.parser->takeBody();
+  ByteBlocks body = connection.parser->takeBodyBlocks();
   exchange.connection = 0;
   this->releaseReplica(connection);
   if (!stream) {
@@ -372,7 +372,6 @@
   }
 }
 
-/** Sends an answer that is no stream to the caller. */
 /** Forwards the end of a stream whose body has ended. Returns false if the
  * stream is not complete, and its attempt has failed. */
 bool
@@ -395,10 +394,11 @@
   return isComplete;
 }
 
+/** Sends an answer that is no stream to the caller. */
 void
 RelayLoop::Impl::forwardWholeAnswer(Exchange& aExchange,
                                     const MessageHead& aHead,
-                                    std::string aBody)
+                                    ByteBlocks aBody)
 {
   const auto caller = this->callers.find(aExchange.caller);
   if (caller == this->callers.end()) {
@@ -410,8 +410,9 @@
     (aExchange.head.method == "HEAD" && length ? std::string{ *length }
                                                : std::to_string(aBody.size())) +
     "\r\n";
-  aBody.insert(0, this->answerHead(aExchange, aHead, framing));
-  this->sendToCaller(*caller->second, std::move(aBody));
+  ByteBlocks answer{ this->answerHead(aExchange, aHead, framing) };
+  answer.append(std::move(aBody));
+  this->sendToCaller(*caller->second, std::move(answer));
 }
 
 /** Handles an answer by which the replica, or another one on its path, states
--- a/src/relay/RelayCallerOutput.cpp
+++ b/src/relay/RelayCallerOutput.cpp
@@ -83,12 +83,12 @@
   }
   text.append("\r\n").append(body);
   aCaller.closeAfterOut = close;
-  this->sendToCaller(aCaller, text);
+  this->sendToCaller(aCaller, ByteBlocks{ std::move(text) });
 }
 
 /** Queues bytes for a caller and writes what the socket accepts. */
 void
-RelayLoop::Impl::sendToCaller(CallerConnection& aCaller, std::string aBytes)
+RelayLoop::Impl::sendToCaller(CallerConnection& aCaller, ByteBlocks aBytes)
 {
   if (aCaller.output.empty()) {
     aCaller.writtenAt = this->now;
@@ -103,7 +103,7 @@
 RelayLoop::Impl::flushCaller(CallerConnection& aCaller)
 {
   while (!aCaller.output.empty()) {
-    const std::string_view unsent = aCaller.output.unsent();
+    const std::string_view unsent = aCaller.output.front();
     const ssize_t count =
       ::send(aCaller.fd.get(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
     if (count < 0) {
@@ -117,6 +117,7 @@
     aCaller.output.consume(static_cast<std::size_t>(count));
     aCaller.writtenAt = this->now;
   }
+  this->resumeStreamFor(aCaller);
   const bool wantsWrite = !aCaller.output.empty();
   if (wantsWrite != aCaller.watchesWrite) {
     aCaller.watchesWrite = wantsWrite;
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -58,6 +58,7 @@
 {
   switch (aProblem) {
     case ParseProblem::HeadTooLarge:
+    case ParseProblem::FramingTooLarge:
       return ErrorKind::HeadTooLarge;
     case ParseProblem::BodyTooLarge:
       return ErrorKind::TooLarge;
@@ -217,7 +218,8 @@
     if (aCaller.parser->is_header_done() && !aCaller.continueSent &&
         head.headers.hasToken("expect", "100-continue")) {
       aCaller.continueSent = true;
-      this->sendToCaller(aCaller, "HTTP/1.1 100 Continue\r\n\r\n");
+      this->sendToCaller(aCaller,
+                         ByteBlocks{ "HTTP/1.1 100 Continue\r\n\r\n" });
     }
     return;
   }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -174,6 +174,10 @@
   this->reserveLinkCapacity(aExchange, aTarget.path);
   this->armExchange(aExchange);
   this->resetParser(connection);
+  connection.interimAnswers = 0;
+  connection.foreignAnswers = 0;
+  connection.foreignBytes = 0;
+  connection.periodBytes = 0;
   connection.output.append(this->requestHead(aExchange, aTarget));
   connection.bodyLeft = aExchange.body.size();
   if (connection.state == ReplicaConnection::State::Busy) {
@@ -229,6 +233,11 @@
   if (aExchange.prefillEndsAt && this->now >= *aExchange.prefillEndsAt) {
     this->endPrefill(aExchange);
   }
+  if (connection->second->pause != ReadPause::None) {
+    // Nothing is read, so nothing shows whether the replica makes progress.
+    aExchange.lastProgress = this->now;
+    aExchange.overdue = false;
+  }
   if (connection->second->state == ReplicaConnection::State::Connecting) {
     if (this->now - aExchange.sentAt >= kConnectTimeout) {
       this->onAttemptFailed(
@@ -268,6 +277,8 @@
   if (aMayHaveRun) {
     ++aExchange.runs;
   }
+  aExchange.hasLostPartialEvent =
+    aExchange.hasLostPartialEvent || !aExchange.splitter.endsBetweenEvents();
   aExchange.splitter.reset();
 }
 
@@ -277,8 +288,6 @@
 RelayLoop::Impl::endExchange(Exchange& aExchange)
 {
   if (aExchange.runs > 0) {
-  aExchange.hasLostPartialEvent =
-    aExchange.hasLostPartialEvent || !aExchange.splitter.endsBetweenEvents();
     this->recordServiceEnd(aExchange);
   }
   this->removeLoad(aExchange);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -14,7 +14,9 @@
 
 #include "../wire/Poller.h"
 #include "../wire/TimerQueue.h"
+#include "AnswerLimits.h"
 #include "AttemptTarget.h"
+#include "BulkReads.h"
 #include "CallerConnection.h"
 #include "CandidateFilter.h"
 #include "ConnectionEnd.h"
@@ -128,7 +130,7 @@
                    std::string_view aRequestId,
                    Duration aRetryAfter,
                    bool aClose);
-  void sendToCaller(CallerConnection& aCaller, std::string aBytes);
+  void sendToCaller(CallerConnection& aCaller, ByteBlocks aBytes);
   void flushCaller(CallerConnection& aCaller);
   void updateCallerInterest(CallerConnection& aCaller);
   void startLingeringClose(CallerConnection& aCaller);
@@ -138,12 +140,31 @@
   [[nodiscard]] std::size_t countHeld() const;
   [[nodiscard]] bool holdsTooMuch(std::size_t aMore);
   [[nodiscard]] bool hasMemoryFor(CallerConnection& aCaller);
-  [[nodiscard]] ReplicaConnection* largestAnswer() const;
+  [[nodiscard]] std::size_t unfinishedBytes(
+    const ReplicaConnection& aConnection) const;
+  [[nodiscard]] const ReplicaConnection* nextToFinish() const;
   [[nodiscard]] std::size_t countUnwritten() const;
   [[nodiscard]] const ReplicaConnection* answerToFinish() const;
-  void pauseIfTooMuchHeld(ReplicaConnection& aConnection);
+  [[nodiscard]] CallerConnection* callerOf(
+    const ReplicaConnection& aConnection) const;
+  [[nodiscard]] bool callerLags(const ReplicaConnection& aConnection);
+  [[nodiscard]] ReadPause pauseDue(const ReplicaConnection& aConnection);
+  void pauseIfDue(ReplicaConnection& aConnection);
+  void resumeReading(ReplicaConnection& aConnection);
+  void resumeStreamFor(CallerConnection& aCaller);
   void refreshHeld();
 
+  // RelayExcess.cpp: answers that exceed a bound, and reads in bulk.
+  [[nodiscard]] std::optional<AnswerExcess> excessIn(
+    const Exchange& aExchange,
+    const ReplicaConnection& aConnection) const;
+  void countExcess(AnswerExcess aExcess,
+                   const std::string& aReplica,
+                   const std::string& aRequest);
+  void onExcess(Exchange& aExchange, AnswerExcess aExcess);
+  bool countBulk(ReplicaConnection& aConnection, std::size_t aBytes);
+  void beginBulkPeriod();
+
   // RelayReplicas.cpp: connections to replicas.
   Result<ReplicaConnection*> connectionTo(const AttemptTarget& aTarget,
                                           bool aRecentOnly);
@@ -163,6 +184,9 @@
   void readReplica(ReplicaConnection& aConnection);
   void parseReplicaInput(std::uint64_t aConnection);
   bool parseNextAnswer(ReplicaConnection& aConnection);
+  bool handleHead(Exchange& aExchange, ReplicaConnection& aConnection);
+  bool skipInterim(Exchange& aExchange, ReplicaConnection& aConnection);
+  bool discardAnswer(ReplicaConnection& aConnection);
   void onReplicaDisconnected(std::uint64_t aConnection,
                              bool aClean,
                              std::string_view aCause,
@@ -265,7 +289,7 @@
   bool endStream(Exchange& aExchange, ReplicaConnection& aConnection);
   void forwardWholeAnswer(Exchange& aExchange,
                           const MessageHead& aHead,
-                          std::string aBody);
+                          ByteBlocks aBody);
   [[nodiscard]] std::string answerHead(const Exchange& aExchange,
                                        const MessageHead& aHead,
                                        std::string_view aFraming) const;
@@ -462,6 +486,8 @@
   LoopClock clock;
   /** Bounds on the age of the configuration. */
   GatePolicy gate;
+  /** Bounds on the answers of replicas. */
+  AnswerLimits answerBounds;
 
   Poller poller;
   OwnedFd listener;
@@ -484,6 +510,7 @@
   /** Bytes held for callers and replicas: counted in each periodic run, and
    * increased by what has been received since. */
   std::size_t held = 0;
+  BulkReads bulkReads;
   /** Number of requests in flight from this relay at each replica of a plain
    * service. */
   std::unordered_map<std::string, std::uint32_t> plainLoad;
--- a/src/relay/RelayLossProbes.cpp
+++ b/src/relay/RelayLossProbes.cpp
@@ -68,15 +68,16 @@
   for (const auto& [id, exchange] : this->exchanges) {
     const auto& parts = exchange->path.parts;
     const auto connection = this->connections.find(exchange->connection);
-    const bool sent =
+    const bool isRead =
       connection != this->connections.end() &&
-      connection->second->state != ReplicaConnection::State::Connecting;
+      connection->second->state != ReplicaConnection::State::Connecting &&
+      connection->second->pause == ReadPause::None;
     const bool moving =
       !dead.empty() &&
       std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
         return dead.contains(aPart.replica);
       });
-    if (sent && !moving && !parts.empty()) {
+    if (isRead && !moving && !parts.empty()) {
       streams.push_back(progressOf(*exchange));
     }
   }
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -1,6 +1,7 @@
 // What the relay holds in memory for slow callers and replicas, and its limit.
 
 #include <algorithm>
+#include <limits>
 
 #include "RelayLoopImpl.h"
 
@@ -18,6 +19,10 @@
  * services must not suffer from large ones. */
 constexpr std::size_t kSmallMessage = std::size_t{ 16 } * 1024;
 
+/** Most bytes of a stream that wait for its caller. More are not read from the
+ * replica. */
+constexpr std::size_t kMaxUnreadStream = std::size_t{ 256 } * 1024;
+
 constexpr std::size_t kBytesPerMb = std::size_t{ 1024 } * 1024;
 
 } // namespace
@@ -37,14 +42,14 @@
   std::size_t bytes = 0;
   for (const auto& [id, caller] : this->callers) {
     bytes += caller->input.size() + caller->output.held() +
-             std::max(caller->parser->unreadBody().size(), caller->announced);
+             std::max(caller->parser->unreadBytes(), caller->announced);
   }
   for (const auto& [id, connection] : this->connections) {
     bytes += connection->input.size() + connection->output.held();
-    bytes += connection->parser ? connection->parser->unreadBody().size() : 0;
+    bytes += connection->parser ? connection->parser->unreadBytes() : 0;
   }
   for (const auto& [id, exchange] : this->exchanges) {
-    bytes += exchange->body.size();
+    bytes += exchange->body.size() + exchange->splitter.partialBytes();
   }
   return bytes;
 }
@@ -66,7 +71,7 @@
 RelayLoop::Impl::hasMemoryFor(CallerConnection& aCaller)
 {
   const std::uint64_t length = aCaller.parser->content_length().value_or(0);
-  const std::size_t received = aCaller.parser->unreadBody().size();
+  const std::size_t received = aCaller.parser->unreadBytes();
   const std::size_t size = std::max(static_cast<std::size_t>(length), received);
   if (size <= kSmallMessage || aCaller.announced >= size) {
     return true;
@@ -79,21 +84,44 @@
   return true;
 }
 
-/** Returns the connection with the largest unfinished answer, or null. */
-ReplicaConnection*
-RelayLoop::Impl::largestAnswer() const
+/** Returns the bytes that are held of an answer or event that is not complete.
+ */
+std::size_t
+RelayLoop::Impl::unfinishedBytes(const ReplicaConnection& aConnection) const
+{
+  const auto exchange = this->exchanges.find(aConnection.exchange);
+  const std::size_t event = exchange == this->exchanges.end()
+                              ? 0
+                              : exchange->second->splitter.partialBytes();
+  return event + (aConnection.parser ? aConnection.parser->unreadBytes() : 0);
+}
+
+/** Returns the connection with the large unfinished answer that should end
+ * first, or null: the one with the fewest announced bytes to come, since an
+ * answer without a length may never end; else the largest. */
+const ReplicaConnection*
+RelayLoop::Impl::nextToFinish() const
 {
-  ReplicaConnection* largest = nullptr;
+  const ReplicaConnection* largest = nullptr;
   std::size_t most = kSmallMessage;
+  const ReplicaConnection* shortest = nullptr;
+  std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
   for (const auto& [id, connection] : this->connections) {
-    const std::size_t size =
-      connection->parser ? connection->parser->unreadBody().size() : 0;
+    const std::size_t size = this->unfinishedBytes(*connection);
+    if (size <= kSmallMessage) {
+      continue;
+    }
     if (size > most) {
       most = size;
       largest = connection.get();
     }
+    const std::uint64_t announced = announcedBytes(*connection->parser);
+    if (announced > size && announced - size < least) {
+      least = announced - size;
+      shortest = connection.get();
+    }
   }
-  return largest;
+  return shortest != nullptr ? shortest : largest;
 }
 
 /** Returns the bytes of answers that their callers have not read yet. */
@@ -108,31 +136,115 @@
 }
 
 /** Returns the answer that is read although too much is held, or null. It is
- * the largest unfinished one, so that one ends. There is none while answers
- * that only wait for their callers reach the limit alone: they need no replica
- * to end, and each further answer that is read would add to them. */
+ * one unfinished answer, so that one ends: at its end, or at its limit. There
+ * is none while answers that only wait for their callers reach the limit alone:
+ * they need no replica to end, and each further answer that is read would add
+ * to them. */
 const ReplicaConnection*
 RelayLoop::Impl::answerToFinish() const
 {
-  return this->countUnwritten() < this->heldLimit() ? this->largestAnswer()
+  return this->countUnwritten() < this->heldLimit() ? this->nextToFinish()
                                                     : nullptr;
 }
 
-/** Stops reading a large answer while too much is held, until other answers
- * have been written to their callers. */
+/** Returns the caller of the request in progress on a connection, or null. */
+CallerConnection*
+RelayLoop::Impl::callerOf(const ReplicaConnection& aConnection) const
+{
+  const auto exchange = this->exchanges.find(aConnection.exchange);
+  if (exchange == this->exchanges.end()) {
+    return nullptr;
+  }
+  const auto caller = this->callers.find(exchange->second->caller);
+  return caller == this->callers.end() ? nullptr : caller->second.get();
+}
+
+/** Returns whether the caller of a stream has left so much unread that its
+ * replica has to wait. */
+bool
+RelayLoop::Impl::callerLags(const ReplicaConnection& aConnection)
+{
+  const CallerConnection* caller = this->callerOf(aConnection);
+  if (caller == nullptr ||
+      !this->exchanges.at(aConnection.exchange)->streaming) {
+    return false;
+  }
+  const std::size_t unread = caller->output.size();
+  return unread > kMaxUnreadStream ||
+         (unread > kSmallMessage && this->holdsTooMuch(0));
+}
+
+/** Returns why no more may be read from a replica now. */
+ReadPause
+RelayLoop::Impl::pauseDue(const ReplicaConnection& aConnection)
+{
+  if (aConnection.periodBytes > BulkReads::kFreeBytes &&
+      this->bulkReads.exhausted()) {
+    return ReadPause::Time;
+  }
+  if (this->callerLags(aConnection)) {
+    return ReadPause::Caller;
+  }
+  const bool isLarge = this->unfinishedBytes(aConnection) > kSmallMessage;
+  return isLarge && this->holdsTooMuch(0) &&
+             this->answerToFinish() != &aConnection
+           ? ReadPause::Memory
+           : ReadPause::None;
+}
+
+/** Stops reading from a replica if that has to wait for time, for the caller of
+ * the stream, or for memory. */
 void
-RelayLoop::Impl::pauseIfTooMuchHeld(ReplicaConnection& aConnection)
+RelayLoop::Impl::pauseIfDue(ReplicaConnection& aConnection)
 {
-  const bool isLarge = aConnection.parser->unreadBody().size() > kSmallMessage;
-  if (aConnection.readPaused || !isLarge || !this->holdsTooMuch(0) ||
-      this->answerToFinish() == &aConnection) {
+  const ReadPause due = this->pauseDue(aConnection);
+  if (due == ReadPause::None || aConnection.pause != ReadPause::None) {
     return;
   }
-  aConnection.readPaused = true;
-  this->shared.metrics.count("answers_paused_total");
+  aConnection.pause = due;
+  this->updateReplicaInterest(aConnection);
+  switch (due) {
+    case ReadPause::Memory:
+      this->shared.metrics.count("answers_paused_total");
+      break;
+    case ReadPause::Time:
+      this->shared.metrics.count("bulk_reads_paused_total");
+      break;
+    case ReadPause::Caller:
+      this->shared.metrics.count("streams_paused_total");
+      this->callerOf(aConnection)->pausesStream = true;
+      break;
+    case ReadPause::None:
+      break;
+  }
+}
+
+void
+RelayLoop::Impl::resumeReading(ReplicaConnection& aConnection)
+{
+  aConnection.pause = ReadPause::None;
   this->updateReplicaInterest(aConnection);
 }
 
+/** Reads the stream for a caller again once the caller has read most of it. */
+void
+RelayLoop::Impl::resumeStreamFor(CallerConnection& aCaller)
+{
+  if (!aCaller.pausesStream || aCaller.output.size() > kSmallMessage / 2) {
+    return;
+  }
+  aCaller.pausesStream = false;
+  const auto exchange = this->exchanges.find(aCaller.exchange);
+  if (exchange == this->exchanges.end()) {
+    return;
+  }
+  const auto connection = this->connections.find(exchange->second->connection);
+  if (connection != this->connections.end() &&
+      connection->second->pause == ReadPause::Caller) {
+    this->resumeReading(*connection->second);
+  }
+}
+
 /** Counts what is held, and reads paused answers again: all if there is room,
  * else the one to finish. */
 void
@@ -144,9 +256,9 @@
   const bool hasRoom = static_cast<double>(this->held) < kResumeShare * limit;
   const ReplicaConnection* toFinish = this->answerToFinish();
   for (const auto& [id, connection] : this->connections) {
-    if (connection->readPaused && (hasRoom || connection.get() == toFinish)) {
-      connection->readPaused = false;
-      this->updateReplicaInterest(*connection);
+    if (connection->pause == ReadPause::Memory &&
+        (hasRoom || connection.get() == toFinish)) {
+      this->resumeReading(*connection);
     }
   }
 }
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -105,6 +105,7 @@
   this->moveOffDraining();
   this->broadcastStatus(false);
   this->refreshHeld();
+  this->beginBulkPeriod();
   this->closeExpiredIdle(this->now);
   this->shared.log.flush();
   if (this->periodicRuns++ % kRunsPerSecond == 0) {
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 
+#include "HttpStatus.h"
 #include "RelayLoopImpl.h"
 
 namespace poplartrack {
@@ -37,14 +38,20 @@
     this->closeReplica(aConnection.id);
     return;
   }
+  const std::uint64_t id = aConnection.id;
+  const bool isBulk =
+    this->countBulk(aConnection, static_cast<std::size_t>(count));
+  const TimePoint before = isBulk ? this->clock() : TimePoint{};
   aConnection.input.append(bytes.data(), static_cast<std::size_t>(count));
   this->held += static_cast<std::size_t>(count);
-  const std::uint64_t id = aConnection.id;
   this->parseReplicaInput(id);
+  if (isBulk) {
+    this->bulkReads.record(this->clock() - before);
+  }
   const auto still = this->connections.find(id);
   if (still != this->connections.end() &&
       still->second->state == ReplicaConnection::State::Busy) {
-    this->pauseIfTooMuchHeld(*still->second);
+    this->pauseIfDue(*still->second);
   }
 }
 
@@ -64,8 +71,8 @@
   }
 }
 
-/** Parses buffered bytes of one answer. Returns true if that answer was
- * discarded and another one may follow it. */
+/** Parses buffered bytes of one answer. Returns true if that answer was skipped
+ * and another one may follow it. */
 bool
 RelayLoop::Impl::parseNextAnswer(ReplicaConnection& aConnection)
 {
@@ -77,46 +84,32 @@
     this->closeReplica(id);
     return false;
   }
-  if (parser.problem() != ParseProblem::None) {
+  Exchange& exchange = *found->second;
+  if (parser.problem() == ParseProblem::Malformed) {
     this->onReplicaDisconnected(id, false, "unreadable");
     return false;
   }
   if (parser.is_header_done() && !aConnection.headHandled) {
-    aConnection.headHandled = true;
-    const auto echo = parser.head().headers.find(this->names.requestId);
-    // The id of another request: a late or repeated answer to an earlier one.
-    aConnection.discardingAnswer = echo && *echo != found->second->requestId;
-    found->second->reportedLimit =
-      this
-        ->readSignals(aConnection, parser.head(), !aConnection.discardingAnswer)
-        .rateLimit;
-    if (!echo && aConnection.answersRead > 0) {
-      this->onReplicaDisconnected(id, false, "answer without id");
-      return false;
-    }
-    if (!aConnection.discardingAnswer) {
-      this->onAnswerHead(*found->second, aConnection);
-    } else {
-      this->shared.metrics.count("replica_foreign_answers_total");
+    if (isInterim(parser.head().status)) {
+      return this->skipInterim(exchange, aConnection);
     }
-    if (!this->connections.contains(id)) {
-      return false;
-    }
-  }
-  if (aConnection.discardingAnswer) {
-    parser.takeBody();
-    if (!parser.is_done()) {
+    if (!this->handleHead(exchange, aConnection)) {
       return false;
     }
-    this->resetParser(aConnection);
-    return true;
   }
-  if (!parser.unreadBody().empty() && parser.is_header_done()) {
-    this->onAnswerBody(*found->second, aConnection);
+  if (!aConnection.discardingAnswer && parser.unreadBytes() > 0) {
+    this->onAnswerBody(exchange, aConnection);
     if (!this->connections.contains(id)) {
       return false;
     }
   }
+  if (const auto excess = this->excessIn(exchange, aConnection)) {
+    this->onExcess(exchange, *excess);
+    return false;
+  }
+  if (aConnection.discardingAnswer) {
+    return this->discardAnswer(aConnection);
+  }
   if (parser.is_done()) {
     ++aConnection.answersRead;
     this->onAnswerDone(aConnection.exchange, id);
@@ -124,6 +117,66 @@
   return false;
 }
 
+/** Handles the head of an answer. Returns whether the connection is still
+ * there. */
+bool
+RelayLoop::Impl::handleHead(Exchange& aExchange, ReplicaConnection& aConnection)
+{
+  const std::uint64_t id = aConnection.id;
+  const MessageHead& head = aConnection.parser->head();
+  aConnection.headHandled = true;
+  const auto echo = head.headers.find(this->names.requestId);
+  // The id of another request: a late or repeated answer to an earlier one.
+  aConnection.discardingAnswer = echo && *echo != aExchange.requestId;
+  aExchange.reportedLimit =
+    this->readSignals(aConnection, head, !aConnection.discardingAnswer)
+      .rateLimit;
+  if (!echo && aConnection.answersRead > 0) {
+    this->onReplicaDisconnected(id, false, "answer without id");
+    return false;
+  }
+  if (aConnection.discardingAnswer) {
+    ++aConnection.foreignAnswers;
+    this->shared.metrics.count("replica_foreign_answers_total");
+    return true;
+  }
+  this->onAnswerHead(aExchange, aConnection);
+  return this->connections.contains(id);
+}
+
+/** Skips an interim answer (1xx), which says nothing of the outcome. Returns
+ * whether another answer may follow it. */
+bool
+RelayLoop::Impl::skipInterim(Exchange& aExchange,
+                             ReplicaConnection& aConnection)
+{
+  ++aConnection.interimAnswers;
+  if (aConnection.parser->head().status == kSwitchingProtocols) {
+    this->onReplicaDisconnected(aConnection.id, false, "unreadable");
+    return false;
+  }
+  if (const auto excess = this->excessIn(aExchange, aConnection)) {
+    this->onExcess(aExchange, *excess);
+    return false;
+  }
+  this->resetParser(aConnection);
+  return true;
+}
+
+/** Drops what has arrived of an answer to another request. Returns true at its
+ * end. */
+bool
+RelayLoop::Impl::discardAnswer(ReplicaConnection& aConnection)
+{
+  aConnection.parser->takeBodyBlocks();
+  if (!aConnection.parser->is_done()) {
+    return false;
+  }
+  aConnection.foreignBytes += aConnection.parser->consumedBytes();
+  this->resetParser(aConnection);
+  return true;
+}
+
 /** Handles the end of a connection. aClean says that the replica closed it,
  * which may be the end of an answer without a length. Otherwise the attempt
  * fails. */
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -14,9 +14,6 @@
 namespace poplartrack {
 namespace {
 
-/** Largest head of an answer, in bytes. */
-constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{ 64 } * 1024;
-
 /** TCP_USER_TIMEOUT in milliseconds: a connection with unacknowledged bytes or
  * unanswered keep-alive probes is closed after this time. Without it, a broken
  * network path goes unnoticed. Two seconds leave time for the retransmissions
@@ -74,8 +71,10 @@
 void
 RelayLoop::Impl::resetParser(ReplicaConnection& aConnection)
 {
-  // The body has no limit: the relay does not restrict what a replica answers.
-  aConnection.parser = std::make_unique<ResponseParser>(kMaxAnswerHeadBytes, 0);
+  // Whether the body is that of a stream, and so its limit, is known with its
+  // head only; see excessIn().
+  aConnection.parser =
+    std::make_unique<ResponseParser>(this->answerBounds.headBytes, 0);
   aConnection.headHandled = false;
   aConnection.discardingAnswer = false;
   // An answer to HEAD has a Content-Length but no body.
@@ -228,7 +227,7 @@
 RelayLoop::Impl::unsentBytes(const ReplicaConnection& aConnection) const
 {
   if (!aConnection.output.empty()) {
-    return aConnection.output.unsent();
+    return aConnection.output.front();
   }
   const auto exchange = this->exchanges.find(aConnection.exchange);
   if (aConnection.bodyLeft == 0 || exchange == this->exchanges.end()) {
@@ -256,7 +255,7 @@
   this->poller.change(aConnection.fd.get(),
                       aConnection.id,
                       aConnection.watchesWrite,
-                      !aConnection.readPaused);
+                      aConnection.pause == ReadPause::None);
 }
 
 /** Keeps the connection for later requests after a complete answer, or closes
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -74,6 +74,44 @@
               "0.6",
               "new connections are closed unread while the process works for "
               "this share of its time or more" },
+  SettingRow{ "limits.answer_head_kb",
+              Number,
+              1,
+              1'024,
+              "",
+              "64",
+              "largest head of an answer of a replica; also of its trailers, "
+              "and of the size line of a chunk" },
+  SettingRow{ "limits.answer_mb",
+              Number,
+              0.001,
+              1e6,
+              "",
+              "32",
+              "largest body of an answer that is no stream; at most 0.4 of "
+              "limits.memory_mb" },
+  SettingRow{ "limits.stream_mb",
+              Number,
+              0.001,
+              1e6,
+              "",
+              "16",
+              "largest stream, all its events together" },
+  SettingRow{ "limits.event_kb",
+              Number,
+              1,
+              1e6,
+              "",
+              "1024",
+              "largest event of a stream" },
+  SettingRow{ "limits.bulk_read_share",
+              Number,
+              0.01,
+              1,
+              "",
+              "0.1",
+              "largest share of the event loop's time for answers that arrive "
+              "faster than 20 KB/s" },
   SettingRow{ "bounds.drain_ms",
               Number,
               0,
@@ -236,6 +274,11 @@
   bind(limits, "link_mbps", settings.linkMbps);
   bind(limits, "memory_mb", settings.memoryMb);
   bind(limits, "accept_load", settings.acceptLoad);
+  bind(limits, "answer_head_kb", settings.answerHeadKb);
+  bind(limits, "answer_mb", settings.answerMb);
+  bind(limits, "stream_mb", settings.streamMb);
+  bind(limits, "event_kb", settings.eventKb);
+  bind(limits, "bulk_read_share", settings.bulkReadShare);
   const SettingsNode& bounds = tableOf(aRoot, "bounds");
   bindTime(bounds, "drain_ms", kMs, settings.drain);
   bindTime(bounds, "grace_s", kSecond, settings.grace);
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -180,6 +180,9 @@
 {
   const bool outageProbe =
     this->outageProbeState.unanswered.erase(aReplica) > 0;
+  if (aReport.overLimit) {
+    this->countExcess(AnswerExcess::Report, aReplica, "");
+  }
   if (!aReport.reached) {
     this->onMissingReport(aReplica, aReport.refused, outageProbe);
     return;
--- a/src/relay/ReplicaConnection.h
+++ b/src/relay/ReplicaConnection.h
@@ -4,8 +4,9 @@
 #include <memory>
 #include <string>
 
+#include "ByteBlocks.h"
 #include "MessageParser.h"
-#include "OutputBuffer.h"
+#include "ReadPause.h"
 #include "poplartrack/base/Address.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/OwnedFd.h"
@@ -33,7 +34,7 @@
   /** Bytes received but not parsed yet. */
   std::string input;
   /** Head of the request, as far as it is not yet written to the socket. */
-  OutputBuffer output;
+  ByteBlocks output;
   /** Bytes at the end of the request's body that are not yet written. */
   std::size_t bodyLeft = 0;
   std::unique_ptr<ResponseParser> parser;
@@ -44,14 +45,24 @@
   bool anySent = false;
   /** The poller reports when the socket is writable. */
   bool watchesWrite = false;
-  /** The poller does not report readable bytes: too much is held. */
-  bool readPaused = false;
+  /** Why the poller does not report readable bytes. */
+  ReadPause pause = ReadPause::None;
   /** The current answer belongs to another request and is discarded. */
   bool discardingAnswer = false;
   /** The head of the current answer has been handled. */
   bool headHandled = false;
   /** Number of complete answers received on this connection. */
   std::uint32_t answersRead = 0;
+  /** Number of interim answers (1xx) to the current request. */
+  std::uint32_t interimAnswers = 0;
+  /** Number of answers to other requests that were discarded since the current
+   * request was sent, and their bytes. */
+  std::uint32_t foreignAnswers = 0;
+  std::uint64_t foreignBytes = 0;
+  /** Bytes received for the current request in a period of BulkReads, and the
+   * number of that period. */
+  std::size_t periodBytes = 0;
+  std::uint32_t period = 0;
   /** When the connection is closed if it is still idle. */
   TimePoint idleUntil{};
   TimePoint idleSince{};
--- a/tests/unit/relay/MessageParserTest.cpp
+++ b/tests/unit/relay/MessageParserTest.cpp
@@ -53,6 +53,48 @@
   EXPECT_EQ(chunks.problem(), ParseProblem::BodyTooLarge);
 }
 
+/** Feeds a parser the start of an answer, then bytes again and again. Returns
+ * the problem after so many bytes, or before. */
+ParseProblem
+problemAfter(const std::string& aStart, const std::string& aRepeated)
+{
+  constexpr std::size_t kEnough = 10 * kHead;
+  ResponseParser parser{ kHead, 0 };
+  std::string input = aStart;
+  for (std::size_t sent = 0;
+       sent < kEnough && parser.problem() == ParseProblem::None;
+       sent += aRepeated.size()) {
+    input.append(aRepeated);
+    input.erase(0, parser.feed(input));
+  }
+  return parser.problem();
+}
+
+const std::string kChunked =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+TEST(MessageParser, FramingWithoutEndHasALimit)
+{
+  EXPECT_EQ(problemAfter(kChunked + "5;", "x"), ParseProblem::FramingTooLarge);
+  EXPECT_EQ(problemAfter(kChunked, "1;a=" + std::string(99, 'x') + "\r\ny\r\n"),
+            ParseProblem::FramingTooLarge);
+  EXPECT_EQ(problemAfter(kChunked + "0\r\n", "A: b\r\n"),
+            ParseProblem::FramingTooLarge);
+  EXPECT_EQ(problemAfter(kChunked, "0"), ParseProblem::FramingTooLarge);
+}
+
+TEST(MessageParser, ABodyInSmallChunksIsAllowed)
+{
+  EXPECT_EQ(problemAfter(kChunked, "1\r\nx\r\n"), ParseProblem::None);
+}
+
+TEST(MessageParser, AHeadWithoutEndHasALimit)
+{
+  EXPECT_EQ(problemAfter("HTTP/1.1 200 ", "x"), ParseProblem::HeadTooLarge);
+  EXPECT_EQ(problemAfter("HTTP/1.1 200 OK\r\n", "A: b\r\n"),
+            ParseProblem::HeadTooLarge);
+}
+
 TEST(HeaderList, ComparesWithoutCaseAndFindsTokens)
 {
   HeaderList headers;
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -187,6 +187,9 @@
     settings.retryRatio = this->retryRatio;
     settings.retrySlack = this->retrySlack;
     settings.load = this->load;
+    if (this->adjust) {
+      this->adjust(settings);
+    }
     settings.callers = { "127.0.0.1", 0 };
     settings.peers = { "127.0.0.1", 0 };
     ReplicaCalls calls;
@@ -290,6 +293,8 @@
   double retryRatio = 0.2;
   double retrySlack = 100;
   LoadSettings load;
+  /** Changes further settings. */
+  std::function<void(RelaySettings&)> adjust;
   ManualClock manualClock;
   RelayLoop::LoopClock clock = runtimeNow;
   std::unique_ptr<RelayLoop> loop;
