Let tests of the join state how long contacts may take

A relay that starts reads the store beside the join when the list of contacts has not come 150 ms after its start; under valgrind it had not. The test expects no read, and had no way to wait longer: the product does what it should.

Change: the limits of the join are a parameter of FleetControl with the same defaults. Tests that expect no read of the store set the first one to ten minutes; no check changes.

--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -56,6 +56,20 @@
     } -> std::same_as<Result<ReplicaPoll>>;
 };
 
+/** How long a relay that starts waits for other relays before it reads the
+ * store as well. */
+struct JoinLimits
+{
+  /** For the list of contacts. Longer, and the store is slow or silent. */
+  Duration contacts = std::chrono::milliseconds{ 150 };
+  /** For any contact to answer. */
+  Duration answer = std::chrono::milliseconds{ 800 };
+  /** For a contact that answers to have a state. When all start at once, they
+   * read the store meanwhile, which takes a slow instance with a large list a
+   * second or more. If the others then read it as well, all are slower. */
+  Duration state = std::chrono::milliseconds{ 2'000 };
+};
+
 /**
  * Runs the background threads of a relay:
  * - two threads follow the operator's configuration and the replica list;
@@ -76,7 +90,8 @@
                RelayShared& aShared,
                Store& aStore,
                SendLayerOrder aSendOrder,
-               FetchSnapshot aFetchSnapshot = {});
+               FetchSnapshot aFetchSnapshot = {},
+               JoinLimits aJoinLimits = {});
 
   /** Stops placing layers, contending for the lease and other housekeeping, and
    * releases the lease so that another relay takes over at once. Part of the
@@ -188,6 +203,7 @@
   Lease<CountedStore<Store>, SuspendAwareClock> lease;
 
   FetchSnapshot fetchSnapshot;
+  JoinLimits joinLimits;
 
   /** Where the next poll of the configuration continues. */
   std::uint64_t configCursor = 0;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -40,7 +40,8 @@
                                   RelayShared& aShared,
                                   Store& aStore,
                                   SendLayerOrder aSendOrder,
-                                  FetchSnapshot aFetchSnapshot)
+                                  FetchSnapshot aFetchSnapshot,
+                                  JoinLimits aJoinLimits)
   : settings(aSettings)
   , shared(aShared)
   , store(aStore)
@@ -49,6 +50,7 @@
           this->clock,
           fleet_control::leaseSettings(aSettings))
   , fetchSnapshot(std::move(aFetchSnapshot))
+  , joinLimits(aJoinLimits)
   , startedAt(this->clock.now())
   , nextContact(randomRequestId().low)
   , placement(aShared,
--- a/include/poplartrack/relay/FleetJoin.inl.h
+++ b/include/poplartrack/relay/FleetJoin.inl.h
@@ -10,18 +10,6 @@
 /** Interval between checks while a relay joins. */
 constexpr Duration kJoinInterval = std::chrono::milliseconds{ 20 };
 
-/** If the list of contacts has not arrived by then, the store is slow or does
- * not answer, and this relay reads everything beside it. */
-constexpr Duration kMaxContactsWait = std::chrono::milliseconds{ 150 };
-
-/** A relay that no contact has answered for this long reads the store. */
-constexpr Duration kJoinTimeout = std::chrono::milliseconds{ 800 };
-
-/** The same if contacts answer that they have no state yet. When all start at
- * once, they read the store meanwhile, which takes a slow instance with a large
- * list a second or more. If the others then read it as well, all are slower. */
-constexpr Duration kMaxJoinTime = std::chrono::milliseconds{ 2'000 };
-
 /** Pause after an answer without a state. With a shorter one, the queries of a
  * zone would slow down the contacts that they wait for. */
 constexpr Duration kAskInterval = std::chrono::milliseconds{ 100 };
@@ -127,7 +115,7 @@
 {
   const bool contactsMissing =
     !this->contactsRead &&
-    this->clock.now() - this->startedAt >= fleet_control::kMaxContactsWait;
+    this->clock.now() - this->startedAt >= this->joinLimits.contacts;
   return !this->shared.joining || contactsMissing;
 }
 
@@ -168,8 +156,8 @@
   }
   const TimePoint asked = this->clock.now();
   const bool silent =
-    asked - this->contactAnsweredAt >= fleet_control::kJoinTimeout;
-  if (silent || asked - *this->contactsKnownAt >= fleet_control::kMaxJoinTime) {
+    asked - this->contactAnsweredAt >= this->joinLimits.answer;
+  if (silent || asked - *this->contactsKnownAt >= this->joinLimits.state) {
     if (silent) {
       this->directory.replaceContacts();
     }
--- a/tests/unit/relay/FleetControlFixture.h
+++ b/tests/unit/relay/FleetControlFixture.h
@@ -103,7 +103,8 @@
                                          this->shared,
                                          this->store,
                                          ignoreOrder,
-                                         std::move(aFetchSnapshot) };
+                                         std::move(aFetchSnapshot),
+                                         this->joinLimits };
     waitFor([this] {
       return !this->shared.replicas.read()->replicas.empty() &&
              !this->shared.joining;
@@ -112,6 +113,13 @@
     waitFor(aIsDone);
     this->store.end();
   }
+  /** The same, however slowly the store's list of contacts arrives. */
+  template<typename Act, typename IsDone>
+  void joinWithoutStore(FetchSnapshot aFetchSnapshot, Act aAct, IsDone aIsDone)
+  {
+    this->joinLimits.contacts = std::chrono::minutes{ 10 };
+    this->joinAndThen(std::move(aFetchSnapshot), aAct, aIsDone);
+  }
   /** The same without anything to do after the join. */
   void join(FetchSnapshot aFetchSnapshot)
   {
@@ -139,6 +147,9 @@
   int logFd;
   RelayShared shared;
   RelaySettings settings;
+  /** Tests that expect no read of the store set the first one to a time that no
+   * machine needs. */
+  JoinLimits joinLimits;
   ScriptedStore store;
 };
 
--- a/tests/unit/relay/FleetJoinTest.cpp
+++ b/tests/unit/relay/FleetJoinTest.cpp
@@ -19,6 +19,7 @@
   // the store, a start of all would be hundreds of reads of the same bytes.
   this->addContacts();
   SnapshotQuery asked;
+  this->joinLimits.contacts = std::chrono::minutes{ 10 };
   this->join([&asked](const Address&, const SnapshotQuery& aQuery, Duration) {
     asked = aQuery;
     return Result<FleetSnapshot>{ contactSnapshot() };
@@ -52,6 +53,7 @@
   // slower than without contacts.
   this->addContacts();
   int asked = 0;
+  this->joinLimits.contacts = std::chrono::minutes{ 10 };
   this->join([&asked](const Address&, const SnapshotQuery&, Duration) {
     constexpr int kAsksUntilRead = 12;
     FleetSnapshot snapshot = contactSnapshot();
@@ -101,7 +103,7 @@
       return Result<FleetSnapshot>{ snapshot };
     };
   const auto version = [this] { return this->shared.config.read()->version; };
-  this->joinAndThen(
+  this->joinWithoutStore(
     fetch,
     [&] {
       this->shared.configHolders.report(6, holder);
@@ -151,7 +153,7 @@
     return Result<FleetSnapshot>{ snapshot };
   };
   const auto version = [this] { return this->shared.config.read()->version; };
-  this->joinAndThen(
+  this->joinWithoutStore(
     fetch,
     [this] {
       this->shared.pollsFail = true;
@@ -180,7 +182,7 @@
   const auto listed = [this] {
     return this->shared.replicas.read()->replicas.size();
   };
-  this->joinAndThen(
+  this->joinWithoutStore(
     fetch,
     [this] {
       this->shared.listHolders.report(12, Address{ "10.0.0.2", 7 });
