Give an attempt after an unexplained stall more time

Cause by reading: an attempt counts as stalled after three times the expected time to its first token. If all its sides are alive, the same work began anew at once with the same limit, which busy sides miss again; eight such attempts take a few seconds.

Change: after a stall for which no side is to blame, the next attempt has twice the time, until a token comes.

--- a/src/entry/Pace.cpp
+++ b/src/entry/Pace.cpp
@@ -5,6 +5,10 @@
 namespace poplartrack {
 namespace {
 
+/** So many times the wait doubles at most: RunPolicy::maxAttempts of them would
+ * take minutes. */
+constexpr std::uint32_t kMaxDoublings = 5;
+
 Duration
 scaled(Duration aValue, double aFactor)
 {
@@ -38,6 +42,7 @@
                         scaled(this->gap(), 1.0 - this->policy.gapWeight);
   }
   this->attemptHasToken = true;
+  this->unexplainedStalls = 0;
   this->last = aNow;
 }
 
@@ -50,7 +55,9 @@
       : std::max(scaled(this->firstToken(this->prefill),
                         this->policy.firstTokenFactor),
                  scaled(this->expectedFirst, this->policy.stallFactor));
-  return this->last + std::max(wait, this->policy.stallFloor);
+  return this->last +
+         std::max(wait, this->policy.stallFloor) *
+           (1U << std::min(this->unexplainedStalls, kMaxDoublings));
 }
 
 Duration
