--- a/tests/harness/ChildProcess.h
+++ b/tests/harness/ChildProcess.h
@@ -36,6 +36,7 @@
   /** Waits for a line of output that starts with "ready" and has KEY=; gives
    * its value. */
   Result<std::string> waitReady(const std::string& aKey, Duration aMost);
+  [[nodiscard]] pid_t processId() const { return this->id; }
   [[nodiscard]] const std::string& outputPath() const { return this->output; }
 
 private:
--- a/tests/harness/RawSocket.cpp
+++ b/tests/harness/RawSocket.cpp
@@ -39,12 +39,23 @@
 
 RawSocket
 RawSocket::connectTo(const Address& aPeer)
+{
+  std::optional<RawSocket> socket = tryConnect(aPeer);
+  CHECK(socket.has_value()) << "nobody listens on " << toText(aPeer);
+  return std::move(*socket);
+}
+
+std::optional<RawSocket>
+RawSocket::tryConnect(const Address& aPeer)
 {
   Result<OwnedFd> fd = connectTcp(aPeer);
   CHECK(fd.ok()) << describe(fd.error());
   CHECK(waitFor(fd.value().get(), POLLOUT, kConnectLimit)) << "no connection";
   // A peer that resets at once has accepted before.
   const int error = connectError(fd.value().get());
+  if (error == ECONNREFUSED) {
+    return std::nullopt;
+  }
   CHECK(error == 0 || error == ECONNRESET) << error;
   makeBlocking(fd.value().get());
   return RawSocket{ std::move(fd).value() };
--- a/tests/harness/RawSocket.h
+++ b/tests/harness/RawSocket.h
@@ -17,6 +17,8 @@
 {
 public:
   static RawSocket connectTo(const Address& aPeer);
+  /** The same; nullopt if nobody listens. */
+  static std::optional<RawSocket> tryConnect(const Address& aPeer);
   explicit RawSocket(OwnedFd aFd)
     : fd(std::move(aFd))
   {
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -54,4 +54,19 @@
   return plan;
 }
 
+std::vector<PlannedFault>
+endlessPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength)
+{
+  std::mt19937_64 random{ aSeed };
+  std::vector<PlannedFault> plan;
+  for (std::chrono::milliseconds at{ 400 }; at < aLength;
+       at += between(random, 300, 1'200)) {
+    plan.push_back({ at,
+                     Fault::ReplicaSendsEndlessly,
+                     random(),
+                     between(random, 300, 2'000) });
+  }
+  return plan;
+}
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -34,20 +34,36 @@
   ReplicaFails,
   ReplicaSlows,
   AccountFloods,
+  ReplicaSendsEndlessly,
 };
 
-constexpr std::array<std::string_view, 22> kFaultNames{
-  "relay killed",     "relay paused",        "relay stopped",
-  "replica killed",   "replica paused",      "replica leaves",
-  "store link cut",   "store link silent",   "store link slow",
-  "replica link cut", "replica link silent", "replica link slow",
-  "store busy",       "store loses answers", "store forgets",
-  "key taken away",   "replica rejects",     "replica announces",
-  "store restored",   "replica fails",       "replica slows",
+constexpr std::array<std::string_view, 23> kFaultNames{
+  "relay killed",
+  "relay paused",
+  "relay stopped",
+  "replica killed",
+  "replica paused",
+  "replica leaves",
+  "store link cut",
+  "store link silent",
+  "store link slow",
+  "replica link cut",
+  "replica link silent",
+  "replica link slow",
+  "store busy",
+  "store loses answers",
+  "store forgets",
+  "key taken away",
+  "replica rejects",
+  "replica announces",
+  "store restored",
+  "replica fails",
+  "replica slows",
   "account floods",
+  "replica sends endlessly",
 };
 static_assert(kFaultNames.size() ==
-              static_cast<std::size_t>(Fault::AccountFloods) + 1);
+              static_cast<std::size_t>(Fault::ReplicaSendsEndlessly) + 1);
 
 /** The faults before ReplicaRejects. Plans of these alone stay as they were
  * when there were no others, so that a seed gives the same run. */
@@ -84,4 +100,8 @@
 std::vector<PlannedFault>
 contentionPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
 
+/** The further faults of a run with answers that do not end. */
+std::vector<PlannedFault>
+endlessPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -27,6 +27,9 @@
 constexpr int kPortRanges = 40;
 constexpr int kPortsEach = 500;
 
+/** The smallest instance that relays run on. */
+constexpr std::size_t kRelayMemoryMb = 112;
+
 constexpr Duration kStopPatience = std::chrono::seconds{ 10 };
 
 Json
@@ -186,6 +189,7 @@
     << toText(this->ownAddress()) << "\"\npeers = \""
     << toText(this->ownAddress()) << "\"\n[store]\naddress = \""
     << toText(relay->storeLink->address()) << "\"\n"
+    << "[limits]\nmemory_mb = " << kRelayMemoryMb << "\n"
     << "[bounds]\ngrace_s = 4\nheartbeat_ms = 400\n"
     << (this->contention ? kAllDecisions : "");
   this->startRelay(*relay);
@@ -236,6 +240,27 @@
   this->outputs.push_back(output + ".out");
 }
 
+std::vector<std::string>
+SoakWorld::overMemory() const
+{
+  constexpr std::size_t kKbPerMb = 1'024;
+  std::vector<std::string> found;
+  for (const auto& relay : this->relays) {
+    std::ifstream page{ "/proc/" + std::to_string(relay->process->processId()) +
+                        "/status" };
+    std::string line;
+    while (std::getline(page, line)) {
+      const std::size_t kb =
+        line.starts_with("VmHWM:") ? std::stoul(line.substr(6)) : 0;
+      if (kb > kRelayMemoryMb * kKbPerMb) {
+        found.push_back(relay->settings + " took " + std::to_string(kb) +
+                        " KB");
+      }
+    }
+  }
+  return found;
+}
+
 SoakWorld::Relay&
 SoakWorld::relay(std::size_t aWho)
 {
@@ -373,6 +398,9 @@
     case Fault::ReplicaSlows:
       this->usedReplica(aFault.who).process->signal(SIGWINCH);
       break;
+    case Fault::ReplicaSendsEndlessly:
+      this->usedReplica(aFault.who).process->signal(SIGPWR);
+      break;
     case Fault::AccountFloods:
       ++this->flooding.at(aFault.who % kFloodAccounts);
       break;
@@ -409,6 +437,7 @@
       break;
     case Fault::ReplicaFails:
     case Fault::ReplicaSlows:
+    case Fault::ReplicaSendsEndlessly:
       this->usedReplica(aFault.who).process->signal(SIGUSR2);
       break;
     case Fault::AccountFloods:
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -57,6 +57,8 @@
   }
   /** Starts the replicas that have crashed under a request again. */
   void restartCrashed();
+  /** The relays whose process has taken more memory than its instance has. */
+  [[nodiscard]] std::vector<std::string> overMemory() const;
   /** The lines for the judge that replicas and relays have printed, of all
    * their lives. */
   [[nodiscard]] std::vector<std::string> lines() const;
--- a/tests/soak/soak.cmake
+++ b/tests/soak/soak.cmake
@@ -32,3 +32,9 @@
   COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --contention)
 set_tests_properties(soak.three_seeds_with_contention
   PROPERTIES TIMEOUT 300 PROCESSORS 3)
+
+# The same with replicas that answer with bytes that do not end.
+add_test(NAME soak.three_seeds_with_endless_answers
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --endless)
+set_tests_properties(soak.three_seeds_with_endless_answers
+  PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -40,6 +40,8 @@
   SoakSize size;
   std::size_t faultKinds = kFirstFaults;
   int callers = 6;
+  /** Also replicas that answer with bytes that do not end. */
+  bool endless = false;
   /** Also requests with a prompt part that crashes replicas. */
   bool deadlyPart = false;
 };
@@ -224,6 +226,12 @@
       }
     });
   }
+  if (aOptions.endless) {
+    for (const PlannedFault& fault :
+         endlessPlanOf(aOptions.seed, aOptions.length)) {
+      plan.push_back(fault);
+    }
+  }
   if (aOptions.deadlyPart) {
     threads.emplace_back([&] { sendDeadly(world, record, stop); });
   }
@@ -249,6 +257,9 @@
   for (std::string& line : awaitService(world, record, "after", keys)) {
     broken.push_back(std::move(line));
   }
+  for (std::string& line : world.overMemory()) {
+    broken.push_back(std::move(line));
+  }
   SoakVerdict verdict = judge(record, world.lines());
   broken.insert(broken.end(), verdict.broken.begin(), verdict.broken.end());
   std::cout << "seed " << aOptions.seed << ": " << plan.size() << " faults, "
@@ -294,6 +305,7 @@
   add("callers", "callers", cxxopts::value<int>()->default_value("6"));
   add("deadly-part", "also requests with a part that crashes replicas");
   add("signals", "also faults that replicas and the store announce");
+  add("endless", "also replicas that answer with bytes that do not end");
   add("contention",
       "several accounts, floods, uneven replicas, and relays that make all "
       "decisions under load");
@@ -308,6 +320,7 @@
     run.size.engines = static_cast<std::size_t>(line["engines"].as<int>());
     run.callers = line["callers"].as<int>();
     run.size.contention = line.count("contention") > 0;
+    run.endless = line.count("endless") > 0;
     run.deadlyPart = line.count("deadly-part") > 0;
     if (line.count("signals") > 0) {
       run.faultKinds = kSignalFaults;
--- a/tests/standins/lib/UsersReplica.cpp
+++ b/tests/standins/lib/UsersReplica.cpp
@@ -250,11 +250,13 @@
     reply.status = kFailed;
     return reply;
   }
-  if (this->settings.kind.empty()) {
-    return this->runPlain(id);
-  }
   const std::string after = headerOf(aRequest, wire_names::kLastEventId);
-  return this->runStream(id, after.empty() ? 0 : std::stoi(after));
+  const int last = after.empty() ? 0 : std::stoi(after);
+  if (this->endless) {
+    return this->runEndless(id, last);
+  }
+  return this->settings.kind.empty() ? this->runPlain(id)
+                                     : this->runStream(id, last);
 }
 
 HttpReply
@@ -302,6 +304,29 @@
   return reply;
 }
 
+HttpReply
+UsersReplica::runEndless(const std::string& aId, int aAfter)
+{
+  constexpr std::size_t kBlockBytes = 16'384;
+  HttpReply reply = stamped(aId);
+  std::string block(kBlockBytes, 'x');
+  if (this->settings.kind.empty()) {
+    reply.status = kFailed;
+  } else if (std::hash<std::string>{}(aId) % 2 == 0) {
+    // One event again and again; else one that does not end.
+    block.clear();
+    while (block.size() < kBlockBytes) {
+      block += usersEvent(aId, aAfter + 1);
+    }
+  }
+  reply.source = [this, block] {
+    return BodyChunk{ block,
+                      this->endless ? BodyChunk::State::More
+                                    : BodyChunk::State::Abort };
+  };
+  return reply;
+}
+
 HttpReply
 UsersReplica::runStream(const std::string& aId, int aAfter)
 {
--- a/tests/standins/lib/UsersReplica.h
+++ b/tests/standins/lib/UsersReplica.h
@@ -74,6 +74,8 @@
   void setFailing(bool aFailing) { this->failing = aFailing; }
   /** Takes much longer for all requests, or no longer does. */
   void setSlow(bool aSlow) { this->slow = aSlow; }
+  /** Answers all requests with bytes that do not end, or no longer does. */
+  void setEndless(bool aEndless) { this->endless = aEndless; }
   /** Announces its drain in all answers from now on. */
   void announceDrain() { this->draining = true; }
 
@@ -89,6 +91,7 @@
   HttpReply takeOrder(const HttpRequest& aRequest);
   HttpReply runPlain(const std::string& aId);
   HttpReply runStream(const std::string& aId, int aAfter);
+  HttpReply runEndless(const std::string& aId, int aAfter);
   /** Waits for the time that work takes here which usually takes this long. */
   void work(std::chrono::milliseconds aTime) const;
   [[nodiscard]] std::string entry();
@@ -101,6 +104,7 @@
   std::atomic<bool> draining{ false };
   std::atomic<bool> failing{ false };
   std::atomic<bool> slow{ false };
+  std::atomic<bool> endless{ false };
   int sequence = 0;
   // Last: it answers from all the above.
   std::unique_ptr<HttpServer> server;
--- a/tests/standins/standin_users_replica.cpp
+++ b/tests/standins/standin_users_replica.cpp
@@ -50,6 +50,7 @@
         replica.value()->setRejecting(false);
         replica.value()->setFailing(false);
         replica.value()->setSlow(false);
+        replica.value()->setEndless(false);
         break;
       case SIGURG:
         replica.value()->setFailing(true);
@@ -57,6 +58,9 @@
       case SIGWINCH:
         replica.value()->setSlow(true);
         break;
+      case SIGPWR:
+        replica.value()->setEndless(true);
+        break;
       case SIGHUP:
         replica.value()->announceDrain();
         break;
@@ -72,7 +76,8 @@
 main(int argc, char** argv)
 {
   StopSignal stop;
-  for (const int signal : { SIGUSR1, SIGUSR2, SIGHUP, SIGURG, SIGWINCH }) {
+  for (const int signal :
+       { SIGUSR1, SIGUSR2, SIGHUP, SIGURG, SIGWINCH, SIGPWR }) {
     stop.add(signal);
   }
   cxxopts::Options options{
@@ -81,7 +86,8 @@
     "\"run ID MS\" for each request that it begins. Ends on SIGTERM.\n"
     "SIGUSR1: rejects requests with Retry-After. SIGURG: answers them with "
     "500.\n"
-    "SIGWINCH: is slow. SIGUSR2: ends these three.\n"
+    "SIGWINCH: is slow. SIGPWR: answers without end. SIGUSR2: ends these "
+    "four.\n"
     "SIGHUP: announces its drain in all answers."
   };
   auto add = options.add_options();
