--- a/benchmark/endless_answers.cpp
+++ b/benchmark/endless_answers.cpp
@@ -342,6 +342,7 @@
   standins::UsersStoreStandin store;
   store.faults.longPolls = true;
   std::vector<std::unique_ptr<Replica>> replicas;
+  replicas.reserve(kReplicas);
   for (int i = 0; i < kReplicas; ++i) {
     replicas.push_back(std::make_unique<Replica>(aForm, i < kFaultyReplicas));
   }
@@ -357,6 +358,7 @@
   std::size_t most = 0;
   std::thread watch{ [&] { most = watchMemory(*relay, stop); } };
   std::vector<std::thread> threads;
+  threads.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     threads.emplace_back(
       [&, i] { requestStreams(callers, i, kStreamsEach, seen); });
