Begin endless answers in the soak by a signal that is taken first

Its log has answers over a limit from one replica until the end: the stand-in still sent endlessly. The fault had begun and ended while the soak was held up by a relay's stop, and of two signals that wait for a process SIGUSR2, which ends the fault, is taken before SIGPWR, which began it.

Change: SIGQUIT, which is lower than SIGUSR2. No check changes.

--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -399,7 +399,9 @@
       this->usedReplica(aFault.who).process->signal(SIGWINCH);
       break;
     case Fault::ReplicaSendsEndlessly:
-      this->usedReplica(aFault.who).process->signal(SIGPWR);
+      // Lower than SIGUSR2, which ends it: of two signals that wait, a process
+      // takes the lower one first.
+      this->usedReplica(aFault.who).process->signal(SIGQUIT);
       break;
     case Fault::AccountFloods:
       ++this->flooding.at(aFault.who % kFloodAccounts);
--- a/tests/standins/standin_users_replica.cpp
+++ b/tests/standins/standin_users_replica.cpp
@@ -58,7 +58,7 @@
       case SIGWINCH:
         replica.value()->setSlow(true);
         break;
-      case SIGPWR:
+      case SIGQUIT:
         replica.value()->setEndless(true);
         break;
       case SIGHUP:
@@ -77,7 +77,7 @@
 {
   StopSignal stop;
   for (const int signal :
-       { SIGUSR1, SIGUSR2, SIGHUP, SIGURG, SIGWINCH, SIGPWR }) {
+       { SIGUSR1, SIGUSR2, SIGHUP, SIGURG, SIGWINCH, SIGQUIT }) {
     stop.add(signal);
   }
   cxxopts::Options options{
@@ -86,7 +86,7 @@
     "\"run ID MS\" for each request that it begins. Ends on SIGTERM.\n"
     "SIGUSR1: rejects requests with Retry-After. SIGURG: answers them with "
     "500.\n"
-    "SIGWINCH: is slow. SIGPWR: answers without end. SIGUSR2: ends these "
+    "SIGWINCH: is slow. SIGQUIT: answers without end. SIGUSR2: ends these "
     "four.\n"
     "SIGHUP: announces its drain in all answers."
   };
