Log when attempts are written, who names replicas lost, and relay traffic

The log now says for each attempt when it was decided, connected and written or dropped; for a lost replica by which signal of this relay and by how many others; for a drain from whom it was learnt; and once a second what a relay exchanged with others and how long its messages take to be echoed.

--- a/include/poplartrack/fleet/LossReports.h
+++ b/include/poplartrack/fleet/LossReports.h
@@ -58,6 +58,15 @@
   /** Returns all replicas that some relay reports as slow. */
   [[nodiscard]] std::set<std::string> slow() const;
 
+  /** The relays that report a replica as lost, unreachable or slow. */
+  struct Reporters
+  {
+    std::size_t count = 0;
+    /** One of them; empty if there is none. */
+    std::string first;
+  };
+  [[nodiscard]] Reporters reporters(const std::string& aReplica) const;
+
 private:
   struct Peer
   {
--- a/src/fleet/LossReports.cpp
+++ b/src/fleet/LossReports.cpp
@@ -85,6 +85,22 @@
   return found == this->tallies.end() ? 1 : found->second.slowdown;
 }
 
+LossReports::Reporters
+LossReports::reporters(const std::string& aReplica) const
+{
+  Reporters found;
+  for (const auto& [name, peer] : this->peers) {
+    const LossReport& report = peer.report;
+    if (report.confirmed.contains(aReplica) ||
+        report.unreachable.contains(aReplica) ||
+        report.slow.contains(aReplica)) {
+      found.first = found.count == 0 ? name : found.first;
+      ++found.count;
+    }
+  }
+  return found;
+}
+
 std::set<std::string>
 LossReports::suspects() const
 {
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -98,7 +98,11 @@
   int sends = 0;
   /** Replicas that refused this request or failed under it. */
   std::set<std::string> avoid;
+  /** When the current attempt was decided. */
   TimePoint sentAt{};
+  /** When its connection was ready for the request; sentAt for a connection
+   * that was kept open. */
+  TimePoint connectedAt{};
   /** When the first event of the current attempt was received. */
   std::optional<TimePoint> runningSince;
   /** The next attempt is a retry that is not charged to the retry budget yet.
--- a/src/relay/RelayDraining.cpp
+++ b/src/relay/RelayDraining.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "RelayLoopImpl.h"
+#include "poplartrack/store/StoreVersion.h"
 
 namespace poplartrack {
 namespace {
@@ -55,7 +56,9 @@
     const auto found = listed.find(replica.id);
     const bool drains = found == listed.end() || found->second;
     if (drains && !this->drainState.restarted.contains(replica.id)) {
-      this->drainState.since.try_emplace(replica.id, this->now);
+      if (this->drainState.since.try_emplace(replica.id, this->now).second) {
+        this->logDrain(replica.id, found == listed.end() ? "removed" : "list");
+      }
     }
   }
   std::erase_if(this->drainState.since, [this](const auto& aEntry) {
@@ -63,6 +66,18 @@
   });
 }
 
+/** Logs that this relay has learned of a drain. aFrom: the address of the relay
+ * that reported it, or "list", "removed" from the list, or "answer". */
+void
+RelayLoop::Impl::logDrain(const std::string& aReplica, std::string_view aFrom)
+{
+  this->shared.log.write(
+    LogLine{ LogPart::Replicas, "drains" }
+      .with("replica", aReplica)
+      .with("from", aFrom)
+      .with("list", static_cast<std::int64_t>(countOf(this->view->version))));
+}
+
 /** Detects restarted replicas: the latest list has another id for the name
  * under which they are registered. */
 void
@@ -123,17 +138,23 @@
  * replica 3.4 s after that had announced its drain, where the bound is 3 s.
  */
 void
-RelayLoop::Impl::onPeerDraining(const PeerStatus& aStatus)
+RelayLoop::Impl::onPeerDraining(const PeerStatus& aStatus,
+                                const std::string& aFrom)
 {
   for (const std::string& replica : aStatus.announcedDrains) {
-    this->recordDrainAnnouncement(replica);
+    this->recordDrainAnnouncement(replica, aFrom);
   }
   if (aStatus.list <= this->view->lastChange) {
     return;
   }
   for (const std::string& replica : aStatus.draining) {
-    this->drainState.peerReports.insert_or_assign(
-      replica, PeerDrainReport{ aStatus.list, this->now });
+    const bool isNew =
+      this->drainState.peerReports
+        .insert_or_assign(replica, PeerDrainReport{ aStatus.list, this->now })
+        .second;
+    if (isNew) {
+      this->logDrain(replica, aFrom);
+    }
   }
 }
 
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -159,6 +159,7 @@
   aExchange.replica = aTarget.replica;
   aExchange.path = aTarget.path;
   aExchange.sentAt = this->now;
+  aExchange.connectedAt = this->now;
   aExchange.runningSince.reset();
   aExchange.reportedLimit.reset();
   aExchange.lastProgress = this->now;
@@ -185,6 +186,50 @@
   }
 }
 
+/** Logs that the whole request has been passed to the socket. */
+void
+RelayLoop::Impl::logWritten(const Exchange& aExchange)
+{
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  const TimePoint written = this->clock();
+  this->shared.log.write(
+    LogLine{ LogPart::Path, "written" }
+      .with("id", aExchange.requestId)
+      .with("replica", aExchange.replica)
+      .with("sends", aExchange.sends)
+      .with("decided_ms",
+            (aExchange.sentAt - aExchange.arrived).count() / kMicrosPerMs)
+      .with("connect_ms",
+            (aExchange.connectedAt - aExchange.sentAt).count() / kMicrosPerMs)
+      .with("write_ms",
+            (written - aExchange.connectedAt).count() / kMicrosPerMs));
+}
+
+/** Logs that the current attempt ends before its answer does. unwritten: bytes
+ * of the request that the socket has not accepted. */
+void
+RelayLoop::Impl::logDropped(const Exchange& aExchange)
+{
+  const auto found = this->connections.find(aExchange.connection);
+  if (found == this->connections.end()) {
+    return;
+  }
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  const ReplicaConnection& connection = *found->second;
+  this->shared.log.write(
+    LogLine{ LogPart::Path, "dropped" }
+      .with("id", aExchange.requestId)
+      .with("replica", aExchange.replica)
+      .with("sends", aExchange.sends)
+      .with("connecting",
+            connection.state == ReplicaConnection::State::Connecting ? 1 : 0)
+      .with("unwritten",
+            static_cast<std::int64_t>(connection.output.size() +
+                                      connection.bodyLeft))
+      .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs)
+      .with("read_delay_ms", this->readDelay.count() / kMicrosPerMs));
+}
+
 /** Sets the timer to the next deadline of the request: its own, the connect
  * timeout, the stall timeout or the expected end of its prefill. */
 void
@@ -270,6 +315,7 @@
 RelayLoop::Impl::dropAttempt(Exchange& aExchange, bool aMayHaveRun)
 {
   if (aExchange.connection != 0) {
+    this->logDropped(aExchange);
     this->closeReplica(aExchange.connection);
     aExchange.connection = 0;
   }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -30,6 +30,7 @@
 #include "PeerDatagram.h"
 #include "PeerState.h"
 #include "PeerStatus.h"
+#include "PeerTraffic.h"
 #include "PostedWork.h"
 #include "RepathOrder.h"
 #include "ReplicaConnection.h"
@@ -108,6 +109,9 @@
   // RelayPublication.cpp: lost and busy replicas, for other threads.
   void publishLostReplicas();
   void publishBusyReplicas();
+  void logLoss(const std::string& aReplica, bool aCertain);
+  [[nodiscard]] std::string_view ownLossSignal(
+    const std::string& aReplica) const;
 
   // RelayCallers.cpp: connections from callers.
   void acceptCallers();
@@ -208,6 +212,8 @@
   // RelayExchange.cpp: attempts, timers and the end of a request.
   void dispatch(Exchange& aExchange);
   void sendAttempt(Exchange& aExchange, const AttemptTarget& aTarget);
+  void logWritten(const Exchange& aExchange);
+  void logDropped(const Exchange& aExchange);
   void onExchangeTimer(Exchange& aExchange);
   void armExchange(Exchange& aExchange);
   void dropAttempt(Exchange& aExchange, bool aMayHaveRun);
@@ -301,7 +307,8 @@
   void onSignals(const Address& aAddress, const ReplicaSignals& aSignals);
   void recordBackoff(const std::string& aReplica, Duration aBackoff);
   void recordOwnDrainAnnouncement(const std::string& aReplica);
-  bool recordDrainAnnouncement(const std::string& aReplica);
+  bool recordDrainAnnouncement(const std::string& aReplica,
+                               std::string_view aFrom);
   void addDrainAnnouncements(PeerStatus& aStatus) const;
   void forgetDrainAnnouncements(const std::set<std::string>& aKept);
   void publishBackoffs();
@@ -409,10 +416,11 @@
 
   // RelayDraining.cpp: replicas that drain or restart.
   void recordDraining(const ReplicaView& aLatest);
+  void logDrain(const std::string& aReplica, std::string_view aFrom);
   void detectRestarts(const ReplicaView& aLatest);
   void endIncarnation(const std::string& aReplica);
   [[nodiscard]] std::set<std::string> drainingReplicas() const;
-  void onPeerDraining(const PeerStatus& aStatus);
+  void onPeerDraining(const PeerStatus& aStatus, const std::string& aFrom);
   void expireDrainReports();
   [[nodiscard]] bool isDraining(const Replica& aReplica) const;
   void moveOffDraining();
@@ -470,7 +478,8 @@
   [[nodiscard]] PeerStatus ownStatus();
   std::size_t sendDatagram(const Address& aPeer,
                            std::string_view aDatagram,
-                           std::string_view aSection = {}) const;
+                           std::string_view aSection = {});
+  void logTraffic();
   [[nodiscard]] bool isSettling() const;
   void updateStorePolling();
   void sendListDelta(const ReplicaListDelta& aDelta);
@@ -544,6 +553,7 @@
   /** When another relay last reported a proof of its configuration that is
    * recent enough to send requests with an API key. */
   TimePoint peerProvedFreshAt{};
+  PeerTraffic peerTraffic;
   StatusRepeat statusRepeat;
   /** Messages that relays of other zones asked this one to forward. */
   StatusQueue forwardQueue;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -102,6 +102,10 @@
 RelayLoop::Impl::applyPeerFreshness(const PeerStatus& aStatus,
                                     const PeerEcho& aEcho)
 {
+  if (aEcho.incarnation == this->ownIncarnation) {
+    this->peerTraffic.onEcho(this->shared.clock.now().time_since_epoch() -
+                             Duration{ aEcho.sentAt });
+  }
   if (aStatus.configAge >= 0 &&
       Duration{ aStatus.configAge } <= this->gate.maxKeyAge) {
     this->peerProvedFreshAt = this->now;
@@ -210,7 +214,7 @@
     this->shared.leaderSeenAt = 0;
   }
   this->applyPeerFreshness(aStatus, aEcho);
-  this->onPeerDraining(aStatus);
+  this->onPeerDraining(aStatus, toText(aFrom));
   this->onPeerCrashes(aStatus);
   this->onPeerLimits(aStatus);
   this->onPeerReturns(aStatus, aReceivedAt);
@@ -277,6 +281,7 @@
     if (count <= 0) {
       return;
     }
+    this->peerTraffic.onReceived(static_cast<std::size_t>(count));
     this->readDatagram(
       bytes.data(), static_cast<std::size_t>(count), fromSocketAddress(from));
   }
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -109,6 +109,7 @@
   this->closeExpiredIdle(this->now);
   this->shared.log.flush();
   if (this->periodicRuns++ % kRunsPerSecond == 0) {
+    this->logTraffic();
     Metrics& metrics = this->shared.metrics;
     metrics.set("callers_open",
                 static_cast<std::int64_t>(this->callers.size()));
--- a/src/relay/RelayPublication.cpp
+++ b/src/relay/RelayPublication.cpp
@@ -50,9 +50,7 @@
       continue;
     }
     changed = true;
-    this->shared.log.write(LogLine{ LogPart::Replicas, "lost" }
-                             .with("replica", replica)
-                             .with("named", certain ? 1 : 0));
+    this->logLoss(replica, certain);
     if (certain) {
       this->rearmStallTimers(replica);
     }
@@ -64,6 +62,42 @@
   }
 }
 
+/** Logs that a replica counts as lost: by which signal of this relay, and which
+ * relays report it. */
+void
+RelayLoop::Impl::logLoss(const std::string& aReplica, bool aCertain)
+{
+  const LossReports::Reporters reporters = this->reports.reporters(aReplica);
+  this->shared.log.write(
+    LogLine{ LogPart::Replicas, "lost" }
+      .with("replica", aReplica)
+      .with("named", aCertain ? 1 : 0)
+      .with("signal", this->ownLossSignal(aReplica))
+      .with("reporters", static_cast<std::int64_t>(reporters.count))
+      .with("first_reporter", reporters.first)
+      .with("relays", static_cast<std::int64_t>(this->knownPeers.size() + 1)));
+}
+
+/** Returns which finding of this relay itself says that a replica is lost or
+ * slow; "none" if only other relays report it. */
+std::string_view
+RelayLoop::Impl::ownLossSignal(const std::string& aReplica) const
+{
+  if (this->drainState.restarted.contains(aReplica)) {
+    return "restarted";
+  }
+  if (this->health.blockedOn(this->now).contains(aReplica)) {
+    return "blocks_others";
+  }
+  if (this->health.dead(aReplica, this->now)) {
+    return "unreachable";
+  }
+  if (this->health.slowdown(aReplica) >= kDegradedSlowdown) {
+    return "slow";
+  }
+  return "none";
+}
+
 /** Publishes which replicas have requests of any relay in flight. Only the
  * holder of the placement lease needs to know. */
 void
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -166,6 +166,9 @@
     return;
   }
   aConnection.state = ReplicaConnection::State::Busy;
+  if (exchange != this->exchanges.end()) {
+    exchange->second->connectedAt = this->now;
+  }
   this->flushReplica(aConnection);
 }
 
@@ -175,6 +178,7 @@
 RelayLoop::Impl::flushReplica(ReplicaConnection& aConnection)
 {
   const auto exchange = this->exchanges.find(aConnection.exchange);
+  const bool wasUnwritten = !this->unsentBytes(aConnection).empty();
   if (!aConnection.anySent && !this->unsentBytes(aConnection).empty() &&
       exchange != this->exchanges.end() &&
       !this->isConfigFresh(*exchange->second)) {
@@ -217,8 +221,11 @@
       aConnection.output.consume(static_cast<std::size_t>(count));
     }
   }
-  this->setReplicaWriteInterest(aConnection,
-                                !this->unsentBytes(aConnection).empty());
+  const bool written = this->unsentBytes(aConnection).empty();
+  this->setReplicaWriteInterest(aConnection, !written);
+  if (written && wasUnwritten && exchange != this->exchanges.end()) {
+    this->logWritten(*exchange->second);
+  }
 }
 
 /** Returns the next bytes of the request to write: of its head, or else of its
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -84,7 +84,7 @@
 void
 RelayLoop::Impl::recordOwnDrainAnnouncement(const std::string& aReplica)
 {
-  if (this->recordDrainAnnouncement(aReplica)) {
+  if (this->recordDrainAnnouncement(aReplica, "answer")) {
     this->broadcastStatus(true);
   }
 }
@@ -92,7 +92,8 @@
 /** Records that a replica has announced its drain, to this relay or to another
  * one. Returns whether that is new. */
 bool
-RelayLoop::Impl::recordDrainAnnouncement(const std::string& aReplica)
+RelayLoop::Impl::recordDrainAnnouncement(const std::string& aReplica,
+                                         std::string_view aFrom)
 {
   if (!this->drainState.announced.insert(aReplica).second) {
     return false;
@@ -102,8 +103,7 @@
   this->shared.announcedDrains.replace(
     std::make_shared<const std::set<std::string>>(this->drainState.announced));
   this->shared.metrics.count("replica_drains_announced_total");
-  this->shared.log.write(
-    LogLine{ LogPart::Replicas, "drains" }.with("replica", aReplica));
+  this->logDrain(aReplica, aFrom);
   return true;
 }
 
--- a/src/relay/RelayStatus.cpp
+++ b/src/relay/RelayStatus.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 #include <msgpack.hpp>
 
@@ -131,6 +132,9 @@
   if (peers->empty()) {
     return;
   }
+  if (aChanged) {
+    ++this->peerTraffic.changesSent;
+  }
   const PeerStatus status = this->ownStatus();
   msgpack::sbuffer packed;
   msgpack::pack(packed, status);
@@ -188,7 +192,7 @@
 std::size_t
 RelayLoop::Impl::sendDatagram(const Address& aPeer,
                               std::string_view aDatagram,
-                              std::string_view aSection) const
+                              std::string_view aSection)
 {
   const auto address = toSocketAddress(aPeer);
   if (!address) {
@@ -200,6 +204,7 @@
   msgpack::pack(
     bytes, known == this->knownPeers.end() ? PeerEcho{} : known->second.echo);
   bytes.write(aSection.data(), aSection.size());
+  this->peerTraffic.onSent(bytes.size());
   // Errors are ignored: the next datagram replaces a lost one.
   static_cast<void>(::sendto(this->peerSocket.get(),
                              bytes.data(),
@@ -210,6 +215,28 @@
   return bytes.size();
 }
 
+/** Logs what this relay exchanged with others in the last second. */
+void
+RelayLoop::Impl::logTraffic()
+{
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  const PeerTraffic traffic = std::exchange(this->peerTraffic, {});
+  const auto signedOf = [](std::uint64_t aValue) {
+    return static_cast<std::int64_t>(aValue);
+  };
+  LogLine line{ LogPart::Peers, "traffic" };
+  line.with("sent_bytes", signedOf(traffic.sentBytes))
+    .with("sent", signedOf(traffic.sentDatagrams))
+    .with("received_bytes", signedOf(traffic.receivedBytes))
+    .with("received", signedOf(traffic.receivedDatagrams))
+    .with("changes", signedOf(traffic.changesSent))
+    .with("known", signedOf(this->knownPeers.size()));
+  if (traffic.shortestEcho) {
+    line.with("echo_ms", traffic.shortestEcho->count() / kMicrosPerMs);
+  }
+  this->shared.log.write(line);
+}
+
 /** Returns whether this relay joined too recently to know which of its peers
  * poll the store. If it decided now, it would take itself for the only relay
  * and read everything again. */
--- a/tests/unit/fleet/LossReportsTest.cpp
+++ b/tests/unit/fleet/LossReportsTest.cpp
@@ -60,6 +60,19 @@
   EXPECT_EQ(reports.slowdown("two"), 1.0);
 }
 
+TEST(LossReports, NamesWhoReportsAReplica)
+{
+  LossReports reports;
+  reports.onPeer("a", unreachable("two"), kStart);
+  reports.onPeer("b", unreachable("one"), kStart);
+  LossReport slow;
+  slow.slow.emplace("one", 4.0);
+  reports.onPeer("c", slow, kStart);
+  EXPECT_EQ(reports.reporters("one").count, 2U);
+  EXPECT_EQ(reports.reporters("one").first, "b");
+  EXPECT_EQ(reports.reporters("three").count, 0U);
+}
+
 TEST(LossReports, ReturnsWhetherAReportDiffers)
 {
   LossReports reports;
