Reset the connection of an attempt that nobody waits for

Callers left, and work for them began or went on: what had been written and was still in a queue was delivered after an ordinary close, and ran. A reset drops what the kernel has not sent yet. RelayCallerTest.ARequestThatWaitsInAQueueDoesNotRunAfterItsCallerLeft fails without it.

--- a/include/poplartrack/base/TcpSocket.h
+++ b/include/poplartrack/base/TcpSocket.h
@@ -38,6 +38,11 @@
 void
 setNoDelay(int aFd);
 
+/** Makes the close of the socket a reset: bytes that the kernel has not sent yet
+ * are dropped, and the peer learns at once that nobody waits any more. */
+void
+resetOnClose(int aFd);
+
 /** The local address of a socket. */
 Result<Address>
 localAddress(int aFd);
--- a/src/base/TcpSocket.cpp
+++ b/src/base/TcpSocket.cpp
@@ -111,6 +111,13 @@
   ::setsockopt(aFd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 }
 
+void
+resetOnClose(int aFd)
+{
+  const linger dropUnsent{ 1, 0 };
+  ::setsockopt(aFd, SOL_SOCKET, SO_LINGER, &dropUnsent, sizeof dropUnsent);
+}
+
 Result<Address>
 localAddress(int aFd)
 {
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -309,14 +309,14 @@
   return found != this->connections.end() && found->second->anySent;
 }
 
-/** Ends the current attempt. Closing its connection stops the work at the
- * replica. */
+/** Ends the current attempt. The reset of its connection stops the work at the
+ * replica, and takes back what waits to be sent. */
 void
 RelayLoop::Impl::dropAttempt(Exchange& aExchange, bool aMayHaveRun)
 {
   if (aExchange.connection != 0) {
     this->logDropped(aExchange);
-    this->closeReplica(aExchange.connection);
+    this->abortReplica(aExchange.connection);
     aExchange.connection = 0;
   }
   this->removeLoad(aExchange);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -184,6 +184,7 @@
   void closeExpiredIdle(TimePoint aNow);
   void resetParser(ReplicaConnection& aConnection);
 
+  void abortReplica(std::uint64_t aId);
   // RelayReplicaInput.cpp: bytes received from replicas.
   void readReplica(ReplicaConnection& aConnection);
   void parseReplicaInput(std::uint64_t aConnection);
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -290,6 +290,19 @@
   this->idleConnections[aConnection.replica].push_back(aConnection.id);
 }
 
+/** Closes a connection with a request that nobody waits for any more. After an
+ * ordinary close, bytes of the request that are still in a queue would arrive,
+ * and it would run. */
+void
+RelayLoop::Impl::abortReplica(std::uint64_t aId)
+{
+  const auto found = this->connections.find(aId);
+  if (found != this->connections.end()) {
+    resetOnClose(found->second->fd.get());
+  }
+  this->closeReplica(aId);
+}
+
 void
 RelayLoop::Impl::closeReplica(std::uint64_t aId)
 {
--- a/tests/harness/RawSocket.cpp
+++ b/tests/harness/RawSocket.cpp
@@ -113,6 +113,17 @@
   return this->readUntil("");
 }
 
+bool
+RawSocket::readToReset()
+{
+  std::array<char, 4096> buffer{};
+  ssize_t got = 0;
+  do {
+    got = ::recv(this->fd.get(), buffer.data(), buffer.size(), 0);
+  } while (got > 0);
+  return got < 0 && errno == ECONNRESET;
+}
+
 RawListener::RawListener()
 {
   Result<OwnedFd> listening = listenTcp(Address{ "127.0.0.1", 0 });
--- a/tests/harness/RawSocket.h
+++ b/tests/harness/RawSocket.h
@@ -32,6 +32,8 @@
   std::string readBytes(std::size_t aCount);
   /** Reads until the peer has closed or reset the connection. */
   std::string readToEnd();
+  /** Reads until the peer ends the connection. Returns whether it reset it. */
+  bool readToReset();
   /** Closes it at once; unread bytes make this a reset. */
   void close() { this->fd.reset(); }
 
--- a/tests/unit/relay/RelayCallerTest.cpp
+++ b/tests/unit/relay/RelayCallerTest.cpp
@@ -140,5 +140,17 @@
   EXPECT_TRUE(has(this->head, "X-Id: id-2\r\n"));
 }
 
+TEST_F(RelayCallerTest, ARequestThatWaitsInAQueueDoesNotRunAfterItsCallerLeft)
+{
+  // Its bytes are in the queue of a slow link, here that of the socket.
+  this->startWith("plain", { "one" });
+  constexpr std::size_t kBodyBytes = 900'000;
+  this->caller.emplace(this->world.sendRequest(
+    "/again/x", "id-1", {}, std::string(kBodyBytes, 'x')));
+  this->replica.emplace(this->nextAttempt());
+  this->caller->close();
+  EXPECT_TRUE(this->replica->readToReset());
+}
+
 } // namespace
 } // namespace poplartrack
