Bound what relays send to each other by their links

After a crash of five replicas relays sent up to 17 MB in a second over links that carry 2.5: each line 'lost' sent a whole status message of 1 to 5 KB to each of 102 others, also what only others had reported, and the regular messages grew with it. All that passes the link waited behind it, up to 2 s each way, and three of four messages were lost. Streams were late for it, so replicas looked lost, of which all were told.

Now a change sends a notice without the load tables, only for what this relay found itself and others have not agreed on; changes have 0.05 and regular messages 0.15 of the slowest known link. Echoes say how long they were kept, so that a relay measures the round trip of its own link.

Without the bounds, RelayBroadcastTest's ALossThatOthersReportIsNotPassedOn and ChangesBeyondTheirShareOfTheLinkWait fail.

--- a/src/relay/PeerDatagram.cpp
+++ b/src/relay/PeerDatagram.cpp
@@ -109,6 +109,13 @@
 
 } // namespace
 
+bool
+isKnownFormat(const PeerStatus& aStatus)
+{
+  return aStatus.format == kPeerStatusFormat ||
+         aStatus.format == kPeerNoticeFormat;
+}
+
 std::optional<PeerDatagram>
 parsePeerDatagram(std::string_view aBytes)
 {
@@ -125,7 +132,7 @@
   const Result<Address> sender = addressFromText(aRow.sender);
   if (!sender || sender.value().port == 0 || aRow.age < 0 ||
       Duration{ aRow.age } > kMaxForwardAge ||
-      aRow.status.format != kPeerStatusFormat || aRow.status.zone == aZone) {
+      !isKnownFormat(aRow.status) || aRow.status.zone == aZone) {
     return std::nullopt;
   }
   PeerStatus& status = aRow.status;
--- a/src/relay/PeerDatagram.h
+++ b/src/relay/PeerDatagram.h
@@ -41,6 +41,10 @@
   ForwardSection forward;
 };
 
+/** Returns whether this process knows the format of the message. */
+bool
+isKnownFormat(const PeerStatus& aStatus);
+
 using PeerDatagram = std::variant<PeerMessage, ReplicaListUpdate>;
 
 /** Parses a datagram of another relay. Returns nullopt if it is incomplete or
--- a/src/relay/PeerStatus.h
+++ b/src/relay/PeerStatus.h
@@ -15,6 +15,11 @@
 /** Format version of PeerStatus; datagrams of other versions are ignored. */
 constexpr std::uint32_t kPeerStatusFormat = 13;
 
+/** Format version of a PeerStatus without load tables: crashes, served, loads,
+ * links, accounts, demand and returns are empty, and the receiver keeps those
+ * of the message before. It differs from every kPeerStatusFormat. */
+constexpr std::uint32_t kPeerNoticeFormat = 2'001;
+
 /** The sender's own work in flight at one replica; see ReplicaLoad. */
 struct LoadRow
 {
@@ -173,13 +178,17 @@
   /** When the addressee sent that message, on the addressee's clock, in
    * microseconds. */
   std::int64_t sentAt = 0;
-  MSGPACK_DEFINE(incarnation, sentAt);
+  /** How long the sender has had that message, in microseconds; negative from a
+   * sender that does not know the field. */
+  std::int64_t heldFor = -1;
+  MSGPACK_DEFINE(incarnation, sentAt, heldFor);
 };
 
 /** The status message of a relay. It reaches every other relay: directly, or
  * forwarded by a relay of the receiver's zone. */
 struct PeerStatus
 {
+  /** kPeerStatusFormat or kPeerNoticeFormat. */
   std::uint32_t format = kPeerStatusFormat;
   /** Random number of this incarnation of the sender's process. An instance
    * that takes over its address has another clock. */
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -136,8 +136,7 @@
   this->applyQuarantineChanges();
 }
 
-/** Adds the crashes, the quarantine and what was cleared to a status message.
- */
+/** Adds the crashes and what was cleared to a status message. */
 void
 RelayLoop::Impl::addCrashes(PeerStatus& aStatus) const
 {
@@ -152,6 +151,13 @@
                 report.familiar,
                 (this->now - report.brokenAt).count() });
   }
+  aStatus.served = this->crashState.ledger.latestServed(this->now);
+}
+
+/** Adds the quarantine to a status message. */
+void
+RelayLoop::Impl::addQuarantine(PeerStatus& aStatus) const
+{
   std::vector<QuarantineRecord> records =
     this->crashState.ledger.quarantine(this->now);
   std::sort(records.begin(),
@@ -168,7 +174,6 @@
                      record.suspect.part,
                      record.trials });
   }
-  aStatus.served = this->crashState.ledger.latestServed(this->now);
 }
 
 /** Takes over the crashes, the quarantine and what was cleared from another
--- a/src/relay/RelayLimits.cpp
+++ b/src/relay/RelayLimits.cpp
@@ -39,7 +39,7 @@
     line.with("limit_milli", toMilliRate(*limit));
   }
   this->shared.log.write(line);
-  this->broadcastStatus(true);
+  this->announceChange();
 }
 
 /** Returns whether this relay's share of the replica's rate limit permits a
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -162,7 +162,7 @@
 }
 
 /** Dispatches a timer that has expired: of the wait queue, the check for
- * losses, an exchange or a caller. */
+ * losses, a message about changes, an exchange or a caller. */
 void
 RelayLoop::Impl::onTimer(std::uint64_t aKey)
 {
@@ -174,6 +174,10 @@
     this->checkLosses();
     return;
   }
+  if (aKey == kChangeTimerKey) {
+    this->sendChanges();
+    return;
+  }
   if (const auto exchange = this->exchanges.find(aKey);
       exchange != this->exchanges.end()) {
     this->onExchangeTimer(*exchange->second);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -28,6 +28,7 @@
 #include "OutageProbeState.h"
 #include "PaceState.h"
 #include "PeerDatagram.h"
+#include "PeerSending.h"
 #include "PeerState.h"
 #include "PeerStatus.h"
 #include "PeerTraffic.h"
@@ -41,6 +42,7 @@
 #include "poplartrack/fleet/LoadTracker.h"
 #include "poplartrack/fleet/LossReports.h"
 #include "poplartrack/fleet/OutlierEjection.h"
+#include "poplartrack/fleet/OwnLink.h"
 #include "poplartrack/fleet/PathFinder.h"
 #include "poplartrack/fleet/RecentReplicas.h"
 #include "poplartrack/fleet/ReleaseNotices.h"
@@ -109,6 +111,8 @@
   // RelayPublication.cpp: lost and busy replicas, for other threads.
   void publishLostReplicas();
   void publishBusyReplicas();
+  [[nodiscard]] LossReport ownLosses() const;
+  void announceLosses();
   void logLoss(const std::string& aReplica, bool aCertain);
   [[nodiscard]] std::string_view ownLossSignal(
     const std::string& aReplica) const;
@@ -180,11 +184,11 @@
   void setReplicaWriteInterest(ReplicaConnection& aConnection, bool aWrite);
   void updateReplicaInterest(ReplicaConnection& aConnection);
   void releaseReplica(ReplicaConnection& aConnection);
+  void abortReplica(std::uint64_t aId);
   void closeReplica(std::uint64_t aId);
   void closeExpiredIdle(TimePoint aNow);
   void resetParser(ReplicaConnection& aConnection);
 
-  void abortReplica(std::uint64_t aId);
   // RelayReplicaInput.cpp: bytes received from replicas.
   void readReplica(ReplicaConnection& aConnection);
   void parseReplicaInput(std::uint64_t aConnection);
@@ -216,6 +220,7 @@
   void logWritten(const Exchange& aExchange);
   void logDropped(const Exchange& aExchange);
   void onExchangeTimer(Exchange& aExchange);
+  [[nodiscard]] TimePoint connectDeadline(const Exchange& aExchange) const;
   void armExchange(Exchange& aExchange);
   void dropAttempt(Exchange& aExchange, bool aMayHaveRun);
   void endExchange(Exchange& aExchange);
@@ -330,6 +335,7 @@
   // RelayReleases.cpp: layers that are taken from busy replicas.
   void onPeerReleases(const PeerStatus& aStatus, const std::string& aPeer);
   void addReleases(PeerStatus& aStatus) const;
+  void addOutsideReleases(PeerStatus& aStatus) const;
   [[nodiscard]] std::map<std::string, std::uint32_t> requestsOutsideReleases()
     const;
   void refreshReleases();
@@ -400,6 +406,7 @@
   [[nodiscard]] std::vector<StreamProgress> streamsToCheck() const;
   void checkLosses();
   void recordReportAnswer(const std::string& aReplica);
+  [[nodiscard]] bool isSilenceEvidence(const std::string& aReplica);
   [[nodiscard]] bool mayDeclareLost(const std::string& aReplica,
                                     bool aOutageProbe);
 
@@ -437,6 +444,7 @@
   void recordBegun(Exchange& aExchange);
   void recordServed(Exchange& aExchange);
   void addCrashes(PeerStatus& aStatus) const;
+  void addQuarantine(PeerStatus& aStatus) const;
   void onPeerCrashes(const PeerStatus& aStatus);
 
   // RelayQuarantine.cpp: what is sent to no replica because of such crashes.
@@ -469,13 +477,22 @@
                     const Address& aFrom,
                     TimePoint aReceivedAt);
   void addUnlistedPeer(const Address& aSender);
+  void recordRoundTrip(const PeerEcho& aEcho);
   void applyPeerFreshness(const PeerStatus& aStatus, const PeerEcho& aEcho);
   [[nodiscard]] SharedRetryBudget& budgetOf(const Exchange& aExchange);
 
   // RelayStatus.cpp: the datagrams that this relay sends.
-  void broadcastStatus(bool aChanged);
-  void sendToOtherZones(std::string_view aStatus, bool aDirect);
+  // RelayBroadcast.cpp: the datagrams that this relay sends.
+  void updateSendRates();
+  void broadcastStatus();
+  std::size_t sendToZone(std::string_view aStatus, std::string_view aForwarded);
+  std::size_t sendToOtherZones(const PeerStatus& aStatus,
+                               std::string_view aBytes);
+  void announceChange();
+  void sendChanges();
+  std::size_t sendElsewhere(std::string_view aStatus, bool aDirect);
   [[nodiscard]] bool goesToOtherZones(const PeerStatus& aStatus);
+  [[nodiscard]] PeerStatus ownNotice();
   [[nodiscard]] PeerStatus ownStatus();
   std::size_t sendDatagram(const Address& aPeer,
                            std::string_view aDatagram,
@@ -555,6 +572,8 @@
    * recent enough to send requests with an API key. */
   TimePoint peerProvedFreshAt{};
   PeerTraffic peerTraffic;
+  PeerSending sending;
+  OwnLink ownLink;
   StatusRepeat statusRepeat;
   /** Messages that relays of other zones asked this one to forward. */
   StatusQueue forwardQueue;
--- a/src/relay/RelayOutliers.cpp
+++ b/src/relay/RelayOutliers.cpp
@@ -24,7 +24,7 @@
   this->shared.log.write(LogLine{ LogPart::Replicas, "ejected" }
                            .with("replica", aExchange.replica)
                            .with("id", aExchange.requestId));
-  this->broadcastStatus(true);
+  this->announceChange();
 }
 
 /** Records the first event of an attempt, or its successful answer if that is
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -89,6 +89,20 @@
   }
 }
 
+/** Records how long a message of this relay and its echo were under way. */
+void
+RelayLoop::Impl::recordRoundTrip(const PeerEcho& aEcho)
+{
+  if (aEcho.incarnation != this->ownIncarnation || aEcho.heldFor < 0) {
+    return;
+  }
+  const Duration roundTrip = this->shared.clock.now().time_since_epoch() -
+                             Duration{ aEcho.sentAt } -
+                             Duration{ aEcho.heldFor };
+  this->peerTraffic.onEcho(roundTrip);
+  this->ownLink.onEcho(roundTrip, this->now);
+}
+
 /**
  * Adopts another relay's freshness proof of the configuration. The sender had
  * received this relay's message with the echoed time before it sent its own.
@@ -102,10 +116,7 @@
 RelayLoop::Impl::applyPeerFreshness(const PeerStatus& aStatus,
                                     const PeerEcho& aEcho)
 {
-  if (aEcho.incarnation == this->ownIncarnation) {
-    this->peerTraffic.onEcho(this->shared.clock.now().time_since_epoch() -
-                             Duration{ aEcho.sentAt });
-  }
+  this->recordRoundTrip(aEcho);
   if (aStatus.configAge >= 0 &&
       Duration{ aStatus.configAge } <= this->gate.maxKeyAge) {
     this->peerProvedFreshAt = this->now;
@@ -134,8 +145,7 @@
 RelayLoop::Impl::onPeerMessage(PeerMessage aMessage, const Address& aFrom)
 {
   PeerStatus& status = aMessage.status;
-  if (status.format != kPeerStatusFormat ||
-      status.incarnation == this->ownIncarnation) {
+  if (!isKnownFormat(status) || status.incarnation == this->ownIncarnation) {
     return;
   }
   this->addUnlistedPeer(aFrom);
@@ -181,6 +191,7 @@
                               const Address& aFrom,
                               TimePoint aReceivedAt)
 {
+  this->sending.silentElsewhere.erase(aFrom);
   this->knownPeers[aFrom] = PeerState{ { aStatus.incarnation, aStatus.sentAt },
                                        aStatus.zone,
                                        aReceivedAt,
@@ -217,7 +228,6 @@
   this->onPeerDraining(aStatus, toText(aFrom));
   this->onPeerCrashes(aStatus);
   this->onPeerLimits(aStatus);
-  this->onPeerReturns(aStatus, aReceivedAt);
   const std::string peer = toText(aFrom);
   this->outliers.onPeer(peer, aStatus.ejected, this->now);
   // Counts are kept by incarnation: a process that restarts at the same address
@@ -227,11 +237,14 @@
     this->budgets.of(row.service)
       .onPeer(incarnation, RetryCounts{ row.requests, row.retries }, this->now);
   }
-  this->links.onPeer(incarnation, linkTotalsOf(aStatus), this->now);
-  this->loads.onPeer(peer, loadTableOf(aStatus), this->now);
-  this->onPeerDemand(aStatus, peer);
   this->onPeerReleases(aStatus, peer);
-  this->onPeerAccounts(aStatus, peer);
+  if (aStatus.format == kPeerStatusFormat) {
+    this->onPeerReturns(aStatus, aReceivedAt);
+    this->links.onPeer(incarnation, linkTotalsOf(aStatus), this->now);
+    this->loads.onPeer(peer, loadTableOf(aStatus), this->now);
+    this->onPeerDemand(aStatus, peer);
+    this->onPeerAccounts(aStatus, peer);
+  }
   LossReport report{ { aStatus.lost.begin(), aStatus.lost.end() },
                      { aStatus.unreachable.begin(), aStatus.unreachable.end() },
                      aStatus.slow };
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -75,6 +75,9 @@
     const bool silent = this->now - aEntry.second.receivedAt > kPeerTimeout;
     if (silent) {
       this->shared.peerSilentAt = this->now.time_since_epoch().count();
+      if (aEntry.second.zone != this->settings.zone) {
+        this->sending.silentElsewhere.insert(aEntry.first);
+      }
       this->links.forget(
         incarnationName(aEntry.first, aEntry.second.echo.incarnation));
     }
@@ -103,7 +106,8 @@
   this->requestSlowReplicaReports();
   this->probeListedReplicas();
   this->moveOffDraining();
-  this->broadcastStatus(false);
+  this->updateSendRates();
+  this->broadcastStatus();
   this->refreshHeld();
   this->beginBulkPeriod();
   this->closeExpiredIdle(this->now);
--- a/src/relay/RelayPublication.cpp
+++ b/src/relay/RelayPublication.cpp
@@ -1,5 +1,6 @@
 // Lost and busy replicas, as published for other threads.
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -11,7 +12,6 @@
  * Updates the shared map of lost replicas. For each replica, it says whether
  * the loss is certain; a replica that only this relay cannot reach is not
  * certainly lost. Replicas that are slow, or have restarted, count as lost.
- * When an entry is added or changes, the other relays are informed at once.
  */
 void
 RelayLoop::Impl::publishLostReplicas()
@@ -37,28 +37,65 @@
       lost.insert_or_assign(replica, true);
     }
   }
+  this->announceLosses();
   const auto before = this->shared.lostReplicas.read();
   if (*before == lost) {
     return;
   }
   this->shared.lostReplicas.replace(
     std::make_shared<const RelayShared::LostReplicas>(lost));
-  bool changed = false;
   for (const auto& [replica, certain] : lost) {
     const auto known = before->find(replica);
     if (known != before->end() && known->second == certain) {
       continue;
     }
-    changed = true;
     this->logLoss(replica, certain);
     if (certain) {
       this->rearmStallTimers(replica);
     }
   }
-  if (changed) {
-    // The next periodic status message is up to 200 ms away. The streams of the
-    // other relays through the lost replica would stall until then.
-    this->broadcastStatus(true);
+}
+
+/** Returns the losses that this relay has found itself. */
+LossReport
+RelayLoop::Impl::ownLosses() const
+{
+  LossReport own;
+  own.confirmed = this->health.blockedOn(this->now);
+  for (const auto& [replica, since] : this->drainState.restarted) {
+    own.confirmed.insert(replica);
+  }
+  own.unreachable = this->health.deadReplicas(this->now);
+  own.slow = this->health.degraded();
+  return own;
+}
+
+/** Tells the other relays of a loss that this relay has found itself and that
+ * they have not agreed on yet. Their streams through the lost replica would
+ * stall until the next regular message, which is up to 200 ms away. What only
+ * others have reported is not passed on: each of them tells all. */
+void
+RelayLoop::Impl::announceLosses()
+{
+  LossReport own = this->ownLosses();
+  const LossReport before = std::exchange(this->sending.ownLosses, own);
+  const auto isNews = [this](const std::string& aReplica, bool aWasKnown) {
+    return !aWasKnown &&
+           !this->reports.lost(aReplica, false, this->knownPeers.size() + 1);
+  };
+  const auto addsTo = [&](const auto& aNow, const auto& aBefore) {
+    return std::any_of(
+      aNow.begin(), aNow.end(), [&](const std::string& aReplica) {
+        return isNews(aReplica, aBefore.contains(aReplica));
+      });
+  };
+  const bool isSlowNews =
+    std::any_of(own.slow.begin(), own.slow.end(), [&](const auto& aEntry) {
+      return isNews(aEntry.first, before.slow.contains(aEntry.first));
+    });
+  if (isSlowNews || addsTo(own.confirmed, before.confirmed) ||
+      addsTo(own.unreachable, before.unreachable)) {
+    this->announceChange();
   }
 }
 
--- a/src/relay/RelayQuarantine.cpp
+++ b/src/relay/RelayQuarantine.cpp
@@ -58,7 +58,7 @@
   // Deferred, because the caller may be a request that is choosing its path.
   this->post([this, aSuspect, aOwn] {
     if (aOwn) {
-      this->broadcastStatus(true);
+      this->announceChange();
     }
     this->stopQuarantined(aSuspect);
   });
@@ -212,7 +212,7 @@
                              .with("kind", nameOf(suspect.kind)));
   }
   // The others must know of the trial before their turn begins.
-  this->post([this] { this->broadcastStatus(true); });
+  this->post([this] { this->announceChange(); });
 }
 
 /** Answers a request that contains something in quarantine with an error. */
--- a/src/relay/RelayReleases.cpp
+++ b/src/relay/RelayReleases.cpp
@@ -33,8 +33,7 @@
 }
 
 /** Adds the announcements to the status message if this relay holds the
- * placement lease, and to each replica with announced layers the number of
- * requests that run none of these. */
+ * placement lease. */
 void
 RelayLoop::Impl::addReleases(PeerStatus& aStatus) const
 {
@@ -47,6 +46,13 @@
       }
     }
   }
+}
+
+/** Adds to each replica with announced layers the number of requests that run
+ * none of these. */
+void
+RelayLoop::Impl::addOutsideReleases(PeerStatus& aStatus) const
+{
   if (this->releases.empty()) {
     return;
   }
--- a/src/relay/RelayReturns.cpp
+++ b/src/relay/RelayReturns.cpp
@@ -73,7 +73,7 @@
   if (delay < kSoon &&
       this->now - this->returnState.sentAt >= kMinReturnsInterval) {
     this->returnState.sentAt = this->now;
-    this->post([this] { this->broadcastStatus(false); });
+    this->post([this] { this->broadcastStatus(); });
   }
   return delay;
 }
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -85,7 +85,7 @@
 RelayLoop::Impl::recordOwnDrainAnnouncement(const std::string& aReplica)
 {
   if (this->recordDrainAnnouncement(aReplica, "answer")) {
-    this->broadcastStatus(true);
+    this->announceChange();
   }
 }
 
--- a/src/relay/RelayStatus.cpp
+++ b/src/relay/RelayStatus.cpp
@@ -1,20 +1,9 @@
-// The datagrams that a relay sends to others: its status messages, those that
-// it forwards, and changes of the replica list.
-
-#include <netinet/in.h>
-#include <sys/socket.h>
+// What the status messages of a relay say, and which relays poll the store.
 
 #include <algorithm>
-#include <utility>
-
-#include <msgpack.hpp>
 
-#include "PeerDatagram.h"
 #include "PeerStatus.h"
 #include "RelayLoopImpl.h"
-#include "ReplicaListUpdate.h"
-#include "poplartrack/base/TcpSocket.h"
-#include "poplartrack/fleet/StatusTargets.h"
 #include "poplartrack/fleet/StoreReaders.h"
 
 namespace poplartrack {
@@ -41,36 +30,24 @@
 
 } // namespace
 
-/** Returns this relay's current status message. */
+/** Returns what protects replicas and callers, without the load tables: a
+ * message that is small however large the fleet is. */
 PeerStatus
-RelayLoop::Impl::ownStatus()
+RelayLoop::Impl::ownNotice()
 {
   PeerStatus status;
+  status.format = kPeerNoticeFormat;
   status.incarnation = this->ownIncarnation;
   status.zone = this->settings.zone;
   status.sentAt = this->shared.clock.now().time_since_epoch().count();
-  for (const auto& [replica, load] : this->loads.own()) {
-    status.loads.push_back(
-      LoadRow{ replica,
-               load.requests,
-               static_cast<std::uint32_t>(std::max(0.0, load.tokenLayers)),
-               static_cast<std::uint32_t>(load.prefillTokens),
-               load.pathStarts,
-               0 });
-  }
-  for (const std::string& replica : this->health.blockedOn(this->now)) {
-    status.lost.push_back(replica);
-  }
-  for (const auto& [replica, since] : this->drainState.restarted) {
-    status.lost.push_back(replica);
-  }
+  const LossReport losses = this->ownLosses();
+  status.lost.assign(losses.confirmed.begin(), losses.confirmed.end());
+  status.unreachable.assign(losses.unreachable.begin(),
+                            losses.unreachable.end());
+  status.slow = losses.slow;
   for (const std::string& replica : this->drainingReplicas()) {
     status.draining.push_back(replica);
   }
-  for (const std::string& replica : this->health.deadReplicas(this->now)) {
-    status.unreachable.push_back(replica);
-  }
-  status.slow = this->health.degraded();
   const ProvenConfig proven = this->provenConfig();
   status.config = proven.config ? proven.config->version : 0;
   status.configAge =
@@ -85,156 +62,41 @@
     status.retries.push_back(
       RetryRow{ service, counts.requests, counts.retries });
   }
-  for (const auto& [zones, bytes] : this->links.own()) {
-    status.links.push_back(
-      LinkRow{ zones.first, zones.second, bytes / kBytesPerKilobyte });
-  }
-  this->addCrashes(status);
+  this->addQuarantine(status);
   this->addLimits(status);
-  this->addReturns(status);
   this->addDrainAnnouncements(status);
   this->addEjected(status);
-  this->addDemand(status);
   this->addReleases(status);
-  this->addAccounts(status);
   status.linkMbps = toWholeMbps(this->settings.linkMbps);
   status.forwards = true;
   return status;
 }
 
-/** Returns whether a status message goes to the relays of other zones as well.
- * Store readers and the holder of the lease always send it: the others detect
- * within a second or so that one of them is gone. */
-bool
-RelayLoop::Impl::goesToOtherZones(const PeerStatus& aStatus)
-{
-  if (aStatus.polls || aStatus.holdsLease) {
-    return true;
-  }
-  PeerStatus content = aStatus;
-  content.sentAt = 0;
-  content.configAge = 0;
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, content);
-  return this->statusRepeat.shouldSend({ bytes.data(), bytes.size() },
-                                       this->now);
-}
-
-/** Sends the status message to the other relays. Those of this zone receive
- * each one, with the messages that this relay forwards. Unless something has
- * changed, relays of other zones receive at most every second one: the replicas
- * of this zone are seldom shared with them, and traffic between zones is
- * expensive. */
-void
-RelayLoop::Impl::broadcastStatus(bool aChanged)
-{
-  const auto peers = this->shared.peers.read();
-  if (peers->empty()) {
-    return;
-  }
-  if (aChanged) {
-    ++this->peerTraffic.changesSent;
-  }
-  const PeerStatus status = this->ownStatus();
-  msgpack::sbuffer packed;
-  msgpack::pack(packed, status);
-  const std::string_view bytes{ packed.data(), packed.size() };
-  if (bytes.size() > kMaxStatusBytes) {
-    this->shared.metrics.count("peer_words_too_large_total");
-    return;
-  }
-  const std::string forwarded = packForwarded(this->forwardQueue, this->now);
-  std::size_t sent = 0;
-  for (const Address& peer : *peers) {
-    const auto known = this->knownPeers.find(peer);
-    if (known == this->knownPeers.end() ||
-        known->second.zone == this->settings.zone) {
-      sent += this->sendDatagram(peer, bytes, forwarded);
-    }
-  }
-  this->shared.metrics.count("status_bytes_zone_total", sent);
-  if (aChanged ||
-      (this->periodicRuns % 2 == 0 && this->goesToOtherZones(status))) {
-    // Changes that protect replicas do not wait for a forwarder, and the
-    // silence of a store reader or lease holder is noticed within a second.
-    this->sendToOtherZones(bytes,
-                           aChanged || status.polls || status.holdsLease ||
-                             bytes.size() > kMaxForwardableBytes);
-  }
-}
-
-/** Sends the status message to the known relays of other zones: to each
- * directly, or to those that forward it. */
-void
-RelayLoop::Impl::sendToOtherZones(std::string_view aStatus, bool aDirect)
-{
-  std::vector<RemoteRelay> relays;
-  for (const auto& [address, peer] : this->knownPeers) {
-    if (peer.zone != this->settings.zone) {
-      relays.push_back(
-        RemoteRelay{ address, peer.zone, peer.forwards && !aDirect });
-    }
-  }
-  const StatusTargets targets = chooseStatusTargets(this->localPeers, relays);
-  std::size_t sent = 0;
-  for (const Address& relay : targets.direct) {
-    sent += this->sendDatagram(relay, aStatus);
-  }
-  const std::string request = packForwardRequest();
-  for (const Address& relay : targets.forwarders) {
-    sent += this->sendDatagram(relay, aStatus, request);
-  }
-  this->shared.metrics.count("status_bytes_other_zones_total", sent);
-}
-
-/** Sends a datagram, followed by the PeerEcho for its addressee and a packed
- * ForwardSection, if any. Returns its size in bytes. */
-std::size_t
-RelayLoop::Impl::sendDatagram(const Address& aPeer,
-                              std::string_view aDatagram,
-                              std::string_view aSection)
+/** Returns this relay's current status message. */
+PeerStatus
+RelayLoop::Impl::ownStatus()
 {
-  const auto address = toSocketAddress(aPeer);
-  if (!address) {
-    return 0;
+  PeerStatus status = this->ownNotice();
+  status.format = kPeerStatusFormat;
+  for (const auto& [replica, load] : this->loads.own()) {
+    status.loads.push_back(
+      LoadRow{ replica,
+               load.requests,
+               static_cast<std::uint32_t>(std::max(0.0, load.tokenLayers)),
+               static_cast<std::uint32_t>(load.prefillTokens),
+               load.pathStarts,
+               0 });
   }
-  const auto known = this->knownPeers.find(aPeer);
-  msgpack::sbuffer bytes;
-  bytes.write(aDatagram.data(), aDatagram.size());
-  msgpack::pack(
-    bytes, known == this->knownPeers.end() ? PeerEcho{} : known->second.echo);
-  bytes.write(aSection.data(), aSection.size());
-  this->peerTraffic.onSent(bytes.size());
-  // Errors are ignored: the next datagram replaces a lost one.
-  static_cast<void>(::sendto(this->peerSocket.get(),
-                             bytes.data(),
-                             bytes.size(),
-                             MSG_NOSIGNAL,
-                             reinterpret_cast<const sockaddr*>(&*address),
-                             sizeof *address));
-  return bytes.size();
-}
-
-/** Logs what this relay exchanged with others in the last second. */
-void
-RelayLoop::Impl::logTraffic()
-{
-  constexpr std::int64_t kMicrosPerMs = 1000;
-  const PeerTraffic traffic = std::exchange(this->peerTraffic, {});
-  const auto signedOf = [](std::uint64_t aValue) {
-    return static_cast<std::int64_t>(aValue);
-  };
-  LogLine line{ LogPart::Peers, "traffic" };
-  line.with("sent_bytes", signedOf(traffic.sentBytes))
-    .with("sent", signedOf(traffic.sentDatagrams))
-    .with("received_bytes", signedOf(traffic.receivedBytes))
-    .with("received", signedOf(traffic.receivedDatagrams))
-    .with("changes", signedOf(traffic.changesSent))
-    .with("known", signedOf(this->knownPeers.size()));
-  if (traffic.shortestEcho) {
-    line.with("echo_ms", traffic.shortestEcho->count() / kMicrosPerMs);
+  this->addOutsideReleases(status);
+  for (const auto& [zones, bytes] : this->links.own()) {
+    status.links.push_back(
+      LinkRow{ zones.first, zones.second, bytes / kBytesPerKilobyte });
   }
-  this->shared.log.write(line);
+  this->addCrashes(status);
+  this->addReturns(status);
+  this->addDemand(status);
+  this->addAccounts(status);
+  return status;
 }
 
 /** Returns whether this relay joined too recently to know which of its peers
@@ -290,23 +152,4 @@
   }
 }
 
-/** Sends changes of the replica list to the relays of this zone; every zone has
- * its own store readers. A relay that misses the datagram learns the version of
- * the list from a status message and reads the list itself. */
-void
-RelayLoop::Impl::sendListDelta(const ReplicaListDelta& aDelta)
-{
-  msgpack::sbuffer bytes;
-  msgpack::pack(bytes, toListUpdate(aDelta));
-  if (bytes.size() > kMaxStatusBytes) {
-    this->shared.metrics.count("list_words_too_large_total");
-    return;
-  }
-  for (const auto& [address, peer] : this->knownPeers) {
-    if (peer.zone == this->settings.zone) {
-      this->sendDatagram(address, { bytes.data(), bytes.size() });
-    }
-  }
-}
-
 } // namespace poplartrack
--- a/tests/unit/relay/PeerSocket.h
+++ b/tests/unit/relay/PeerSocket.h
@@ -36,11 +36,12 @@
   /** Sends a status message, followed by a packed ForwardSection if any. */
   void send(const Address& aTo,
             const PeerStatus& aStatus,
-            std::string_view aSection = {}) const
+            std::string_view aSection = {},
+            const PeerEcho& aEcho = {}) const
   {
     msgpack::sbuffer bytes;
     msgpack::pack(bytes, aStatus);
-    msgpack::pack(bytes, PeerEcho{});
+    msgpack::pack(bytes, aEcho);
     bytes.write(aSection.data(), aSection.size());
     const auto to = toSocketAddress(aTo);
     static_cast<void>(::sendto(this->fd.get(),
