Name no replica lost for what the relay's own link does

A relay whose link was full took the silence of replicas for their loss: 101 of 142 named in one zone after a crash of five, and their streams all opened new attempts elsewhere. While the round trips of its own messages are long, a relay declares nothing lost by silence, asks no replica, and gives connections the time that they need. One signal takes a third of the listed replicas out of use at most, four at least: what a relay cannot reach or what blocks others, what enough relays cannot reach, and ejections.

Each test fails without its part: RelayLossProbeTest.NoReplicaCountsAsLostWhilePacketsWaitAtTheOwnLink, ReplicaHealth.ARelayThatReachesFewReplicasNamesNoMoreThanAThird, LossReports.NoMoreThanAThirdOfTheReplicasAreLostByVotes, OutlierEjection.NoMoreThanAThirdOfTheReplicasAreEjected.

--- a/include/poplartrack/fleet/LossReports.h
+++ b/include/poplartrack/fleet/LossReports.h
@@ -40,6 +40,9 @@
   /** Stores a relay's report; returns whether it differs from the previous one.
    */
   bool onPeer(const std::string& aPeer, LossReport aReport, TimePoint aNow);
+  /** Sets the number of replicas in the list, which bounds how many count as
+   * lost by the votes of relays that cannot reach them; see mostExcluded(). */
+  void setListed(std::size_t aListed);
   /** Drops the reports of relays that have been silent for too long. */
   void expire(TimePoint aNow);
 
@@ -80,14 +83,18 @@
     bool confirmed = false;
     std::size_t unreachable = 0;
     double slowdown = 1;
+    /** Too many others are unreachable for more relays. */
+    bool beyondBound = false;
   };
 
   void updateTallies();
+  void boundVotes();
 
   std::map<std::string, Peer> peers;
   /** By replica; only those that some relay reports. Kept as a sum, since every
    * path search reads it for every replica and reports change rarely. */
   std::map<std::string, Tally> tallies;
+  std::size_t listed = 0;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/fleet/OutlierEjection.h
+++ b/include/poplartrack/fleet/OutlierEjection.h
@@ -33,6 +33,9 @@
   /** Maximum number of replicas in a report. */
   static constexpr std::size_t kMaxReported = 16;
 
+  /** Sets the number of replicas in the list, which bounds the ejections; see
+   * mostExcluded(). */
+  void setListed(std::size_t aListed) { this->listed = aListed; }
   /** Records that a request that was sent at aSentAt, and whose path begins at
    * the replica, failed there. Returns whether this failure ejects the replica.
    */
@@ -95,6 +98,7 @@
 
   std::unordered_map<std::string, State> states;
   std::map<std::string, Peer> peers;
+  std::size_t listed = 0;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -63,11 +64,16 @@
   void onSlowdown(const std::string& aReplica, double aSlowdown);
   /** Drops the state of all other replicas. */
   void keepOnly(const std::set<std::string>& aKept);
+  /** Sets the number of replicas in the list. */
+  void setListed(std::size_t aListed) { this->listed = aListed; }
 
   /** Returns whether work may be sent there. */
   [[nodiscard]] bool usable(const std::string& aReplica, TimePoint aNow) const;
   /** Returns whether it is considered dead, and has not only refused. */
   [[nodiscard]] bool dead(const std::string& aReplica, TimePoint aNow) const;
+  /** Returns whether one more replica may be considered dead; see
+   * mostExcluded(). Beyond that, failures count as refusals. */
+  [[nodiscard]] bool mayName(const std::string& aReplica, TimePoint aNow) const;
   /** Returns how many times as long as declared its work takes. */
   [[nodiscard]] double slowdown(const std::string& aReplica) const;
   /** Returns the replicas that paths avoid because they are slow, with their
@@ -99,6 +105,7 @@
    * seconds. */
   static constexpr Duration kListUpdateDelay = std::chrono::milliseconds{ 400 };
   Duration deadBackoff;
+  std::size_t listed = 0;
   std::unordered_map<std::string, State> states;
 };
 
--- a/src/fleet/LossReports.cpp
+++ b/src/fleet/LossReports.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
+
+#include "poplartrack/fleet/ExclusionBound.h"
 
 namespace poplartrack {
 namespace {
@@ -61,6 +64,39 @@
       slowdown = std::max(slowdown, factor);
     }
   }
+  this->boundVotes();
+}
+
+void
+LossReports::boundVotes()
+{
+  std::vector<Tally*> voted;
+  for (auto& [replica, tally] : this->tallies) {
+    if (tally.unreachable > 0) {
+      voted.push_back(&tally);
+    }
+  }
+  const std::size_t most = mostExcluded(this->listed);
+  if (voted.size() <= most) {
+    return;
+  }
+  std::stable_sort(voted.begin(),
+                   voted.end(),
+                   [](const Tally* aLeft, const Tally* aRight) {
+                     return aLeft->unreachable > aRight->unreachable;
+                   });
+  for (std::size_t i = most; i < voted.size(); ++i) {
+    voted[i]->beyondBound = true;
+  }
+}
+
+void
+LossReports::setListed(std::size_t aListed)
+{
+  if (this->listed != aListed) {
+    this->listed = aListed;
+    this->updateTallies();
+  }
 }
 
 bool
@@ -75,7 +111,8 @@
     return own >= needed;
   }
   const Tally& tally = found->second;
-  return tally.confirmed || own + tally.unreachable >= needed;
+  return tally.confirmed ||
+         (!tally.beyondBound && own + tally.unreachable >= needed);
 }
 
 double
--- a/src/fleet/OutlierEjection.cpp
+++ b/src/fleet/OutlierEjection.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "poplartrack/fleet/ExclusionBound.h"
+
 namespace poplartrack {
 namespace {
 
@@ -45,7 +47,8 @@
   const bool failedTrial = state.trialSentAt && aSentAt >= *state.trialSentAt;
   const bool eject =
     state.ejections == 0 ? state.failures >= kFailuresToEject : failedTrial;
-  if (!eject) {
+  if (!eject || (state.ejections == 0 &&
+                 this->ejected().size() >= mostExcluded(this->listed))) {
     return false;
   }
   const std::uint32_t doublings = std::min(state.ejections, kMaxDoublings);
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "poplartrack/fleet/ExclusionBound.h"
+
 namespace poplartrack {
 namespace {
 
@@ -29,10 +31,16 @@
                          ReplicaFailure aFailure,
                          TimePoint aNow)
 {
+  const bool mayName = this->mayName(aReplica, aNow);
   State& state = this->states[aReplica];
   switch (aFailure) {
     case ReplicaFailure::Unreachable:
     case ReplicaFailure::Stalled:
+      if (!mayName) {
+        state.backoffUntil =
+          std::max(state.backoffUntil, aNow + kRefusedBackoff);
+        break;
+      }
       state.dead = true;
       state.blocksOthers =
         state.blocksOthers || aFailure == ReplicaFailure::Stalled;
@@ -91,6 +99,17 @@
          found->second.backoffUntil > aNow;
 }
 
+bool
+ReplicaHealth::mayName(const std::string& aReplica, TimePoint aNow) const
+{
+  const auto named = static_cast<std::size_t>(std::count_if(
+    this->states.begin(), this->states.end(), [&](const auto& aEntry) {
+      return aEntry.first != aReplica && aEntry.second.dead &&
+             aEntry.second.backoffUntil > aNow;
+    }));
+  return named < mostExcluded(this->listed);
+}
+
 double
 ReplicaHealth::slowdown(const std::string& aReplica) const
 {
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -230,6 +230,18 @@
       .with("read_delay_ms", this->readDelay.count() / kMicrosPerMs));
 }
 
+/** Returns when the attempt ends unless its connection is established before.
+ * While packets wait at the link of this instance, an attempt at another
+ * replica would wait there as well, behind this one. */
+TimePoint
+RelayLoop::Impl::connectDeadline(const Exchange& aExchange) const
+{
+  const TimePoint deadline = aExchange.sentAt + kConnectTimeout;
+  return this->ownLink.isSlow(this->now)
+           ? std::max(deadline, this->now + OwnLink::kMaxRoundTrip)
+           : deadline;
+}
+
 /** Sets the timer to the next deadline of the request: its own, the connect
  * timeout, the stall timeout or the expected end of its prefill. */
 void
@@ -241,7 +253,7 @@
     connection != this->connections.end() &&
     connection->second->state == ReplicaConnection::State::Connecting;
   if (connecting) {
-    next = std::min(next, aExchange.sentAt + kConnectTimeout);
+    next = std::min(next, this->connectDeadline(aExchange));
   } else if (!aExchange.path.parts.empty()) {
     const TimePoint since =
       aExchange.overdue ? aExchange.overdueHandledAt : aExchange.lastProgress;
@@ -284,7 +296,7 @@
     aExchange.overdue = false;
   }
   if (connection->second->state == ReplicaConnection::State::Connecting) {
-    if (this->now - aExchange.sentAt >= kConnectTimeout) {
+    if (this->now >= this->connectDeadline(aExchange)) {
       this->onAttemptFailed(
         aExchange, ReplicaFailure::Unreachable, "connect timeout");
       return;
--- a/src/relay/RelayLossProbes.cpp
+++ b/src/relay/RelayLossProbes.cpp
@@ -91,6 +91,11 @@
 {
   this->lossProbeState.checkDue.reset();
   this->lossProbeState.checkedAt = this->now;
+  if (this->ownLink.isSlow(this->now)) {
+    // All streams are late, and questions would make the queue longer.
+    this->scheduleLossCheck(this->now + OwnLink::kMaxRoundTrip);
+    return;
+  }
   const SuspectCheck result = this->lossProbeState.suspects.check(
     this->streamsToCheck(), this->reports.suspects(), this->now);
   std::string probed;
@@ -110,6 +115,9 @@
                              .with("late", late));
   }
   for (const std::string& replica : result.lost) {
+    if (!this->isSilenceEvidence(replica)) {
+      continue;
+    }
     this->shared.metrics.count("loss_probes_unanswered_total");
     this->shared.log.write(LogLine{ LogPart::Replicas, "unanswered" }
                              .with("replica", replica)
@@ -133,12 +141,32 @@
   }
 }
 
+/** Returns whether the silence of a replica shows anything about it: packets do
+ * not wait at the link of this instance, and not so many replicas are silent
+ * that this relay is the likelier fault. */
+bool
+RelayLoop::Impl::isSilenceEvidence(const std::string& aReplica)
+{
+  const bool slow = this->ownLink.isSlow(this->now);
+  if (slow || !this->health.mayName(aReplica, this->now)) {
+    this->shared.metrics.count("losses_not_declared_total");
+    this->shared.log.write(LogLine{ LogPart::Replicas, "not_declared" }
+                             .with("replica", aReplica)
+                             .with("own_link_slow", slow ? 1 : 0));
+    return false;
+  }
+  return true;
+}
+
 /** Returns whether a replica that has not answered a status query counts as
  * lost. With loss probes and in an outage of the store, StallSuspects decides:
  * a relay that is itself cut off would otherwise declare every replica lost. */
 bool
 RelayLoop::Impl::mayDeclareLost(const std::string& aReplica, bool aOutageProbe)
 {
+  if (!this->isSilenceEvidence(aReplica)) {
+    return false;
+  }
   const bool guarded = this->settings.load.lossProbes || aOutageProbe;
   return !guarded ||
          this->lossProbeState.suspects.onUnreached(aReplica, this->now);
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -48,6 +48,9 @@
   this->recentReplicas.onList(listed, this->now);
   const std::set<std::string> kept = this->recentReplicas.ids();
   this->health.keepOnly(kept);
+  this->health.setListed(listed.size());
+  this->outliers.setListed(listed.size());
+  this->reports.setListed(listed.size());
   this->outliers.keepOnly(kept);
   this->lossProbeState.suspects.keepOnly(kept);
   std::erase_if(
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -221,7 +221,7 @@
     // more than waiting.
     return;
   }
-  if (this->hasRecentProgress(aReplica)) {
+  if (this->hasRecentProgress(aReplica) && !this->ownLink.isSlow(this->now)) {
     // The replica is too busy to report in time, but its streams make progress.
     // Treating it as dead would use up an attempt of each of them.
     this->health.onSlowdown(aReplica, kDegradedSlowdown);
--- a/tests/unit/fleet/LossReportsTest.cpp
+++ b/tests/unit/fleet/LossReportsTest.cpp
@@ -60,6 +60,27 @@
   EXPECT_EQ(reports.slowdown("two"), 1.0);
 }
 
+TEST(LossReports, NoMoreThanAThirdOfTheReplicasAreLostByVotes)
+{
+  // Relays whose links are congested reach no replica in time.
+  constexpr std::size_t kReplicas = 30;
+  LossReports reports;
+  reports.setListed(kReplicas);
+  LossReport report;
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    report.unreachable.insert("r" + std::to_string(i));
+  }
+  reports.onPeer("a", report, kStart);
+  reports.onPeer("b", report, kStart);
+  reports.onPeer("c", unreachable("r29"), kStart);
+  std::size_t lost = 0;
+  for (const std::string& replica : report.unreachable) {
+    lost += reports.lost(replica, true, 8) ? 1 : 0;
+  }
+  EXPECT_EQ(lost, kReplicas / 3);
+  EXPECT_TRUE(reports.lost("r29", false, 8));
+}
+
 TEST(LossReports, NamesWhoReportsAReplica)
 {
   LossReports reports;
--- a/tests/unit/fleet/OutlierEjectionTest.cpp
+++ b/tests/unit/fleet/OutlierEjectionTest.cpp
@@ -199,5 +199,20 @@
   EXPECT_TRUE(outliers.empty());
 }
 
+TEST(OutlierEjection, NoMoreThanAThirdOfTheReplicasAreEjected)
+{
+  // What all paths share fails, such as a later part: nothing would be left to
+  // begin at.
+  constexpr std::size_t kReplicas = 30;
+  OutlierEjection outliers;
+  outliers.setListed(kReplicas);
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    for (int failure = 0; failure < 5; ++failure) {
+      outliers.onFailure("r" + std::to_string(i), kStart, kStart);
+    }
+  }
+  EXPECT_EQ(outliers.ejected().size(), kReplicas / 3);
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/fleet/ReplicaHealthTest.cpp
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -114,5 +114,23 @@
   EXPECT_EQ(choosePlainReplica(candidates, "a"), nullptr);
 }
 
+TEST(ReplicaHealth, ARelayThatReachesFewReplicasNamesNoMoreThanAThird)
+{
+  // Its own link or the paths are the likelier fault, and streams that leave
+  // all replicas at once make it worse.
+  constexpr std::size_t kReplicas = 30;
+  ReplicaHealth health{ kHeartbeat };
+  health.setListed(kReplicas);
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    health.onFailure(
+      "r" + std::to_string(i), ReplicaFailure::Unreachable, kStart);
+  }
+  EXPECT_EQ(health.deadReplicas(kStart).size(), kReplicas / 3);
+  EXPECT_FALSE(health.mayName("r29", kStart));
+  EXPECT_TRUE(health.mayName("r0", kStart));
+  EXPECT_FALSE(health.usable("r29", kStart));
+  EXPECT_TRUE(health.usable("r29", kStart + seconds{ 1 }));
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RelayLossProbeTest.cpp
+++ b/tests/unit/relay/RelayLossProbeTest.cpp
@@ -83,6 +83,37 @@
   this->expectEnd();
 }
 
+TEST_F(RelayLossProbeTest, NoReplicaCountsAsLostWhilePacketsWaitAtTheOwnLink)
+{
+  // The questions and their answers are in the queue of this relay's own link.
+  this->startStream({ { 2, false }, { 3, true } });
+  PeerEcho echo;
+  EXPECT_TRUE(this->world.advanceUntil([&] {
+    if (const auto message = this->peer.receive()) {
+      echo.incarnation = message->status.incarnation;
+    }
+    return echo.incarnation != 0;
+  }));
+  PeerStatus status;
+  status.incarnation = 1;
+  status.zone = "a";
+  const auto sendLateEcho = [&] {
+    ++status.sentAt;
+    echo.sentAt = (this->world.shared.clock.now() - std::chrono::seconds{ 1 })
+                    .time_since_epoch()
+                    .count();
+    echo.heldFor = 0;
+    this->peer.send(this->world.loop->peersAddress(), status, {}, echo);
+  };
+  for (int round = 0; round < 80; ++round) {
+    sendLateEcho();
+    this->world.advance(kRound);
+  }
+  EXPECT_TRUE(this->world.shared.lostReplicas.read()->empty());
+  EXPECT_EQ(this->world.repaths, 0);
+  this->expectEnd();
+}
+
 TEST_F(RelayLossProbeTest, AStreamStaysWhenTheRelayIsCutOffFromAllReplicas)
 {
   // If the relay took every replica for lost, it would have no path for
