--- a/include/poplartrack/base/TcpSocket.h
+++ b/include/poplartrack/base/TcpSocket.h
@@ -38,8 +38,8 @@
 void
 setNoDelay(int aFd);
 
-/** Makes the close of the socket a reset: bytes that the kernel has not sent yet
- * are dropped, and the peer learns at once that nobody waits any more. */
+/** Makes the close of the socket a reset: bytes that the kernel has not sent
+ * yet are dropped, and the peer learns at once that nobody waits any more. */
 void
 resetOnClose(int aFd);
 
--- a/src/fleet/LossReports.cpp
+++ b/src/fleet/LossReports.cpp
@@ -80,11 +80,10 @@
   if (voted.size() <= most) {
     return;
   }
-  std::stable_sort(voted.begin(),
-                   voted.end(),
-                   [](const Tally* aLeft, const Tally* aRight) {
-                     return aLeft->unreachable > aRight->unreachable;
-                   });
+  std::stable_sort(
+    voted.begin(), voted.end(), [](const Tally* aLeft, const Tally* aRight) {
+      return aLeft->unreachable > aRight->unreachable;
+    });
   for (std::size_t i = most; i < voted.size(); ++i) {
     voted[i]->beyondBound = true;
   }
--- a/src/fleet/SendBudget.cpp
+++ b/src/fleet/SendBudget.cpp
@@ -18,9 +18,8 @@
     return;
   }
   constexpr double kMicrosPerSecond = 1e6;
-  const Duration cost{ static_cast<std::int64_t>(static_cast<double>(aBytes) *
-                                                 kMicrosPerSecond /
-                                                 this->rate) };
+  const Duration cost{ static_cast<std::int64_t>(
+    static_cast<double>(aBytes) * kMicrosPerSecond / this->rate) };
   this->paidAt = std::max(this->paidAt, aNow - this->burst) + cost;
 }
 
--- a/src/relay/PeerDatagram.cpp
+++ b/src/relay/PeerDatagram.cpp
@@ -131,8 +131,8 @@
 {
   const Result<Address> sender = addressFromText(aRow.sender);
   if (!sender || sender.value().port == 0 || aRow.age < 0 ||
-      Duration{ aRow.age } > kMaxForwardAge ||
-      !isKnownFormat(aRow.status) || aRow.status.zone == aZone) {
+      Duration{ aRow.age } > kMaxForwardAge || !isKnownFormat(aRow.status) ||
+      aRow.status.zone == aZone) {
     return std::nullopt;
   }
   PeerStatus& status = aRow.status;
--- a/src/relay/RelayBroadcast.cpp
+++ b/src/relay/RelayBroadcast.cpp
@@ -108,8 +108,7 @@
     return;
   }
   std::size_t sent = this->sendToZone(
-    bytes,
-    full ? packForwarded(this->forwardQueue, this->now) : std::string{});
+    bytes, full ? packForwarded(this->forwardQueue, this->now) : std::string{});
   sent += this->sendToOtherZones(status, bytes);
   if (full) {
     this->sending.tables.take(sent, this->now);
@@ -146,8 +145,8 @@
   const bool full = aStatus.format == kPeerStatusFormat;
   const bool watched = aStatus.polls || aStatus.holdsLease;
   std::size_t sent = 0;
-  if (watched && this->now - this->sending.otherZonesNoticeAt >=
-                   kMinOtherZonesInterval) {
+  if (watched &&
+      this->now - this->sending.otherZonesNoticeAt >= kMinOtherZonesInterval) {
     // The silence of a store reader or lease holder is noticed within a second.
     sent += this->sendElsewhere(
       full ? packed(this->ownNotice()) : std::string{ aBytes }, true);
--- a/tests/unit/relay/RelayBroadcastTest.cpp
+++ b/tests/unit/relay/RelayBroadcastTest.cpp
@@ -111,7 +111,8 @@
     this->world.advance(kRound);
   }
   constexpr double kLinkBytesPerSecond = 5e6 / 8;
-  const double seconds = std::chrono::duration<double>(kRound * kRounds).count();
+  const double seconds =
+    std::chrono::duration<double>(kRound * kRounds).count();
   EXPECT_LT(static_cast<double>(this->sentBytes() - before),
             0.25 * kLinkBytesPerSecond * seconds);
 }
