--- a/src/relay/PeerTraffic.h
+++ b/src/relay/PeerTraffic.h
@@ -17,9 +17,8 @@
   std::uint64_t receivedDatagrams = 0;
   /** Number of changes that were sent before the next regular message. */
   std::uint64_t changesSent = 0;
-  /** The shortest time from the sending of a message of this relay to the
-   * arrival of one that echoes it. Longer than the interval of the messages
-   * while packets wait at the link of this relay. */
+  /** The shortest round trip of a message of this relay, without the time that
+   * its receiver kept it. */
   std::optional<Duration> shortestEcho;
 
   void onSent(std::size_t aBytes)
