Let the clock of a test outlive the relay that reads it

RelayReturnTest.EachEndOfARequestThatRanCountsOnce kept its clock on the stack, and the relay's thread read it until the fixture ended: two errors under valgrind, none after.

--- a/tests/unit/relay/RelayReturnTest.cpp
+++ b/tests/unit/relay/RelayReturnTest.cpp
@@ -156,9 +156,7 @@
 TEST_F(RelayReturnTest, EachEndOfARequestThatRanCountsOnce)
 {
   constexpr auto kDeadline = std::chrono::milliseconds{ 300 };
-  ManualClock clock;
-  clock.advance(std::chrono::hours{ 1 });
-  this->world.clock = [&clock] { return clock.now(); };
+  this->world.useManualClock();
   for (RelayRoute& route : this->world.config->routes["shop.example"]) {
     route.targets = { { "model", 1 } };
   }
@@ -196,8 +194,10 @@
             3U);
   EXPECT_EQ(run("/once/left", [](auto& aCaller, auto&) { aCaller.close(); }),
             4U);
-  EXPECT_EQ(run("/once/late", [&](auto&, auto&) { clock.advance(kDeadline); }),
-            5U);
+  EXPECT_EQ(
+    run("/once/late",
+        [&](auto&, auto&) { this->world.manualClock.advance(kDeadline); }),
+    5U);
   // The replica's backoff lasts longer than the deadline.
   EXPECT_EQ(
     run("/once/not-run",
@@ -207,10 +207,10 @@
           EXPECT_EQ(
             this->world.awaitCounter("replica_backoffs_requested_total", 1),
             1U);
-          clock.advance(kDeadline);
+          this->world.manualClock.advance(kDeadline);
         }),
     5U);
-  clock.advance(std::chrono::seconds{ 1 });
+  this->world.manualClock.advance(std::chrono::seconds{ 1 });
   EXPECT_EQ(
     run("/once/broken", [](auto&, auto& aAttempt) { aAttempt.close(); }), 6U);
 }
