--- a/src/relay/PeerSending.h
+++ b/src/relay/PeerSending.h
@@ -17,6 +17,9 @@
   SendBudget tables{ Duration{ 0 } };
   /** Messages about changes, which do not wait for the next regular one. */
   SendBudget changes{ std::chrono::seconds{ 1 } };
+  /** Rate of the slowest known link, in bytes a second; 0 before it is known.
+   */
+  double slowestLink = 0;
   /** When the next message about changes is due. */
   std::optional<TimePoint> changeDue;
   TimePoint changeSentAt{};
--- a/src/relay/RelayBroadcast.cpp
+++ b/src/relay/RelayBroadcast.cpp
@@ -31,22 +31,15 @@
 constexpr Duration kMinChangeInterval = std::chrono::milliseconds{ 20 };
 
 /** Relays of other zones receive regular messages at most this often, and large
- * ones less often: each is forwarded to all relays of a zone. The first is a
- * little less than two intervals of the messages within a zone; with the last,
- * receivers do not forget the sender when one message is lost. */
+ * ones of many relays less often. The first is a little less than two intervals
+ * of the messages within a zone; with the last, receivers do not forget the
+ * sender when one message is lost. */
 constexpr Duration kMinOtherZonesInterval = std::chrono::milliseconds{ 390 };
 constexpr Duration kMaxOtherZonesInterval = std::chrono::milliseconds{ 900 };
-constexpr double kOtherZonesBytesPerSecond = 3'000;
 
-Duration
-otherZonesInterval(std::size_t aBytes)
-{
-  constexpr double kMicrosPerSecond = 1e6;
-  const Duration interval{ static_cast<std::int64_t>(
-    static_cast<double>(aBytes) * kMicrosPerSecond /
-    kOtherZonesBytesPerSecond) };
-  return std::clamp(interval, kMinOtherZonesInterval, kMaxOtherZonesInterval);
-}
+/** Share of the slowest link that such messages of all relays together may
+ * take at a receiver. */
+constexpr double kOtherZonesShare = 0.12;
 
 std::string
 packed(const PeerStatus& aStatus)
@@ -85,10 +78,25 @@
     }
   }
   const double bytesPerSecond = slowest * kBytesPerMegabit;
+  this->sending.slowestLink = bytesPerSecond;
   this->sending.tables.setRate(kTableShare * bytesPerSecond);
   this->sending.changes.setRate(kChangeShare * bytesPerSecond);
 }
 
+/** Returns how often a regular message of this size is sent to the relays of
+ * other zones, if all relays send such messages. */
+Duration
+RelayLoop::Impl::otherZonesInterval(std::size_t aBytes) const
+{
+  constexpr double kMicrosPerSecond = 1e6;
+  const double perRound =
+    static_cast<double>(aBytes) * static_cast<double>(this->knownPeers.size());
+  const double rate = kOtherZonesShare * this->sending.slowestLink;
+  const Duration interval{ static_cast<std::int64_t>(
+    rate > 0 ? perRound * kMicrosPerSecond / rate : 0) };
+  return std::clamp(interval, kMinOtherZonesInterval, kMaxOtherZonesInterval);
+}
+
 /** Sends the regular status message to the other relays: with the load tables
  * if those before it are paid for, else without. The relays of this zone
  * receive each one, with the messages that this relay forwards; those of other
@@ -153,7 +161,7 @@
     this->sending.otherZonesNoticeAt = this->now;
   }
   const Duration silence = this->now - this->sending.otherZonesAt;
-  const bool due = full ? silence >= otherZonesInterval(aBytes.size()) &&
+  const bool due = full ? silence >= this->otherZonesInterval(aBytes.size()) &&
                             this->goesToOtherZones(aStatus)
                         : silence >= StatusRepeat::kInterval && !watched;
   if (due) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -484,6 +484,7 @@
   // RelayStatus.cpp: the datagrams that this relay sends.
   // RelayBroadcast.cpp: the datagrams that this relay sends.
   void updateSendRates();
+  [[nodiscard]] Duration otherZonesInterval(std::size_t aBytes) const;
   void broadcastStatus();
   std::size_t sendToZone(std::string_view aStatus, std::string_view aForwarded);
   std::size_t sendToOtherZones(const PeerStatus& aStatus,
