Give each run of the soak a range of ports that no other has

Two soaks in one run of all tests broke promises (requests that ran and were never sent, that ran twice, that were refused and ran): their processes, 18145 and 25785, had the same remainder by 40 and so the same 500 ports from 24,500 on. A relay that restarts can find its port taken by the other run, and calls reach the wrong replicas. A run now holds the first port of its range.

--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -92,6 +92,23 @@
   };
 }
 
+/** Returns a socket on the first port of a range that no other run has. It
+ * keeps the range until it is closed. */
+OwnedFd
+takePortRange()
+{
+  for (int i = 0;; ++i) {
+    const int range = (getpid() + i) % kPortRanges;
+    const Address first{
+      "127.0.0.1", static_cast<std::uint16_t>(kFirstPort + range * kPortsEach)
+    };
+    if (Result<OwnedFd> taken = listenTcp(first)) {
+      return std::move(taken).value();
+    }
+    CHECK_LT(i, kPortRanges) << "no range of ports is free";
+  }
+}
+
 } // namespace
 
 SoakWorld::SoakWorld(std::string aBuild,
@@ -101,8 +118,9 @@
   : build(std::move(aBuild))
   , folder(std::move(aFolder))
   , record(aRecord)
-  , nextPort(static_cast<std::uint16_t>(kFirstPort +
-                                        getpid() % kPortRanges * kPortsEach))
+  , ownRange(takePortRange())
+  , nextPort(static_cast<std::uint16_t>(
+      localAddress(this->ownRange.get()).value().port + 1))
   , contention(aSize.contention)
   , used(aSize.plain + 2)
 {
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -10,6 +10,7 @@
 
 #include "harness/ChildProcess.h"
 #include "harness/TcpForwarder.h"
+#include "poplartrack/base/OwnedFd.h"
 #include "soak/SoakAccounts.h"
 #include "soak/SoakPlan.h"
 #include "soak/SoakRecord.h"
@@ -111,6 +112,8 @@
   std::vector<std::string> outputs;
   /** By account: floods that have begun and not ended. */
   std::array<std::atomic<int>, kFloodAccounts> flooding{};
+  /** Holds the range of ports of this run. */
+  OwnedFd ownRange;
   std::uint16_t nextPort;
   int version = 0;
   bool secondKey = true;
