Give streams and the ends of attempts files of their own

Change: RelayStream.cpp and RelayAttempts.cpp; the functions are moved as they are. maySendAgain stands in Exchange.

--- a/src/relay/Exchange.cpp
+++ b/src/relay/Exchange.cpp
@@ -5,6 +5,20 @@
 #include <string_view>
 
 namespace poplartrack {
+namespace {
+
+/** The maximum number of attempts for a stream that the caller has received in
+ * part. When a zone is lost, several copies of the model are short of memory at
+ * once, and each refuses the stream. */
+constexpr int kMaxStreamSends = 8;
+
+} // namespace
+
+bool
+maySendAgain(const Exchange& aExchange)
+{
+  return aExchange.sends < (aExchange.answering ? kMaxStreamSends : kMaxSends);
+}
 
 int
 urgencyOf(const Exchange& aExchange)
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -192,6 +192,13 @@
   Duration firstEvent{ 0 };
 };
 
+/** Maximum number of attempts for one request, including refused ones. */
+constexpr int kMaxSends = 4;
+
+/** Returns whether a further attempt keeps to the maximum number of them. */
+bool
+maySendAgain(const Exchange& aExchange);
+
 /** Returns the urgency of a request at a replica, from 0, the most urgent,
  * to 9. The account's priority takes precedence over the route's. */
 int
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -205,31 +205,6 @@
             (written - aExchange.connectedAt).count() / kMicrosPerMs));
 }
 
-/** Logs that the current attempt ends before its answer does. unwritten: bytes
- * of the request that the socket has not accepted. */
-void
-RelayLoop::Impl::logDropped(const Exchange& aExchange)
-{
-  const auto found = this->connections.find(aExchange.connection);
-  if (found == this->connections.end()) {
-    return;
-  }
-  constexpr std::int64_t kMicrosPerMs = 1000;
-  const ReplicaConnection& connection = *found->second;
-  this->shared.log.write(
-    LogLine{ LogPart::Path, "dropped" }
-      .with("id", aExchange.requestId)
-      .with("replica", aExchange.replica)
-      .with("sends", aExchange.sends)
-      .with("connecting",
-            connection.state == ReplicaConnection::State::Connecting ? 1 : 0)
-      .with("unwritten",
-            static_cast<std::int64_t>(connection.output.size() +
-                                      connection.bodyLeft))
-      .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs)
-      .with("read_delay_ms", this->readDelay.count() / kMicrosPerMs));
-}
-
 /** Returns when the attempt ends unless its connection is established before.
  * While packets wait at the link of this instance, an attempt at another
  * replica would wait there as well, behind this one. */
@@ -313,33 +288,6 @@
   this->armExchange(aExchange);
 }
 
-/** Whether the current attempt may have reached its replica. */
-bool
-RelayLoop::Impl::mayHaveRun(const Exchange& aExchange) const
-{
-  const auto found = this->connections.find(aExchange.connection);
-  return found != this->connections.end() && found->second->anySent;
-}
-
-/** Ends the current attempt. The reset of its connection stops the work at the
- * replica, and takes back what waits to be sent. */
-void
-RelayLoop::Impl::dropAttempt(Exchange& aExchange, bool aMayHaveRun)
-{
-  if (aExchange.connection != 0) {
-    this->logDropped(aExchange);
-    this->abortReplica(aExchange.connection);
-    aExchange.connection = 0;
-  }
-  this->removeLoad(aExchange);
-  if (aMayHaveRun) {
-    ++aExchange.runs;
-  }
-  aExchange.hasLostPartialEvent =
-    aExchange.hasLostPartialEvent || !aExchange.splitter.endsBetweenEvents();
-  aExchange.splitter.reset();
-}
-
 /** Removes the request, whose last attempt counts in its runs if it may have
  * run. aExchange is destroyed. */
 void
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -218,15 +218,22 @@
   void dispatch(Exchange& aExchange);
   void sendAttempt(Exchange& aExchange, const AttemptTarget& aTarget);
   void logWritten(const Exchange& aExchange);
-  void logDropped(const Exchange& aExchange);
   void onExchangeTimer(Exchange& aExchange);
   [[nodiscard]] TimePoint connectDeadline(const Exchange& aExchange) const;
   void armExchange(Exchange& aExchange);
-  void dropAttempt(Exchange& aExchange, bool aMayHaveRun);
   void endExchange(Exchange& aExchange);
   void onCallerDisconnected(std::uint64_t aExchange);
   void refuse(Exchange& aExchange, const Error& aError, bool aNotRun);
+
+  // RelayAttempts.cpp: the end of an attempt without an answer.
   [[nodiscard]] bool mayHaveRun(const Exchange& aExchange) const;
+  void logDropped(const Exchange& aExchange);
+  void dropAttempt(Exchange& aExchange, bool aMayHaveRun);
+  [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
+  void onNotExecuted(Exchange& aExchange, const MessageHead& aHead);
+  void onAttemptFailed(Exchange& aExchange,
+                       ReplicaFailure aFailure,
+                       std::string_view aCause);
 
   // RelayWaiting.cpp: requests that wait for a path.
   [[nodiscard]] Waiter waiterOf(const Exchange& aExchange) const;
@@ -276,20 +283,20 @@
 
   // RelayAnswer.cpp: answers of replicas.
   void onAnswerHead(Exchange& aExchange, ReplicaConnection& aConnection);
-  void onAnswerBody(Exchange& aExchange, ReplicaConnection& aConnection);
-  void recordEventTime(Exchange& aExchange);
-  [[nodiscard]] std::int64_t lateMs(const Exchange& aExchange) const;
-  void recordRepairTime(Exchange& aExchange);
   void onAnswerDone(std::uint64_t aExchange, std::uint64_t aConnection);
   bool onServerError(Exchange& aExchange,
                      ReplicaConnection& aConnection,
                      int aStatus);
-  [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
-  void onNotExecuted(Exchange& aExchange, const MessageHead& aHead);
-  void onAttemptFailed(Exchange& aExchange,
-                       ReplicaFailure aFailure,
-                       std::string_view aCause);
+  void forwardWholeAnswer(Exchange& aExchange,
+                          const MessageHead& aHead,
+                          ByteBlocks aBody);
+  [[nodiscard]] std::string answerHead(const Exchange& aExchange,
+                                       const MessageHead& aHead,
+                                       std::string_view aFraming) const;
+
+  // RelayStream.cpp: events of streams.
   [[nodiscard]] static bool isStream(const Exchange& aExchange, int aStatus);
+  void onAnswerBody(Exchange& aExchange, ReplicaConnection& aConnection);
   static std::string takeNewEvents(Exchange& aExchange,
                                    std::string_view aBytes);
   static bool isCompleteStream(Exchange& aExchange);
@@ -298,13 +305,10 @@
   void forwardEvents(Exchange& aExchange,
                      const std::string& aEvents,
                      bool aEnd);
+  void recordEventTime(Exchange& aExchange);
+  [[nodiscard]] std::int64_t lateMs(const Exchange& aExchange) const;
+  void recordRepairTime(Exchange& aExchange);
   bool endStream(Exchange& aExchange, ReplicaConnection& aConnection);
-  void forwardWholeAnswer(Exchange& aExchange,
-                          const MessageHead& aHead,
-                          ByteBlocks aBody);
-  [[nodiscard]] std::string answerHead(const Exchange& aExchange,
-                                       const MessageHead& aHead,
-                                       std::string_view aFraming) const;
 
   // RelaySignals.cpp: what replicas say of themselves in their answers.
   ReplicaSignals readSignals(const ReplicaConnection& aConnection,
