Log why a caller's connection is closed, and cut answers as such

What callers saw: connections that ended without a complete answer. The log had the same event, refused, for a request that got an error and for one whose answer was cut, no line for a connection that the relay closed, and not which version of the configuration was in force when the request ended.

Change: the event cut, the number of the connection (channel) and config_now in the lines of requests; channel_closed with its cause where a request or an answer is lost with the connection; the counter answers_cut_total.

With the lines written and dropped that are there, a request without an answer can be followed: read ms before its line, decided, written, to which replica, what ended it, and why its connection was closed.

--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -136,7 +136,7 @@
     }
   }
   if (longestIdle != nullptr) {
-    this->closeCaller(longestIdle->id);
+    this->closeCaller(longestIdle->id, CallerClose::Descriptors);
   }
 }
 
@@ -169,7 +169,7 @@
     if (aCaller.exchange != 0) {
       this->onCallerDisconnected(aCaller.exchange);
     }
-    this->closeCaller(id);
+    this->closeCaller(id, CallerClose::Left);
     return;
   }
   if (aCaller.lingering) {
@@ -311,8 +311,14 @@
     this->timers.arm(aCaller.id, writeDeadline);
     return;
   }
-  if (aCaller.lingering || !aCaller.receivingRequest) {
-    this->closeCaller(aCaller.id);
+  if (aCaller.lingering) {
+    this->closeCaller(aCaller.id, CallerClose::Answered);
+    return;
+  }
+  if (!aCaller.receivingRequest) {
+    this->closeCaller(aCaller.id,
+                      aCaller.output.empty() ? CallerClose::Idle
+                                             : CallerClose::Unwritten);
     return;
   }
   const auto config = this->shared.config.read();
@@ -345,15 +351,32 @@
   return count <= 0 && !waits;
 }
 
+/** Closes the connection of a caller. Logs it if a request or an answer is lost
+ * to the caller with it. */
 void
-RelayLoop::Impl::closeCaller(std::uint64_t aId)
+RelayLoop::Impl::closeCaller(std::uint64_t aId, CallerClose aCause)
 {
   this->timers.cancel(aId);
   const auto found = this->callers.find(aId);
-  if (found != this->callers.end() && found->second->watchesWrite) {
+  if (found == this->callers.end()) {
+    return;
+  }
+  const CallerConnection& caller = *found->second;
+  const bool loses = aCause == CallerClose::Cut ||
+                     (aCause != CallerClose::Left &&
+                      (caller.receivingRequest || !caller.output.empty()));
+  if (loses) {
+    this->shared.log.write(
+      LogLine{ LogPart::Request, "channel_closed" }
+        .with("channel", static_cast<std::int64_t>(aId))
+        .with("cause", nameOf(aCause))
+        .with("receiving", caller.receivingRequest ? 1 : 0)
+        .with("unwritten", static_cast<std::int64_t>(caller.output.size())));
+  }
+  if (caller.watchesWrite) {
     --this->unwrittenCount;
   }
-  this->callers.erase(aId);
+  this->callers.erase(found);
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -38,6 +38,7 @@
 {
   LogLine line{ LogPart::Request, aEvent };
   line.with("id", aExchange.requestId);
+  line.with("channel", static_cast<std::int64_t>(aExchange.caller));
   if (aExchange.route != nullptr) {
     line.with("route", aExchange.route->name);
   }
@@ -53,6 +54,9 @@
   line.with("config",
             static_cast<std::int64_t>(
               aExchange.config ? aExchange.config->version : 0));
+  const auto latest = this->shared.config.read();
+  line.with("config_now",
+            static_cast<std::int64_t>(latest ? latest->version : 0));
   constexpr std::int64_t kMicrosPerMs = 1000;
   line.with("config_age_ms",
             this->shared.freshness.age().count() / kMicrosPerMs);
@@ -359,7 +363,7 @@
   this->shared.metrics.countRefusal(error.kind);
   this->countShareRefusal(aExchange);
   this->logRequest(aExchange,
-                   "refused",
+                   answering ? "cut" : "refused",
                    std::string{ nameOf(error.kind) } + ": " + error.detail);
   this->endExchange(aExchange);
   if (found == this->callers.end()) {
@@ -369,7 +373,8 @@
   if (answering) {
     // The caller has part of the answer. Only closing the connection can show
     // that the rest will not come.
-    this->closeCaller(caller.id);
+    this->shared.metrics.count("answers_cut_total");
+    this->closeCaller(caller.id, CallerClose::Cut);
     return;
   }
   this->answerError(caller, error, requestId, retryAfter, caller.closeAfterOut);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -17,6 +17,7 @@
 #include "AnswerLimits.h"
 #include "AttemptTarget.h"
 #include "BulkReads.h"
+#include "CallerClose.h"
 #include "CallerConnection.h"
 #include "CandidateFilter.h"
 #include "ConnectionEnd.h"
@@ -128,7 +129,7 @@
   void refuseUnread(CallerConnection& aCaller);
   void armIdleTimer(CallerConnection& aCaller);
   void onCallerTimer(CallerConnection& aCaller);
-  void closeCaller(std::uint64_t aId);
+  void closeCaller(std::uint64_t aId, CallerClose aCause);
   [[nodiscard]] bool callerHasDisconnected(const Exchange& aExchange) const;
   void closeLongestIdleCaller();
 
