End an attempt only by proof or for another one, never by silence alone

What callers saw: streams cut in the middle, and 502, because their replica sent nothing for a second and then went on; with two such replicas the second one went on to an end that nobody read.

Cause: a status query without an answer for 250 ms, votes, a part taken for lost or a move that was not done ended the running attempt at once, the last allowed one too, and also when no path or retry budget was left for another. A started stream then waited 1.5 s for a path and was cut. The class: what runs is given up on a suspicion, before its replacement is secured.

Change: such an attempt is doubted. Another one is looked for beside it, with the retry budget and the wait queue as before, and ends it when it begins. If none may or can begin, the attempt goes on until its connection ends, its replica has restarted, its caller leaves or its deadline passes. An event ends the doubt, and the replicas of its path are in use again at once (until now they were out of use for 4 s). A started stream whose connection is not established in 400 ms keeps waiting for it if nothing else takes it.

What both versions keep: an attempt whose connection ends, whose caller leaves or whose deadline passes.

--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -59,6 +59,12 @@
                  ReplicaFailure aFailure,
                  TimePoint aNow);
   void onSuccess(const std::string& aReplica);
+  /**
+   * Records that work went on that passes through the replica.
+   * @param aSentAfter the replica was alive at this time or later
+   * @return whether it was considered dead and no longer is
+   */
+  bool onProgress(const std::string& aReplica, TimePoint aSentAfter);
   /** Records how many times as long as declared its work takes, as a probe
    * reported. */
   void onSlowdown(const std::string& aReplica, double aSlowdown);
@@ -90,10 +96,15 @@
   [[nodiscard]] std::set<std::string> blockedOn(TimePoint aNow) const;
 
 private:
+  struct State;
+  static void revive(State& aState);
+
   struct State
   {
     TimePoint backoffUntil{};
     bool dead = false;
+    /** When it was last taken for dead. */
+    TimePoint namedAt{};
     bool blocksOthers = false;
     double errors = 0;
     double slowdown = 1;
@@ -106,6 +117,8 @@
   static constexpr Duration kListUpdateDelay = std::chrono::milliseconds{ 400 };
   Duration deadBackoff;
   std::size_t listed = 0;
+  /** No replica is considered dead after this time. */
+  TimePoint anyDeadUntil{};
   std::unordered_map<std::string, State> states;
 };
 
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -42,10 +42,12 @@
         break;
       }
       state.dead = true;
+      state.namedAt = aNow;
       state.blocksOthers =
         state.blocksOthers || aFailure == ReplicaFailure::Stalled;
       state.backoffUntil =
         std::max(state.backoffUntil, aNow + this->deadBackoff);
+      this->anyDeadUntil = std::max(this->anyDeadUntil, state.backoffUntil);
       break;
     case ReplicaFailure::Refused:
       state.backoffUntil = std::max(state.backoffUntil, aNow + kRefusedBackoff);
@@ -64,12 +66,33 @@
     return;
   }
   State& state = found->second;
-  state.dead = false;
-  state.blocksOthers = false;
-  state.backoffUntil = TimePoint{};
+  revive(state);
   state.errors -= kNewestWeight * state.errors;
 }
 
+bool
+ReplicaHealth::onProgress(const std::string& aReplica, TimePoint aSentAfter)
+{
+  if (aSentAfter >= this->anyDeadUntil) {
+    return false;
+  }
+  const auto found = this->states.find(aReplica);
+  if (found == this->states.end() || !found->second.dead ||
+      aSentAfter <= found->second.namedAt) {
+    return false;
+  }
+  revive(found->second);
+  return true;
+}
+
+void
+ReplicaHealth::revive(State& aState)
+{
+  aState.dead = false;
+  aState.blocksOthers = false;
+  aState.backoffUntil = TimePoint{};
+}
+
 void
 ReplicaHealth::onSlowdown(const std::string& aReplica, double aSlowdown)
 {
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "AttemptDoubt.h"
 #include "MessageParser.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/fleet/EventTimes.h"
@@ -98,6 +99,9 @@
   int sends = 0;
   /** Replicas that refused this request or failed under it. */
   std::set<std::string> avoid;
+  /** Why the current attempt is taken to make no progress; nothing while it
+   * does. Another attempt takes its place if one can begin. */
+  std::optional<AttemptDoubt> doubt;
   /** When the current attempt was decided. */
   TimePoint sentAt{};
   /** When its connection was ready for the request; sentAt for a connection
@@ -192,6 +196,9 @@
   Duration firstEvent{ 0 };
 };
 
+/** Delay until another path is looked for again if there was none. */
+constexpr Duration kMoveRetryDelay = std::chrono::milliseconds{ 150 };
+
 /** Maximum number of attempts for one request, including refused ones. */
 constexpr int kMaxSends = 4;
 
--- a/src/relay/RelayAttempts.cpp
+++ b/src/relay/RelayAttempts.cpp
@@ -71,6 +71,11 @@
   aExchange.hasLostPartialEvent =
     aExchange.hasLostPartialEvent || !aExchange.splitter.endsBetweenEvents();
   aExchange.splitter.reset();
+  if (aExchange.doubt) {
+    // It waited beside this attempt; its own time to wait begins now.
+    aExchange.doubt.reset();
+    this->stopSearch(aExchange);
+  }
 }
 
 /** Returns the replica that is responsible for a rejection if the answer names
@@ -131,6 +136,21 @@
                aExchange.runs == 0);
 }
 
+/** Returns whether another attempt may follow the current one: the request did
+ * not run or may be repeated, and has attempts left. */
+bool
+RelayLoop::Impl::mayTryAgain(const Exchange& aExchange) const
+{
+  const RelayRoute& route = *aExchange.route;
+  const bool isRepeatable = route.rule == RetryRule::Idempotent ||
+                            (route.rule == RetryRule::Stream &&
+                             route.resumable && !aExchange.hasUnnumberedEvent);
+  const bool mayRunAgain =
+    !this->mayHaveRun(aExchange) ||
+    (isRepeatable && aExchange.runs + 1 < route.attempts);
+  return mayRunAgain && maySendAgain(aExchange);
+}
+
 /** Handles the end of the current attempt without a complete answer: retries
  * the request if it did not run or may be repeated, else answers with an error.
  */
@@ -157,18 +177,13 @@
       .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs)
       .with("late_ms", this->lateMs(aExchange)));
   aExchange.avoid.insert(aExchange.replica);
+  const bool triesAgain = this->mayTryAgain(aExchange);
   this->dropAttempt(aExchange, possiblyRan);
-  const RelayRoute& route = *aExchange.route;
-  const bool isRepeatable = route.rule == RetryRule::Idempotent ||
-                            (route.rule == RetryRule::Stream &&
-                             route.resumable && !aExchange.hasUnnumberedEvent);
-  const bool retryAllowed =
-    !possiblyRan || (isRepeatable && aExchange.runs < route.attempts);
   if (aFailure == ReplicaFailure::Unreachable) {
     this->publishLostReplicas();
     this->confirmCrashes();
   }
-  if (retryAllowed && maySendAgain(aExchange)) {
+  if (triesAgain) {
     this->shared.metrics.countRetry(aExchange.answering
                                       ? RetryReason::StreamBroken
                                       : RetryReason::ReplicaFailed);
@@ -184,4 +199,138 @@
                aExchange.runs == 0);
 }
 
+/**
+ * Handles an attempt that seems to make no progress, by the silence of a
+ * replica or because a replica of its path is lost or drains. Silence does not
+ * show that work is lost: a sound replica may pause for a second and go on. So
+ * the connection stays open until another attempt begins, and the attempt goes
+ * on if none can: it was the last one, the retry budget is used up, or no path
+ * is free.
+ */
+void
+RelayLoop::Impl::onAttemptDoubtful(Exchange& aExchange,
+                                   ReplicaFailure aFailure,
+                                   std::string_view aCause)
+{
+  const bool triesAgain = this->mayTryAgain(aExchange);
+  if (!aExchange.doubt) {
+    const bool replicaLost = aFailure == ReplicaFailure::Unreachable;
+    const bool planned =
+      !replicaLost && this->drainState.since.contains(aExchange.replica);
+    aExchange.doubt = AttemptDoubt{ aCause, replicaLost, this->now };
+    aExchange.disturbedByLoss = aExchange.disturbedByLoss || !planned;
+    if (!replicaLost) {
+      this->health.onFailure(aExchange.replica, aFailure, this->now);
+    }
+    this->shared.metrics.count("attempts_doubted_total");
+    this->shared.log.write(LogLine{ LogPart::Path, "attempt_doubted" }
+                             .with("id", aExchange.requestId)
+                             .with("replica", aExchange.replica)
+                             .with("cause", aCause)
+                             .with("may_move", triesAgain ? 1 : 0)
+                             .with("events", aExchange.events)
+                             .with("late_ms", this->lateMs(aExchange)));
+  }
+  if (!triesAgain) {
+    this->keepAttempt(aExchange);
+    return;
+  }
+  aExchange.avoid.insert(aExchange.replica);
+  aExchange.needsRetryBudget = true;
+  this->dispatch(aExchange);
+}
+
+/** Chooses the target of an attempt that takes the place of the current one,
+ * whose own memory counts as free. */
+Result<AttemptTarget>
+RelayLoop::Impl::chooseReplacement(Exchange& aExchange)
+{
+  const LayerPath kept = this->cachedParts(aExchange);
+  this->removeLoad(aExchange);
+  Result<AttemptTarget> target = this->chooseQueued(aExchange);
+  this->addLoad(aExchange, &kept);
+  return target;
+}
+
+/** Stops looking for another attempt. */
+void
+RelayLoop::Impl::stopSearch(Exchange& aExchange)
+{
+  this->waiting.remove(aExchange.id);
+  this->uncountWaiting(aExchange);
+  aExchange.needsRetryBudget = false;
+  aExchange.waitingSince.reset();
+}
+
+/** Lets the current attempt go on. While it makes no progress, its timer begins
+ * the search for another one again. */
+void
+RelayLoop::Impl::keepAttempt(Exchange& aExchange)
+{
+  this->stopSearch(aExchange);
+  this->armExchange(aExchange);
+}
+
+/** Ends the current attempt, if there is one, since another one begins. */
+void
+RelayLoop::Impl::dropReplacedAttempt(Exchange& aExchange)
+{
+  if (aExchange.connection == 0) {
+    return;
+  }
+  const AttemptDoubt doubt = aExchange.doubt.value_or(AttemptDoubt{});
+  if (doubt.replicaLost) {
+    this->recordPossibleCrash(aExchange, ConnectionEnd::Silent);
+  }
+  this->shared.metrics.countRetry(aExchange.answering
+                                    ? RetryReason::StreamBroken
+                                    : RetryReason::ReplicaFailed);
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  this->shared.log.write(
+    LogLine{ LogPart::Path, "attempt_replaced" }
+      .with("id", aExchange.requestId)
+      .with("replica", aExchange.replica)
+      .with("cause", doubt.cause)
+      .with("doubted_ms", (this->now - doubt.since).count() / kMicrosPerMs));
+  this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
+}
+
+/** Ends the doubt in an attempt that goes on. */
+void
+RelayLoop::Impl::endDoubt(Exchange& aExchange)
+{
+  if (!aExchange.doubt) {
+    return;
+  }
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  const Duration doubted = this->now - aExchange.doubt->since;
+  this->shared.log.write(LogLine{ LogPart::Path, "attempt_goes_on" }
+                           .with("id", aExchange.requestId)
+                           .with("replica", aExchange.replica)
+                           .with("cause", aExchange.doubt->cause)
+                           .with("doubted_ms", doubted.count() / kMicrosPerMs));
+  aExchange.doubt.reset();
+  this->keepAttempt(aExchange);
+}
+
+/** Records that bytes of the answer have arrived. An attempt that was doubted
+ * goes on, and its replicas are alive unless the bytes may have been on their
+ * way before they were taken for lost. */
+void
+RelayLoop::Impl::recordProgress(Exchange& aExchange)
+{
+  aExchange.lastProgress = this->now;
+  aExchange.progressDelay = this->clock() - this->now;
+  aExchange.overdue = false;
+  const TimePoint sentAfter = this->now - this->readDelay;
+  bool anyAlive = false;
+  for (const PathPart& part : aExchange.path.parts) {
+    anyAlive = this->health.onProgress(part.replica, sentAfter) || anyAlive;
+  }
+  this->endDoubt(aExchange);
+  if (anyAlive) {
+    this->publishLostReplicas();
+  }
+}
+
 } // namespace poplartrack
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -89,30 +89,43 @@
   this->shared.log.write(line);
 }
 
+/** Ends the request if its time is up. aExchange is destroyed then. */
+bool
+RelayLoop::Impl::endAtDeadline(Exchange& aExchange)
+{
+  if (this->now < aExchange.giveUpAt) {
+    return false;
+  }
+  const bool ran = this->mayHaveRun(aExchange) || aExchange.runs > 0;
+  this->dropAttempt(aExchange, ran);
+  this->refuse(
+    aExchange, Error{ ErrorKind::DeadlineExceeded, "time is up" }, !ran);
+  return true;
+}
+
 /** Sends the next attempt, queues the request until one is possible, or refuses
- * the request. */
+ * the request. An attempt that has not ended goes on until then, and instead of
+ * a refusal. */
 void
 RelayLoop::Impl::dispatch(Exchange& aExchange)
 {
-  if (this->now >= aExchange.giveUpAt) {
-    this->refuse(aExchange,
-                 Error{ ErrorKind::DeadlineExceeded, "no time is left" },
-                 aExchange.runs == 0);
+  if (this->endAtDeadline(aExchange)) {
     return;
   }
+  const bool hasAttempt = aExchange.connection != 0;
   if (!this->isConfigFresh(aExchange)) {
-    this->refuse(
+    this->refuseOrKeep(
       aExchange,
-      Error{ ErrorKind::NoConfiguration, "the configuration has become old" },
-      aExchange.runs == 0);
+      Error{ ErrorKind::NoConfiguration, "the configuration has become old" });
     return;
   }
   const std::vector<Suspect> quarantined = this->quarantinedIn(aExchange);
   if (!quarantined.empty() && !this->isTrialDue(quarantined)) {
-    this->refuseQuarantined(aExchange, quarantined.front());
+    this->refuseOrKeep(aExchange, quarantineError(quarantined.front()));
     return;
   }
-  Result<AttemptTarget> target = this->chooseQueued(aExchange);
+  Result<AttemptTarget> target = hasAttempt ? this->chooseReplacement(aExchange)
+                                            : this->chooseQueued(aExchange);
   aExchange.lacksCapacity =
     !target && target.error().kind == ErrorKind::Overloaded;
   if (target && this->callerHasDisconnected(aExchange)) {
@@ -141,11 +154,22 @@
     this->countWaiting(aExchange);
     return;
   }
-  this->refuse(aExchange, target.error(), aExchange.runs == 0);
+  this->refuseOrKeep(aExchange, target.error());
+}
+
+/** Refuses a request that cannot be sent, unless an attempt of it goes on. */
+void
+RelayLoop::Impl::refuseOrKeep(Exchange& aExchange, const Error& aError)
+{
+  if (aExchange.connection != 0) {
+    this->keepAttempt(aExchange);
+    return;
+  }
+  this->refuse(aExchange, aError, aExchange.runs == 0);
 }
 
 /** Sends the request to the replica on an idle or new connection, and records
- * its load. */
+ * its load. Ends the attempt that it replaces. */
 void
 RelayLoop::Impl::sendAttempt(Exchange& aExchange, const AttemptTarget& aTarget)
 {
@@ -154,9 +178,10 @@
   if (!opened) {
     this->health.onFailure(
       aTarget.replica, ReplicaFailure::Unreachable, this->now);
-    this->refuse(aExchange, opened.error(), aExchange.runs == 0);
+    this->refuseOrKeep(aExchange, opened.error());
     return;
   }
+  this->dropReplacedAttempt(aExchange);
   ReplicaConnection& connection = *opened.value();
   connection.exchange = aExchange.id;
   aExchange.connection = connection.id;
@@ -215,6 +240,9 @@
 TimePoint
 RelayLoop::Impl::connectDeadline(const Exchange& aExchange) const
 {
+  if (aExchange.overdue) {
+    return aExchange.overdueHandledAt + kMoveRetryDelay;
+  }
   const TimePoint deadline = aExchange.sentAt + kConnectTimeout;
   return this->ownLink.isSlow(this->now)
            ? std::max(deadline, this->now + OwnLink::kMaxRoundTrip)
@@ -245,16 +273,31 @@
   this->timers.arm(aExchange.id, next);
 }
 
+/** Handles a connection that is not established in time. Nothing was sent, so a
+ * new request fails at once and may be told so; a started stream would be cut,
+ * and goes on to wait for this connection while no other replica takes it. */
+void
+RelayLoop::Impl::onConnectTimeout(Exchange& aExchange)
+{
+  constexpr std::string_view kCause = "connect timeout";
+  if (!aExchange.answering) {
+    this->onAttemptFailed(aExchange, ReplicaFailure::Unreachable, kCause);
+    return;
+  }
+  aExchange.overdue = true;
+  aExchange.overdueHandledAt = this->now;
+  this->health.onFailure(
+    aExchange.replica, ReplicaFailure::Unreachable, this->now);
+  this->publishLostReplicas();
+  this->onAttemptDoubtful(aExchange, ReplicaFailure::Unreachable, kCause);
+}
+
 /** Handles whichever deadline of the request has passed. Requests that have no
  * route or connection yet are tried again. */
 void
 RelayLoop::Impl::onExchangeTimer(Exchange& aExchange)
 {
-  if (aExchange.route != nullptr && this->now >= aExchange.giveUpAt) {
-    const bool ran = this->mayHaveRun(aExchange) || aExchange.runs > 0;
-    this->dropAttempt(aExchange, ran);
-    this->refuse(
-      aExchange, Error{ ErrorKind::DeadlineExceeded, "time is up" }, !ran);
+  if (aExchange.route != nullptr && this->endAtDeadline(aExchange)) {
     return;
   }
   if (aExchange.route == nullptr) {
@@ -276,8 +319,7 @@
   }
   if (connection->second->state == ReplicaConnection::State::Connecting) {
     if (this->now >= this->connectDeadline(aExchange)) {
-      this->onAttemptFailed(
-        aExchange, ReplicaFailure::Unreachable, "connect timeout");
+      this->onConnectTimeout(aExchange);
       return;
     }
   } else if (!aExchange.path.parts.empty()) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -216,10 +216,13 @@
   [[nodiscard]] bool isConfigFresh(const Exchange& aExchange) const;
 
   // RelayExchange.cpp: attempts, timers and the end of a request.
+  bool endAtDeadline(Exchange& aExchange);
   void dispatch(Exchange& aExchange);
+  void refuseOrKeep(Exchange& aExchange, const Error& aError);
   void sendAttempt(Exchange& aExchange, const AttemptTarget& aTarget);
   void logWritten(const Exchange& aExchange);
   void onExchangeTimer(Exchange& aExchange);
+  void onConnectTimeout(Exchange& aExchange);
   [[nodiscard]] TimePoint connectDeadline(const Exchange& aExchange) const;
   void armExchange(Exchange& aExchange);
   void endExchange(Exchange& aExchange);
@@ -232,9 +235,19 @@
   void dropAttempt(Exchange& aExchange, bool aMayHaveRun);
   [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
   void onNotExecuted(Exchange& aExchange, const MessageHead& aHead);
+  [[nodiscard]] bool mayTryAgain(const Exchange& aExchange) const;
   void onAttemptFailed(Exchange& aExchange,
                        ReplicaFailure aFailure,
                        std::string_view aCause);
+  void onAttemptDoubtful(Exchange& aExchange,
+                         ReplicaFailure aFailure,
+                         std::string_view aCause);
+  Result<AttemptTarget> chooseReplacement(Exchange& aExchange);
+  void stopSearch(Exchange& aExchange);
+  void keepAttempt(Exchange& aExchange);
+  void endDoubt(Exchange& aExchange);
+  void dropReplacedAttempt(Exchange& aExchange);
+  void recordProgress(Exchange& aExchange);
 
   // RelayWaiting.cpp: requests that wait for a path.
   [[nodiscard]] Waiter waiterOf(const Exchange& aExchange) const;
@@ -465,6 +478,7 @@
   [[nodiscard]] bool isTrialDue(const std::vector<Suspect>& aQuarantined);
   void recordTrial(const Exchange& aExchange,
                    const std::vector<Suspect>& aQuarantined);
+  [[nodiscard]] static Error quarantineError(const Suspect& aSuspect);
   void refuseQuarantined(Exchange& aExchange, const Suspect& aSuspect);
   void publishQuarantine();
   void refreshQuarantine();
--- a/src/relay/RelayPace.cpp
+++ b/src/relay/RelayPace.cpp
@@ -36,7 +36,7 @@
 {
   return this->settings.load.paceAdmission && aExchange.service != nullptr &&
          aExchange.service->engine && !aExchange.answering &&
-         !aExchange.lastEvent && aExchange.runs == 0;
+         !aExchange.lastEvent && aExchange.runs == 0 && !aExchange.doubt;
 }
 
 /** Describes the request to the pace gate. */
--- a/src/relay/RelayQuarantine.cpp
+++ b/src/relay/RelayQuarantine.cpp
@@ -215,15 +215,20 @@
   this->post([this] { this->announceChange(); });
 }
 
+/** Returns the error for a request that contains something in quarantine. */
+Error
+RelayLoop::Impl::quarantineError(const Suspect& aSuspect)
+{
+  return Error{ ErrorKind::Quarantined,
+                std::string{ nameOf(aSuspect.kind) } + " " +
+                  toText(aSuspect.id) };
+}
+
 /** Answers a request that contains something in quarantine with an error. */
 void
 RelayLoop::Impl::refuseQuarantined(Exchange& aExchange, const Suspect& aSuspect)
 {
-  this->refuse(
-    aExchange,
-    Error{ ErrorKind::Quarantined,
-           std::string{ nameOf(aSuspect.kind) } + " " + toText(aSuspect.id) },
-    aExchange.runs == 0);
+  this->refuse(aExchange, quarantineError(aSuspect), aExchange.runs == 0);
 }
 
 /** Passes the quarantine to the thread that keeps it in the store. */
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -100,9 +100,14 @@
     this->moveOffDrainingFirst(aExchange);
     return;
   }
-  if (!firstIsAlive) {
+  if (this->drainState.restarted.contains(first.replica)) {
     this->recordPossibleCrash(aExchange, ConnectionEnd::Silent);
     this->onAttemptFailed(
+      aExchange, ReplicaFailure::Unreachable, "first replica restarted");
+    return;
+  }
+  if (!firstIsAlive) {
+    this->onAttemptDoubtful(
       aExchange, ReplicaFailure::Unreachable, "first replica lost");
     return;
   }
@@ -130,7 +135,8 @@
   if (needsMoreCrossings && mayResume && preferResume &&
       this->budgetOf(aExchange).mayRetry(need, this->now) &&
       this->choosePath(aExchange, {}).ok()) {
-    this->onAttemptFailed(aExchange, ReplicaFailure::Refused, "part lost");
+    this->addLoad(aExchange, &kept);
+    this->onAttemptDoubtful(aExchange, ReplicaFailure::Refused, "part lost");
     return;
   }
   if (!target) {
@@ -176,7 +182,8 @@
     return;
   }
   if (this->choosePath(aExchange, {}).ok()) {
-    this->onAttemptFailed(aExchange, ReplicaFailure::Refused, "replica leaves");
+    this->onAttemptDoubtful(
+      aExchange, ReplicaFailure::Refused, "replica leaves");
   }
 }
 
@@ -202,19 +209,16 @@
     this->armExchange(exchange);
     return;
   }
-  if (aOrder.planned || !mayBeResumed(exchange)) {
-    // The request is still on the old path. A stream that was moved as planned
-    // still runs there, and the move is tried again later. Ending its attempt
-    // would break off a stream that is not disturbed.
-    this->removeLoad(exchange);
-    exchange.path = aOrder.before;
-    this->addLoad(exchange, exchange.runningSince ? &aOrder.before : nullptr);
-    exchange.repairedAt.reset();
-    return;
+  // The request is still on the old path.
+  this->removeLoad(exchange);
+  exchange.path = aOrder.before;
+  this->addLoad(exchange, exchange.runningSince ? &aOrder.before : nullptr);
+  exchange.repairedAt.reset();
+  if (!aOrder.planned && mayBeResumed(exchange)) {
+    // The work would stall for seconds until the first replica abandons it. It
+    // is resumed after its last event at another first replica.
+    this->onAttemptDoubtful(exchange, ReplicaFailure::Refused, "not moved");
   }
-  // The work would stall for seconds until the first replica abandons it. It is
-  // resumed after its last event at another first replica now.
-  this->onAttemptFailed(exchange, ReplicaFailure::Refused, "not moved");
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -168,6 +168,8 @@
   aConnection.state = ReplicaConnection::State::Busy;
   if (exchange != this->exchanges.end()) {
     exchange->second->connectedAt = this->now;
+    exchange->second->overdue = false;
+    this->endDoubt(*exchange->second);
   }
   this->flushReplica(aConnection);
 }
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -27,9 +27,6 @@
 constexpr int kLostPathStallFactor = 2;
 constexpr Duration kMinLostPathStallTimeout = std::chrono::milliseconds{ 60 };
 
-/** Delay until the move is tried again if there was no other path. */
-constexpr Duration kMoveRetryDelay = std::chrono::milliseconds{ 150 };
-
 /** Minimum time between two report requests to a stalled stream's first
  * replica. One report serves all its streams. A report is 200 ms old, so the
  * next one may show a stall that the first one doesn't. */
--- a/src/relay/RelayStream.cpp
+++ b/src/relay/RelayStream.cpp
@@ -43,7 +43,9 @@
   if (isStream(aExchange, aConnection.parser->head().status)) {
     const std::string bytes = aConnection.parser->takeBody();
     this->forwardEvents(aExchange, takeNewEvents(aExchange, bytes), false);
+    return;
   }
+  this->recordProgress(aExchange);
 }
 
 /** Returns the complete events among the bytes that the caller does not have
@@ -134,9 +136,7 @@
     this->endPrefill(aExchange);
     this->recordRepairTime(aExchange);
     text.append(chunkOf(aEvents));
-    aExchange.lastProgress = this->now;
-    aExchange.progressDelay = this->clock() - this->now;
-    aExchange.overdue = false;
+    this->recordProgress(aExchange);
     if (firstOnPath && this->settings.load.lossProbes) {
       // The timer was set by the forecast of the first event.
       this->armExchange(aExchange);
--- a/src/relay/RelayWaiting.cpp
+++ b/src/relay/RelayWaiting.cpp
@@ -18,7 +18,8 @@
   Waiter waiter;
   waiter.request = aExchange.id;
   waiter.service = aExchange.service == nullptr ? "" : aExchange.service->name;
-  waiter.started = aExchange.answering;
+  // A request whose attempt goes on must not be refused either.
+  waiter.started = aExchange.answering || aExchange.connection != 0;
   waiter.exempt = !this->isPaced(aExchange);
   waiter.beyondShare = aExchange.beyondShare;
   waiter.urgency = urgencyOf(aExchange);
@@ -105,9 +106,10 @@
 RelayLoop::Impl::mayKeepWaiting(Exchange& aExchange, ErrorKind aReason)
 {
   // A started stream waits whatever the reason, since its caller has a part of
-  // it. Other requests wait only for memory, which other answers will free; a
-  // caller that has returned also waits for layers that are being loaded.
-  const bool started = aExchange.answering;
+  // it, and so does a request whose attempt goes on. Other requests wait only
+  // for memory, which other answers will free; a caller that has returned also
+  // waits for layers that are being loaded.
+  const bool started = aExchange.answering || aExchange.connection != 0;
   const bool returned = aExchange.returnedAfterDue.has_value();
   const bool mayBecomeFree =
     aReason == ErrorKind::Overloaded && (returned || !aExchange.paceRefused);
