Take a silent replica for crashed only when it has exited

What callers would see: requests refused as quarantined, because their replicas had been silent for a second.

Cause: a request whose replica fell silent was entered as a possible cause of a crash, and the crash counted as certain as soon as two relays could not reach the replica. Two relays see the same silence of a sound replica.

Change: such a report waits until the replica has restarted or left the list (CrashProof). Requests whose connection ended count as before.

Measured: CrashWatch.ASilentReplicaHasCrashedOnlyWhenItHasExited holds; the code before has no such difference, its onCrashed returns the report at once. Found by reading; no quarantine by silence was seen in a play.

--- a/include/poplartrack/retry/CrashReport.h
+++ b/include/poplartrack/retry/CrashReport.h
@@ -26,6 +26,9 @@
   /** When the connection of the request ended. Relays notice it at different
    * times, so it is not compared. */
   TimePoint brokenAt{};
+  /** The replica fell silent. Not compared: a relay of another zone may see its
+   * connection end. */
+  bool silent = false;
 
   friend bool operator==(const CrashReport& aLeft, const CrashReport& aRight)
   {
--- a/include/poplartrack/retry/CrashWatch.h
+++ b/include/poplartrack/retry/CrashWatch.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/retry/CrashProof.h"
 #include "poplartrack/retry/CrashReport.h"
 #include "poplartrack/retry/RecentlyServedRequests.h"
 
@@ -34,8 +35,10 @@
   [[nodiscard]] std::set<std::string> replicas() const;
   /** Called when the replica has crashed. Returns one report for each request
    * that broke off there, except for requests that have been served elsewhere
-   * since. */
+   * since. Those whose replica only fell silent are kept until it has certainly
+   * exited. */
   std::vector<CrashReport> onCrashed(const std::string& aReplica,
+                                     CrashProof aProof,
                                      const RecentlyServedRequests& aServed,
                                      TimePoint aNow);
   /** Drops the requests of a replica that is alive or stopped as planned. */
--- a/src/relay/RelayAttempts.cpp
+++ b/src/relay/RelayAttempts.cpp
@@ -120,7 +120,7 @@
   }
   this->shared.log.write(line);
   if (stalled && faulty != aExchange.replica) {
-    this->recordPossibleCrashAt(aExchange, faulty, false);
+    this->recordPossibleCrashAt(aExchange, faulty, false, false);
   }
   aExchange.avoid.insert(faulty);
   this->dropAttempt(aExchange, false);
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -33,8 +33,9 @@
 {
   const bool atStart = !aExchange.runningSince ||
                        this->now - *aExchange.runningSince < kEarlyCrashTime;
+  const bool silent = aEnd == ConnectionEnd::Silent;
   this->recordPossibleCrashAt(
-    aExchange, aExchange.replica, atStart && aEnd == ConnectionEnd::Closed);
+    aExchange, aExchange.replica, atStart && !silent, silent);
 }
 
 /**
@@ -45,14 +46,18 @@
 void
 RelayLoop::Impl::recordPossibleCrashAt(Exchange& aExchange,
                                        const std::string& aReplica,
-                                       bool aEarly)
+                                       bool aEarly,
+                                       bool aSilent)
 {
   if (this->drainState.since.contains(aReplica) ||
       !this->mayHaveRun(aExchange)) {
     return;
   }
   this->crashState.watch.onBroken(
-    CrashReport{ this->contentFingerprint(aExchange), aReplica, aEarly },
+    CrashReport{ .suspect = this->contentFingerprint(aExchange),
+                 .replica = aReplica,
+                 .early = aEarly,
+                 .silent = aSilent },
     this->now);
   if (aExchange.runningSince) {
     return;
@@ -62,26 +67,34 @@
       this->crashState.recentlyServed.lastServed(part.part, this->now)
         .has_value();
     this->crashState.watch.onBroken(
-      CrashReport{ part.part, aReplica, aEarly, part.accountPart, familiar },
+      CrashReport{ .suspect = part.part,
+                   .replica = aReplica,
+                   .early = aEarly,
+                   .accountPart = part.accountPart,
+                   .familiar = familiar,
+                   .silent = aSilent },
       this->now);
   }
 }
 
 /**
- * Returns whether a replica has certainly exited or restarted: its restart has
- * been detected, it is not in the replica list, or two relays cannot reach it.
- * One relay is not enough, since it may be cut off itself, and requests that
- * break off then are not responsible.
+ * Returns what shows that a replica has crashed: its restart has been detected,
+ * it is not in the replica list, or two relays cannot reach it. One relay is
+ * not enough, since it may be cut off itself, and requests that break off then
+ * are not responsible.
  */
-bool
-RelayLoop::Impl::hasExited(const std::string& aReplica) const
+std::optional<CrashProof>
+RelayLoop::Impl::crashProofOf(const std::string& aReplica) const
 {
+  if (this->drainState.restarted.contains(aReplica) ||
+      this->replicaById(aReplica) == nullptr) {
+    return CrashProof::Exited;
+  }
   // With a count of 1, two reports are enough however many relays there are.
   constexpr std::size_t kRelayCount = 1;
-  return this->drainState.restarted.contains(aReplica) ||
-         this->replicaById(aReplica) == nullptr ||
-         this->reports.lost(
-           aReplica, this->health.dead(aReplica, this->now), kRelayCount);
+  const bool unreachable = this->reports.lost(
+    aReplica, this->health.dead(aReplica, this->now), kRelayCount);
+  return unreachable ? std::optional{ CrashProof::Unreachable } : std::nullopt;
 }
 
 /** Enters the crashes that are certain by now into the crash ledger. */
@@ -95,11 +108,12 @@
       this->crashState.watch.forget(replica);
       continue;
     }
-    if (!this->hasExited(replica)) {
+    const std::optional<CrashProof> proof = this->crashProofOf(replica);
+    if (!proof) {
       continue;
     }
     for (const CrashReport& report : this->crashState.watch.onCrashed(
-           replica, this->crashState.recentlyServed, this->now)) {
+           replica, *proof, this->crashState.recentlyServed, this->now)) {
       if (!report.accountPart) {
         this->shared.metrics.count("requests_at_ended_replicas_total");
       }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -456,8 +456,10 @@
   void recordPossibleCrash(Exchange& aExchange, ConnectionEnd aEnd);
   void recordPossibleCrashAt(Exchange& aExchange,
                              const std::string& aReplica,
-                             bool aEarly);
-  [[nodiscard]] bool hasExited(const std::string& aReplica) const;
+                             bool aEarly,
+                             bool aSilent);
+  [[nodiscard]] std::optional<CrashProof> crashProofOf(
+    const std::string& aReplica) const;
   void confirmCrashes();
   void recordBegun(Exchange& aExchange);
   void recordServed(Exchange& aExchange);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -38,7 +38,7 @@
     }
     if (exchange.replica != aReplica && !exchange.runningSince) {
       // The connection to the first replica shows nothing of a later one.
-      this->recordPossibleCrashAt(exchange, aReplica, false);
+      this->recordPossibleCrashAt(exchange, aReplica, false, false);
     }
     this->repair(exchange, false);
   }
--- a/src/retry/CrashWatch.cpp
+++ b/src/retry/CrashWatch.cpp
@@ -12,6 +12,7 @@
     if (broken.suspect == aReport.suspect &&
         broken.accountPart == aReport.accountPart) {
       broken.early = broken.early || aReport.early;
+      broken.silent = broken.silent && aReport.silent;
       return;
     }
   }
@@ -31,20 +32,31 @@
 
 std::vector<CrashReport>
 CrashWatch::onCrashed(const std::string& aReplica,
+                      CrashProof aProof,
                       const RecentlyServedRequests& aServed,
                       TimePoint aNow)
 {
   std::vector<CrashReport> reports;
-  auto found = this->pending.extract(aReplica);
-  if (found.empty()) {
+  const auto found = this->pending.find(aReplica);
+  if (found == this->pending.end()) {
     return reports;
   }
-  for (CrashReport& report : found.mapped()) {
+  std::vector<CrashReport> kept;
+  for (CrashReport& report : found->second) {
+    if (report.silent && aProof != CrashProof::Exited) {
+      kept.push_back(std::move(report));
+      continue;
+    }
     const auto served = aServed.lastServed(report.suspect, aNow);
     if (!served || *served < report.brokenAt) {
       reports.push_back(std::move(report));
     }
   }
+  if (kept.empty()) {
+    this->pending.erase(found);
+  } else {
+    found->second = std::move(kept);
+  }
   return reports;
 }
 
--- a/tests/unit/retry/CrashWatchTest.cpp
+++ b/tests/unit/retry/CrashWatchTest.cpp
@@ -17,10 +17,12 @@
   CrashWatch watch{ seconds{ 4 } };
   watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
   EXPECT_EQ(watch.replicas(), std::set<std::string>{ "a" });
-  EXPECT_TRUE(watch.onCrashed("b", kNone, kStart).empty());
+  EXPECT_TRUE(
+    watch.onCrashed("b", CrashProof::Unreachable, kNone, kStart).empty());
   watch.expire(kStart + milliseconds{ 4'001 });
   EXPECT_TRUE(watch.replicas().empty());
-  EXPECT_TRUE(watch.onCrashed("a", kNone, kStart).empty());
+  EXPECT_TRUE(
+    watch.onCrashed("a", CrashProof::Unreachable, kNone, kStart).empty());
 }
 
 TEST(CrashWatch, ACrashReportsEachRequestOnce)
@@ -29,10 +31,12 @@
   watch.onBroken(CrashReport{ kRequest, "a", false }, kStart);
   watch.onBroken(CrashReport{ kRequest, "a", true }, kStart);
   watch.onBroken(CrashReport{ Fingerprint{ 5, 6 }, "a", false }, kStart);
-  const auto reports = watch.onCrashed("a", kNone, kStart);
+  const auto reports =
+    watch.onCrashed("a", CrashProof::Unreachable, kNone, kStart);
   ASSERT_EQ(reports.size(), 2U);
   EXPECT_EQ(reports[0], (CrashReport{ kRequest, "a", true }));
-  EXPECT_TRUE(watch.onCrashed("a", kNone, kStart).empty());
+  EXPECT_TRUE(
+    watch.onCrashed("a", CrashProof::Unreachable, kNone, kStart).empty());
 }
 
 TEST(CrashWatch, ARequestServedElsewhereSinceIsNotReported)
@@ -45,10 +49,24 @@
   RecentlyServedRequests served;
   served.onServed(Fingerprint{ 5, 6 }, kStart - seconds{ 1 });
   served.onServed(kRequest, kStart + milliseconds{ 20 });
-  const auto reports = watch.onCrashed("a", served, kStart + seconds{ 2 });
+  const auto reports = watch.onCrashed(
+    "a", CrashProof::Unreachable, served, kStart + seconds{ 2 });
   ASSERT_EQ(reports.size(), 1U);
   EXPECT_EQ(reports[0].suspect, (Fingerprint{ 5, 6 }));
 }
 
+TEST(CrashWatch, ASilentReplicaHasCrashedOnlyWhenItHasExited)
+{
+  // Guards against a quarantine of requests whose replicas were only silent.
+  CrashWatch watch{ seconds{ 4 } };
+  const CrashReport report{ .suspect = kRequest,
+                            .replica = "a",
+                            .silent = true };
+  watch.onBroken(report, kStart);
+  EXPECT_TRUE(
+    watch.onCrashed("a", CrashProof::Unreachable, kNone, kStart).empty());
+  EXPECT_EQ(watch.onCrashed("a", CrashProof::Exited, kNone, kStart).size(), 1U);
+}
+
 } // namespace
 } // namespace poplartrack
