Close no idle connection of a caller in which a request waits

What callers saw: a request on a kept connection, and the connection closed without an answer.

The poller hands out 256 events at a time, and timers run between two batches; when more connections are readable than that, an idle timer closed a connection whose request was not read yet, and so did the relay when it made room for a new connection. And the idle timer was set by the limit at that time: when a new version of the configuration raised the limit, connections were still closed at the old one, in which their callers may use them.

Change: before such a close the socket is asked whether bytes wait, and these are read instead; the timer looks at the limit in force when it ends.

Measured: RelayKeptCallerTest.RequestsThatWaitAtTheEndOfTheIdleTimeAreRead (400 connections) and .AnIdleConnectionStaysOpenWhenTheLimitGrows hold.

--- a/src/relay/CallerConnection.h
+++ b/src/relay/CallerConnection.h
@@ -31,6 +31,8 @@
   /** When the connection became idle, or when the first byte of the current
    * request was received. */
   TimePoint stateSince{};
+  /** A request has been answered on it. */
+  bool hasServed = false;
   /** Part of a request has been received. */
   bool receivingRequest = false;
   /** "100 Continue" has been sent for the current request. */
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -53,6 +53,17 @@
     aFd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
 }
 
+/** Whether bytes have arrived that were not read yet, or the end of the
+ * connection. */
+bool
+hasUnread(int aFd)
+{
+  char next = 0;
+  const ssize_t count =
+    ::recv(aFd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 ErrorKind
 errorKindOf(ParseProblem aProblem)
 {
@@ -121,12 +132,12 @@
   this->callers.emplace(caller->id, std::move(caller));
 }
 
-/** Makes room for a new connection. Only a connection without a request is
- * closed; its caller can open a new one. */
-void
-RelayLoop::Impl::closeLongestIdleCaller()
+/** Returns the connection without a request that has been idle for longest, or
+ * null. */
+CallerConnection*
+RelayLoop::Impl::longestIdleCaller() const
 {
-  const CallerConnection* longestIdle = nullptr;
+  CallerConnection* longestIdle = nullptr;
   for (const auto& [id, caller] : this->callers) {
     const bool isIdle = caller->exchange == 0 && !caller->receivingRequest &&
                         caller->output.empty();
@@ -135,9 +146,36 @@
       longestIdle = caller.get();
     }
   }
-  if (longestIdle != nullptr) {
-    this->closeCaller(longestIdle->id, CallerClose::Descriptors);
+  return longestIdle;
+}
+
+/** Makes room for a new connection. Only a connection without a request is
+ * closed; its caller can open a new one. */
+void
+RelayLoop::Impl::closeLongestIdleCaller()
+{
+  constexpr int kMostTries = 4;
+  for (int i = 0; i < kMostTries; ++i) {
+    CallerConnection* caller = this->longestIdleCaller();
+    if (caller == nullptr ||
+        this->closeIfUnused(*caller, CallerClose::Descriptors)) {
+      return;
+    }
+  }
+}
+
+/** Closes an idle connection unless a request has arrived on it that was not
+ * read yet; then reads that. Returns whether it was closed. */
+bool
+RelayLoop::Impl::closeIfUnused(CallerConnection& aCaller, CallerClose aCause)
+{
+  const std::uint64_t id = aCaller.id;
+  if (hasUnread(aCaller.fd.get())) {
+    this->onCallerReadable(aCaller);
+  } else {
+    this->closeCaller(id, aCause);
   }
+  return !this->callers.contains(id);
 }
 
 /** Prepares the connection for the next request, with the current limits of the
@@ -269,6 +307,7 @@
 RelayLoop::Impl::onAnswerWritten(CallerConnection& aCaller)
 {
   aCaller.exchange = 0;
+  aCaller.hasServed = true;
   aCaller.stateSince = this->now;
   if (aCaller.closeAfterOut) {
     return;
@@ -315,14 +354,24 @@
     this->closeCaller(aCaller.id, CallerClose::Answered);
     return;
   }
-  if (!aCaller.receivingRequest) {
-    this->closeCaller(aCaller.id,
-                      aCaller.output.empty() ? CallerClose::Idle
-                                             : CallerClose::Unwritten);
+  if (!aCaller.output.empty() && !aCaller.receivingRequest) {
+    this->closeCaller(aCaller.id, CallerClose::Unwritten);
     return;
   }
   const auto config = this->shared.config.read();
   const CallerLimits limits = config ? config->limits : CallerLimits{};
+  if (!aCaller.receivingRequest) {
+    // The limit may have grown since the timer was set.
+    const TimePoint due =
+      aCaller.stateSince +
+      (aCaller.hasServed ? limits.idleTimeout : limits.headerTimeout);
+    if (this->now < due) {
+      this->timers.arm(aCaller.id, due);
+    } else {
+      this->closeIfUnused(aCaller, CallerClose::Idle);
+    }
+    return;
+  }
   const bool headDone = aCaller.parser->is_header_done();
   // A body may take as long as a connection may be idle.
   if (headDone && this->now - aCaller.stateSince < limits.idleTimeout) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -131,7 +131,9 @@
   void onCallerTimer(CallerConnection& aCaller);
   void closeCaller(std::uint64_t aId, CallerClose aCause);
   [[nodiscard]] bool callerHasDisconnected(const Exchange& aExchange) const;
+  [[nodiscard]] CallerConnection* longestIdleCaller() const;
   void closeLongestIdleCaller();
+  bool closeIfUnused(CallerConnection& aCaller, CallerClose aCause);
 
   // RelayCallerOutput.cpp: answers to callers.
   void answerError(CallerConnection& aCaller,
--- a/tests/unit/relay/RelayCallerTest.cpp
+++ b/tests/unit/relay/RelayCallerTest.cpp
@@ -152,5 +152,82 @@
   EXPECT_TRUE(this->replica->readToReset());
 }
 
+/** Callers that keep their connections, each with an answer of the relay. */
+class RelayKeptCallerTest : public RelayFixture
+{
+protected:
+  static constexpr Duration kIdleTimeout = std::chrono::seconds{ 5 };
+
+  /** Starts the relay with a limit on idle connections. */
+  void startWithIdleTimeout()
+  {
+    this->world.useManualClock();
+    this->world.config->limits.idleTimeout = kIdleTimeout;
+    this->startWith("plain", { "one" });
+  }
+  /** Sends a request that the relay answers itself, and reads the answer. */
+  static void expectAnswer(RawSocket& aCaller)
+  {
+    aCaller.send(RelayWorld::request("/unknown/", "id-1"));
+    expectNotFound(aCaller);
+  }
+  static void expectNotFound(RawSocket& aCaller)
+  {
+    const std::string answer = aCaller.readUntil("}\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 404")) << answer;
+  }
+};
+
+TEST_F(RelayKeptCallerTest, RequestsThatWaitAtTheEndOfTheIdleTimeAreRead)
+{
+  // Guards against connections that are closed while a request waits in them:
+  // more arrive at once than the relay takes from the poller.
+  constexpr std::size_t kCallers = 400;
+  this->startWithIdleTimeout();
+  std::vector<RawSocket> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(this->world.caller());
+    expectAnswer(callers.back());
+  }
+  std::promise<void> blocked;
+  std::promise<void> sent;
+  this->world.loop->post([&] {
+    blocked.set_value();
+    sent.get_future().wait();
+  });
+  blocked.get_future().wait();
+  for (RawSocket& each : callers) {
+    each.send(RelayWorld::request("/unknown/", "id-2"));
+  }
+  this->world.manualClock.advance(2 * kIdleTimeout);
+  sent.set_value();
+  for (RawSocket& each : callers) {
+    expectNotFound(each);
+  }
+}
+
+TEST_F(RelayKeptCallerTest, AnIdleConnectionStaysOpenWhenTheLimitGrows)
+{
+  // Guards against a close that crosses a request sent within the new limit.
+  this->startWithIdleTimeout();
+  RawSocket kept = this->world.caller();
+  expectAnswer(kept);
+  auto longer = std::make_shared<RelayConfig>(*this->world.config);
+  longer->limits.idleTimeout = 4 * kIdleTimeout;
+  this->world.shared.config.replace(longer);
+  this->world.advance(2 * kIdleTimeout);
+  expectAnswer(kept);
+}
+
+TEST_F(RelayKeptCallerTest, AnIdleConnectionIsClosedAtItsLimit)
+{
+  // Guards against descriptors that are held by callers that are gone.
+  this->startWithIdleTimeout();
+  RawSocket kept = this->world.caller();
+  expectAnswer(kept);
+  this->world.advance(2 * kIdleTimeout);
+  EXPECT_EQ(kept.readToEnd(), "");
+}
+
 } // namespace
 } // namespace poplartrack
