Answer what is open when a relay ends, and read nothing more

What callers saw at the end of the grace time: a connection that ended with neither an answer nor an error.

Cause: the process ended beside its loop. What was open then got nothing, and a request that the loop had just read was lost with the process.

Change: RelayLoop::stop() ends open requests on the loop's thread, with an error where the caller has no part of an answer, and then the thread. The process ends after that.

Measured: RelayCallerTest.ARequestThatIsOpenWhenTheProcessEndsIsAnswered and .ARequestThatArrivesWhileTheProcessEndsIsNotRead; both need the new function, so they do not build on the code before.

--- a/include/poplartrack/relay/RelayLoop.h
+++ b/include/poplartrack/relay/RelayLoop.h
@@ -43,6 +43,10 @@
   [[nodiscard]] Address peersAddress() const;
   /** Runs aWork on the loop's thread. May be called from any thread. */
   void post(std::function<void()> aWork);
+  /** Ends all open requests, each with an answer if its caller has no part of
+   * one yet, and stops the thread: nothing is read from callers any more. Their
+   * connections stay open until the loop is destroyed. */
+  void stop();
   /** Number of requests whose answers are not complete yet. May be called from
    * any thread. */
   [[nodiscard]] std::size_t openRequests() const;
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -155,9 +155,12 @@
     }
     waitForSignal(kLook);
   }
+  const std::size_t open = aLoop.openRequests();
+  // A request that is read while the process ends would get no answer.
+  aLoop.stop();
   aShared.log.write(
     LogLine{ LogPart::Process, "stopped" }
-      .with("open", static_cast<std::int64_t>(aLoop.openRequests()))
+      .with("open", static_cast<std::int64_t>(open))
       .with("unwritten", static_cast<std::int64_t>(aLoop.unwrittenAnswers())));
 }
 
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -54,6 +54,39 @@
   }
 }
 
+void
+RelayLoop::Impl::stop()
+{
+  this->post([this] {
+    this->endOpenRequests();
+    this->stopping = true;
+  });
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+/** Ends the requests that are open when the process ends. */
+void
+RelayLoop::Impl::endOpenRequests()
+{
+  std::vector<std::uint64_t> open;
+  for (const auto& [id, exchange] : this->exchanges) {
+    open.push_back(id);
+  }
+  for (const std::uint64_t id : open) {
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end()) {
+      continue;
+    }
+    Exchange& exchange = *found->second;
+    const bool ran = this->mayHaveRun(exchange) || exchange.runs > 0;
+    this->dropAttempt(exchange, ran);
+    this->refuse(
+      exchange, Error{ ErrorKind::Draining, "the process ends" }, !ran);
+  }
+}
+
 /** Opens the listener for callers and the socket for datagrams. */
 Result<Done>
 RelayLoop::Impl::listen()
@@ -233,6 +266,12 @@
   return this->impl->peersAddress();
 }
 
+void
+RelayLoop::stop()
+{
+  this->impl->stop();
+}
+
 void
 RelayLoop::post(std::function<void()> aWork)
 {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -89,6 +89,7 @@
   void start();
   /** May be called from any thread. */
   void post(std::function<void()> aWork);
+  void stop();
   /** May be called from any thread. */
   [[nodiscard]] std::size_t openRequests() const { return this->openCount; }
   /** May be called from any thread. */
@@ -102,6 +103,7 @@
 private:
   // RelayLoop.cpp: the thread, its events and timers.
   void run();
+  void endOpenRequests();
   void onEvent(const ReadyEvent& aEvent);
   void onTimer(std::uint64_t aKey);
 
--- a/tests/unit/relay/RelayCallerTest.cpp
+++ b/tests/unit/relay/RelayCallerTest.cpp
@@ -229,5 +229,27 @@
   EXPECT_EQ(kept.readToEnd(), "");
 }
 
+TEST_F(RelayCallerTest, ARequestThatIsOpenWhenTheProcessEndsIsAnswered)
+{
+  // Guards against a connection that ends without answer or error.
+  this->startWith("plain", { "one" });
+  this->openRequest("/once/x");
+  this->world.loop->stop();
+  this->expectStatus("502 Bad Gateway");
+}
+
+TEST_F(RelayCallerTest, ARequestThatArrivesWhileTheProcessEndsIsNotRead)
+{
+  // Guards against a request that is read and then lost with the process.
+  this->world.start();
+  RawSocket kept = this->world.caller();
+  this->world.settle();
+  this->world.loop->stop();
+  kept.send(RelayWorld::request("/once/x", "id-1"));
+  EXPECT_EQ(this->world.loop->openRequests(), 0U);
+  this->world.loop.reset();
+  EXPECT_TRUE(kept.readToReset());
+}
+
 } // namespace
 } // namespace poplartrack
