Read what has arrived of a request before it is refused for its time

What callers saw: 408 for requests that had arrived whole; and a request that was passed on while the relay ended.

Cause: the head timer, like the idle timer, may run before a batch of the poller that holds the rest, and kept the limit of an older configuration. The iteration of the loop in which stop() takes effect still handled its events.

Change: the rest is read first, and the limit in force counts; the iteration ends after the work that stops it.

--- a/include/poplartrack/base/TcpSocket.h
+++ b/include/poplartrack/base/TcpSocket.h
@@ -43,6 +43,11 @@
 void
 resetOnClose(int aFd);
 
+/** Whether bytes that were not read yet wait in the socket, or the end of the
+ * connection. */
+bool
+hasUnread(int aFd);
+
 /** The local address of a socket. */
 Result<Address>
 localAddress(int aFd);
--- a/src/base/TcpSocket.cpp
+++ b/src/base/TcpSocket.cpp
@@ -118,6 +118,15 @@
   ::setsockopt(aFd, SOL_SOCKET, SO_LINGER, &dropUnsent, sizeof dropUnsent);
 }
 
+bool
+hasUnread(int aFd)
+{
+  char next = 0;
+  const ssize_t count =
+    ::recv(aFd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 Result<Address>
 localAddress(int aFd)
 {
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -53,17 +53,6 @@
     aFd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
 }
 
-/** Whether bytes have arrived that were not read yet, or the end of the
- * connection. */
-bool
-hasUnread(int aFd)
-{
-  char next = 0;
-  const ssize_t count =
-    ::recv(aFd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EINTR);
-}
-
 ErrorKind
 errorKindOf(ParseProblem aProblem)
 {
@@ -372,6 +361,14 @@
     }
     return;
   }
+  const TimePoint headDue = aCaller.stateSince + limits.headerTimeout;
+  if (this->now < headDue) {
+    this->timers.arm(aCaller.id, headDue);
+    return;
+  }
+  if (hasUnread(aCaller.fd.get()) && !this->readAtTimeout(aCaller)) {
+    return;
+  }
   const bool headDone = aCaller.parser->is_header_done();
   // A body may take as long as a connection may be idle.
   if (headDone && this->now - aCaller.stateSince < limits.idleTimeout) {
@@ -379,10 +376,28 @@
     return;
   }
   this->shared.metrics.countRefusal(ErrorKind::HeadTimeout);
+  this->shared.log.write(
+    LogLine{ LogPart::Request, "unreadable" }
+      .with("channel", static_cast<std::int64_t>(aCaller.id))
+      .with("reason", nameOf(ErrorKind::HeadTimeout)));
   this->answerError(
     aCaller, Error{ ErrorKind::HeadTimeout, "" }, "", Duration{ 0 }, true);
 }
 
+/** Reads from a connection whose request is not complete at its timeout.
+ * Returns whether that is still so; a request that follows it has a timeout of
+ * its own. */
+bool
+RelayLoop::Impl::readAtTimeout(CallerConnection& aCaller)
+{
+  const std::uint64_t id = aCaller.id;
+  this->onCallerReadable(aCaller);
+  const auto still = this->callers.find(id);
+  return still != this->callers.end() && still->second->receivingRequest &&
+         still->second->stateSince < this->now &&
+         still->second->exchange == 0 && !still->second->closeAfterOut;
+}
+
 /** Whether the caller has closed its connection, even if the loop has not read
  * the end of it yet: a loop that lags behind handles a request long after it
  * arrived. */
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -150,6 +150,10 @@
     this->loopLoad.record(wokeAt - waitsFrom, this->readDelay);
     this->now = wokeAt;
     this->posted.run();
+    if (this->stopping) {
+      // What is read from here on would get no answer.
+      break;
+    }
     for (const ReadyEvent& event : events) {
       this->onEvent(event);
     }
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -131,6 +131,7 @@
   void refuseUnread(CallerConnection& aCaller);
   void armIdleTimer(CallerConnection& aCaller);
   void onCallerTimer(CallerConnection& aCaller);
+  bool readAtTimeout(CallerConnection& aCaller);
   void closeCaller(std::uint64_t aId, CallerClose aCause);
   [[nodiscard]] bool callerHasDisconnected(const Exchange& aExchange) const;
   [[nodiscard]] CallerConnection* longestIdleCaller() const;
--- a/tests/unit/relay/RelayCallerTest.cpp
+++ b/tests/unit/relay/RelayCallerTest.cpp
@@ -206,6 +206,38 @@
   }
 }
 
+TEST_F(RelayKeptCallerTest, RequestsWhoseRestWaitsAtTheEndOfTheHeadTimeAreRead)
+{
+  // Guards against 408 for requests that have arrived whole.
+  constexpr std::size_t kCallers = 400;
+  constexpr std::size_t kFirstBytes = 20;
+  this->world.config->limits.headerTimeout = kIdleTimeout;
+  this->startWithIdleTimeout();
+  const std::string text = RelayWorld::request("/unknown/", "id-1");
+  std::vector<RawSocket> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(this->world.caller());
+    callers.back().send(text.substr(0, kFirstBytes));
+  }
+  this->world.settle();
+  this->world.settle();
+  std::promise<void> blocked;
+  std::promise<void> sent;
+  this->world.loop->post([&] {
+    blocked.set_value();
+    sent.get_future().wait();
+  });
+  blocked.get_future().wait();
+  for (RawSocket& each : callers) {
+    each.send(text.substr(kFirstBytes));
+  }
+  this->world.manualClock.advance(2 * kIdleTimeout);
+  sent.set_value();
+  for (RawSocket& each : callers) {
+    expectNotFound(each);
+  }
+}
+
 TEST_F(RelayKeptCallerTest, AnIdleConnectionStaysOpenWhenTheLimitGrows)
 {
   // Guards against a close that crosses a request sent within the new limit.
