Let a repair concern only the attempt that it was meant for

What callers saw: streams whose sound attempt was taken for not moved, or begun anew at the replica where it ran; and 502 for a request at a plain replica that had only given no report during an outage of the store.

Cause: the outcome of an order to move was applied to whatever attempt the request had by then. The search for another attempt could find the same first replica. A plain replica that was named unreachable was handled as restarted.

Change: the order names the connection of its attempt; the replica that runs the request is left out of the search; only a restart ends the attempt at a plain replica. A move that was done ends the doubt.

--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -231,8 +231,15 @@
   if (aExchange.service == nullptr) {
     return fail(ErrorKind::NoRoute, "the route's service is not declared");
   }
-  return aExchange.service->engine ? this->choosePath(aExchange, {})
-                                   : this->choosePlain(aExchange);
+  if (!aExchange.service->engine) {
+    return this->choosePlain(aExchange);
+  }
+  // An attempt is not replaced by one at the same replica.
+  std::set<std::string> avoided;
+  if (aExchange.connection != 0) {
+    avoided.insert(aExchange.replica);
+  }
+  return this->choosePath(aExchange, {}, avoided);
 }
 
 /** Returns the higher one of the slowdowns that this relay and the others have
@@ -429,7 +436,9 @@
   bool limited = false;
   for (const std::size_t index : listed->second) {
     const Replica& replica = this->view->replicas[index];
-    if (this->isDraining(replica) || this->isBackingOff(replica.id)) {
+    const bool runsIt =
+      aExchange.connection != 0 && replica.id == aExchange.replica;
+    if (runsIt || this->isDraining(replica) || this->isBackingOff(replica.id)) {
       continue;
     }
     const auto load = this->plainLoad.find(replica.id);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -442,6 +442,7 @@
   [[nodiscard]] std::vector<std::uint64_t> requestsThrough(
     const std::string& aReplica) const;
   void repair(Exchange& aExchange, bool aPlanned);
+  void repairPlain(Exchange& aExchange);
   void moveOffDrainingFirst(Exchange& aExchange);
   void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -64,6 +64,21 @@
   return affected;
 }
 
+/** Handles the loss of the replica of a plain service: a request is lost if it
+ * has restarted, but not if it only gives no report. */
+void
+RelayLoop::Impl::repairPlain(Exchange& aExchange)
+{
+  if (!this->drainState.restarted.contains(aExchange.replica)) {
+    this->onAttemptDoubtful(
+      aExchange, ReplicaFailure::Unreachable, "replica unreachable");
+    return;
+  }
+  this->recordPossibleCrash(aExchange, ConnectionEnd::Silent);
+  this->onAttemptFailed(
+    aExchange, ReplicaFailure::Refused, "replica restarted");
+}
+
 /**
  * Moves a request off a lost or draining replica of its path.
  *
@@ -79,10 +94,7 @@
 RelayLoop::Impl::repair(Exchange& aExchange, bool aPlanned)
 {
   if (aExchange.path.parts.empty()) {
-    // A plain replica has restarted, and the request is lost.
-    this->recordPossibleCrash(aExchange, ConnectionEnd::Silent);
-    this->onAttemptFailed(
-      aExchange, ReplicaFailure::Refused, "replica restarted");
+    this->repairPlain(aExchange);
     return;
   }
   const std::vector<Suspect> quarantined = this->quarantinedIn(aExchange);
@@ -134,7 +146,7 @@
     aPlanned ? RetryPriority::Planned : retryNeedOf(aExchange);
   if (needsMoreCrossings && mayResume && preferResume &&
       this->budgetOf(aExchange).mayRetry(need, this->now) &&
-      this->choosePath(aExchange, {}).ok()) {
+      this->choosePath(aExchange, {}, { first.replica }).ok()) {
     this->addLoad(aExchange, &kept);
     this->onAttemptDoubtful(aExchange, ReplicaFailure::Refused, "part lost");
     return;
@@ -151,7 +163,7 @@
   aExchange.repairedAt = this->now;
   this->shared.metrics.countRetry(RetryReason::PathRepaired);
   const RepathOrder order{
-    aExchange.id, before, target.value().path, aPlanned
+    aExchange.id, aExchange.connection, before, target.value().path, aPlanned
   };
   aExchange.path = order.after;
   this->addLoad(aExchange, &kept);
@@ -181,7 +193,7 @@
     this->shared.metrics.count("planned_moves_without_budget_total");
     return;
   }
-  if (this->choosePath(aExchange, {}).ok()) {
+  if (this->choosePath(aExchange, {}, { aExchange.replica }).ok()) {
     this->onAttemptDoubtful(
       aExchange, ReplicaFailure::Refused, "replica leaves");
   }
@@ -192,7 +204,8 @@
 RelayLoop::Impl::onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome)
 {
   const auto found = this->exchanges.find(aOrder.exchange);
-  if (found == this->exchanges.end() || found->second->connection == 0) {
+  if (found == this->exchanges.end() ||
+      found->second->connection != aOrder.connection) {
     return;
   }
   Exchange& exchange = *found->second;
@@ -206,6 +219,7 @@
   if (aOutcome == RepathOutcome::Moved) {
     exchange.lastProgress = std::max(exchange.lastProgress, this->now);
     exchange.overdue = false;
+    this->endDoubt(exchange);
     this->armExchange(exchange);
     return;
   }
--- a/src/relay/RepathOrder.h
+++ b/src/relay/RepathOrder.h
@@ -10,6 +10,8 @@
 struct RepathOrder
 {
   std::uint64_t exchange = 0;
+  /** The connection of the attempt that it is for. */
+  std::uint64_t connection = 0;
   LayerPath before;
   LayerPath after;
   /** A replica of the old path is draining; none has failed. */
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -211,6 +211,10 @@
         this->repathRequests.insert(aRequest);
         this->repathPath = names().pathText(aPath);
       }
+      if (this->onRepath) {
+        this->onRepath(aDone);
+        return;
+      }
       aDone(this->repathOutcome);
     };
     auto made =
@@ -273,6 +277,8 @@
   /** Number of orders to move a request to another path, and their outcome. */
   std::atomic<int> repaths{ 0 };
   RepathOutcome repathOutcome = RepathOutcome::PartMissing;
+  /** Ends such an order in another way, or later. */
+  std::function<void(std::function<void(RepathOutcome)>)> onRepath;
   /** The requests that such orders were for, and the path of the last one. */
   std::set<std::string> repathRequests;
   std::string repathPath;
