End an attempt only when the next one is connected

What callers saw: 502 for a stream whose replica was silent, because another replica was chosen that accepted no connection.

Cause: the running attempt was ended when the next one was decided. And a slow relay handled an unanswered query before an event that had arrived, and ended an attempt that was not silent at all.

Change: the next attempt waits beside the running one (NextAttempt) until its connection is established; the running one goes on if it brings an event before, or if the connection fails. An attempt with bytes that were not read yet, or are held back for a slow caller, is not doubted. The head of an answer ends a doubt. The log says why a doubted attempt is kept, and the limit of a request's time.

--- a/src/relay/AttemptDoubt.h
+++ b/src/relay/AttemptDoubt.h
@@ -11,9 +11,11 @@
 {
   /** For the log; a string literal. */
   std::string_view cause;
-  /** Its replica is taken for lost, and does not only lead to a lost one or
-   * drain. */
+  /** Its own replica is taken for lost; otherwise another one of its path is,
+   * or one of them drains. */
   bool replicaLost = false;
+  /** It was logged why no other attempt can begin. */
+  bool isKept = false;
   /** Since when. */
   TimePoint since{};
 };
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -9,6 +9,7 @@
 
 #include "AttemptDoubt.h"
 #include "MessageParser.h"
+#include "NextAttempt.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/fleet/EventTimes.h"
 #include "poplartrack/fleet/LayerPath.h"
@@ -102,6 +103,9 @@
   /** Why the current attempt is taken to make no progress; nothing while it
    * does. Another attempt takes its place if one can begin. */
   std::optional<AttemptDoubt> doubt;
+  /** The attempt that is to take the place of the current one, while its
+   * connection is being established. */
+  std::optional<NextAttempt> next;
   /** When the current attempt was decided. */
   TimePoint sentAt{};
   /** When its connection was ready for the request; sentAt for a connection
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -50,6 +50,7 @@
 RelayLoop::Impl::onAnswerHead(Exchange& aExchange,
                               ReplicaConnection& aConnection)
 {
+  this->endDoubt(aExchange);
   const MessageHead& head = aConnection.parser->head();
   const bool notExecuted = head.headers.find(this->names.notRun).has_value() ||
                            head.status == kMisdirectedRequest;
--- a/src/relay/RelayAttempts.cpp
+++ b/src/relay/RelayAttempts.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "RelayLoopImpl.h"
+#include "poplartrack/base/TcpSocket.h"
 
 namespace poplartrack {
 namespace {
@@ -71,6 +72,7 @@
   aExchange.hasLostPartialEvent =
     aExchange.hasLostPartialEvent || !aExchange.splitter.endsBetweenEvents();
   aExchange.splitter.reset();
+  this->dropNext(aExchange);
   if (aExchange.doubt) {
     // It waited beside this attempt; its own time to wait begins now.
     aExchange.doubt.reset();
@@ -205,19 +207,24 @@
  * show that work is lost: a sound replica may pause for a second and go on. So
  * the connection stays open until another attempt begins, and the attempt goes
  * on if none can: it was the last one, the retry budget is used up, or no path
- * is free.
+ * is free. aExchange is destroyed if its time is up or its caller has left.
  */
 void
 RelayLoop::Impl::onAttemptDoubtful(Exchange& aExchange,
                                    ReplicaFailure aFailure,
                                    std::string_view aCause)
 {
+  const bool replicaLost = aFailure == ReplicaFailure::Unreachable;
+  const bool planned =
+    !replicaLost && this->drainState.since.contains(aExchange.replica);
+  if (aExchange.next || (!planned && this->hasUnreadAnswer(aExchange))) {
+    return;
+  }
   const bool triesAgain = this->mayTryAgain(aExchange);
   if (!aExchange.doubt) {
-    const bool replicaLost = aFailure == ReplicaFailure::Unreachable;
-    const bool planned =
-      !replicaLost && this->drainState.since.contains(aExchange.replica);
-    aExchange.doubt = AttemptDoubt{ aCause, replicaLost, this->now };
+    aExchange.doubt = AttemptDoubt{ .cause = aCause,
+                                    .replicaLost = replicaLost,
+                                    .since = this->now };
     aExchange.disturbedByLoss = aExchange.disturbedByLoss || !planned;
     if (!replicaLost) {
       this->health.onFailure(aExchange.replica, aFailure, this->now);
@@ -240,6 +247,57 @@
   this->dispatch(aExchange);
 }
 
+/** Returns whether bytes of the current attempt's answer have arrived that were
+ * not read yet: this relay is behind, and the replica is not silent. */
+bool
+RelayLoop::Impl::hasUnreadAnswer(const Exchange& aExchange) const
+{
+  const auto found = this->connections.find(aExchange.connection);
+  return found != this->connections.end() &&
+         found->second->state == ReplicaConnection::State::Busy &&
+         (found->second->pause != ReadPause::None ||
+          hasUnread(found->second->fd.get()));
+}
+
+/** Begins the attempt whose connection is established now, unless the one that
+ * it replaces has gone on meanwhile or it may no longer be sent. */
+void
+RelayLoop::Impl::onNextConnected(Exchange& aExchange,
+                                 ReplicaConnection& aConnection)
+{
+  const AttemptTarget target = aExchange.next->target;
+  const bool maySend = this->isConfigFresh(aExchange) &&
+                       !this->targetTakesNoWork(target.replica, target.path);
+  if (!maySend || this->hasUnreadAnswer(aExchange)) {
+    this->dropNext(aExchange);
+    return;
+  }
+  aConnection.state = ReplicaConnection::State::Busy;
+  this->beginAttempt(aExchange, aConnection, target);
+}
+
+/** Handles a replica that does not accept the connection of the next attempt.
+ * The current one goes on. */
+void
+RelayLoop::Impl::onNextUnreachable(Exchange& aExchange)
+{
+  const std::string replica = aExchange.next->target.replica;
+  this->dropNext(aExchange);
+  this->health.onFailure(replica, ReplicaFailure::Unreachable, this->now);
+  this->publishLostReplicas();
+}
+
+/** Gives up the attempt whose connection is being established. */
+void
+RelayLoop::Impl::dropNext(Exchange& aExchange)
+{
+  if (aExchange.next) {
+    const std::uint64_t connection = aExchange.next->connection;
+    aExchange.next.reset();
+    this->closeReplica(connection);
+  }
+}
+
 /** Chooses the target of an attempt that takes the place of the current one,
  * whose own memory counts as free. */
 Result<AttemptTarget>
@@ -310,6 +368,7 @@
                            .with("cause", aExchange.doubt->cause)
                            .with("doubted_ms", doubted.count() / kMicrosPerMs));
   aExchange.doubt.reset();
+  this->dropNext(aExchange);
   this->keepAttempt(aExchange);
 }
 
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -64,6 +64,8 @@
   line.with("runs", aExchange.runs);
   line.with("sends", aExchange.sends);
   line.with("ms", (this->now - aExchange.arrived).count() / kMicrosPerMs);
+  line.with("limit_ms",
+            (aExchange.giveUpAt - aExchange.arrived).count() / kMicrosPerMs);
   if (!aExchange.path.parts.empty()) {
     line.with("parts", static_cast<std::int64_t>(aExchange.path.parts.size()));
     line.with("crossings",
@@ -161,15 +163,22 @@
 void
 RelayLoop::Impl::refuseOrKeep(Exchange& aExchange, const Error& aError)
 {
-  if (aExchange.connection != 0) {
-    this->keepAttempt(aExchange);
+  if (aExchange.connection == 0) {
+    this->refuse(aExchange, aError, aExchange.runs == 0);
     return;
   }
-  this->refuse(aExchange, aError, aExchange.runs == 0);
+  if (aExchange.doubt && !aExchange.doubt->isKept) {
+    aExchange.doubt->isKept = true;
+    this->shared.log.write(LogLine{ LogPart::Path, "attempt_kept" }
+                             .with("id", aExchange.requestId)
+                             .with("replica", aExchange.replica)
+                             .with("reason", describe(aError)));
+  }
+  this->keepAttempt(aExchange);
 }
 
-/** Sends the request to the replica on an idle or new connection, and records
- * its load. Ends the attempt that it replaces. */
+/** Sends the request to the replica on an idle or new connection. An attempt
+ * that it replaces goes on until the connection is established. */
 void
 RelayLoop::Impl::sendAttempt(Exchange& aExchange, const AttemptTarget& aTarget)
 {
@@ -181,15 +190,35 @@
     this->refuseOrKeep(aExchange, opened.error());
     return;
   }
-  this->dropReplacedAttempt(aExchange);
   ReplicaConnection& connection = *opened.value();
   connection.exchange = aExchange.id;
-  aExchange.connection = connection.id;
+  const bool connecting =
+    connection.state == ReplicaConnection::State::Connecting;
+  if (aExchange.connection != 0 && connecting) {
+    aExchange.next = NextAttempt{ connection.id, aTarget, this->now };
+    this->keepAttempt(aExchange);
+    return;
+  }
+  this->beginAttempt(aExchange, connection, aTarget);
+}
+
+/** Makes the connection that of the current attempt, records its load and
+ * writes the request. Ends the attempt that it replaces. */
+void
+RelayLoop::Impl::beginAttempt(Exchange& aExchange,
+                              ReplicaConnection& aConnection,
+                              const AttemptTarget& aTarget)
+{
+  aExchange.next.reset();
+  this->dropReplacedAttempt(aExchange);
+  aConnection.exchange = aExchange.id;
+  aExchange.connection = aConnection.id;
   aExchange.replica = aTarget.replica;
   aExchange.path = aTarget.path;
   aExchange.sentAt = this->now;
   aExchange.connectedAt = this->now;
   aExchange.runningSince.reset();
+  aExchange.repairedAt.reset();
   aExchange.reportedLimit.reset();
   aExchange.lastProgress = this->now;
   aExchange.progressDelay = this->clock() - this->now;
@@ -203,15 +232,15 @@
   this->addLoad(aExchange);
   this->reserveLinkCapacity(aExchange, aTarget.path);
   this->armExchange(aExchange);
-  this->resetParser(connection);
-  connection.interimAnswers = 0;
-  connection.foreignAnswers = 0;
-  connection.foreignBytes = 0;
-  connection.periodBytes = 0;
-  connection.output.append(this->requestHead(aExchange, aTarget));
-  connection.bodyLeft = aExchange.body.size();
-  if (connection.state == ReplicaConnection::State::Busy) {
-    this->flushReplica(connection);
+  this->resetParser(aConnection);
+  aConnection.interimAnswers = 0;
+  aConnection.foreignAnswers = 0;
+  aConnection.foreignBytes = 0;
+  aConnection.periodBytes = 0;
+  aConnection.output.append(this->requestHead(aExchange, aTarget));
+  aConnection.bodyLeft = aExchange.body.size();
+  if (aConnection.state == ReplicaConnection::State::Busy) {
+    this->flushReplica(aConnection);
   }
 }
 
@@ -267,6 +296,9 @@
     next = std::min(next, since + this->stallTimeoutOf(aExchange));
     next = std::min(next, this->lateAt(aExchange).value_or(next));
   }
+  if (aExchange.next) {
+    next = std::min(next, aExchange.next->since + kConnectTimeout);
+  }
   if (aExchange.prefillRecorded) {
     next = std::min(next, aExchange.prefillEndsAt.value_or(next));
   }
@@ -274,13 +306,14 @@
 }
 
 /** Handles a connection that is not established in time. Nothing was sent, so a
- * new request fails at once and may be told so; a started stream would be cut,
- * and goes on to wait for this connection while no other replica takes it. */
+ * new request fails at once and may be told so. A started stream would be cut,
+ * and a request that may have run elsewhere would have an unknown outcome; they
+ * go on to wait for this connection while no other replica takes them. */
 void
 RelayLoop::Impl::onConnectTimeout(Exchange& aExchange)
 {
   constexpr std::string_view kCause = "connect timeout";
-  if (!aExchange.answering) {
+  if (!aExchange.answering && aExchange.runs == 0) {
     this->onAttemptFailed(aExchange, ReplicaFailure::Unreachable, kCause);
     return;
   }
@@ -312,6 +345,9 @@
   if (aExchange.prefillEndsAt && this->now >= *aExchange.prefillEndsAt) {
     this->endPrefill(aExchange);
   }
+  if (aExchange.next && this->now >= aExchange.next->since + kConnectTimeout) {
+    this->onNextUnreachable(aExchange);
+  }
   if (connection->second->pause != ReadPause::None) {
     // Nothing is read, so nothing shows whether the replica makes progress.
     aExchange.lastProgress = this->now;
@@ -343,6 +379,7 @@
     this->recordServiceEnd(aExchange);
   }
   this->removeLoad(aExchange);
+  this->dropNext(aExchange);
   this->waiting.remove(aExchange.id);
   this->uncountWaiting(aExchange);
   this->timers.cancel(aExchange.id);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -225,6 +225,9 @@
   void dispatch(Exchange& aExchange);
   void refuseOrKeep(Exchange& aExchange, const Error& aError);
   void sendAttempt(Exchange& aExchange, const AttemptTarget& aTarget);
+  void beginAttempt(Exchange& aExchange,
+                    ReplicaConnection& aConnection,
+                    const AttemptTarget& aTarget);
   void logWritten(const Exchange& aExchange);
   void onExchangeTimer(Exchange& aExchange);
   void onConnectTimeout(Exchange& aExchange);
@@ -247,7 +250,11 @@
   void onAttemptDoubtful(Exchange& aExchange,
                          ReplicaFailure aFailure,
                          std::string_view aCause);
+  [[nodiscard]] bool hasUnreadAnswer(const Exchange& aExchange) const;
   Result<AttemptTarget> chooseReplacement(Exchange& aExchange);
+  void onNextConnected(Exchange& aExchange, ReplicaConnection& aConnection);
+  void onNextUnreachable(Exchange& aExchange);
+  void dropNext(Exchange& aExchange);
   void stopSearch(Exchange& aExchange);
   void keepAttempt(Exchange& aExchange);
   void endDoubt(Exchange& aExchange);
@@ -344,7 +351,8 @@
   void expireBackoffs();
   [[nodiscard]] bool isBackingOff(const std::string& aReplica) const;
   [[nodiscard]] bool meetsBackoff(const Exchange& aExchange) const;
-  [[nodiscard]] bool targetTakesNoWork(const Exchange& aExchange) const;
+  [[nodiscard]] bool targetTakesNoWork(const std::string& aReplica,
+                                       const LayerPath& aPath) const;
 
   // RelayLimits.cpp: rate limits of replicas.
   void recordRateLimit(const std::string& aReplica,
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -93,6 +93,9 @@
 void
 RelayLoop::Impl::repair(Exchange& aExchange, bool aPlanned)
 {
+  if (aExchange.next) {
+    return;
+  }
   if (aExchange.path.parts.empty()) {
     this->repairPlain(aExchange);
     return;
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -197,6 +197,11 @@
     this->closeReplica(aConnection);
     return;
   }
+  if (exchange->second->next &&
+      exchange->second->next->connection == aConnection) {
+    this->onNextUnreachable(*exchange->second);
+    return;
+  }
   ResponseParser& parser = *connection.parser;
   const bool endsAtClose = aClean && connection.headHandled &&
                            !connection.discardingAnswer && parser.need_eof() &&
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -157,8 +157,14 @@
     return;
   }
   const auto exchange = this->exchanges.find(aConnection.exchange);
+  if (exchange != this->exchanges.end() && exchange->second->next &&
+      exchange->second->next->connection == aConnection.id) {
+    this->onNextConnected(*exchange->second, aConnection);
+    return;
+  }
   if (exchange != this->exchanges.end() &&
-      this->targetTakesNoWork(*exchange->second)) {
+      this->targetTakesNoWork(exchange->second->replica,
+                              exchange->second->path)) {
     this->shared.metrics.count("attempts_redirected_total");
     this->dropAttempt(*exchange->second, false);
     --exchange->second->sends;
--- a/src/relay/RelaySignals.cpp
+++ b/src/relay/RelaySignals.cpp
@@ -178,19 +178,19 @@
   return this->backoffs.inForce(aReplica, this->now);
 }
 
-/** Returns whether a replica of the current attempt drains, or takes no calls
- * of this relay for now. */
+/** Returns whether the replica of an attempt, or another one of its path,
+ * drains, or takes no calls of this relay for now. */
 bool
-RelayLoop::Impl::targetTakesNoWork(const Exchange& aExchange) const
+RelayLoop::Impl::targetTakesNoWork(const std::string& aReplica,
+                                   const LayerPath& aPath) const
 {
-  const auto takesNone = [this](const std::string& aReplica) {
-    return this->isBackingOff(aReplica) ||
-           this->drainState.since.contains(aReplica) ||
-           this->drainState.announced.contains(aReplica) ||
-           this->drainState.peerReports.contains(aReplica);
+  const auto takesNone = [this](const std::string& aId) {
+    return this->isBackingOff(aId) || this->drainState.since.contains(aId) ||
+           this->drainState.announced.contains(aId) ||
+           this->drainState.peerReports.contains(aId);
   };
-  const auto& parts = aExchange.path.parts;
-  return takesNone(aExchange.replica) ||
+  const auto& parts = aPath.parts;
+  return takesNone(aReplica) ||
          std::any_of(parts.begin(), parts.end(), [&](const PathPart& aPart) {
            return takesNone(aPart.replica);
          });
--- a/tests/unit/relay/RelayReplacementTest.cpp
+++ b/tests/unit/relay/RelayReplacementTest.cpp
@@ -62,6 +62,58 @@
   }
 };
 
+TEST_F(RelayReplacementTest, AnAttemptGoesOnWhileTheNextOneIsNotConnected)
+{
+  // Guards against an attempt that is given up for one that cannot begin.
+  this->startTwo(harness::deadAddress());
+  this->openRequest("/stream/x", "X-Tokens: 5,5\r\n");
+  this->passSilence();
+  ASSERT_EQ(this->world.loop->openRequests(), 1U);
+  this->replica->send(RelayWorld::streamHead("id-1") + RelayWorld::event(1) +
+                      RelayWorld::kLastChunk);
+  const std::string answer = this->caller->readUntil("0\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+}
+
+TEST_F(RelayReplacementTest, ARequestThatMayRunOnceStaysAtItsSilentReplica)
+{
+  // Guards against a second run of a request that must not run twice.
+  this->world.config->routes["shop.example"][0].targets = { { "model", 1 } };
+  this->startTwo(this->two.address());
+  this->openRequest("/once/x", "X-Tokens: 5,5\r\n");
+  this->passSilence();
+  this->replica->send(RelayWorld::answer("id-1", "whole"));
+  EXPECT_TRUE(this->caller->readUntil("whole").starts_with("HTTP/1.1 200 OK"));
+}
+
+TEST_F(RelayReplacementTest, AnAttemptWhoseEventHasArrivedIsNotReplaced)
+{
+  // Guards against a slow relay that takes its own delay for a silence.
+  std::mutex guard;
+  std::vector<std::function<void(ReplicaReport)>> queries;
+  this->world.onQuery = [&](const Address&, const auto& aDone) {
+    const std::scoped_lock lock{ guard };
+    queries.push_back(aDone);
+  };
+  this->startTwo(this->two.address());
+  this->openStream();
+  ASSERT_TRUE(this->world.advanceUntil([&] {
+    const std::scoped_lock lock{ guard };
+    return !queries.empty();
+  }));
+  std::promise<void> blocked;
+  std::promise<void> sent;
+  this->world.loop->post([&] {
+    blocked.set_value();
+    sent.get_future().wait();
+  });
+  blocked.get_future().wait();
+  this->replica->send(RelayWorld::event(2));
+  queries.front()(ReplicaReport{});
+  sent.set_value();
+  this->expectEnd();
+}
+
 TEST_F(RelayReplacementTest, ALateOutcomeOfAMoveConcernsNoLaterAttempt)
 {
   // Guards against a path of an earlier attempt on the one that replaced it.
