Take a reply cut within its head for no reply

Callers saw a 200 with an empty body, framed as whole, when a plain service crashed within the head of its answer. A load order or a move of a request counted as accepted, an object as stored or as empty, a row as missing, a step as never run, and `poplartrack call` and `status` printed an empty answer and exited with 0.

Cause: libcurl (7.88.1 here) ends a transfer with success when the connection is closed after the status line but before the empty line that ends the head. It reports the status, the fields whose lines were complete, and no body; HttpClient passed that on as Replied. Replies with a length or chunks announced in the part that came were already refused.

Change: the lines of a head are collected by ReplyHead, which knows whether the empty line came after the last status line. Without it, or when only an interim reply came, the outcome is Unknown. No user of HttpClient needed a change: they read status and fields only of a call that was Replied, but for the streamed command, which counts the tokens itself. lowerCase() stood in two files and has one of its own now.

A field line cut in the middle was never reported, before or now: libcurl drops it.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "LowerCase.h"
+
 namespace poplartrack {
 namespace {
 
@@ -16,17 +18,6 @@
 /** Bytes asked of a streamed body at once. */
 constexpr std::size_t kStreamBlockBytes = 16U << 10U;
 
-std::string
-lowerCase(std::string_view aText)
-{
-  std::string lower{ aText };
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aChar) {
-    return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a')
-                                        : aChar;
-  });
-  return lower;
-}
-
 MHD_Result
 addHeader(void* aHeaders, MHD_ValueKind, const char* aKey, const char* aValue)
 {
--- a/src/http/HttpTransfer.cpp
+++ b/src/http/HttpTransfer.cpp
@@ -8,11 +8,13 @@
 #include <chrono>
 #include <utility>
 
+#include "LowerCase.h"
+
 namespace poplartrack {
 namespace {
 
-/** Most bytes of header lines of a reply, with interim replies and trailers. */
-constexpr std::size_t kMaxHeadBytes = std::size_t{ 64 } * 1024;
+/** Replies with a lower status are interim: the final one follows. */
+constexpr long kFirstFinalStatus = 200;
 
 /** Most bytes of chunk sizes and chunk extensions, and how many more each byte
  * of the body allows. A chunk of one byte takes five. */
@@ -53,29 +55,6 @@
   return !aText.empty() && std::all_of(aText.begin(), aText.end(), allowed);
 }
 
-std::string_view
-trim(std::string_view aText)
-{
-  constexpr std::string_view kBlanks = " \t\r\n";
-  const std::size_t first = aText.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
-}
-
-std::string
-lowerCase(std::string_view aText)
-{
-  std::string lower{ aText };
-  for (char& letter : lower) {
-    if (letter >= 'A' && letter <= 'Z') {
-      letter = static_cast<char>(letter - 'A' + 'a');
-    }
-  }
-  return lower;
-}
-
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpCall aCall,
@@ -277,22 +256,8 @@
 bool
 HttpTransfer::takeHeader(std::string_view aLine)
 {
-  this->headBytes += aLine.size();
-  if (this->headBytes > kMaxHeadBytes) {
-    return this->refuse("the reply's head is over the limit");
-  }
-  if (aLine.starts_with("HTTP/")) {
-    // A new status line, as after "100 Continue".
-    this->result.headers.clear();
-    return true;
-  }
-  const std::size_t colon = aLine.find(':');
-  if (colon == std::string_view::npos) {
-    return true;
-  }
-  this->result.headers[lowerCase(aLine.substr(0, colon))] =
-    std::string{ trim(aLine.substr(colon + 1)) };
-  return true;
+  return this->head.take(aLine) ||
+         this->refuse("the reply's head is over the limit");
 }
 
 bool
@@ -313,6 +278,26 @@
   return true;
 }
 
+/** Returns why a reply that libcurl takes for a success is not whole; nullopt
+ * if it is. */
+std::optional<std::string>
+HttpTransfer::flawOfReply() const
+{
+  // libcurl takes the close of a connection for the end of the head.
+  if (!this->head.isComplete() || this->status() < kFirstFinalStatus) {
+    return "the connection was closed within the reply's head";
+  }
+  return std::nullopt;
+}
+
+long
+HttpTransfer::status() const
+{
+  long status = 0;
+  curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+  return status;
+}
+
 /**
  * "Not sent" is claimed only when no byte of the request was ever written.
  * The error code does not tell: when a kept-alive connection dies under a
@@ -321,11 +306,8 @@
  * bytes runs over all of a transfer's tries.
  */
 CallOutcome
-HttpTransfer::outcomeOf(CURLcode aCode) const
+HttpTransfer::outcomeOfFailure() const
 {
-  if (aCode == CURLE_OK) {
-    return CallOutcome::Replied;
-  }
   long requestBytes = 0;
   const CURLcode known =
     curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
@@ -333,18 +315,30 @@
                                                 : CallOutcome::Unknown;
 }
 
+std::string
+HttpTransfer::detailOf(CURLcode aCode) const
+{
+  if (!this->problem.empty()) {
+    return this->problem;
+  }
+  return this->errorText[0] != '\0' ? this->errorText.data()
+                                    : curl_easy_strerror(aCode);
+}
+
 void
 HttpTransfer::end(CURLcode aCode)
 {
-  long status = 0;
-  curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
-  this->result.status = static_cast<int>(status);
-  std::string detail = std::move(this->problem);
-  if (aCode != CURLE_OK && detail.empty()) {
-    detail = this->errorText[0] != '\0' ? this->errorText.data()
-                                        : curl_easy_strerror(aCode);
+  this->result.status = static_cast<int>(this->status());
+  this->result.headers = this->head.fields();
+  if (aCode != CURLE_OK) {
+    this->end(this->outcomeOfFailure(), this->detailOf(aCode));
+    return;
+  }
+  if (auto flaw = this->flawOfReply()) {
+    this->end(CallOutcome::Unknown, std::move(*flaw));
+    return;
   }
-  this->end(this->outcomeOf(aCode), std::move(detail));
+  this->end(CallOutcome::Replied, {});
 }
 
 void
--- a/src/http/HttpTransfer.h
+++ b/src/http/HttpTransfer.h
@@ -2,11 +2,13 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include <curl/curl.h>
 
+#include "ReplyHead.h"
 #include "poplartrack/http/HttpClient.h"
 
 namespace poplartrack {
@@ -39,7 +41,10 @@
   void setBounds();
   void setCallbacks();
   void countRawBytes();
-  [[nodiscard]] CallOutcome outcomeOf(CURLcode aCode) const;
+  [[nodiscard]] long status() const;
+  [[nodiscard]] std::optional<std::string> flawOfReply() const;
+  [[nodiscard]] CallOutcome outcomeOfFailure() const;
+  [[nodiscard]] std::string detailOf(CURLcode aCode) const;
   bool takeHeader(std::string_view aLine);
   bool takeBytes(std::string_view aBytes);
   /** Whether too many bytes have come that are neither head nor body. */
@@ -50,8 +55,7 @@
   HttpCall call;
   HttpDone done;
   std::size_t maxBodyBytes;
-  /** Bytes of header lines: of interim replies, the reply and its trailers. */
-  std::size_t headBytes = 0;
+  ReplyHead head;
   std::size_t bodyBytes = 0;
   /** Bytes behind the head, of which body is only a part. */
   std::size_t rawBytes = 0;
--- a/tests/unit/http/HttpClientTest.cpp
+++ b/tests/unit/http/HttpClientTest.cpp
@@ -129,6 +129,43 @@
   EXPECT_EQ(result.get().outcome, CallOutcome::Unknown);
 }
 
+/** Returns how a call ends when the peer sends these bytes and closes the
+ * connection. */
+HttpResult
+callAnswered(std::string_view aBytes)
+{
+  const auto client = newClient();
+  RawListener listener;
+  std::future<HttpResult> result = start(*client, callTo(listener.address()));
+  RawSocket peer = listener.accept();
+  peer.readUntil(kHeadEnd);
+  peer.send(aBytes);
+  peer.close();
+  return result.get();
+}
+
+// Guards against libcurl's success for a head that the peer never finished.
+TEST(HttpClient, aReplyCutWithinItsHeadIsUnknown)
+{
+  const std::vector<std::string_view> cutHeads{
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nX-Name: value\r\n",
+    "HTTP/1.1 200 OK\r\nX-Name: value\r\nContent-Le",
+    "HTTP/1.1 200 OK\r\nX-Name: value\r\n\r",
+    "HTTP/1.1 204 No Content\r\nX-Name: value\r\n",
+    "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 1",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\n\r\nbody",
+  };
+  for (const std::string_view head : cutHeads) {
+    SCOPED_TRACE(head);
+    const HttpResult result = callAnswered(head);
+    EXPECT_EQ(result.outcome, CallOutcome::Unknown);
+    EXPECT_FALSE(result.detail.empty());
+    EXPECT_FALSE(result.headers.contains("retry-after"));
+  }
+}
+
 TEST(HttpClient, aReplyOverTheLimitIsUnknownAndBounded)
 {
   HttpClientLimits limits;
--- a/tests/unit/store/PlatformClientTest.cpp
+++ b/tests/unit/store/PlatformClientTest.cpp
@@ -7,6 +7,8 @@
 
 #include "poplartrack/http/HttpServer.h"
 #include "standins/lib/PlatformHttp.h"
+#include "unit/base/ErrorIn.h"
+#include "unit/relay/AnsweringReplica.h"
 
 namespace poplartrack {
 namespace {
@@ -147,5 +149,26 @@
   release.set_value();
 }
 
+// Guards against an object that counts as stored, and a row as missing.
+TEST_F(PlatformClientTest, aReplyCutWithinItsHeadStoresAndReadsNothing)
+{
+  std::string reply;
+  relaytest::AnsweringReplica cut{ [&reply](const std::string&) {
+    return reply;
+  } };
+  PlatformClientSettings settings;
+  settings.platform = cut.address();
+  PlatformClient cutClient{ *this->http, settings };
+  reply = "HTTP/1.1 201 Created\r\nContent-Le";
+  EXPECT_EQ(errorIn(cutClient.putObject("name", "bytes")),
+            ErrorKind::PlatformUnknown);
+  reply = "HTTP/1.1 200 OK\r\nContent-Le";
+  EXPECT_EQ(errorIn(cutClient.getObject("name")),
+            ErrorKind::PlatformUnavailable);
+  reply = "HTTP/1.1 404 Not Found\r\n";
+  EXPECT_EQ(errorIn(cutClient.readRow("t", "k")),
+            ErrorKind::PlatformUnavailable);
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/users_platform/UsersStoreTest.cpp
+++ b/tests/unit/users_platform/UsersStoreTest.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include "standins/lib/UsersStoreStandin.h"
+#include "unit/base/ErrorIn.h"
+#include "unit/relay/AnsweringReplica.h"
 
 namespace poplartrack {
 namespace {
@@ -130,5 +132,25 @@
   EXPECT_EQ(change.value().removed, std::vector<std::string>{ "i-5" });
 }
 
+TEST_F(UsersStoreTest, AnAnswerCutWithinItsHeadStoresAndReadsNothing)
+{
+  // Guards against an object that counts as stored, or is read as empty.
+  std::string answer = "HTTP/1.1 200 OK\r\nStore-Era: 1";
+  relaytest::AnsweringReplica cut{ [&answer](const std::string&) {
+    return answer;
+  } };
+  UsersStore cutStore{ *this->http, cut.address() };
+  EXPECT_EQ(errorIn(cutStore.putObject("name", "bytes")),
+            ErrorKind::PlatformUnknown);
+  EXPECT_EQ(errorIn(cutStore.getObject("name")),
+            ErrorKind::PlatformUnavailable);
+  answer = "HTTP/1.1 412 Precondition Failed\r\n";
+  EXPECT_EQ(errorIn(cutStore.transact({ TableWrite{ "own", "k", 0, "v" } })),
+            ErrorKind::PlatformUnknown);
+  answer = "HTTP/1.1 410 Gone\r\n";
+  EXPECT_EQ(errorIn(cutStore.awaitReplicas(1, milliseconds{ 10 })),
+            ErrorKind::PlatformUnavailable);
+}
+
 } // namespace
 } // namespace poplartrack
