Show that no part of a reply counts as a reply

Cause: the tests of cuts took single places. Change: a test cuts a reply with a length and one in chunks at every byte.

--- a/tests/unit/http/HttpClientTest.cpp
+++ b/tests/unit/http/HttpClientTest.cpp
@@ -172,6 +172,25 @@
   }
 }
 
+// Guards against a place of a cut, in head or body, that looks like the end.
+TEST(HttpClient, noPartOfAReplyIsAReply)
+{
+  const std::vector<std::string_view> replies{
+    "HTTP/1.1 200 OK\r\nRetry-After: 12\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    // All but the last line feed, which libcurl need not wait for.
+    "2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r",
+  };
+  for (const std::string_view reply : replies) {
+    for (std::size_t size = 0; size < reply.size(); ++size) {
+      const std::string_view part = reply.substr(0, size);
+      SCOPED_TRACE(part);
+      EXPECT_EQ(callAnswered(part, BodyFraming::Optional).outcome,
+                CallOutcome::Unknown);
+    }
+  }
+}
+
 // Guards against half a body, whose sender stopped, taken for a whole one.
 TEST(HttpClient, aBodyThatOnlyTheConnectionEndsIsUnknownUnlessAllowed)
 {
