--- a/tests/unit/http/HttpClientTest.cpp
+++ b/tests/unit/http/HttpClientTest.cpp
@@ -129,6 +129,117 @@
   EXPECT_EQ(result.get().outcome, CallOutcome::Unknown);
 }
 
+/** Sends a call with this framing, and returns how it ends when the peer sends
+ * these bytes and closes the connection. */
+HttpResult
+callAnswered(std::string_view aBytes,
+             BodyFraming aFraming = BodyFraming::Required)
+{
+  const auto client = newClient();
+  RawListener listener;
+  HttpCall call = callTo(listener.address());
+  call.framing = aFraming;
+  std::future<HttpResult> result = start(*client, call);
+  RawSocket peer = listener.accept();
+  peer.readUntil(kHeadEnd);
+  peer.send(aBytes);
+  peer.close();
+  return result.get();
+}
+
+// Guards against libcurl's success for a head that the peer never finished.
+TEST(HttpClient, aReplyCutWithinItsHeadIsUnknown)
+{
+  const std::vector<std::string_view> cutHeads{
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nX-Name: value\r\n",
+    "HTTP/1.1 200 OK\r\nX-Name: value\r\nContent-Le",
+    "HTTP/1.1 200 OK\r\nX-Name: value\r\n\r",
+    "HTTP/1.1 204 No Content\r\nX-Name: value\r\n",
+    "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 1",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\n\r\nbody",
+  };
+  for (const BodyFraming framing :
+       { BodyFraming::Required, BodyFraming::Optional }) {
+    for (const std::string_view head : cutHeads) {
+      SCOPED_TRACE(head);
+      const HttpResult result = callAnswered(head, framing);
+      EXPECT_EQ(result.outcome, CallOutcome::Unknown);
+      EXPECT_FALSE(result.detail.empty());
+      EXPECT_FALSE(result.headers.contains("retry-after"));
+    }
+  }
+}
+
+// Guards against a place of a cut, in head or body, that looks like the end.
+TEST(HttpClient, noPartOfAReplyIsAReply)
+{
+  const std::vector<std::string_view> replies{
+    "HTTP/1.1 200 OK\r\nRetry-After: 12\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    // All but the last line feed, which libcurl need not wait for.
+    "2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r",
+  };
+  for (const std::string_view reply : replies) {
+    for (std::size_t size = 0; size < reply.size(); ++size) {
+      const std::string_view part = reply.substr(0, size);
+      SCOPED_TRACE(part);
+      EXPECT_EQ(callAnswered(part, BodyFraming::Optional).outcome,
+                CallOutcome::Unknown);
+    }
+  }
+}
+
+// Guards against half a body, whose sender stopped, taken for a whole one.
+TEST(HttpClient, aBodyThatOnlyTheConnectionEndsIsUnknownUnlessAllowed)
+{
+  const std::vector<std::string_view> replies{
+    "HTTP/1.1 200 OK\r\n\r\nhalf",
+    "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nhalf",
+  };
+  for (const std::string_view reply : replies) {
+    SCOPED_TRACE(reply);
+    const HttpResult refused = callAnswered(reply);
+    EXPECT_EQ(refused.outcome, CallOutcome::Unknown);
+    EXPECT_FALSE(refused.detail.empty());
+    const HttpResult allowed = callAnswered(reply, BodyFraming::Optional);
+    EXPECT_EQ(allowed.outcome, CallOutcome::Replied);
+    EXPECT_EQ(allowed.body, "half");
+  }
+}
+
+// Guards against half a body, whose sender was reset, taken for a whole one.
+TEST(HttpClient, aBodyEndedByAResetIsUnknown)
+{
+  const auto client = newClient();
+  RawListener listener;
+  HttpCall call = callTo(listener.address());
+  call.framing = BodyFraming::Optional;
+  std::future<HttpResult> result = start(*client, call);
+  RawSocket peer = listener.accept();
+  peer.readBytes(1);
+  peer.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+  // The rest of the request is unread, which makes this a reset.
+  peer.close();
+  EXPECT_EQ(result.get().outcome, CallOutcome::Unknown);
+}
+
+TEST(HttpClient, aReplyThatCanHaveNoBodyNeedsNoLength)
+{
+  const std::vector<std::string_view> replies{
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    "HTTP/1.1 304 Not Modified\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+  };
+  for (const std::string_view reply : replies) {
+    SCOPED_TRACE(reply);
+    EXPECT_EQ(callAnswered(reply).outcome, CallOutcome::Replied);
+  }
+}
+
 TEST(HttpClient, aReplyOverTheLimitIsUnknownAndBounded)
 {
   HttpClientLimits limits;
