Leave out replicas with layers that the model does not have

Callers would see: an entry of the replica list with a declared kind of accelerator and, say, the layers 900,000 to 1,000,000 of a model of 20 ends every relay that looks for a path of that service, and again after each restart.

Cause: the decoder accepts ranges up to a million layers, as it does not know the model. PathFinder marked the bounds and layers of each candidate in arrays of the model's size without a check, and cut only the end of a range, so that a range that begins after the model ran backwards. LayerPlanner added up memory by layer in the same way. A release notice that covers more than a replica still holds gave an empty range whose end lies before its start.

Change: EngineProfile::hasLayers(). A path uses no replica whose layers are not those of the model, nor an empty range; the planner leaves such replicas out, as it does those of an undeclared kind. Both take them back once their entries are right, which replicas rewrite with each heartbeat.

Ruled out: cutting the range to the model. The replica would then count as one that holds all layers, and the planner would leave real gaps open.

On the code before, PathFinder.LayersThatTheModelDoesNotHaveAreNotUsed ended with a segmentation fault and LayerPlanner.AReplicaWithLayersThatTheModelDoesNotHaveIsNotPlanned failed with orders; both pass now, with all other tests of PathFinder and LayerPlanner.

--- a/include/poplartrack/fleet/EngineProfile.h
+++ b/include/poplartrack/fleet/EngineProfile.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/base/LayerRange.h"
 #include "poplartrack/fleet/ZonePair.h"
 
 namespace poplartrack {
@@ -56,6 +57,12 @@
    */
   std::map<ZonePair, Duration> delays;
 
+  /** Returns whether the model has these layers. Replicas register themselves,
+   * so an entry may name others. */
+  [[nodiscard]] bool hasLayers(LayerRange aLayers) const
+  {
+    return aLayers.from <= aLayers.to && aLayers.to <= this->layers;
+  }
   /** Returns the KV cache of one token in one layer, in MB. */
   [[nodiscard]] double tokenLayerMb() const
   {
--- a/src/fleet/LayerPlanner.cpp
+++ b/src/fleet/LayerPlanner.cpp
@@ -99,8 +99,10 @@
   });
 }
 
-/** Groups the replicas of declared accelerator kinds by zone. Zones with too
- * little memory for a copy of their own share one group. */
+/** Groups the replicas of declared accelerator kinds by zone. Replicas with
+ * layers that the model does not have are left out: nothing is known of what
+ * they hold. Zones with too little memory for a copy of their own share one
+ * group. */
 std::vector<LayerPlanner::Group>
 LayerPlanner::groupReplicas(const EngineProfile& aProfile,
                             std::span<const Replica> aReplicas) const
@@ -123,7 +125,9 @@
     } else if (replica.layers) {
       member.layers = *replica.layers;
     }
-    byZone[replica.zone].push_back(member);
+    if (aProfile.hasLayers(member.layers)) {
+      byZone[replica.zone].push_back(member);
+    }
   }
   std::vector<Group> copyGroups;
   Group sharedGroup;
--- a/src/fleet/LayerShrink.cpp
+++ b/src/fleet/LayerShrink.cpp
@@ -251,7 +251,8 @@
     }
   }
   for (const Replica& replica : this->degraded) {
-    if (replica.layers && kindOf(aProfile, replica) != nullptr) {
+    if (replica.layers && aProfile.hasLayers(*replica.layers) &&
+        kindOf(aProfile, replica) != nullptr) {
       placed.push_back(
         { &replica, *replica.layers, false, slowdownOf(replica) });
     }
--- a/src/fleet/PathCosts.cpp
+++ b/src/fleet/PathCosts.cpp
@@ -30,8 +30,7 @@
   PathNode node;
   node.candidate = &aCandidate;
   node.zone = aZone;
-  const LayerRange usable = aCandidate.usable.value_or(*replica.layers);
-  node.layers = { usable.from, std::min(usable.to, aProfile.layers) };
+  node.layers = aCandidate.usable.value_or(*replica.layers);
   const double tokens = aDemand.promptTokens + aDemand.answerTokens;
   const double others = aCandidate.load.requests;
   const double requestMs =
--- a/src/fleet/PathFinder.cpp
+++ b/src/fleet/PathFinder.cpp
@@ -163,6 +163,11 @@
       this->demand.avoided.contains(replica.id)) {
     return;
   }
+  const LayerRange usable = aCandidate.usable.value_or(*replica.layers);
+  if (usable.size() == 0 || !this->profile.hasLayers(usable) ||
+      !this->profile.hasLayers(*replica.layers)) {
+    return;
+  }
   this->nodes.push_back(pathNode(this->profile,
                                  this->demand,
                                  kind->second,
--- a/tests/unit/fleet/LayerPlannerTest.cpp
+++ b/tests/unit/fleet/LayerPlannerTest.cpp
@@ -490,6 +490,22 @@
   EXPECT_EQ(*fleet.at("f3").layers, lost);
 }
 
+// Guards against a process that ends because an entry of the replica list names
+// layers that the model does not have.
+TEST(LayerPlanner, AReplicaWithLayersThatTheModelDoesNotHaveIsNotPlanned)
+{
+  for (const LayerRange odd : { LayerRange{ 0, 1'000'000 },
+                                LayerRange{ 900'000, 1'000'000 },
+                                LayerRange{ 0, 21 } }) {
+    Fleet fleet{ fourInEachOfTwoZones() };
+    fleet.start();
+    fleet.replicas.push_back(holding("odd", "a", odd));
+    for (int i = 0; i < 10; ++i) {
+      EXPECT_TRUE(fleet.planAfter(seconds{ 3 }).empty());
+    }
+  }
+}
+
 RC_GTEST_PROP(LayerPlanner,
               NeverOrdersMoreThanMemoryHolds,
               (const std::vector<std::uint8_t>& aLosses))
--- a/tests/unit/fleet/PathFinderTest.cpp
+++ b/tests/unit/fleet/PathFinderTest.cpp
@@ -383,6 +383,28 @@
   EXPECT_EQ(path.value().parts[0].replica, "b1");
 }
 
+// Guards against a process that ends because an entry of the replica list, or a
+// release notice, names layers that the model does not have.
+TEST(PathFinder, LayersThatTheModelDoesNotHaveAreNotUsed)
+{
+  const auto replicas = twoZones();
+  for (const LayerRange odd : { LayerRange{ 0, 1'000'000 },
+                                LayerRange{ 900'000, 1'000'000 },
+                                LayerRange{ 0, 21 } }) {
+    const Replica other = holding("odd", "a", odd);
+    auto candidates = candidatesOf(replicas);
+    candidates.push_back(PathCandidate{ &other, {}, 1 });
+    const auto path = findPath(smallProfile(), candidates, demandIn("a"));
+    ASSERT_TRUE(path) << odd.from << "-" << odd.to;
+    EXPECT_TRUE(isValidPath(path.value(), replicas, 20));
+
+    candidates.back() = PathCandidate{ &replicas[0], {}, 1, true, odd };
+    EXPECT_TRUE(findPath(smallProfile(), candidates, demandIn("b")));
+    candidates.back().usable = LayerRange{ 20, 5 };
+    EXPECT_TRUE(findPath(smallProfile(), candidates, demandIn("b")));
+  }
+}
+
 RC_GTEST_PROP(PathFinder,
               RunsEachLayerOnceWhateverIsHeld,
               (const std::vector<std::pair<std::uint8_t, std::uint8_t>>& aHeld))
