Reject start times of replicas that no clock shows

Cause: any whole number from 1 on counted as a start time; the version of the weights was cut to a signed number without a check; the "pace" of a status report, which times are multiplied with, had no upper bound.

Change: a start time after the year 3000 makes an entry unreadable, and in a status report counts as none. The version must fit its type. A pace above 1,000 counts as 1,000.

On the code before, ReplicaDecoder.RejectsMalformedEntries failed for the three new entries and ReplicaDecoder.OddNumbersOfAReportAreIgnored for both numbers; they pass now. A start time that is false but plausible can't be told from a restart by the entry alone.

--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -133,6 +133,9 @@
          R"({"born":1764734942123.5})",
          R"({"born":-1})",
          R"({"born":true})",
+         R"({"born":9223372036854775807})",
+         R"({"born":18446744073709551615})",
+         R"({"Layers":{"From":5,"Target":9,"Version":18446744073709551615}})",
          R"({"Layers":7})",
          R"({"Layers":"5-9"})",
          R"({"Layers":{"From":9,"Target":5,"Version":1}})",
@@ -166,6 +169,18 @@
   EXPECT_EQ(report.value().stalled[0].requestId, "r1");
 }
 
+/** Guards against a status report that makes a running replica look restarted,
+ * or its work endless. */
+TEST(ReplicaDecoder, OddNumbersOfAReportAreIgnored)
+{
+  const auto report =
+    decodeReport(R"({"pace":1e308,"born":9223372036854775807})");
+  ASSERT_TRUE(report);
+  EXPECT_LE(report.value().slowdown, 1'000);
+  EXPECT_EQ(report.value().startedAtMs, 0U);
+  EXPECT_FALSE(decodeReport(R"({"pace":1e999})"));
+}
+
 TEST(PathText, FormatsEachPartWithItsLayers)
 {
   LayerPath path;
