--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -59,6 +61,40 @@
   EXPECT_NE(unknown.error().detail.find("odd"), std::string::npos);
 }
 
+/** Guards against conversions of numbers that do not fit, whose results differ
+ * between processors. */
+TEST(ConfigDecoder, NumbersOutOfRangeAreCut)
+{
+  const auto config = decodeConfig(R"({"Version":1,
+    "Routes":[{"Host":"h","Prefix":"/","Kind":"streaming","TimeoutMs":1e300,
+      "SloMs":-1e300,"GapAimMs":1e18,"Priority":1e300,"Attempts":1e300,
+      "Backends":[{"Service":"s","Weight":4294967297}]}],
+    "Services":[{"Name":"s","Engine":{"Slots":4294967296,"Layers":4294967296,
+      "Models":[{"LoadS":1e300}],
+      "delays":[{"From":"a","Target":"b","delay_ms":1e300}]}}],
+    "Limits":{"HeaderTimeoutMs":1e300,"IdleTimeoutMs":1e300},
+    "Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":-1e300}]})");
+  ASSERT_TRUE(config);
+  const RelayRoute& route = *config.value().routeFor("h", "/");
+  const EngineProfile& engine = *config.value().service("s")->engine;
+  const Duration longest = std::chrono::hours{ 24 * 366 };
+  for (const Duration duration : { route.timeout,
+                                   route.objective,
+                                   route.maxPause,
+                                   engine.loadTime,
+                                   engine.delays.begin()->second,
+                                   config.value().limits.headerTimeout,
+                                   config.value().limits.idleTimeout }) {
+    EXPECT_GE(duration, Duration::zero());
+    EXPECT_LE(duration, longest);
+  }
+  EXPECT_EQ(route.priority, std::numeric_limits<int>::max());
+  EXPECT_GT(route.attempts, 1);
+  EXPECT_EQ(route.targets[0].weight, std::numeric_limits<std::uint32_t>::max());
+  EXPECT_EQ(engine.slots, std::numeric_limits<std::uint32_t>::max());
+  EXPECT_EQ(engine.layers, 10'000U);
+}
+
 TEST(ReplicaDecoder, ReadsLayersFromAnObjectOrAnArray)
 {
   const auto listed = decodeReplica(
