--- a/tests/standins/lib/UsersStoreStandin.cpp
+++ b/tests/standins/lib/UsersStoreStandin.cpp
@@ -36,6 +36,8 @@
   return found == aRequest.query.end() ? std::string{} : found->second;
 }
 
+constexpr std::string_view kNoBase64 = "?";
+
 HttpReply
 replyWith(int aStatus, Json aBody, std::uint64_t aVersion)
 {
@@ -72,6 +74,15 @@
   this->written.notify_all();
 }
 
+void
+UsersStoreStandin::putNoBase64(const std::string& aTable,
+                               const std::string& aKey)
+{
+  const std::scoped_lock lock{ this->guard };
+  this->rows[{ aTable, aKey }] = Row{ "", ++this->version, false, false };
+  this->written.notify_all();
+}
+
 void
 UsersStoreStandin::drop(const std::string& aTable, const std::string& aKey)
 {
@@ -117,6 +128,12 @@
   this->written.notify_all();
 }
 
+std::string
+UsersStoreStandin::valueText(const Row& aRow)
+{
+  return aRow.isBase64 ? toBase64(aRow.value) : std::string{ kNoBase64 };
+}
+
 HttpReply
 UsersStoreStandin::answer(const HttpRequest& aRequest)
 {
@@ -173,7 +190,7 @@
       break;
     }
     list.push_back({ { "Key", name.second },
-                     { "Value", toBase64(row.value) },
+                     { "Value", valueText(row) },
                      { "Ver", row.version } });
   }
   return replyWith(
@@ -210,7 +227,7 @@
   for (const auto& [name, row] : this->rows) {
     if (name.first == queryOf(aRequest, "Table") && row.version > after) {
       Json one{ { "Key", name.second },
-                { "Value", toBase64(row.value) },
+                { "Value", valueText(row) },
                 { "Ver", row.version } };
       if (row.deleted) {
         one["Deleted"] = true;
--- a/tests/standins/lib/UsersStoreStandin.h
+++ b/tests/standins/lib/UsersStoreStandin.h
@@ -42,6 +42,8 @@
   void put(const std::string& aTable,
            const std::string& aKey,
            const std::string& aValue);
+  /** Writes a row whose value is sent as a text that is no base64. */
+  void putNoBase64(const std::string& aTable, const std::string& aKey);
   void drop(const std::string& aTable, const std::string& aKey);
   /** Copies the content. */
   void saveCopy();
@@ -59,9 +61,12 @@
     std::string value;
     std::uint64_t version = 0;
     bool deleted = false;
+    bool isBase64 = true;
   };
   using Name = std::pair<std::string, std::string>;
 
+  /** Returns the value as answers carry it. */
+  static std::string valueText(const Row& aRow);
   HttpReply answer(const HttpRequest& aRequest);
   HttpReply answerCall(const HttpRequest& aRequest,
                        std::unique_lock<std::mutex>& aLock);
--- a/tests/unit/users_platform/UsersStoreTest.cpp
+++ b/tests/unit/users_platform/UsersStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/UsersStore.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "standins/lib/UsersStoreStandin.h"
 
@@ -15,6 +16,10 @@
 
 const std::string kConfig = R"({"Version":7,"Routes":[],"Services":[]})";
 
+const std::string kReplica =
+  R"({"Service":"s","Address":"127.0.0.1:80","Zone":"a","Slots":4,)"
+  R"("State":"ready"})";
+
 class UsersStoreTest : public ::testing::Test
 {
 protected:
@@ -24,6 +29,16 @@
   {
   }
 
+  /** Lists more entries with this prefix than a page holds, none of which is
+   * base64. */
+  void listUnreadable(const std::string& aPrefix)
+  {
+    constexpr int kEntries = 1'100;
+    for (int i = 0; i < kEntries; ++i) {
+      this->standin.putNoBase64("servers", aPrefix + std::to_string(i));
+    }
+  }
+
   UsersStoreStandin standin;
   std::unique_ptr<HttpClient> http;
   UsersStore store;
@@ -96,6 +111,12 @@
   ASSERT_TRUE(changed);
   EXPECT_FALSE(changed.value().config);
   EXPECT_EQ(changed.value().unreadable.size(), 1U);
+  this->standin.putNoBase64("op", "config");
+  const auto again =
+    this->store.awaitConfig(changed.value().next, milliseconds{ 10 });
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again.value().unreadable.size(), 1U);
+  EXPECT_FALSE(this->store.readConfig(kTimeout));
 }
 
 TEST_F(UsersStoreTest, DroppedHistoryIsDistinguishedFromAnOutage)
@@ -130,5 +151,74 @@
   EXPECT_EQ(change.value().removed, std::vector<std::string>{ "i-5" });
 }
 
+// Guards against a list that ends at a page without a readable entry.
+TEST_F(UsersStoreTest, AFirstPageWithoutAReadableEntryDoesNotEndTheList)
+{
+  this->listUnreadable("a-");
+  this->standin.put("servers", "b", kReplica);
+  const auto poll = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(poll);
+  EXPECT_EQ(poll.value().present.size(), 1U);
+  EXPECT_EQ(poll.value().unreadable.size(), 1'100U);
+}
+
+// Guards against a read that asks for the same page without end.
+TEST_F(UsersStoreTest, ALaterPageWithoutAReadableEntryIsReadOnce)
+{
+  this->standin.put("servers", "a", kReplica);
+  this->listUnreadable("b-");
+  this->standin.put("servers", "c", kReplica);
+  const auto poll = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(poll);
+  EXPECT_EQ(poll.value().present.size(), 2U);
+  EXPECT_EQ(poll.value().calls, 3U);
+}
+
+// Guards against one odd entry that makes the others unreadable.
+TEST_F(UsersStoreTest, AnOddEntryAffectsNoOther)
+{
+  constexpr std::size_t kDepth = 100'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  this->standin.put("servers", "good", kReplica);
+  const auto before = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(before);
+  this->standin.put("servers", "deep", R"({"Service":)" + deep + "}");
+  this->standin.put("servers", "deep-only", deep);
+  this->standin.put("servers", "open", std::string(kDepth, '['));
+  for (const char* number : { "1e999",
+                              "1e400",
+                              "18446744073709551616",
+                              "9223372036854775807",
+                              "-1",
+                              "1.5" }) {
+    std::string text = kReplica;
+    text.back() = ',';
+    this->standin.put("servers",
+                      std::string{ "number " } + number,
+                      text + R"("born":)" + number + "}");
+  }
+  for (const char* port :
+       { "0", "65536", "99999999999", "+80", " 80", "80 ", "-1", "" }) {
+    nlohmann::json odd = nlohmann::json::parse(kReplica);
+    odd["Address"] = std::string{ "127.0.0.1:" } + port;
+    this->standin.put("servers", std::string{ "port " } + port, odd.dump());
+  }
+  this->standin.put("servers", "\x01\"\\\n", kReplica);
+  const auto whole = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(whole);
+  EXPECT_EQ(whole.value().present.size(), 2U);
+  EXPECT_EQ(whole.value().unreadable.size(), 17U);
+  const auto change =
+    this->store.awaitReplicas(before.value().next, milliseconds{ 10 });
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change.value().present.size(), 1U);
+  EXPECT_EQ(change.value().unreadable.size(), 17U);
+  this->standin.put("servers", "deep", kReplica);
+  const auto healed =
+    this->store.awaitReplicas(change.value().next, milliseconds{ 10 });
+  ASSERT_TRUE(healed);
+  EXPECT_EQ(healed.value().present.size(), 1U);
+}
+
 } // namespace
 } // namespace poplartrack
