Tell peers of an entry that has become unreadable

Callers would see: relays that take the list from the store readers of their zone went on sending requests to a replica whose entry could no longer be read, which may have said that it drains, and noticed a gap before the next change, which they then ignored until they had read the whole list again.

Cause: a poll that brings only unreadable entries counted as one without changes: no delta was sent. ReplicaList, from which a delta takes its start, counts it as a change.

Change: an unreadable entry is a change, as in ReplicaList.

On the code before, PeersAreToldOfAPollWithOnlyAnUnreadableEntry failed (one delta sent instead of two); it passes now. AnUnreadableEntryThatStaysIsCountedOnce passed before and after: an entry that stays unreadable is logged and counted once, not at each read.

--- a/include/poplartrack/relay/FleetReplicas.inl.h
+++ b/include/poplartrack/relay/FleetReplicas.inl.h
@@ -82,8 +82,9 @@
   const std::uint64_t unchangedSince =
     std::min(after, this->replicaList.unchangedSince());
   this->applyReplicaPoll(poll.value(), now);
-  const bool unchanged =
-    poll.value().present.empty() && poll.value().removed.empty();
+  const bool unchanged = poll.value().present.empty() &&
+                         poll.value().removed.empty() &&
+                         poll.value().unreadable.empty();
   if (!unchanged && !poll.value().fullSnapshot && this->shared.sendListDelta) {
     this->shared.sendListDelta(
       ReplicaListDelta{ unchangedSince, poll.value() });
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -158,6 +158,48 @@
   EXPECT_EQ(sent->poll.next, 12U);
 }
 
+// Guards against peers that keep a replica whose entry became unreadable, and
+// that then find a gap before the next change.
+TEST_F(FleetControlTest, PeersAreToldOfAPollWithOnlyAnUnreadableEntry)
+{
+  std::vector<ReplicaListDelta> sent;
+  this->shared.sendListDelta = [&sent](const ReplicaListDelta& aDelta) {
+    sent.push_back(aDelta);
+  };
+  ReplicaPoll first = replicaPoll("one");
+  first.next = 5;
+  ReplicaPoll odd;
+  odd.unreadable.push_back({ "one", "no JSON" });
+  odd.next = 9;
+  ReplicaPoll change = replicaPoll("one");
+  change.fullSnapshot = false;
+  change.next = 12;
+  this->store.scriptReplicas(first);
+  this->store.scriptReplicas(odd);
+  this->store.scriptReplicas(change);
+  this->runScript();
+  ASSERT_EQ(sent.size(), 2U);
+  EXPECT_EQ(sent[0].after, 5U);
+  EXPECT_EQ(sent[0].poll.unreadable.size(), 1U);
+  EXPECT_EQ(sent[1].after, 9U);
+  EXPECT_EQ(this->shared.replicas.read()->replicas.size(), 1U);
+}
+
+// Guards against a log that an unreadable entry fills, as each read of the
+// whole list returns it again.
+TEST_F(FleetControlTest, AnUnreadableEntryThatStaysIsCountedOnce)
+{
+  for (const std::uint64_t version : { 5, 6, 7 }) {
+    ReplicaPoll poll = replicaPoll("one");
+    poll.next = version;
+    poll.unreadable.push_back({ "odd", "no JSON" });
+    this->store.scriptReplicas(poll);
+  }
+  this->runScript();
+  EXPECT_EQ(this->shared.metrics.counter("replica_entries_unreadable_total"),
+            1U);
+}
+
 TEST_F(FleetControlTest, AnOlderConfigurationThanThatOfAPeerProvesNothing)
 {
   // The store was restored from a copy without the latest configuration, which
