Keep the instance list when one of its entries is odd

Callers would see: one instance of the platform's list with a missing field made the whole list unreadable. An entry that starts then found no endpoint and refused all requests, and a running one learned of no new endpoint and of no drain, for as long as the odd instance stayed.

Cause: the list was converted as a whole, and the first exception ended it. An address without a usable port was taken, and probed without end. A list that is no array counted as one.

Change: an odd instance, also one without a usable address, is left out with a warning a minute at most.

Nesting 100,000 deep ends no process: the library parses and destroys without recursion. A number that no double holds still makes that one answer unreadable.

--- a/src/store/PlatformJson.cpp
+++ b/src/store/PlatformJson.cpp
@@ -1,14 +1,21 @@
 #include "PlatformJson.h"
 
 #include <exception>
+#include <stdexcept>
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include "poplartrack/base/Address.h"
+
 namespace poplartrack {
 namespace {
 
 using nlohmann::json;
 
+/** An odd instance stays in the list, which is read every second or so. */
+constexpr double kSecondsBetweenWarnings = 60;
+
 /** Parses the text and converts it with aConvert. Returns nothing if either
  * throws. */
 template<typename Converter>
@@ -23,6 +30,7 @@
   }
 }
 
+/** Reads an instance of the list. Throws if a field is missing or odd. */
 InstanceInfo
 instanceFromJson(const json& aInstance)
 {
@@ -33,6 +41,10 @@
   instance.zone = aInstance.at("zone").get<std::string>();
   instance.region = aInstance.at("region").get<std::string>();
   instance.address = aInstance.at("address").get<std::string>();
+  const Result<Address> address = addressFromText(instance.address);
+  if (!address || address.value().port == 0) {
+    throw std::invalid_argument("no address");
+  }
   instance.draining = aInstance.at("state").get<std::string>() == "leaving";
   return instance;
 }
@@ -96,8 +108,15 @@
 {
   return parseJson(aText, [](const json& aBody) {
     std::vector<InstanceInfo> instances;
-    for (const json& instance : aBody.at("instances")) {
-      instances.push_back(instanceFromJson(instance));
+    const json& list = aBody.at("instances");
+    for (const json& listed : list.get_ref<const json::array_t&>()) {
+      try {
+        instances.push_back(instanceFromJson(listed));
+      } catch (const std::exception& problem) {
+        LOG_EVERY_T(WARNING, kSecondsBetweenWarnings)
+          << "platform: an instance of the list is unreadable: "
+          << problem.what();
+      }
     }
     return instances;
   });
--- a/src/store/PlatformJson.h
+++ b/src/store/PlatformJson.h
@@ -28,7 +28,8 @@
 std::optional<std::vector<TableRow>>
 rowsFromJson(const std::string& aText);
 
-/** Parses the instance list. */
+/** Parses the instance list. Instances with missing or odd fields are left out:
+ * the others are still needed. */
 std::optional<std::vector<InstanceInfo>>
 instancesFromJson(const std::string& aText);
 
