Check the ranges of the numbers in an engine's answers

Callers would see: an engine that reports 4,294,967,295 layers makes the process that places layers ask for 16 GB to count copies, and end. Negative numbers and those above 32 bits became others by their conversion.

Cause: numbers were converted to 32 bits without a check, from doubles with an undefined result.

Change: a number out of range, or a range of layers that is larger than any model or ends before it begins, makes the answer unreadable, like a missing field.

ADeepAnswerIsUnreadable passed before and after. That a process ends is by reading: it was not run.

--- a/src/side/EngineJson.cpp
+++ b/src/side/EngineJson.cpp
@@ -1,6 +1,8 @@
 #include "EngineJson.h"
 
 #include <charconv>
+#include <limits>
+#include <stdexcept>
 
 #include <nlohmann/json.hpp>
 
@@ -11,6 +13,9 @@
 
 constexpr std::size_t kShownBytes = 120;
 
+/** More layers than any model has: those that plan need memory for each. */
+constexpr std::uint32_t kMaxLayers = 10'000;
+
 /** Parses a number. Those above 2^53 are sent as decimal strings; smaller ones
  * may be plain numbers. */
 std::uint64_t
@@ -29,6 +34,27 @@
   return number;
 }
 
+/** Returns a number from 0 to aMost, truncated to a whole one. */
+std::uint32_t
+toCount(const json& aValue,
+        std::uint32_t aMost = std::numeric_limits<std::uint32_t>::max())
+{
+  const auto number = aValue.get<double>();
+  if (!aValue.is_number() || number < 0 || number > aMost) {
+    throw std::out_of_range("a number is out of range");
+  }
+  return static_cast<std::uint32_t>(number);
+}
+
+/** Returns a member that is a count; 0 if it is missing. */
+std::uint32_t
+readCount(const json& aObject, const char* aName)
+{
+  const auto& members = aObject.get_ref<const json::object_t&>();
+  const auto found = members.find(aName);
+  return found == members.end() ? 0 : toCount(found->second);
+}
+
 /** Runs a parser; an exception becomes EndpointFailed. */
 template<typename T, typename Reader>
 Result<T>
@@ -45,8 +71,12 @@
 LayerRange
 readRange(const json& aValue)
 {
-  return LayerRange{ aValue.at("from").get<std::uint32_t>(),
-                     aValue.at("to").get<std::uint32_t>() };
+  const LayerRange range{ toCount(aValue.at("from"), kMaxLayers),
+                          toCount(aValue.at("to"), kMaxLayers) };
+  if (range.from > range.to) {
+    throw std::out_of_range("layers end before they begin");
+  }
+  return range;
 }
 
 } // namespace
@@ -79,10 +109,10 @@
       output.outputs.push_back(readNumber(value));
     }
     if (aJson.contains("token") && !aJson.at("token").is_null()) {
-      output.token = aJson.at("token").get<std::uint32_t>();
+      output.token = toCount(aJson.at("token"));
     }
     output.incarnation = readNumber(aJson.at("incarnation"));
-    output.reusedTokens = aJson.value("reusedTokens", 0U);
+    output.reusedTokens = readCount(aJson, "reusedTokens");
     return output;
   });
 }
@@ -100,8 +130,8 @@
     if (aJson.contains("holds")) {
       info.holds = readRange(aJson.at("holds"));
     }
-    info.capacityLayers = aJson.value("capacityLayers", 0U);
-    info.layersPerSecond = aJson.value("layersPerSecond", 0U);
+    info.capacityLayers = readCount(aJson, "capacityLayers");
+    info.layersPerSecond = readCount(aJson, "layersPerSecond");
     return info;
   });
 }
@@ -111,10 +141,10 @@
 {
   return readGuarded<LoadHint>(aBody, [](const json& aJson) {
     LoadHint load;
-    load.running = aJson.value("running", 0U);
-    load.queued = aJson.value("queued", 0U);
-    load.stepMicros = aJson.value("stepMicros", 0U);
-    load.freeTokens = aJson.value("freeTokens", 0U);
+    load.running = readCount(aJson, "running");
+    load.queued = readCount(aJson, "queued");
+    load.stepMicros = readCount(aJson, "stepMicros");
+    load.freeTokens = readCount(aJson, "freeTokens");
     return load;
   });
 }
