--- a/tests/unit/relay/PeerDatagramTest.cpp
+++ b/tests/unit/relay/PeerDatagramTest.cpp
@@ -132,6 +132,15 @@
   }
 }
 
+// Guards against a datagram whose nesting or lengths end the relays it reaches.
+TEST(PeerDatagram, DeepNestingAndLengthsWithoutContentAreRejected)
+{
+  EXPECT_FALSE(parsePeerDatagram(std::string(kMaxDatagramBytes, '\x91')));
+  EXPECT_FALSE(parsePeerDatagram("\xdd\xff\xff\xff\xff"));
+  EXPECT_FALSE(parsePeerDatagram("\x91\xdf\xff\xff\xff\xff"));
+  EXPECT_FALSE(parsePeerDatagram("\x91\xdb\xff\xff\xff\xff"));
+}
+
 TEST(PeerDatagram, MessagesThatDoNotFitAreForwardedLater)
 {
   StatusQueue queue;
--- a/tests/unit/relay/SnapshotTest.cpp
+++ b/tests/unit/relay/SnapshotTest.cpp
@@ -178,6 +178,15 @@
   RC_ASSERT(!decodeSnapshot(whole + part + "x").ok());
 }
 
+// Guards against a faulty relay whose answer ends the relays that ask it.
+TEST(SnapshotMessage, RejectsDeepNestingAndLengthsWithoutContent)
+{
+  EXPECT_FALSE(decodeSnapshot(std::string(1'000'000, '\x91')));
+  EXPECT_FALSE(decodeSnapshot("\xdd\xff\xff\xff\xff"));
+  EXPECT_FALSE(decodeSnapshot("\xdf\xff\xff\xff\xff"));
+  EXPECT_FALSE(decodeSnapshot("\xdb\xff\xff\xff\xff"));
+}
+
 TEST(SnapshotMessage, RejectsAnotherFormat)
 {
   SnapshotMessage message;
