--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -188,6 +188,20 @@
   }
 }
 
+/** Guards against requests whose head ends within the name of a replica. */
+TEST(ReplicaDecoder, RejectsNamesThatNoHeaderCanCarry)
+{
+  constexpr std::string_view kEntry =
+    R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a","Slots":4,
+        "State":"ready"})";
+  EXPECT_TRUE(decodeReplica("i-\xc3\xa9 \"\\", kEntry));
+  for (const std::string_view name :
+       { "", "i\r\n\r\nGET / HTTP/1.1", "i\n", "\ti", "i\x7f" }) {
+    EXPECT_FALSE(decodeReplica(std::string{ name }, kEntry)) << name;
+  }
+  EXPECT_FALSE(decodeReplica(std::string(1, '\0'), kEntry));
+}
+
 TEST(ReplicaDecoder, RejectsAnEntryWithoutAnAddress)
 {
   EXPECT_FALSE(decodeReplica("i-1", R"({"Service":"s"})"));
--- a/tests/unit/users_platform/UsersStoreTest.cpp
+++ b/tests/unit/users_platform/UsersStoreTest.cpp
@@ -203,16 +203,17 @@
     odd["Address"] = std::string{ "127.0.0.1:" } + port;
     this->standin.put("servers", std::string{ "port " } + port, odd.dump());
   }
-  this->standin.put("servers", "\x01\"\\\n", kReplica);
+  this->standin.put("servers", "\x01\n", kReplica);
+  this->standin.put("servers", "\"\\", kReplica);
   const auto whole = this->store.readReplicas(kTimeout);
   ASSERT_TRUE(whole);
   EXPECT_EQ(whole.value().present.size(), 2U);
-  EXPECT_EQ(whole.value().unreadable.size(), 17U);
+  EXPECT_EQ(whole.value().unreadable.size(), 18U);
   const auto change =
     this->store.awaitReplicas(before.value().next, milliseconds{ 10 });
   ASSERT_TRUE(change);
   EXPECT_EQ(change.value().present.size(), 1U);
-  EXPECT_EQ(change.value().unreadable.size(), 17U);
+  EXPECT_EQ(change.value().unreadable.size(), 18U);
   this->standin.put("servers", "deep", kReplica);
   const auto healed =
     this->store.awaitReplicas(change.value().next, milliseconds{ 10 });
