Bound the nesting of configuration updates

Callers would see: a revision or an update of the project's own configuration that is nested 100,000 levels deep ends each entry that reads it from the store or from another entry, and again after each restart.

Cause: nlohmann::json parses and destroys without recursion, but copies, patches and prints recursively. Bodies of callers were checked for this, texts of the configuration were not.

Change: parseRevisionJson() rejects what is nested deeper than updates of valid settings. The check moves from CallerRequest to base, as jsonDepth().

On the code before, RevisionDocument.ADeepUpdateIsRejected ended with a segmentation fault; it passes now.

--- a/src/config/RevisionDocument.cpp
+++ b/src/config/RevisionDocument.cpp
@@ -185,7 +185,7 @@
   std::string text;
   Json& json = this->parsed->json;
   try {
-    const Json update = Json::parse(aUpdate.text);
+    const Json update = parseRevisionJson(aUpdate.text);
     for (const Json& step : update.at("steps")) {
       json.patch_inplace(step);
     }
--- a/src/config/RevisionJson.h
+++ b/src/config/RevisionJson.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 #include <nlohmann/json.hpp>
 
 #include "poplartrack/base/Result.h"
@@ -7,6 +9,11 @@
 
 namespace poplartrack {
 
+/** Parses a canonical text or an update, without exceptions. Returns a
+ * discarded value if it is no JSON or nested too deeply. */
+nlohmann::json
+parseRevisionJson(std::string_view aText);
+
 /**
  * Checks and reads the "settings" object of a canonical text, or an object with
  * some of its entries. BadSettings names the first problem.
--- a/src/config/RevisionText.cpp
+++ b/src/config/RevisionText.cpp
@@ -4,6 +4,7 @@
 
 #include "ConfigurationTree.h"
 #include "RevisionJson.h"
+#include "poplartrack/base/JsonDepth.h"
 #include "poplartrack/config/SettingRow.h"
 #include "poplartrack/config/SettingsCheck.h"
 
@@ -117,6 +118,16 @@
 
 } // namespace
 
+Json
+parseRevisionJson(std::string_view aText)
+{
+  // An update has its steps around the settings.
+  constexpr int kMaxTextNesting = 4 * kMaxNesting;
+  return jsonDepth(aText) > kMaxTextNesting
+           ? Json(Json::value_t::discarded)
+           : Json::parse(aText, nullptr, false);
+}
+
 Result<Configuration>
 configurationFromSettings(const nlohmann::json& aSettings)
 {
@@ -144,7 +155,7 @@
 Result<Configuration>
 fromRevisionText(std::string_view aText)
 {
-  const Json text = Json::parse(aText, nullptr, false);
+  const Json text = parseRevisionJson(aText);
   if (!text.is_object() || !text.contains("revision") ||
       !text["revision"].is_number_unsigned() || !text.contains("settings")) {
     return fail(ErrorKind::BadSettings, "the text is no revision");
--- a/src/config/RevisionUpdate.cpp
+++ b/src/config/RevisionUpdate.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "RevisionJson.h"
 #include "poplartrack/config/SecretHash.h"
 
 namespace poplartrack {
@@ -9,13 +10,6 @@
 
 using Json = nlohmann::json;
 
-/** Parses JSON without exceptions; gives a discarded value on an error. */
-Json
-parseJson(std::string_view aText)
-{
-  return Json::parse(aText, nullptr, false);
-}
-
 /** Returns the unsigned number under a key; 0 when there is none. */
 std::uint64_t
 unsignedAt(const Json& aJson, const char* aKey)
@@ -62,8 +56,8 @@
 Result<RevisionUpdate>
 updateBetween(std::string_view aOldText, std::string_view aNewText)
 {
-  const Json before = parseJson(aOldText);
-  const Json after = parseJson(aNewText);
+  const Json before = parseRevisionJson(aOldText);
+  const Json after = parseRevisionJson(aNewText);
   if (!isWhole(before) || !isWhole(after)) {
     return fail(ErrorKind::BadSettings, "the text is no revision");
   }
@@ -79,7 +73,7 @@
   Json steps = Json::array();
   std::string sha256;
   for (std::size_t i = 0; i < aUpdates.size(); ++i) {
-    const Json update = parseJson(aUpdates[i].text);
+    const Json update = parseRevisionJson(aUpdates[i].text);
     const bool follows = i == 0 || aUpdates[i].from == aUpdates[i - 1].to;
     if (!isSteps(update) || !follows) {
       return fail(ErrorKind::BadSettings, "the updates do not follow");
@@ -99,7 +93,7 @@
 Result<RevisionUpdate>
 updateFromText(std::string_view aText)
 {
-  const Json update = parseJson(aText);
+  const Json update = parseRevisionJson(aText);
   if (isWhole(update)) {
     return RevisionUpdate{ 0,
                            unsignedAt(update, "revision"),
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "poplartrack/base/JsonDepth.h"
+
 namespace poplartrack {
 namespace {
 
@@ -43,40 +45,10 @@
   return Duration{ std::chrono::milliseconds{ millis } };
 }
 
-/** Returns the nesting depth, by the brackets outside of strings. */
-int
-depthOf(std::string_view aText)
-{
-  int depth = 0;
-  int deepest = 0;
-  bool inString = false;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    const char letter = aText[i];
-    if (inString) {
-      if (letter == '\\') {
-        ++i;
-      } else if (letter == '"') {
-        inString = false;
-      }
-      continue;
-    }
-    if (letter == '"') {
-      inString = true;
-    } else if (letter == '{' || letter == '[') {
-      deepest = std::max(deepest, ++depth);
-    } else if (letter == '}' || letter == ']') {
-      --depth;
-    }
-  }
-  return deepest;
-}
-
 Result<json>
 readJson(const std::string& aBody)
 {
-  // The library's parser recurses: without the bound, a body of brackets would
-  // overflow the stack of a connection's thread and crash the process.
-  if (depthOf(aBody) > kMaxJsonDepth) {
+  if (jsonDepth(aBody) > kMaxJsonDepth) {
     return fail(ErrorKind::BadRequest, "the body is nested too deeply");
   }
   json body = json::parse(aBody, nullptr, false);
--- a/tests/unit/config/RevisionDocumentTest.cpp
+++ b/tests/unit/config/RevisionDocumentTest.cpp
@@ -96,5 +96,31 @@
   EXPECT_EQ(document.value().configuration()->accounts.size(), 1U);
 }
 
+// Guards against an update whose nesting overflows the stack of every process
+// that follows the configuration.
+TEST(RevisionDocument, ADeepUpdateIsRejected)
+{
+  const std::string deep =
+    std::string(100'000, '[') + std::string(100'000, ']');
+  const RevisionUpdate update{
+    1,
+    2,
+    R"({"from":1,"to":2,"sha256":"0","steps":[[{"op":"add",)"
+    R"("path":"/settings/odd","value":)" +
+      deep + "}]]}"
+  };
+  Configuration configuration;
+  configuration.revision = 1;
+  const std::string text = toRevisionText(configuration);
+  auto document = RevisionDocument::create(text);
+  ASSERT_TRUE(document);
+  EXPECT_FALSE(document.value().apply(update));
+  EXPECT_EQ(document.value().text(), text);
+  EXPECT_FALSE(joinUpdates({ update }));
+  EXPECT_FALSE(updateFromText(update.text));
+  EXPECT_FALSE(RevisionDocument::create(R"({"revision":1,"settings":{"odd":)" +
+                                        deep + "}}"));
+}
+
 } // namespace
 } // namespace poplartrack
