--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -59,6 +61,40 @@
   EXPECT_NE(unknown.error().detail.find("odd"), std::string::npos);
 }
 
+/** Guards against conversions of numbers that do not fit, whose results differ
+ * between processors. */
+TEST(ConfigDecoder, NumbersOutOfRangeAreCut)
+{
+  const auto config = decodeConfig(R"({"Version":1,
+    "Routes":[{"Host":"h","Prefix":"/","Kind":"streaming","TimeoutMs":1e300,
+      "SloMs":-1e300,"GapAimMs":1e18,"Priority":1e300,"Attempts":1e300,
+      "Backends":[{"Service":"s","Weight":4294967297}]}],
+    "Services":[{"Name":"s","Engine":{"Slots":4294967296,"Layers":4294967296,
+      "Models":[{"LoadS":1e300}],
+      "delays":[{"From":"a","Target":"b","delay_ms":1e300}]}}],
+    "Limits":{"HeaderTimeoutMs":1e300,"IdleTimeoutMs":1e300},
+    "Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":-1e300}]})");
+  ASSERT_TRUE(config);
+  const RelayRoute& route = *config.value().routeFor("h", "/");
+  const EngineProfile& engine = *config.value().service("s")->engine;
+  const Duration longest = std::chrono::hours{ 24 * 366 };
+  for (const Duration duration : { route.timeout,
+                                   route.objective,
+                                   route.maxPause,
+                                   engine.loadTime,
+                                   engine.delays.begin()->second,
+                                   config.value().limits.headerTimeout,
+                                   config.value().limits.idleTimeout }) {
+    EXPECT_GE(duration, Duration::zero());
+    EXPECT_LE(duration, longest);
+  }
+  EXPECT_EQ(route.priority, std::numeric_limits<int>::max());
+  EXPECT_GT(route.attempts, 1);
+  EXPECT_EQ(route.targets[0].weight, std::numeric_limits<std::uint32_t>::max());
+  EXPECT_EQ(engine.slots, std::numeric_limits<std::uint32_t>::max());
+  EXPECT_EQ(engine.layers, 10'000U);
+}
+
 TEST(ReplicaDecoder, ReadsLayersFromAnObjectOrAnArray)
 {
   const auto listed = decodeReplica(
@@ -133,6 +169,9 @@
          R"({"born":1764734942123.5})",
          R"({"born":-1})",
          R"({"born":true})",
+         R"({"born":9223372036854775807})",
+         R"({"born":18446744073709551615})",
+         R"({"Layers":{"From":5,"Target":9,"Version":18446744073709551615}})",
          R"({"Layers":7})",
          R"({"Layers":"5-9"})",
          R"({"Layers":{"From":9,"Target":5,"Version":1}})",
@@ -149,6 +188,20 @@
   }
 }
 
+/** Guards against requests whose head ends within the name of a replica. */
+TEST(ReplicaDecoder, RejectsNamesThatNoHeaderCanCarry)
+{
+  constexpr std::string_view kEntry =
+    R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a","Slots":4,
+        "State":"ready"})";
+  EXPECT_TRUE(decodeReplica("i-\xc3\xa9 \"\\", kEntry));
+  for (const std::string_view name :
+       { "", "i\r\n\r\nGET / HTTP/1.1", "i\n", "\ti", "i\x7f" }) {
+    EXPECT_FALSE(decodeReplica(std::string{ name }, kEntry)) << name;
+  }
+  EXPECT_FALSE(decodeReplica(std::string(1, '\0'), kEntry));
+}
+
 TEST(ReplicaDecoder, RejectsAnEntryWithoutAnAddress)
 {
   EXPECT_FALSE(decodeReplica("i-1", R"({"Service":"s"})"));
@@ -166,6 +219,18 @@
   EXPECT_EQ(report.value().stalled[0].requestId, "r1");
 }
 
+/** Guards against a status report that makes a running replica look restarted,
+ * or its work endless. */
+TEST(ReplicaDecoder, OddNumbersOfAReportAreIgnored)
+{
+  const auto report =
+    decodeReport(R"({"pace":1e308,"born":9223372036854775807})");
+  ASSERT_TRUE(report);
+  EXPECT_LE(report.value().slowdown, 1'000);
+  EXPECT_EQ(report.value().startedAtMs, 0U);
+  EXPECT_FALSE(decodeReport(R"({"pace":1e999})"));
+}
+
 TEST(PathText, FormatsEachPartWithItsLayers)
 {
   LayerPath path;
