Keep a stalled attempt until a route replaces it

Callers lost an answer when its engine was silent for about a second and then continued: the stream ended with retries_exhausted, "too many attempts", in the middle, seconds before its deadline.

Cause: a stall fenced the whole route before another route was known. Silence alone ended the attempt, the last allowed one too, and also where no endpoint, no budget or only dead endpoints were left. The engine went on with work that the sides had dropped.

A stall now only asks which sides reply, with a fence below the current attempt, which stops nothing. The attempt runs on and its tokens are taken until a route replaces it that has no silent endpoint and none whose last probe got no reply; only then are its sides fenced and the retry is taken from the budget. Without such a route it is asked for again each second, until the deadline. The last allowed attempt, and one for which the deadline leaves no time for another, simply wait. A first step without acknowledgement is treated alike: the same step is sent again. Losses that are certain (a refusal, a restart, a report of a stage) are handled as before. Sides that reply to the question no longer count as failed.

The promises hold as before: an attempt is fenced at all its sides before the next one opens, and tokens of a fenced attempt are refused.

--- a/include/poplartrack/entry/ActiveRun.h
+++ b/include/poplartrack/entry/ActiveRun.h
@@ -68,8 +68,6 @@
   std::optional<TimePoint> wakeSet;
   /** The route whose use was reported to the chooser. */
   Route usedRoute;
-  /** The route of the previous attempt. */
-  Route lastRoute;
   std::set<std::string> blamed;
 
   /** Adds to the output and wakes the caller's thread. The caller holds
--- a/include/poplartrack/entry/ModelRunner.h
+++ b/include/poplartrack/entry/ModelRunner.h
@@ -54,6 +54,8 @@
   void setTimer(const RunPtr& aRun);
   void execute(const RunPtr& aRun, const RunAction& aAction);
   void route(const RunPtr& aRun, const NeedRoute& aNeed);
+  /** Looks for a route that replaces an attempt which otherwise continues. */
+  void replace(const RunPtr& aRun, const NeedRoute& aNeed);
   void chooseAgain(const RunPtr& aRun,
                    const NeedRoute& aNeed,
                    TimePoint aSince);
@@ -61,6 +63,7 @@
   void firstStep(const RunPtr& aRun, const SendFirstStep& aSend);
   void fence(const RunPtr& aRun, const SendFence& aSend);
   void noteBlame(ActiveRun& aRun, const NeedRoute& aNeed);
+  void noteStall(ActiveRun& aRun, const NeedRoute& aNeed);
 
   EntryParts parts;
   RunPolicy policy;
--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -103,6 +103,8 @@
   [[nodiscard]] std::uint32_t attempt() const { return this->attemptNumber; }
   /** The current attempt's route; empty while there is none. */
   [[nodiscard]] const Route& route() const { return this->currentRoute; }
+  /** Returns whether the stalled attempt would be given up for this route. */
+  [[nodiscard]] bool mayBeReplacedBy(const Route& aRoute) const;
   /** Tokens committed so far. */
   [[nodiscard]] const std::vector<std::uint32_t>& committed() const
   {
@@ -119,8 +121,10 @@
     Opening,
     /** The first step is sent; tokens arrive. */
     Running,
-    /** Stalled: waiting briefly for the sides that still reply. */
+    /** Stalled, but still running: waiting briefly for the sides that reply. */
     Blaming,
+    /** Stalled, but still running: waiting for a route to replace it. */
+    Replacing,
     /** Given up: waiting briefly for proof that nothing ran. */
     Proving,
     Ended,
@@ -146,7 +150,10 @@
 
   RequestRun(RequestSpec aSpec, RunPolicy aPolicy);
 
+  [[nodiscard]] bool coversModel(const Route& aRoute) const;
   [[nodiscard]] bool isCurrent(std::uint32_t aAttempt, Phase aPhase) const;
+  /** The attempt's first step is sent, and its tokens are accepted. */
+  [[nodiscard]] bool isRunning(std::uint32_t aAttempt) const;
   /** The attempt may be in progress at the sides. */
   [[nodiscard]] bool isUnderWay() const;
   [[nodiscard]] Refusal checkToken(const TokenReady& aToken) const;
@@ -155,6 +162,8 @@
   /** Returns when the remaining work must start to end by the deadline. */
   [[nodiscard]] TimePoint latestStart() const;
   [[nodiscard]] bool hasHope(TimePoint aNow) const;
+  /** Returns why no further attempt may start; nullopt if one may. */
+  [[nodiscard]] std::optional<Error> whyNoRetry(TimePoint aNow) const;
   [[nodiscard]] bool allProved(Proof aProof) const;
   [[nodiscard]] bool anyProved(Proof aProof) const;
   [[nodiscard]] std::uint64_t remainingMicros(TimePoint aNow) const;
@@ -171,9 +180,14 @@
                  TimePoint aNow);
   Actions nextAttempt(RetryReason aReason, TimePoint aNow);
   Actions askForRoute(RetryReason aReason, Actions aActions);
+  Actions openRoute(const Route& aRoute,
+                    TimePoint aNow,
+                    const ExpectedPace& aExpected);
   Actions onOpenTimeout(TimePoint aNow);
   Actions onStall(TimePoint aNow);
   Actions endBlame(TimePoint aNow);
+  Actions askForReplacement(RetryReason aReason, TimePoint aNow);
+  Actions keepAttempt(TimePoint aNow);
   Actions giveUp(Error aError, TimePoint aNow);
   void finishGivingUp(RunState aRan, Actions& aActions);
 
@@ -190,13 +204,14 @@
   std::uint32_t firstStepSends = 0;
   /** A send of the current attempt's first step has an unknown outcome. */
   bool firstStepMayHaveArrived = false;
+  bool firstStepAccepted = false;
   std::vector<Started> started;
-  /** Sides that have not answered the fence after a stall. */
+  /** Endpoints of the current route whose sides do not reply. */
   std::set<std::string> silent;
-  bool blamedSomebody = false;
   std::uint32_t stallsWithoutBlame = 0;
   Pace pace;
-  /** When the current phase stops waiting. */
+  /** When the current phase stops waiting; while Running, before when a stall
+   * is not acted on. */
   TimePoint phaseEnd{};
   Error givenUpFor;
 };
--- a/include/poplartrack/entry/RunAction.h
+++ b/include/poplartrack/entry/RunAction.h
@@ -21,6 +21,12 @@
   /** Endpoints that failed this request, to be used only as a last resort. */
   std::set<std::string> avoid;
   bool isRetry = false;
+  /** The current attempt continues if there is no other route. Answer at once;
+   * it is asked for again. */
+  bool keepsAttempt = false;
+  /** Those of them that failed last. A route through them replaces no attempt
+   * that continues. */
+  std::set<std::string> failedLast;
   /** Why it is retried, if isRetry. */
   RetryReason reason = RetryReason::StageLost;
   /** A retry that starts later is not expected to end by the deadline. */
--- a/include/poplartrack/entry/RunPolicy.h
+++ b/include/poplartrack/entry/RunPolicy.h
@@ -32,6 +32,9 @@
   /** After a stall, how long to wait for fence replies, which show which sides
    * are alive. */
   Duration blameWait = std::chrono::milliseconds{ 30 };
+  /** Interval at which a stalled attempt that no route can replace asks for one
+   * again. */
+  Duration replaceInterval = std::chrono::seconds{ 1 };
   /** Give up if the time left is below this part of the expected time of the
    * remaining work. Less than 1, since the estimate may be too high. */
   double hopeShare = 0.7;
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -22,6 +22,19 @@
   return ExpectedPace{ aPlan.expectedFirstToken, aPlan.expectedPerToken };
 }
 
+/** Returns the endpoints whose last probe or call got no reply. */
+std::set<std::string>
+failingOf(const EndpointView& aView)
+{
+  std::set<std::string> failing;
+  for (const EndpointInfo& info : aView.endpoints) {
+    if (info.failures > 0) {
+      failing.insert(info.name);
+    }
+  }
+  return failing;
+}
+
 std::uint64_t
 prefixHashOf(const std::vector<std::uint32_t>& aPrompt)
 {
@@ -133,9 +146,6 @@
         aChooser.onRouteStarted(route, aNow);
       }
     });
-  if (!aRun.usedRoute.empty()) {
-    aRun.lastRoute = aRun.usedRoute;
-  }
   aRun.usedRoute = ended ? Route{} : route;
 }
 
@@ -205,20 +215,14 @@
   std::vector<std::string> fresh;
   {
     const std::scoped_lock lock{ aRun.guard };
-    for (const std::string& endpoint : aNeed.avoid) {
+    // A side that replied has not failed, even if its stage may be slow.
+    for (const std::string& endpoint :
+         aNeed.keepsAttempt ? aNeed.failedLast : aNeed.avoid) {
       if (aRun.blamed.insert(endpoint).second) {
         fresh.push_back(endpoint);
       }
     }
   }
-  if (fresh.empty() && aNeed.reason == RetryReason::StageStalled) {
-    // All its sides reply, but no token arrived: one of the stages is slow, and
-    // the next attempt must not take the same route.
-    this->parts.decider.with(
-      [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-        aChooser.onStalled(aRun.lastRoute, runtimeNow());
-      });
-  }
   for (const std::string& endpoint : fresh) {
     LOG(INFO) << "run: " << toText(aRun.spec.request) << " attempt "
               << aNeed.attempt << " avoids " << endpoint << ", "
@@ -231,6 +235,65 @@
   }
 }
 
+void
+ModelRunner::noteStall(ActiveRun& aRun, const NeedRoute& aNeed)
+{
+  if (!aNeed.failedLast.empty()) {
+    return;
+  }
+  // All its sides reply, but no token arrived: one of the stages is slow, and
+  // the next attempt should not take the same route.
+  Route stalled;
+  {
+    const std::scoped_lock lock{ aRun.guard };
+    stalled = aRun.run.route();
+  }
+  this->parts.decider.with(
+    [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
+      aChooser.onStalled(stalled, runtimeNow());
+    });
+}
+
+void
+ModelRunner::replace(const RunPtr& aRun, const NeedRoute& aNeed)
+{
+  this->noteBlame(*aRun, aNeed);
+  this->noteStall(*aRun, aNeed);
+  const TimePoint moment = runtimeNow();
+  RouteQuery query = this->queryFor(aRun->spec, moment);
+  const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
+  const std::set<std::string> failing = failingOf(*view);
+  const auto choose = [&](std::set<std::string> aAvoid) {
+    aAvoid.insert(failing.begin(), failing.end());
+    query.avoid = std::move(aAvoid);
+    return this->parts.decider.with(
+      [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
+        return aChooser.choose(*view, query, moment);
+      });
+  };
+  Result<RoutePlan> plan = choose(aNeed.avoid);
+  if (!plan) {
+    plan = choose(aNeed.failedLast);
+  }
+  this->apply(aRun, [&](RequestRun& aState, TimePoint aNow) {
+    if (!plan || !aState.mayBeReplacedBy(plan.value().route)) {
+      return aState.onNoRoute(aNeed.attempt, fail(ErrorKind::NoRoute), aNow);
+    }
+    // Taken only now: an attempt that continues uses none of it.
+    const bool hasBudget = this->parts.decider.with(
+      [&](RouteChooser&, AdmissionControl&, RetryBudget& aBudget) {
+        return aBudget.tryRetry(aNow);
+      });
+    if (!hasBudget) {
+      return aState.onNoRoute(
+        aNeed.attempt, fail(ErrorKind::RetriesExhausted), aNow);
+    }
+    this->parts.metrics.countRetry(aNeed.reason);
+    return aState.onRoute(
+      aNeed.attempt, plan.value().route, aNow, paceOf(plan.value()));
+  });
+}
+
 void
 ModelRunner::route(const RunPtr& aRun, const NeedRoute& aNeed)
 {
@@ -242,6 +305,10 @@
     });
     return;
   }
+  if (aNeed.keepsAttempt) {
+    this->replace(aRun, aNeed);
+    return;
+  }
   this->parts.metrics.countRetry(aNeed.reason);
   this->noteBlame(*aRun, aNeed);
   const TimePoint moment = runtimeNow();
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -1,6 +1,7 @@
 #include "poplartrack/entry/RequestRun.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "poplartrack/ledger/ReceiptCheck.h"
 
@@ -63,7 +64,9 @@
   }
   this->phase = Phase::Routing;
   this->attemptNumber = 1;
-  return { NeedRoute{ this->attemptNumber, {}, false, {} } };
+  NeedRoute need;
+  need.attempt = this->attemptNumber;
+  return { std::move(need) };
 }
 
 RequestRun::Actions
@@ -72,15 +75,36 @@
                     TimePoint aNow,
                     const ExpectedPace& aExpected)
 {
+  if (this->phase == Phase::Replacing && aAttempt == this->attemptNumber + 1) {
+    if (!this->mayBeReplacedBy(aRoute)) {
+      return this->keepAttempt(aNow);
+    }
+    Actions actions;
+    this->fenceRoute(aAttempt, false, actions);
+    this->attemptNumber = aAttempt;
+    this->early.clear();
+    Actions opens = this->openRoute(aRoute, aNow, aExpected);
+    actions.insert(actions.end(),
+                   std::make_move_iterator(opens.begin()),
+                   std::make_move_iterator(opens.end()));
+    return actions;
+  }
   if (!this->isCurrent(aAttempt, Phase::Routing)) {
     return {};
   }
-  if (!routeCovers(aRoute, this->spec.layers) ||
-      !namesEachEndpointOnce(aRoute)) {
+  if (!this->coversModel(aRoute)) {
     return this->giveUp(
       fail(ErrorKind::NoRoute, "the route does not cover the model once"),
       aNow);
   }
+  return this->openRoute(aRoute, aNow, aExpected);
+}
+
+RequestRun::Actions
+RequestRun::openRoute(const Route& aRoute,
+                      TimePoint aNow,
+                      const ExpectedPace& aExpected)
+{
   this->phase = Phase::Opening;
   this->phaseEnd = aNow + this->policy.openWait;
   this->currentRoute = aRoute;
@@ -98,6 +122,9 @@
                       const Error& aError,
                       TimePoint aNow)
 {
+  if (this->phase == Phase::Replacing && aAttempt == this->attemptNumber + 1) {
+    return this->keepAttempt(aNow);
+  }
   if (!this->isCurrent(aAttempt, Phase::Routing)) {
     return {};
   }
@@ -137,6 +164,8 @@
     { this->attemptNumber, first.endpoint, first.incarnation, Proof::Open });
   this->firstStepSends = 1;
   this->firstStepMayHaveArrived = false;
+  this->firstStepAccepted = false;
+  this->phaseEnd = aNow;
   this->pace.onAttempt(this->nextPosition(), aNow);
   return { this->firstStep(aNow) };
 }
@@ -147,8 +176,11 @@
                              const StepReply& aReply,
                              TimePoint aNow)
 {
-  if (!this->isCurrent(aAttempt, Phase::Running) || this->pace.hasToken() ||
-      accepted(aOutcome, aReply.refusal)) {
+  if (!this->isRunning(aAttempt) || this->pace.hasToken()) {
+    return {};
+  }
+  if (accepted(aOutcome, aReply.refusal)) {
+    this->firstStepAccepted = true;
     return {};
   }
   const bool wasRefused = aOutcome == CallOutcome::Replied &&
@@ -164,10 +196,19 @@
   if (!this->firstStepMayHaveArrived) {
     this->started.back().proof = Proof::NotRun;
   }
-  this->avoid.insert(this->currentRoute.front().endpoint);
-  return this->nextAttempt(wasRefused ? RetryReason::StageTrouble
-                                      : RetryReason::StepUnacknowledged,
-                           aNow);
+  const std::string& first = this->currentRoute.front().endpoint;
+  this->avoid.insert(first);
+  if (wasRefused) {
+    return this->nextAttempt(RetryReason::StageTrouble, aNow);
+  }
+  if (aOutcome == CallOutcome::NotSent) {
+    return this->nextAttempt(RetryReason::StepUnacknowledged, aNow);
+  }
+  if (this->phase != Phase::Running) {
+    return {};
+  }
+  this->silent = { first };
+  return this->askForReplacement(RetryReason::StepUnacknowledged, aNow);
 }
 
 RequestRun::Actions
@@ -192,24 +233,35 @@
     return {};
   }
   this->avoid.insert(aEndpoint);
-  if (this->phase == Phase::Blaming) {
-    this->blamedSomebody = true;
-    return {};
-  }
   return this->isUnderWay() ? this->nextAttempt(RetryReason::StageLost, aNow)
                             : Actions{};
 }
 
+bool
+RequestRun::coversModel(const Route& aRoute) const
+{
+  return routeCovers(aRoute, this->spec.layers) &&
+         namesEachEndpointOnce(aRoute);
+}
+
 bool
 RequestRun::isCurrent(std::uint32_t aAttempt, Phase aPhase) const
 {
   return this->phase == aPhase && this->attemptNumber == aAttempt;
 }
 
+bool
+RequestRun::isRunning(std::uint32_t aAttempt) const
+{
+  return this->isCurrent(aAttempt, Phase::Running) ||
+         this->isCurrent(aAttempt, Phase::Blaming) ||
+         this->isCurrent(aAttempt, Phase::Replacing);
+}
+
 bool
 RequestRun::isUnderWay() const
 {
-  return this->phase == Phase::Opening || this->phase == Phase::Running;
+  return this->phase == Phase::Opening || this->isRunning(this->attemptNumber);
 }
 
 std::uint32_t
--- a/src/entry/RequestRunTokens.cpp
+++ b/src/entry/RequestRunTokens.cpp
@@ -16,7 +16,7 @@
   // A stage that was suspended resumes and sends the token of an attempt that
   // has been replaced. If it were accepted, the caller could get a position
   // twice.
-  if (!this->isCurrent(aToken.attempt, Phase::Running)) {
+  if (!this->isRunning(aToken.attempt)) {
     return Refusal::of(fail(ErrorKind::FencedAttempt));
   }
   const std::uint64_t end =
@@ -40,8 +40,7 @@
   TokenVerdict verdict{ this->checkToken(aToken), {} };
   if (verdict.reply.refused) {
     const bool concernsAttempt =
-      aToken.request == this->spec.request &&
-      this->isCurrent(aToken.attempt, Phase::Running);
+      aToken.request == this->spec.request && this->isRunning(aToken.attempt);
     if (concernsAttempt) {
       // The side drops the attempt when its token is rejected, so the attempt
       // cannot continue.
@@ -69,6 +68,8 @@
     this->tokens.push_back(next->second);
     this->early.erase(next);
     this->pace.onToken(aNow);
+    this->phase = Phase::Running;
+    this->phaseEnd = aNow;
     next = this->early.find(this->nextPosition());
   }
   // The answer is complete only with all of its tokens.
