Wait for a silent service if no other endpoint can answer

Callers of an idempotent call got no answer when its only endpoint was silent for more than a second and then answered.

Cause: after callWait without a reply the run fenced the endpoint and dropped its reply before it knew of another endpoint, also with no endpoint, no budget or no attempt left. The dispatcher took the retry from the budget before it looked for an endpoint.

After callWait the run now asks for another endpoint while the call goes on; its reply is accepted until another endpoint is called. Endpoints whose last probe got no reply are none. The last attempt waits for the deadline. The budget is used only once an endpoint is found. Calls that are not idempotent are unchanged: sent once, a second time only with proof.

Tests: aSilentEndpointIsWaitedForIfThereIsNoOther, theLastAttemptWaitsForItsDeadline and the changed aLookupIsTriedElsewhereAndAnsweredOnce fail on the code before and pass. The last one expected the fence before another endpoint was chosen, which is the fault; it now expects it with the call to that endpoint, and checks its target and number too.

--- a/include/poplartrack/entry/PlainRun.h
+++ b/include/poplartrack/entry/PlainRun.h
@@ -33,8 +33,8 @@
 struct PlainPolicy
 {
   std::uint32_t maxAttempts = 4;
-  /** An idempotent call is retried elsewhere after this long without a
-   * reply. */
+  /** An idempotent call is retried elsewhere after this long without a reply,
+   * if there is another endpoint. */
   Duration callWait = std::chrono::seconds{ 1 };
   /** How long to wait for the fence reply that could prove that the call did
    * not run. */
@@ -58,6 +58,8 @@
   std::set<std::string> avoid;
   bool isRetry = false;
   RetryReason reason = RetryReason::PlainNotRun;
+  /** The call in progress continues if there is no other endpoint. */
+  bool keepsAttempt = false;
 };
 
 /** Send, and answer with onPlainReply(). */
@@ -121,6 +123,8 @@
     Created,
     Choosing,
     Calling,
+    /** Calling, without a reply for long: choosing another endpoint. */
+    Replacing,
     /** Outcome unknown: waiting for the fence's reply. */
     Proving,
     Ended,
@@ -130,7 +134,11 @@
   PlainRun(PlainSpec aSpec, PlainPolicy aPolicy);
 
   [[nodiscard]] bool isCurrent(std::uint32_t aAttempt, Phase aPhase) const;
+  /** The call is sent and its reply is accepted. */
+  [[nodiscard]] bool isCalling() const;
   [[nodiscard]] SendFence fenceTarget(std::uint32_t aBelow) const;
+  Actions callTarget(const PlainTarget& aTarget, TimePoint aNow);
+  Actions askForReplacement();
   Actions elsewhere(RetryReason aReason, const Error& aError, TimePoint aNow);
   Actions onUnknownOutcome(const Error& aError, TimePoint aNow);
   Actions giveUp(Error aError);
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -5,6 +5,8 @@
 #include <glog/logging.h>
 #include <xxhash.h>
 
+#include "poplartrack/entry/FailingEndpoints.h"
+
 namespace poplartrack {
 namespace {
 
@@ -22,19 +24,6 @@
   return ExpectedPace{ aPlan.expectedFirstToken, aPlan.expectedPerToken };
 }
 
-/** Returns the endpoints whose last probe or call got no reply. */
-std::set<std::string>
-failingOf(const EndpointView& aView)
-{
-  std::set<std::string> failing;
-  for (const EndpointInfo& info : aView.endpoints) {
-    if (info.failures > 0) {
-      failing.insert(info.name);
-    }
-  }
-  return failing;
-}
-
 std::uint64_t
 prefixHashOf(const std::vector<std::uint32_t>& aPrompt)
 {
@@ -262,7 +251,7 @@
   const TimePoint moment = runtimeNow();
   RouteQuery query = this->queryFor(aRun->spec, moment);
   const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
-  const std::set<std::string> failing = failingOf(*view);
+  const std::set<std::string> failing = failingEndpoints(*view);
   const auto choose = [&](std::set<std::string> aAvoid) {
     aAvoid.insert(failing.begin(), failing.end());
     query.avoid = std::move(aAvoid);
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "poplartrack/entry/FailingEndpoints.h"
+
 namespace poplartrack {
 namespace {
 
@@ -136,8 +138,9 @@
 {
   const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
   const TimePoint moment = runtimeNow();
-  if (aNeed.isRetry) {
-    this->parts.metrics.countRetry(aNeed.reason);
+  std::set<std::string> avoid = aNeed.avoid;
+  if (aNeed.keepsAttempt) {
+    avoid.merge(failingEndpoints(*view));
   }
   const Result<EndpointInfo> chosen =
     this->parts.decider.with([&](RouteChooser& aChooser,
@@ -146,14 +149,18 @@
       for (const std::string& endpoint : aNeed.avoid) {
         aChooser.onEndpointFailed(endpoint, moment);
       }
+      Result<EndpointInfo> found = aChooser.choosePlain(
+        *view, aCall->spec.service, this->parts.zone, avoid, moment);
       const bool mayRepeatWork =
         aNeed.isRetry && aNeed.reason != RetryReason::PlainNotRun;
-      if (mayRepeatWork && !aBudget.tryRetry(moment)) {
+      if (found && mayRepeatWork && !aBudget.tryRetry(moment)) {
         return fail(ErrorKind::RetriesExhausted, "the retry budget is spent");
       }
-      return aChooser.choosePlain(
-        *view, aCall->spec.service, this->parts.zone, aNeed.avoid, moment);
+      return found;
     });
+  if (aNeed.isRetry && (chosen || !aNeed.keepsAttempt)) {
+    this->parts.metrics.countRetry(aNeed.reason);
+  }
   this->apply(aCall, [&](PlainRun& aState, TimePoint aNow) {
     if (!chosen) {
       return aState.onNoEndpoint(aNeed.attempt, chosen.error(), aNow);
--- a/src/entry/PlainRun.cpp
+++ b/src/entry/PlainRun.cpp
@@ -31,7 +31,7 @@
   }
   this->phase = Phase::Choosing;
   this->attemptNumber = 1;
-  return { NeedEndpoint{ this->attemptNumber, {}, false, {} } };
+  return { NeedEndpoint{ this->attemptNumber, {}, false, {}, false } };
 }
 
 PlainRun::Actions
@@ -39,21 +39,37 @@
                      const PlainTarget& aTarget,
                      TimePoint aNow)
 {
+  if (this->phase == Phase::Replacing && aAttempt == this->attemptNumber + 1) {
+    Actions actions{ this->fenceTarget(aAttempt) };
+    this->mayHaveRun = true;
+    this->attemptNumber = aAttempt;
+    Actions call = this->callTarget(aTarget, aNow);
+    actions.insert(actions.end(), call.begin(), call.end());
+    return actions;
+  }
   if (!this->isCurrent(aAttempt, Phase::Choosing)) {
     return {};
   }
   if (aNow >= this->spec.deadline) {
     return this->giveUp(fail(ErrorKind::DeadlineExceeded));
   }
+  return this->callTarget(aTarget, aNow);
+}
+
+PlainRun::Actions
+PlainRun::callTarget(const PlainTarget& aTarget, TimePoint aNow)
+{
   this->phase = Phase::Calling;
   this->target = aTarget;
   // Only a call that may run twice can be retried at another endpoint while its
-  // outcome is unknown.
+  // outcome is unknown, and only while an attempt is left.
+  const bool mayReplace =
+    this->spec.idempotent && this->attemptNumber < this->policy.maxAttempts;
   this->phaseEnd =
-    this->spec.idempotent ? aNow + this->policy.callWait : this->spec.deadline;
+    mayReplace ? aNow + this->policy.callWait : this->spec.deadline;
   PlainCall message;
   message.request = this->spec.request;
-  message.attempt = aAttempt;
+  message.attempt = this->attemptNumber;
   message.incarnation = aTarget.incarnation;
   message.service = this->spec.service;
   message.operation = this->spec.operation;
@@ -68,8 +84,13 @@
 PlainRun::Actions
 PlainRun::onNoEndpoint(std::uint32_t aAttempt,
                        const Error& aError,
-                       TimePoint /*aNow*/)
+                       TimePoint aNow)
 {
+  if (this->phase == Phase::Replacing && aAttempt == this->attemptNumber + 1) {
+    this->phase = Phase::Calling;
+    this->phaseEnd = aNow + this->policy.callWait;
+    return {};
+  }
   if (!this->isCurrent(aAttempt, Phase::Choosing)) {
     return {};
   }
@@ -84,7 +105,7 @@
 {
   // Late replies of abandoned attempts are ignored: another attempt answers the
   // caller, or has done so.
-  if (!this->isCurrent(aAttempt, Phase::Calling)) {
+  if (!this->isCalling() || aAttempt != this->attemptNumber) {
     return {};
   }
   if (aOutcome == CallOutcome::NotSent) {
@@ -167,7 +188,7 @@
 PlainRun::Actions
 PlainRun::onEndpointGone(const std::string& aEndpoint, TimePoint aNow)
 {
-  if (this->phase != Phase::Calling || aEndpoint != this->target.endpoint) {
+  if (!this->isCalling() || aEndpoint != this->target.endpoint) {
     return {};
   }
   return this->onUnknownOutcome(
@@ -181,7 +202,7 @@
     return {};
   }
   Actions actions;
-  if (this->phase == Phase::Calling) {
+  if (this->isCalling()) {
     this->mayHaveRun = true;
     actions.emplace_back(this->fenceTarget(FenceRequest::kFenceAll));
   }
@@ -202,10 +223,9 @@
     return this->giveUp(fail(ErrorKind::OutcomeUnknown));
   }
   if (aNow < this->spec.deadline) {
-    return this->onUnknownOutcome(
-      fail(ErrorKind::OutcomeUnknown, "no reply in time"), aNow);
+    return this->askForReplacement();
   }
-  if (this->phase != Phase::Calling) {
+  if (!this->isCalling()) {
     return this->giveUp(fail(ErrorKind::DeadlineExceeded));
   }
   this->mayHaveRun = true;
@@ -226,6 +246,7 @@
       return std::min(this->spec.deadline, this->phaseEnd);
     case Phase::Created:
     case Phase::Choosing:
+    case Phase::Replacing:
       break;
   }
   return this->spec.deadline;
@@ -237,6 +258,12 @@
   return this->phase == aPhase && this->attemptNumber == aAttempt;
 }
 
+bool
+PlainRun::isCalling() const
+{
+  return this->phase == Phase::Calling || this->phase == Phase::Replacing;
+}
+
 SendFence
 PlainRun::fenceTarget(std::uint32_t aBelow) const
 {
@@ -245,6 +272,20 @@
            FenceRequest{ this->spec.request, aBelow, false } };
 }
 
+PlainRun::Actions
+PlainRun::askForReplacement()
+{
+  // A sound service may be silent for a second: its reply is still accepted,
+  // and is lost only if there is another endpoint to ask.
+  this->phase = Phase::Replacing;
+  this->avoid.insert(this->target.endpoint);
+  return { NeedEndpoint{ this->attemptNumber + 1,
+                         this->avoid,
+                         true,
+                         RetryReason::PlainIdempotent,
+                         true } };
+}
+
 PlainRun::Actions
 PlainRun::elsewhere(RetryReason aReason, const Error& aError, TimePoint aNow)
 {
@@ -255,7 +296,8 @@
   }
   ++this->attemptNumber;
   this->phase = Phase::Choosing;
-  return { NeedEndpoint{ this->attemptNumber, this->avoid, true, aReason } };
+  return { NeedEndpoint{
+    this->attemptNumber, this->avoid, true, aReason, false } };
 }
 
 PlainRun::Actions
--- a/tests/unit/entry/PlainRunTest.cpp
+++ b/tests/unit/entry/PlainRunTest.cpp
@@ -138,11 +138,13 @@
 {
   PlainRun run = sent(true);
   now = *run.nextWake();
-  const auto moved = run.onTick(now);
-  EXPECT_EQ(all<SendFence>(moved).size(), 1U);
-  EXPECT_EQ(all<NeedEndpoint>(moved).at(0).reason,
+  EXPECT_EQ(all<NeedEndpoint>(run.onTick(now)).at(0).reason,
             RetryReason::PlainIdempotent);
-  run.onEndpoint(2, kSecond, now);
+  const auto moved = run.onEndpoint(2, kSecond, now);
+  ASSERT_EQ(all<SendFence>(moved).size(), 1U);
+  EXPECT_EQ(all<SendFence>(moved)[0].endpoint, "k1");
+  EXPECT_EQ(all<SendFence>(moved)[0].message.below, 2U);
+  EXPECT_EQ(all<SendPlain>(moved).at(0).endpoint, "k2");
   PlainReply late = ownReply();
   late.status = 200;
   late.body = "late";
@@ -153,6 +155,38 @@
   EXPECT_TRUE(run.onPlainReply(2, CallOutcome::Replied, late, now).empty());
 }
 
+// Guards against the loss of a call whose only endpoint is silent for seconds.
+TEST_F(PlainRunTest, aSilentEndpointIsWaitedForIfThereIsNoOther)
+{
+  PlainRun run = sent(true);
+  for (int second = 1; second <= 4; ++second) {
+    now = *run.nextWake();
+    const auto asked = run.onTick(now);
+    ASSERT_EQ(all<NeedEndpoint>(asked).size(), 1U);
+    EXPECT_TRUE(all<SendFence>(asked).empty());
+    EXPECT_TRUE(
+      all<GiveUp>(run.onNoEndpoint(2, fail(ErrorKind::NoRoute), now)).empty());
+  }
+  PlainReply late = ownReply();
+  late.body = "late";
+  const auto end = run.onPlainReply(1, CallOutcome::Replied, late, now);
+  ASSERT_EQ(all<Answer>(end).size(), 1U);
+  EXPECT_EQ(all<Answer>(end)[0].body, "late");
+}
+
+// Guards against a last attempt that silence ends before the deadline.
+TEST_F(PlainRunTest, theLastAttemptWaitsForItsDeadline)
+{
+  PlainRun run = sent(true);
+  for (std::uint32_t attempt = 2; attempt <= PlainPolicy{}.maxAttempts;
+       ++attempt) {
+    now += std::chrono::milliseconds{ 1 };
+    run.onPlainReply(attempt - 1, CallOutcome::NotSent, {}, now);
+    run.onEndpoint(attempt, kSecond, now);
+  }
+  EXPECT_EQ(*run.nextWake(), TimePoint{ std::chrono::seconds{ 5 } });
+}
+
 TEST_F(PlainRunTest, anothersAnswerIsNotTaken)
 {
   // Two replies are crossed on one connection. The caller must not be told
