Choose what failed last as the last resort of a retry

Cause: a request that had avoided b1, which was down when it began, lost b2 later. Both were then avoided, so the choice fell back to all endpoints alike, and could take b2, which had just died, again and again: opens that end at once as not sent, without a retry from the budget, each counted as an attempt. Five of them and the eight attempts were used up in about half a second. b1 had long restarted.

The fallback now first avoids only what failed last, then nothing. An attempt counts once its first step is sent. Opens that sides reject are tried for routeWait (2 s) since the first of them, opens without a reply while the deadline leaves time. An endpoint is reported as failed to the chooser only by the loss that it caused.

Tests: whatFailedLastIsChosenLast, aRejectedOpenIsNoAttempt and aSilentOpenIsTriedAgainWhileThereIsTime fail on the code before and pass; rejectionsEndItInTime passes on both.

--- a/include/poplartrack/entry/ModelRunner.h
+++ b/include/poplartrack/entry/ModelRunner.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +56,11 @@
   void setTimer(const RunPtr& aRun);
   void execute(const RunPtr& aRun, const RunAction& aAction);
   void route(const RunPtr& aRun, const NeedRoute& aNeed);
+  /** Chooses a route without the endpoints of the first of these sets, or of
+   * the next one if there is none. */
+  Result<RoutePlan> choose(
+    const ActiveRun& aRun,
+    const std::vector<std::set<std::string>>& aAvoidInOrder);
   /** Looks for a route that replaces an attempt which otherwise continues. */
   void replace(const RunPtr& aRun, const NeedRoute& aNeed);
   void chooseAgain(const RunPtr& aRun,
--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -169,6 +169,7 @@
   [[nodiscard]] std::uint64_t remainingMicros(TimePoint aNow) const;
   [[nodiscard]] SendOpen openFor(std::uint32_t aStage, TimePoint aNow) const;
   [[nodiscard]] SendFirstStep firstStep(TimePoint aNow) const;
+  void noteRejection(CallOutcome aOutcome, TimePoint aNow);
   Actions startAttempt(TimePoint aNow);
   void commitReady(TimePoint aNow, Actions& aActions);
   void fenceRoute(std::uint32_t aBelow,
@@ -178,7 +179,10 @@
                  CallOutcome aOutcome,
                  const FenceReply& aReply,
                  TimePoint aNow);
-  Actions nextAttempt(RetryReason aReason, TimePoint aNow);
+  /** Ends the current attempt because of these endpoints. */
+  Actions nextAttempt(RetryReason aReason,
+                      const std::set<std::string>& aFailed,
+                      TimePoint aNow);
   Actions askForRoute(RetryReason aReason, Actions aActions);
   Actions openRoute(const Route& aRoute,
                     TimePoint aNow,
@@ -197,6 +201,8 @@
   std::uint32_t attemptNumber = 0;
   Route currentRoute;
   std::set<std::uint32_t> agreed;
+  /** Since when sides have rejected each attempt to open. */
+  std::optional<TimePoint> rejectedSince;
   std::set<std::string> avoid;
   std::vector<std::uint32_t> tokens;
   /** Tokens that arrived before an earlier one, by position. */
--- a/include/poplartrack/entry/RunPolicy.h
+++ b/include/poplartrack/entry/RunPolicy.h
@@ -9,8 +9,12 @@
 /** Timeouts and limits of the retries of one model request. */
 struct RunPolicy
 {
-  /** Maximum number of attempts, regardless of the deadline. */
+  /** Maximum number of attempts that start to run, regardless of the
+   * deadline. */
   std::uint32_t maxAttempts = 8;
+  /** How long a request that has lost its route waits for another one, and how
+   * long it tries to open attempts that sides reject. */
+  Duration routeWait = std::chrono::seconds{ 2 };
   /** Timeout for all sides to accept an attempt. */
   Duration openWait = std::chrono::milliseconds{ 500 };
   /** Expected time to the first token besides the prefill. */
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -6,13 +6,12 @@
 #include <xxhash.h>
 
 #include "poplartrack/entry/FailingEndpoints.h"
+#include "poplartrack/entry/RouteFallback.h"
 
 namespace poplartrack {
 namespace {
 
-/** Interval and number of retries of the route choice for a request that has
- * lost its route, before it is given up. */
-constexpr Duration kRouteWait = std::chrono::seconds{ 2 };
+/** Interval of the route choice for a request that has lost its route. */
 constexpr Duration kRoutePause = std::chrono::milliseconds{ 100 };
 /** Prompts with the same first tokens, this many, are sent to endpoints where
  * the prefix may still be cached. */
@@ -205,8 +204,7 @@
   {
     const std::scoped_lock lock{ aRun.guard };
     // A side that replied has not failed, even if its stage may be slow.
-    for (const std::string& endpoint :
-         aNeed.keepsAttempt ? aNeed.failedLast : aNeed.avoid) {
+    for (const std::string& endpoint : aNeed.failedLast) {
       if (aRun.blamed.insert(endpoint).second) {
         fresh.push_back(endpoint);
       }
@@ -243,27 +241,39 @@
     });
 }
 
-void
-ModelRunner::replace(const RunPtr& aRun, const NeedRoute& aNeed)
+Result<RoutePlan>
+ModelRunner::choose(const ActiveRun& aRun,
+                    const std::vector<std::set<std::string>>& aAvoidInOrder)
 {
-  this->noteBlame(*aRun, aNeed);
-  this->noteStall(*aRun, aNeed);
   const TimePoint moment = runtimeNow();
-  RouteQuery query = this->queryFor(aRun->spec, moment);
   const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
-  const std::set<std::string> failing = failingEndpoints(*view);
-  const auto choose = [&](std::set<std::string> aAvoid) {
-    aAvoid.insert(failing.begin(), failing.end());
-    query.avoid = std::move(aAvoid);
-    return this->parts.decider.with(
+  RouteQuery query = this->queryFor(aRun.spec, moment);
+  Result<RoutePlan> plan = fail(ErrorKind::NoRoute);
+  for (const std::set<std::string>& avoid : aAvoidInOrder) {
+    query.avoid = avoid;
+    plan = this->parts.decider.with(
       [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
         return aChooser.choose(*view, query, moment);
       });
-  };
-  Result<RoutePlan> plan = choose(aNeed.avoid);
-  if (!plan) {
-    plan = choose(aNeed.failedLast);
+    if (plan) {
+      break;
+    }
   }
+  return plan;
+}
+
+void
+ModelRunner::replace(const RunPtr& aRun, const NeedRoute& aNeed)
+{
+  this->noteBlame(*aRun, aNeed);
+  this->noteStall(*aRun, aNeed);
+  const std::set<std::string> failing =
+    failingEndpoints(*this->parts.endpoints.view());
+  std::vector<std::set<std::string>> order = avoidInOrder(aNeed, true);
+  for (std::set<std::string>& avoid : order) {
+    avoid.insert(failing.begin(), failing.end());
+  }
+  const Result<RoutePlan> plan = this->choose(*aRun, order);
   this->apply(aRun, [&](RequestRun& aState, TimePoint aNow) {
     if (!plan || !aState.mayBeReplacedBy(plan.value().route)) {
       return aState.onNoRoute(aNeed.attempt, fail(ErrorKind::NoRoute), aNow);
@@ -341,25 +351,15 @@
                          TimePoint aSince)
 {
   const TimePoint moment = runtimeNow();
-  const TimePoint latest = aSince + kRouteWait;
+  const TimePoint latest = aSince + this->policy.routeWait;
   // Every replica of a layer has rejected this request once. One that is
   // available again may be tried again, but not before the entry has learned of
   // it: without a pause, restarted sides rejected all attempts of a request
   // within 2 ms, for 20 to 30 of 48 requests under continuous faults.
   const bool mayRepeat =
     aNeed.reason != RetryReason::OpenRefused || moment - aSince >= kRoutePause;
-  RouteQuery query = this->queryFor(aRun->spec, moment);
-  query.avoid = aNeed.avoid;
-  const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
-  const Result<RoutePlan> plan = this->parts.decider.with(
-    [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-      Result<RoutePlan> chosen = aChooser.choose(*view, query, moment);
-      if (!chosen && mayRepeat && !query.avoid.empty()) {
-        query.avoid.clear();
-        chosen = aChooser.choose(*view, query, moment);
-      }
-      return chosen;
-    });
+  const Result<RoutePlan> plan =
+    this->choose(*aRun, avoidInOrder(aNeed, mayRepeat));
   if (!plan && moment < std::min(latest, aRun->spec.deadline)) {
     // The only replica of a layer was restarted, or is in backoff after a
     // failure. It will be available again after a probe or two, whereas giving
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -143,8 +143,9 @@
     return {};
   }
   if (!accepted(aOutcome, aReply.refusal)) {
-    this->avoid.insert(this->currentRoute[aStage].endpoint);
-    return this->nextAttempt(RetryReason::OpenRefused, aNow);
+    this->noteRejection(aOutcome, aNow);
+    return this->nextAttempt(
+      RetryReason::OpenRefused, { this->currentRoute[aStage].endpoint }, aNow);
   }
   this->agreed.insert(aStage);
   // If one side rejected the attempt later, the first stages would have run in
@@ -155,6 +156,17 @@
   return this->startAttempt(aNow);
 }
 
+void
+RequestRun::noteRejection(CallOutcome aOutcome, TimePoint aNow)
+{
+  if (aOutcome == CallOutcome::Unknown) {
+    // A side that is silent may accept the next one.
+    this->rejectedSince.reset();
+  } else if (!this->rejectedSince) {
+    this->rejectedSince = aNow;
+  }
+}
+
 RequestRun::Actions
 RequestRun::startAttempt(TimePoint aNow)
 {
@@ -162,6 +174,7 @@
   this->phase = Phase::Running;
   this->started.push_back(
     { this->attemptNumber, first.endpoint, first.incarnation, Proof::Open });
+  this->rejectedSince.reset();
   this->firstStepSends = 1;
   this->firstStepMayHaveArrived = false;
   this->firstStepAccepted = false;
@@ -197,16 +210,16 @@
     this->started.back().proof = Proof::NotRun;
   }
   const std::string& first = this->currentRoute.front().endpoint;
-  this->avoid.insert(first);
   if (wasRefused) {
-    return this->nextAttempt(RetryReason::StageTrouble, aNow);
+    return this->nextAttempt(RetryReason::StageTrouble, { first }, aNow);
   }
   if (aOutcome == CallOutcome::NotSent) {
-    return this->nextAttempt(RetryReason::StepUnacknowledged, aNow);
+    return this->nextAttempt(RetryReason::StepUnacknowledged, { first }, aNow);
   }
   if (this->phase != Phase::Running) {
     return {};
   }
+  this->avoid.insert(first);
   this->silent = { first };
   return this->askForReplacement(RetryReason::StepUnacknowledged, aNow);
 }
@@ -218,8 +231,8 @@
       aTrouble.attempt != this->attemptNumber) {
     return {};
   }
-  this->avoid.insert(aTrouble.endpoint);
-  return this->nextAttempt(RetryReason::StageTrouble, aNow);
+  return this->nextAttempt(
+    RetryReason::StageTrouble, { aTrouble.endpoint }, aNow);
 }
 
 RequestRun::Actions
@@ -233,8 +246,9 @@
     return {};
   }
   this->avoid.insert(aEndpoint);
-  return this->isUnderWay() ? this->nextAttempt(RetryReason::StageLost, aNow)
-                            : Actions{};
+  return this->isUnderWay()
+           ? this->nextAttempt(RetryReason::StageLost, { aEndpoint }, aNow)
+           : Actions{};
 }
 
 bool
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -70,8 +70,11 @@
 }
 
 RequestRun::Actions
-RequestRun::nextAttempt(RetryReason aReason, TimePoint aNow)
+RequestRun::nextAttempt(RetryReason aReason,
+                        const std::set<std::string>& aFailed,
+                        TimePoint aNow)
 {
+  this->avoid.insert(aFailed.begin(), aFailed.end());
   if (std::optional<Error> error = this->whyNoRetry(aNow)) {
     return this->giveUp(std::move(*error), aNow);
   }
@@ -87,6 +90,7 @@
   need.attempt = this->attemptNumber;
   need.avoid = this->avoid;
   need.isRetry = true;
+  need.failedLast = aFailed;
   need.reason = aReason;
   need.latest = this->latestStart();
   actions.emplace_back(std::move(need));
@@ -100,9 +104,13 @@
     return fail(ErrorKind::RetriesExhausted,
                 "the deadline leaves no time for another attempt");
   }
-  if (this->attemptNumber >= this->policy.maxAttempts) {
+  if (this->started.size() >= this->policy.maxAttempts) {
     return fail(ErrorKind::RetriesExhausted, "too many attempts");
   }
+  if (this->rejectedSince &&
+      aNow - *this->rejectedSince >= this->policy.routeWait) {
+    return fail(ErrorKind::RetriesExhausted, "no route accepts the request");
+  }
   return std::nullopt;
 }
 
@@ -170,12 +178,14 @@
 RequestRun::Actions
 RequestRun::onOpenTimeout(TimePoint aNow)
 {
+  std::set<std::string> unanswered;
   for (std::uint32_t stage = 0; stage < this->currentRoute.size(); ++stage) {
     if (!this->agreed.contains(stage)) {
-      this->avoid.insert(this->currentRoute[stage].endpoint);
+      unanswered.insert(this->currentRoute[stage].endpoint);
     }
   }
-  return this->nextAttempt(RetryReason::OpenRefused, aNow);
+  this->noteRejection(CallOutcome::Unknown, aNow);
+  return this->nextAttempt(RetryReason::OpenRefused, unanswered, aNow);
 }
 
 RequestRun::Actions
--- a/src/entry/RequestRunTokens.cpp
+++ b/src/entry/RequestRunTokens.cpp
@@ -44,7 +44,7 @@
     if (concernsAttempt) {
       // The side drops the attempt when its token is rejected, so the attempt
       // cannot continue.
-      verdict.actions = this->nextAttempt(RetryReason::StageTrouble, aNow);
+      verdict.actions = this->nextAttempt(RetryReason::StageTrouble, {}, aNow);
     }
     return verdict;
   }
--- a/tests/unit/entry/RequestRunTest.cpp
+++ b/tests/unit/entry/RequestRunTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "poplartrack/entry/RouteFallback.h"
+
 #include "unit/entry/RunFixture.h"
 
 namespace poplartrack {
@@ -337,6 +339,74 @@
   EXPECT_EQ(given[0].ran, RunState::NotRun);
 }
 
+// Guards against an answer that is given up within a second because sides
+// reject the attempts that would continue it.
+TEST_F(RequestRunTest, aRejectedOpenIsNoAttempt)
+{
+  OpenReply rejection;
+  rejection.refusal = Refusal::of(fail(ErrorKind::StageRefused));
+  run.start(now);
+  openAll(routeOver());
+  run.onToken(token(0, 21), now);
+  run.onEndpointGone("b", now);
+  for (int open = 1; open <= 15; ++open) {
+    run.onRoute(run.attempt(), routeOver("a", "d", "c"), now);
+    const auto next =
+      run.onOpenReply(run.attempt(), 1, CallOutcome::Replied, rejection, now);
+    ASSERT_EQ(all<NeedRoute>(next).size(), 1U);
+    now += milliseconds{ 100 };
+  }
+  EXPECT_EQ(all<SendFirstStep>(openAll(routeOver("a", "d", "c"))).size(), 1U);
+}
+
+// Guards against a lost answer that is held until its deadline although every
+// side rejects it.
+TEST_F(RequestRunTest, rejectionsEndItInTime)
+{
+  OpenReply rejection;
+  rejection.refusal = Refusal::of(fail(ErrorKind::StageRefused));
+  run.start(now);
+  while (!run.ended() && now < spec().deadline) {
+    run.onRoute(run.attempt(), routeOver(), now);
+    run.onOpenReply(run.attempt(), 1, CallOutcome::Replied, rejection, now);
+    now += milliseconds{ 100 };
+  }
+  EXPECT_TRUE(run.ended());
+  EXPECT_LE(now, TimePoint{ std::chrono::seconds{ 3 } });
+}
+
+// Guards against a lost answer because a side is silent for some seconds when
+// an attempt is opened.
+TEST_F(RequestRunTest, aSilentOpenIsTriedAgainWhileThereIsTime)
+{
+  run.start(now);
+  for (int open = 1; open <= 12; ++open) {
+    run.onRoute(run.attempt(), routeOver(), now);
+    now = *run.nextWake();
+    ASSERT_EQ(all<NeedRoute>(run.onTick(now)).size(), 1U);
+  }
+  EXPECT_EQ(all<SendFirstStep>(openAll(routeOver())).size(), 1U);
+}
+
+// Guards against retries at an endpoint that has just died while another one,
+// which failed the request earlier, is available again.
+TEST_F(RequestRunTest, whatFailedLastIsChosenLast)
+{
+  run.start(now);
+  run.onRoute(1, routeOver("a", "d", "c"), now);
+  run.onOpenReply(1, 1, CallOutcome::NotSent, {}, now);
+  openAll(routeOver());
+  const auto need = all<NeedRoute>(run.onEndpointGone("b", now));
+  ASSERT_EQ(need.size(), 1U);
+  const std::set<std::string> both{ "b", "d" };
+  const std::set<std::string> last{ "b" };
+  const std::set<std::string> none;
+  EXPECT_EQ(avoidInOrder(need[0], true),
+            (std::vector<std::set<std::string>>{ both, last, none }));
+  EXPECT_EQ(avoidInOrder(need[0], false),
+            (std::vector<std::set<std::string>>{ both }));
+}
+
 TEST_F(RequestRunTest, saysNotRunOnlyWithTheFirstStagesProof)
 {
   // The first step's fate is unknown. Only its side's word, from the same
