--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -5,12 +5,13 @@
 #include <glog/logging.h>
 #include <xxhash.h>
 
+#include "poplartrack/entry/FailingEndpoints.h"
+#include "poplartrack/entry/RouteFallback.h"
+
 namespace poplartrack {
 namespace {
 
-/** Interval and number of retries of the route choice for a request that has
- * lost its route, before it is given up. */
-constexpr Duration kRouteWait = std::chrono::seconds{ 2 };
+/** Interval of the route choice for a request that has lost its route. */
 constexpr Duration kRoutePause = std::chrono::milliseconds{ 100 };
 /** Prompts with the same first tokens, this many, are sent to endpoints where
  * the prefix may still be cached. */
@@ -133,9 +134,6 @@
         aChooser.onRouteStarted(route, aNow);
       }
     });
-  if (!aRun.usedRoute.empty()) {
-    aRun.lastRoute = aRun.usedRoute;
-  }
   aRun.usedRoute = ended ? Route{} : route;
 }
 
@@ -205,20 +203,13 @@
   std::vector<std::string> fresh;
   {
     const std::scoped_lock lock{ aRun.guard };
-    for (const std::string& endpoint : aNeed.avoid) {
+    // A side that replied has not failed, even if its stage may be slow.
+    for (const std::string& endpoint : aNeed.failedLast) {
       if (aRun.blamed.insert(endpoint).second) {
         fresh.push_back(endpoint);
       }
     }
   }
-  if (fresh.empty() && aNeed.reason == RetryReason::StageStalled) {
-    // All its sides reply, but no token arrived: one of the stages is slow, and
-    // the next attempt must not take the same route.
-    this->parts.decider.with(
-      [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-        aChooser.onStalled(aRun.lastRoute, runtimeNow());
-      });
-  }
   for (const std::string& endpoint : fresh) {
     LOG(INFO) << "run: " << toText(aRun.spec.request) << " attempt "
               << aNeed.attempt << " avoids " << endpoint << ", "
@@ -231,6 +222,77 @@
   }
 }
 
+void
+ModelRunner::noteStall(ActiveRun& aRun, const NeedRoute& aNeed)
+{
+  if (!aNeed.failedLast.empty()) {
+    return;
+  }
+  // All its sides reply, but no token arrived: one of the stages is slow, and
+  // the next attempt should not take the same route.
+  Route stalled;
+  {
+    const std::scoped_lock lock{ aRun.guard };
+    stalled = aRun.run.route();
+  }
+  this->parts.decider.with(
+    [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
+      aChooser.onStalled(stalled, runtimeNow());
+    });
+}
+
+Result<RoutePlan>
+ModelRunner::choose(const ActiveRun& aRun,
+                    const std::vector<std::set<std::string>>& aAvoidInOrder)
+{
+  const TimePoint moment = runtimeNow();
+  const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
+  RouteQuery query = this->queryFor(aRun.spec, moment);
+  Result<RoutePlan> plan = fail(ErrorKind::NoRoute);
+  for (const std::set<std::string>& avoid : aAvoidInOrder) {
+    query.avoid = avoid;
+    plan = this->parts.decider.with(
+      [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
+        return aChooser.choose(*view, query, moment);
+      });
+    if (plan) {
+      break;
+    }
+  }
+  return plan;
+}
+
+void
+ModelRunner::replace(const RunPtr& aRun, const NeedRoute& aNeed)
+{
+  this->noteBlame(*aRun, aNeed);
+  this->noteStall(*aRun, aNeed);
+  const std::set<std::string> failing =
+    failingEndpoints(*this->parts.endpoints.view());
+  std::vector<std::set<std::string>> order = avoidInOrder(aNeed, true);
+  for (std::set<std::string>& avoid : order) {
+    avoid.insert(failing.begin(), failing.end());
+  }
+  const Result<RoutePlan> plan = this->choose(*aRun, order);
+  this->apply(aRun, [&](RequestRun& aState, TimePoint aNow) {
+    if (!plan || !aState.mayBeReplacedBy(plan.value().route)) {
+      return aState.onNoRoute(aNeed.attempt, fail(ErrorKind::NoRoute), aNow);
+    }
+    // Taken only now: an attempt that continues uses none of it.
+    const bool hasBudget = this->parts.decider.with(
+      [&](RouteChooser&, AdmissionControl&, RetryBudget& aBudget) {
+        return aBudget.tryRetry(aNow);
+      });
+    if (!hasBudget) {
+      return aState.onNoRoute(
+        aNeed.attempt, fail(ErrorKind::RetriesExhausted), aNow);
+    }
+    this->parts.metrics.countRetry(aNeed.reason);
+    return aState.onRoute(
+      aNeed.attempt, plan.value().route, aNow, paceOf(plan.value()));
+  });
+}
+
 void
 ModelRunner::route(const RunPtr& aRun, const NeedRoute& aNeed)
 {
@@ -242,6 +304,10 @@
     });
     return;
   }
+  if (aNeed.keepsAttempt) {
+    this->replace(aRun, aNeed);
+    return;
+  }
   this->parts.metrics.countRetry(aNeed.reason);
   this->noteBlame(*aRun, aNeed);
   const TimePoint moment = runtimeNow();
@@ -285,25 +351,15 @@
                          TimePoint aSince)
 {
   const TimePoint moment = runtimeNow();
-  const TimePoint latest = aSince + kRouteWait;
+  const TimePoint latest = aSince + this->policy.routeWait;
   // Every replica of a layer has rejected this request once. One that is
   // available again may be tried again, but not before the entry has learned of
   // it: without a pause, restarted sides rejected all attempts of a request
   // within 2 ms, for 20 to 30 of 48 requests under continuous faults.
   const bool mayRepeat =
     aNeed.reason != RetryReason::OpenRefused || moment - aSince >= kRoutePause;
-  RouteQuery query = this->queryFor(aRun->spec, moment);
-  query.avoid = aNeed.avoid;
-  const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
-  const Result<RoutePlan> plan = this->parts.decider.with(
-    [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-      Result<RoutePlan> chosen = aChooser.choose(*view, query, moment);
-      if (!chosen && mayRepeat && !query.avoid.empty()) {
-        query.avoid.clear();
-        chosen = aChooser.choose(*view, query, moment);
-      }
-      return chosen;
-    });
+  const Result<RoutePlan> plan =
+    this->choose(*aRun, avoidInOrder(aNeed, mayRepeat));
   if (!plan && moment < std::min(latest, aRun->spec.deadline)) {
     // The only replica of a layer was restarted, or is in backoff after a
     // failure. It will be available again after a probe or two, whereas giving
