Take no silence of a replica for its crash under a request

Cause: a later part of a path counted as crashed when two relays could not reach it; and a started stream whose present attempt had no event yet was cut when its request was in quarantine.

Change: a crash needs proof: a restart, the replica list, or that nothing listens at the replica's address, which a status query now tells apart from silence. A started stream is not cut for a quarantine; it is only sent to no further replica.

--- a/include/poplartrack/http/HttpClient.h
+++ b/include/poplartrack/http/HttpClient.h
@@ -48,6 +48,8 @@
   std::string detail;
   /** The call was ended because the reply exceeded a limit. */
   bool overLimit = false;
+  /** Nothing listens at the address: the connection was refused at once. */
+  bool connectRefused = false;
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/include/poplartrack/relay/ReplicaCalls.h
+++ b/include/poplartrack/relay/ReplicaCalls.h
@@ -26,6 +26,8 @@
   /** No connection could be established; the other fields keep their defaults.
    */
   bool refused = false;
+  /** Nothing listens at its address: its process has ended. */
+  bool exited = false;
   /** Its answer exceeded a limit; the other fields keep their defaults. */
   bool overLimit = false;
   /** The replica answered that it takes no queries for now; the other fields
--- a/include/poplartrack/retry/CrashProof.h
+++ b/include/poplartrack/retry/CrashProof.h
@@ -10,7 +10,8 @@
   /** Two relays cannot reach it. A sound replica that is silent for a second
    * looks the same. */
   Unreachable,
-  /** It has restarted, or left the replica list. */
+  /** It has restarted, left the replica list, or nothing listens at its
+   * address. */
   Exited,
 };
 
--- a/src/http/HttpTransfer.cpp
+++ b/src/http/HttpTransfer.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -344,12 +345,21 @@
                                     : curl_easy_strerror(aCode);
 }
 
+bool
+HttpTransfer::isConnectRefused(CURLcode aCode) const
+{
+  long systemError = 0;
+  curl_easy_getinfo(this->easy, CURLINFO_OS_ERRNO, &systemError);
+  return aCode == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+}
+
 void
 HttpTransfer::end(CURLcode aCode)
 {
   this->result.status = static_cast<int>(this->status());
   this->result.headers = this->head.fields();
   if (aCode != CURLE_OK) {
+    this->result.connectRefused = this->isConnectRefused(aCode);
     this->end(this->outcomeOfFailure(), this->detailOf(aCode));
     return;
   }
--- a/src/http/HttpTransfer.h
+++ b/src/http/HttpTransfer.h
@@ -45,6 +45,7 @@
   [[nodiscard]] std::optional<std::string> flawOfReply() const;
   /** Whether the reply says where its body ends, or can have none. */
   [[nodiscard]] bool statesBodyEnd() const;
+  [[nodiscard]] bool isConnectRefused(CURLcode aCode) const;
   [[nodiscard]] CallOutcome outcomeOfFailure() const;
   [[nodiscard]] std::string detailOf(CURLcode aCode) const;
   bool takeHeader(std::string_view aLine);
--- a/src/relay/CrashState.h
+++ b/src/relay/CrashState.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "poplartrack/retry/CrashLedger.h"
@@ -14,6 +16,8 @@
 {
   CrashWatch watch;
   CrashLedger ledger;
+  /** Replicas at whose address nothing listened when they were last asked. */
+  std::set<std::string> exited;
   RecentlyServedRequests recentlyServed;
   /** The quarantine of the store that was last merged into ledger. */
   std::shared_ptr<const std::vector<Suspect>> lastStoredQuarantine;
--- a/src/relay/RelayAttempts.cpp
+++ b/src/relay/RelayAttempts.cpp
@@ -122,7 +122,7 @@
   }
   this->shared.log.write(line);
   if (stalled && faulty != aExchange.replica) {
-    this->recordPossibleCrashAt(aExchange, faulty, false, false);
+    this->recordPossibleCrashAt(aExchange, faulty, false, true);
   }
   aExchange.avoid.insert(faulty);
   this->dropAttempt(aExchange, false);
@@ -385,6 +385,9 @@
   bool anyAlive = false;
   for (const PathPart& part : aExchange.path.parts) {
     anyAlive = this->health.onProgress(part.replica, sentAfter) || anyAlive;
+    if (!this->crashState.exited.empty()) {
+      this->crashState.exited.erase(part.replica);
+    }
   }
   this->endDoubt(aExchange);
   if (anyAlive) {
--- a/src/relay/RelayCrashes.cpp
+++ b/src/relay/RelayCrashes.cpp
@@ -79,15 +79,16 @@
 
 /**
  * Returns what shows that a replica has crashed: its restart has been detected,
- * it is not in the replica list, or two relays cannot reach it. One relay is
- * not enough, since it may be cut off itself, and requests that break off then
- * are not responsible.
+ * it is not in the replica list, nothing listens at its address, or two relays
+ * cannot reach it. One relay is not enough for the last, since it may be cut
+ * off itself, and requests that break off then are not responsible.
  */
 std::optional<CrashProof>
 RelayLoop::Impl::crashProofOf(const std::string& aReplica) const
 {
   if (this->drainState.restarted.contains(aReplica) ||
-      this->replicaById(aReplica) == nullptr) {
+      this->replicaById(aReplica) == nullptr ||
+      this->crashState.exited.contains(aReplica)) {
     return CrashProof::Exited;
   }
   // With a count of 1, two reports are enough however many relays there are.
--- a/src/relay/RelayLoop.cpp
+++ b/src/relay/RelayLoop.cpp
@@ -40,7 +40,7 @@
   , view(std::make_shared<const ReplicaView>())
   , health(this->settings.heartbeat)
   , budgets(retryPolicy(this->settings))
-  , crashState{ CrashWatch{ crashReportTime(this->settings) }, {}, {}, {} }
+  , crashState{ CrashWatch{ crashReportTime(this->settings) }, {}, {}, {}, {} }
   , ownIncarnation(randomRequestId().low)
 {
 }
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -56,6 +56,9 @@
   std::erase_if(
     this->outageProbeState.unanswered,
     [&](const std::string& aReplica) { return !kept.contains(aReplica); });
+  std::erase_if(this->crashState.exited, [&](const std::string& aReplica) {
+    return !kept.contains(aReplica);
+  });
   this->replicaLimits.keepOnly(kept);
   this->forgetDrainAnnouncements(kept);
   std::erase_if(this->reportRequestedAt, [&](const auto& aEntry) {
--- a/src/relay/RelayQuarantine.cpp
+++ b/src/relay/RelayQuarantine.cpp
@@ -101,10 +101,10 @@
 }
 
 /**
- * Ends the attempts that contain a suspect and have no event yet. Those with
- * events have begun to run and continue. While several parts are suspected,
- * attempts that a replica has already received continue too: they show which
- * part is responsible.
+ * Ends the attempts that contain a suspect and whose callers have no event yet.
+ * Those with events have begun to run and continue. While several parts are
+ * suspected, attempts that a replica has already received continue too: they
+ * show which part is responsible.
  */
 void
 RelayLoop::Impl::stopQuarantined(const Suspect& aSuspect)
@@ -113,7 +113,7 @@
   std::vector<std::uint64_t> pending;
   for (const auto& [id, exchange] : this->exchanges) {
     const bool isPending = exchange->connection != 0 &&
-                           !exchange->runningSince &&
+                           !exchange->runningSince && !exchange->answering &&
                            (isCertain || !this->mayHaveRun(*exchange));
     if (isPending && this->contains(*exchange, aSuspect)) {
       pending.push_back(id);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -38,7 +38,7 @@
     }
     if (exchange.replica != aReplica && !exchange.runningSince) {
       // The connection to the first replica shows nothing of a later one.
-      this->recordPossibleCrashAt(exchange, aReplica, false, false);
+      this->recordPossibleCrashAt(exchange, aReplica, false, true);
     }
     this->repair(exchange, false);
   }
@@ -101,7 +101,8 @@
     return;
   }
   const std::vector<Suspect> quarantined = this->quarantinedIn(aExchange);
-  if (!quarantined.empty() && !aExchange.runningSince) {
+  // A started stream is not cut for what its request may have done elsewhere.
+  if (!quarantined.empty() && !aExchange.runningSince && !aExchange.answering) {
     this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
     this->refuseQuarantined(aExchange, quarantined.front());
     return;
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -181,9 +181,13 @@
     this->countExcess(AnswerExcess::Report, aReplica, "");
   }
   if (!aReport.reached) {
+    if (aReport.exited) {
+      this->crashState.exited.insert(aReplica);
+    }
     this->onMissingReport(aReplica, aReport.refused, outageProbe);
     return;
   }
+  this->crashState.exited.erase(aReplica);
   this->recordReportAnswer(aReplica);
   if (aReport.rejected) {
     return;
--- a/tests/unit/relay/RelayReplacementTest.cpp
+++ b/tests/unit/relay/RelayReplacementTest.cpp
@@ -2,6 +2,7 @@
 
 #include <future>
 
+#include "PeerSocket.h"
 #include "RelayFixture.h"
 
 namespace poplartrack {
@@ -164,6 +165,28 @@
   this->expectEnd();
 }
 
+TEST_F(RelayReplacementTest, ASilentPartOfAPathIsNotTakenForCrashed)
+{
+  // Guards against a quarantine of requests whose replicas were only silent.
+  PeerSocket peer;
+  this->world.onQuery = [this](const Address& aReplica, const auto& aDone) {
+    aDone(this->reportOf(aReplica));
+  };
+  this->world.setPeers({ peer.address() });
+  this->startHalves();
+  this->openRequest("/stream/x", "X-Tokens: 5,50\r\nX-Parts: aa:5,bb:5\r\n");
+  PeerStatus status;
+  status.incarnation = 1;
+  status.zone = "a";
+  status.unreachable = { "two" };
+  for (int i = 0; i < 48; ++i) {
+    ++status.sentAt;
+    peer.send(this->world.loop->peersAddress(), status);
+    this->world.advance(kRound);
+  }
+  EXPECT_EQ(this->world.counter("requests_at_ended_replicas_total"), 0U);
+}
+
 TEST_F(RelayReplacementTest, APlainRequestOutlivesAnUnansweredOutageProbe)
 {
   // Guards against 502 for a request whose replica only gave no report.
