Reject lengths without content in what relays hand each other at a start

What callers saw: nothing yet.

Without a sanitizer the allocator refuses that size and the message is rejected; a smaller claim is granted. The codec of frames and the datagrams of relays had the limits already, each in a copy of its own.

Change: all three unpack through unpackBounded, which bounds lengths by the bytes that are there, and the nesting.

--- a/include/poplartrack/wire/Codec.h
+++ b/include/poplartrack/wire/Codec.h
@@ -8,6 +8,7 @@
 #include <msgpack.hpp>
 
 #include "poplartrack/base/Result.h"
+#include "poplartrack/wire/BoundedUnpack.h"
 #include "poplartrack/wire/MessageKind.h"
 
 namespace poplartrack {
@@ -54,15 +55,9 @@
     return fail(ErrorKind::Malformed, "another kind of message was expected");
   }
   const std::string_view body = aFrame.substr(kFrameHeaderBytes);
-  // A few bytes can claim a huge array, for which the library would reserve
-  // memory before it reads on. An element takes at least one byte, so no valid
-  // array, map or string is longer than the body.
-  const std::size_t most = body.size();
-  constexpr std::size_t kMaxDepth = 16;
-  const msgpack::unpack_limit limits{ most, most, most, most, most, kMaxDepth };
   try {
-    const msgpack::object_handle handle =
-      msgpack::unpack(body.data(), body.size(), nullptr, nullptr, limits);
+    std::size_t at = 0;
+    const msgpack::object_handle handle = unpackBounded(body, at);
     return handle.get().template as<Message>();
   } catch (const std::exception& problem) {
     return fail(ErrorKind::Malformed, problem.what());
--- a/src/relay/PeerDatagram.cpp
+++ b/src/relay/PeerDatagram.cpp
@@ -7,13 +7,11 @@
 
 #include <msgpack.hpp>
 
+#include "poplartrack/wire/BoundedUnpack.h"
+
 namespace poplartrack {
 namespace {
 
-/** Deepest nesting of a datagram: section, rows, row, status, list, entry,
- * fingerprint. */
-constexpr std::size_t kMaxDepth = 16;
-
 /** Returns the format version of a datagram, its first field; 0 if there is
  * none. */
 std::uint32_t
@@ -24,22 +22,6 @@
   return hasFormat ? aDatagram.via.array.ptr[0].as<std::uint32_t>() : 0;
 }
 
-/** Unpacks the object that begins at this position and moves the position
- * behind it. */
-msgpack::object_handle
-unpackNext(std::string_view aBytes, std::size_t& aAt)
-{
-  // A length that is larger than the datagram is rejected before memory is
-  // allocated for it.
-  const std::size_t most = aBytes.size();
-  return msgpack::unpack(aBytes.data(),
-                         aBytes.size(),
-                         aAt,
-                         nullptr,
-                         nullptr,
-                         { most, most, most, most, most, kMaxDepth });
-}
-
 template<typename Row>
 void
 cutTo(std::vector<Row>& aRows, std::size_t aMost)
@@ -65,16 +47,16 @@
 parse(std::string_view aBytes)
 {
   std::size_t at = 0;
-  const msgpack::object_handle first = unpackNext(aBytes, at);
+  const msgpack::object_handle first = unpackBounded(aBytes, at);
   if (formatOf(first.get()) == kListUpdateFormat) {
     return first.get().as<ReplicaListUpdate>();
   }
   PeerMessage message;
   first.get().convert(message.status);
   boundRows(message.status);
-  unpackNext(aBytes, at).get().convert(message.echo);
+  unpackBounded(aBytes, at).get().convert(message.echo);
   if (at < aBytes.size()) {
-    unpackNext(aBytes, at).get().convert(message.forward);
+    unpackBounded(aBytes, at).get().convert(message.forward);
   }
   return message;
 }
--- a/src/relay/SnapshotMessage.cpp
+++ b/src/relay/SnapshotMessage.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "poplartrack/wire/BoundedUnpack.h"
+
 namespace poplartrack {
 namespace {
 
@@ -73,8 +75,7 @@
   SnapshotMessage message;
   try {
     std::size_t at = 0;
-    const msgpack::object_handle object =
-      msgpack::unpack(aBytes.data(), aBytes.size(), at);
+    const msgpack::object_handle object = unpackBounded(aBytes, at);
     if (at != aBytes.size()) {
       return fail(ErrorKind::Malformed, "bytes after the snapshot");
     }
