Keep a replaced attempt until the next one is accepted

What callers saw: a stream whose replica was silent got another attempt at a replica that was full, and refused it.

An attempt was given up on a suspicion when the connection of the next one was established, which does not show that the other replica takes the request.

Change: the first attempt is set aside, connected, when the next one is sent. It ends when the answer of the next one begins, or when that was not refused for 150 ms. If the next one is refused, breaks off or fails, or an event of the first comes before, the first is the current one again. What belongs to one attempt is in a struct of its own, so that it is kept and restored as a whole; what decides on replacements has a file of its own.

Weighed: to keep both until one brings an event. The other replicas of the first path would keep its memory for a whole prefill, when replicas are short.

--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -7,16 +7,16 @@
 #include <string>
 #include <vector>
 
-#include "AttemptDoubt.h"
+#include "Attempt.h"
 #include "MessageParser.h"
 #include "NextAttempt.h"
+#include "ReplacedAttempt.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/fleet/EventTimes.h"
 #include "poplartrack/fleet/LayerPath.h"
 #include "poplartrack/fleet/PaceForecast.h"
 #include "poplartrack/fleet/RelayConfig.h"
 #include "poplartrack/fleet/ReturnSchedule.h"
-#include "poplartrack/relay/EventSplitter.h"
 #include "poplartrack/retry/Fingerprint.h"
 #include "poplartrack/retry/RetryPriority.h"
 
@@ -43,8 +43,9 @@
 };
 
 /** A request of a caller, from its last received byte to the end of its
- * answer. It may take several attempts at replicas. */
-struct Exchange
+ * answer. It may take several attempts at replicas; the current one is its
+ * base. */
+struct Exchange : Attempt
 {
   std::uint64_t id = 0;
   /** Id of the CallerConnection. */
@@ -74,12 +75,6 @@
   TimePoint giveUpAt{};
   TokenNeed need;
 
-  /** Id of the connection of the current attempt; 0 if none. */
-  std::uint64_t connection = 0;
-  /** Id of the replica that the current attempt was sent to. */
-  std::string replica;
-  /** Replicas that run the current attempt; empty for plain services. */
-  LayerPath path;
   /** Tokens for which the load tracker reserves memory along the path. */
   double reservedTokens = 0;
   /** The current attempt is counted in the load of its replicas. */
@@ -100,19 +95,12 @@
   int sends = 0;
   /** Replicas that refused this request or failed under it. */
   std::set<std::string> avoid;
-  /** Why the current attempt is taken to make no progress; nothing while it
-   * does. Another attempt takes its place if one can begin. */
-  std::optional<AttemptDoubt> doubt;
   /** The attempt that is to take the place of the current one, while its
    * connection is being established. */
   std::optional<NextAttempt> next;
-  /** When the current attempt was decided. */
-  TimePoint sentAt{};
-  /** When its connection was ready for the request; sentAt for a connection
-   * that was kept open. */
-  TimePoint connectedAt{};
-  /** When the first event of the current attempt was received. */
-  std::optional<TimePoint> runningSince;
+  /** The attempt whose place the current one has taken, until that one is
+   * accepted. */
+  std::optional<ReplacedAttempt> replaced;
   /** The next attempt is a retry that is not charged to the retry budget yet.
    */
   bool needsRetryBudget = false;
@@ -146,22 +134,15 @@
   /** The booking of that return, if there is one. */
   std::optional<ReturnBooking> booking;
 
-  /** Rate limit of the replica of the current attempt, in requests a second
-   * from all relays together, as its answer reports it. */
-  std::optional<double> reportedLimit;
-
   /** The head of the answer has been sent to the caller. */
   bool answering = false;
   /** The answer is an event stream. */
   bool streaming = false;
-  EventSplitter splitter;
   /** Id of the last event that the caller has, from this stream or, for a
    * resumed one, as the request says. */
   std::optional<std::uint64_t> lastEvent;
   /** Number of events sent to the caller. */
   std::uint32_t events = 0;
-  /** Number of new events of the current attempt that bring anything. */
-  std::uint32_t attemptEvents = 0;
   /** Number of earlier attempts that went on after an event and then ended in
    * the regular way without a further one. */
   std::uint32_t emptyEnds = 0;
@@ -171,12 +152,6 @@
   /** An event without an id was sent to the caller. A further attempt could not
    * be told to go on after it. */
   bool hasUnnumberedEvent = false;
-  /** When the attempt was sent, moved to another path or last sent an event. */
-  TimePoint lastProgress{};
-  /** How long the iteration of the loop that sent the attempt, or its last
-   * event, had been busy before. lastProgress is the start of that iteration.
-   */
-  Duration progressDelay{ 0 };
   /** When the events sent to the caller arrived. */
   EventTimes eventTimes;
   /** StreamProgress::lastEvent when it was last late and led to a check for
@@ -184,16 +159,8 @@
   TimePoint checkedFor{};
   /** A replica of its path was lost since the last event. */
   bool disturbedByLoss = false;
-  /** No progress for longer than the stall timeout; the cause is being looked
-   * for, or a move to another path has been ordered. */
-  bool overdue = false;
-  /** When the overdue request was last handled; see onStallTimeout. */
-  TimePoint overdueHandledAt{};
   /** Number of orders to move the request to another path. */
   std::uint32_t repairs = 0;
-  /** When the last move to another path was ordered; reset by the next
-   * event. */
-  std::optional<TimePoint> repairedAt;
   /** When the last move off a draining replica was tried. */
   TimePoint moveTriedAt{};
   /** Time from arrival to the first event. */
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -63,6 +63,11 @@
     this->onAttemptFailed(aExchange, ReplicaFailure::Faulty, "no stamp");
     return;
   }
+  if (!isSuccess(head.status) && aExchange.replaced) {
+    this->onAttemptFailed(aExchange, ReplicaFailure::Faulty, "failed");
+    return;
+  }
+  this->dropReplaced(aExchange);
   if (isSuccess(head.status) && aExchange.route->rule == RetryRule::Stream &&
       aExchange.head.method != "HEAD") {
     aExchange.streaming = true;
--- a/src/relay/RelayAttempts.cpp
+++ b/src/relay/RelayAttempts.cpp
@@ -30,12 +30,12 @@
   return found != this->connections.end() && found->second->anySent;
 }
 
-/** Logs that the current attempt ends before its answer does. unwritten: bytes
- * of the request that the socket has not accepted. */
+/** Logs that an attempt ends before its answer does. unwritten: bytes of the
+ * request that the socket has not accepted. */
 void
-RelayLoop::Impl::logDropped(const Exchange& aExchange)
+RelayLoop::Impl::logDropped(const Exchange& aExchange, const Attempt& aAttempt)
 {
-  const auto found = this->connections.find(aExchange.connection);
+  const auto found = this->connections.find(aAttempt.connection);
   if (found == this->connections.end()) {
     return;
   }
@@ -44,14 +44,14 @@
   this->shared.log.write(
     LogLine{ LogPart::Path, "dropped" }
       .with("id", aExchange.requestId)
-      .with("replica", aExchange.replica)
+      .with("replica", aAttempt.replica)
       .with("sends", aExchange.sends)
       .with("connecting",
             connection.state == ReplicaConnection::State::Connecting ? 1 : 0)
       .with("unwritten",
             static_cast<std::int64_t>(connection.output.size() +
                                       connection.bodyLeft))
-      .with("there_ms", (this->now - aExchange.sentAt).count() / kMicrosPerMs)
+      .with("there_ms", (this->now - aAttempt.sentAt).count() / kMicrosPerMs)
       .with("read_delay_ms", this->readDelay.count() / kMicrosPerMs));
 }
 
@@ -61,10 +61,18 @@
 RelayLoop::Impl::dropAttempt(Exchange& aExchange, bool aMayHaveRun)
 {
   if (aExchange.connection != 0) {
-    this->logDropped(aExchange);
+    this->logDropped(aExchange, aExchange);
     this->abortReplica(aExchange.connection);
     aExchange.connection = 0;
   }
+  this->endAttempt(aExchange, aMayHaveRun);
+}
+
+/** Updates the request after an attempt that has no connection any more, or
+ * keeps it as the replaced one. */
+void
+RelayLoop::Impl::endAttempt(Exchange& aExchange, bool aMayHaveRun)
+{
   this->removeLoad(aExchange);
   if (aMayHaveRun) {
     ++aExchange.runs;
@@ -126,6 +134,9 @@
   }
   aExchange.avoid.insert(faulty);
   this->dropAttempt(aExchange, false);
+  if (this->returnToReplaced(aExchange, "replica refused")) {
+    return;
+  }
   // A started stream first waits for the retry budget and for a path.
   if (maySendAgain(aExchange)) {
     this->shared.metrics.countRetry(RetryReason::ReplicaRefused);
@@ -185,6 +196,9 @@
     this->publishLostReplicas();
     this->confirmCrashes();
   }
+  if (this->returnToReplaced(aExchange, aCause)) {
+    return;
+  }
   if (triesAgain) {
     this->shared.metrics.countRetry(aExchange.answering
                                       ? RetryReason::StreamBroken
@@ -201,198 +215,4 @@
                aExchange.runs == 0);
 }
 
-/**
- * Handles an attempt that seems to make no progress, by the silence of a
- * replica or because a replica of its path is lost or drains. Silence does not
- * show that work is lost: a sound replica may pause for a second and go on. So
- * the connection stays open until another attempt begins, and the attempt goes
- * on if none can: it was the last one, the retry budget is used up, or no path
- * is free. aExchange is destroyed if its time is up or its caller has left.
- */
-void
-RelayLoop::Impl::onAttemptDoubtful(Exchange& aExchange,
-                                   ReplicaFailure aFailure,
-                                   std::string_view aCause)
-{
-  const bool replicaLost = aFailure == ReplicaFailure::Unreachable;
-  const bool planned =
-    !replicaLost && this->drainState.since.contains(aExchange.replica);
-  if (aExchange.next || (!planned && this->hasUnreadAnswer(aExchange))) {
-    return;
-  }
-  const bool triesAgain = this->mayTryAgain(aExchange);
-  if (!aExchange.doubt) {
-    aExchange.doubt = AttemptDoubt{ .cause = aCause,
-                                    .replicaLost = replicaLost,
-                                    .since = this->now };
-    aExchange.disturbedByLoss = aExchange.disturbedByLoss || !planned;
-    if (!replicaLost) {
-      this->health.onFailure(aExchange.replica, aFailure, this->now);
-    }
-    this->shared.metrics.count("attempts_doubted_total");
-    this->shared.log.write(LogLine{ LogPart::Path, "attempt_doubted" }
-                             .with("id", aExchange.requestId)
-                             .with("replica", aExchange.replica)
-                             .with("cause", aCause)
-                             .with("may_move", triesAgain ? 1 : 0)
-                             .with("events", aExchange.events)
-                             .with("late_ms", this->lateMs(aExchange)));
-  }
-  if (!triesAgain) {
-    this->keepAttempt(aExchange);
-    return;
-  }
-  aExchange.avoid.insert(aExchange.replica);
-  aExchange.needsRetryBudget = true;
-  this->dispatch(aExchange);
-}
-
-/** Returns whether bytes of the current attempt's answer have arrived that were
- * not read yet: this relay is behind, and the replica is not silent. */
-bool
-RelayLoop::Impl::hasUnreadAnswer(const Exchange& aExchange) const
-{
-  const auto found = this->connections.find(aExchange.connection);
-  return found != this->connections.end() &&
-         found->second->state == ReplicaConnection::State::Busy &&
-         (found->second->pause != ReadPause::None ||
-          hasUnread(found->second->fd.get()));
-}
-
-/** Begins the attempt whose connection is established now, unless the one that
- * it replaces has gone on meanwhile or it may no longer be sent. */
-void
-RelayLoop::Impl::onNextConnected(Exchange& aExchange,
-                                 ReplicaConnection& aConnection)
-{
-  const AttemptTarget target = aExchange.next->target;
-  const bool maySend = this->isConfigFresh(aExchange) &&
-                       !this->targetTakesNoWork(target.replica, target.path);
-  if (!maySend || this->hasUnreadAnswer(aExchange)) {
-    this->dropNext(aExchange);
-    return;
-  }
-  aConnection.state = ReplicaConnection::State::Busy;
-  this->beginAttempt(aExchange, aConnection, target);
-}
-
-/** Handles a replica that does not accept the connection of the next attempt.
- * The current one goes on. */
-void
-RelayLoop::Impl::onNextUnreachable(Exchange& aExchange)
-{
-  const std::string replica = aExchange.next->target.replica;
-  this->dropNext(aExchange);
-  this->health.onFailure(replica, ReplicaFailure::Unreachable, this->now);
-  this->publishLostReplicas();
-}
-
-/** Gives up the attempt whose connection is being established. */
-void
-RelayLoop::Impl::dropNext(Exchange& aExchange)
-{
-  if (aExchange.next) {
-    const std::uint64_t connection = aExchange.next->connection;
-    aExchange.next.reset();
-    this->closeReplica(connection);
-  }
-}
-
-/** Chooses the target of an attempt that takes the place of the current one,
- * whose own memory counts as free. */
-Result<AttemptTarget>
-RelayLoop::Impl::chooseReplacement(Exchange& aExchange)
-{
-  const LayerPath kept = this->cachedParts(aExchange);
-  this->removeLoad(aExchange);
-  Result<AttemptTarget> target = this->chooseQueued(aExchange);
-  this->addLoad(aExchange, &kept);
-  return target;
-}
-
-/** Stops looking for another attempt. */
-void
-RelayLoop::Impl::stopSearch(Exchange& aExchange)
-{
-  this->waiting.remove(aExchange.id);
-  this->uncountWaiting(aExchange);
-  aExchange.needsRetryBudget = false;
-  aExchange.waitingSince.reset();
-}
-
-/** Lets the current attempt go on. While it makes no progress, its timer begins
- * the search for another one again. */
-void
-RelayLoop::Impl::keepAttempt(Exchange& aExchange)
-{
-  this->stopSearch(aExchange);
-  this->armExchange(aExchange);
-}
-
-/** Ends the current attempt, if there is one, since another one begins. */
-void
-RelayLoop::Impl::dropReplacedAttempt(Exchange& aExchange)
-{
-  if (aExchange.connection == 0) {
-    return;
-  }
-  const AttemptDoubt doubt = aExchange.doubt.value_or(AttemptDoubt{});
-  if (doubt.replicaLost) {
-    this->recordPossibleCrash(aExchange, ConnectionEnd::Silent);
-  }
-  this->shared.metrics.countRetry(aExchange.answering
-                                    ? RetryReason::StreamBroken
-                                    : RetryReason::ReplicaFailed);
-  constexpr std::int64_t kMicrosPerMs = 1000;
-  this->shared.log.write(
-    LogLine{ LogPart::Path, "attempt_replaced" }
-      .with("id", aExchange.requestId)
-      .with("replica", aExchange.replica)
-      .with("cause", doubt.cause)
-      .with("doubted_ms", (this->now - doubt.since).count() / kMicrosPerMs));
-  this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
-}
-
-/** Ends the doubt in an attempt that goes on. */
-void
-RelayLoop::Impl::endDoubt(Exchange& aExchange)
-{
-  if (!aExchange.doubt) {
-    return;
-  }
-  constexpr std::int64_t kMicrosPerMs = 1000;
-  const Duration doubted = this->now - aExchange.doubt->since;
-  this->shared.log.write(LogLine{ LogPart::Path, "attempt_goes_on" }
-                           .with("id", aExchange.requestId)
-                           .with("replica", aExchange.replica)
-                           .with("cause", aExchange.doubt->cause)
-                           .with("doubted_ms", doubted.count() / kMicrosPerMs));
-  aExchange.doubt.reset();
-  this->dropNext(aExchange);
-  this->keepAttempt(aExchange);
-}
-
-/** Records that bytes of the answer have arrived. An attempt that was doubted
- * goes on, and its replicas are alive unless the bytes may have been on their
- * way before they were taken for lost. */
-void
-RelayLoop::Impl::recordProgress(Exchange& aExchange)
-{
-  aExchange.lastProgress = this->now;
-  aExchange.progressDelay = this->clock() - this->now;
-  aExchange.overdue = false;
-  const TimePoint sentAfter = this->now - this->readDelay;
-  bool anyAlive = false;
-  for (const PathPart& part : aExchange.path.parts) {
-    anyAlive = this->health.onProgress(part.replica, sentAfter) || anyAlive;
-    if (!this->crashState.exited.empty()) {
-      this->crashState.exited.erase(part.replica);
-    }
-  }
-  this->endDoubt(aExchange);
-  if (anyAlive) {
-    this->publishLostReplicas();
-  }
-}
-
 } // namespace poplartrack
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -203,14 +203,14 @@
 }
 
 /** Makes the connection that of the current attempt, records its load and
- * writes the request. Ends the attempt that it replaces. */
+ * writes the request. The attempt that it replaces is set aside. */
 void
 RelayLoop::Impl::beginAttempt(Exchange& aExchange,
                               ReplicaConnection& aConnection,
                               const AttemptTarget& aTarget)
 {
   aExchange.next.reset();
-  this->dropReplacedAttempt(aExchange);
+  this->setAttemptAside(aExchange);
   aConnection.exchange = aExchange.id;
   aExchange.connection = aConnection.id;
   aExchange.replica = aTarget.replica;
@@ -299,6 +299,9 @@
   if (aExchange.next) {
     next = std::min(next, aExchange.next->since + kConnectTimeout);
   }
+  if (aExchange.replaced) {
+    next = std::min(next, aExchange.sentAt + kRefusalTime);
+  }
   if (aExchange.prefillRecorded) {
     next = std::min(next, aExchange.prefillEndsAt.value_or(next));
   }
@@ -348,6 +351,9 @@
   if (aExchange.next && this->now >= aExchange.next->since + kConnectTimeout) {
     this->onNextUnreachable(aExchange);
   }
+  if (aExchange.replaced && this->now >= aExchange.sentAt + kRefusalTime) {
+    this->dropReplaced(aExchange);
+  }
   if (connection->second->pause != ReadPause::None) {
     // Nothing is read, so nothing shows whether the replica makes progress.
     aExchange.lastProgress = this->now;
@@ -380,6 +386,7 @@
   }
   this->removeLoad(aExchange);
   this->dropNext(aExchange);
+  this->dropReplaced(aExchange);
   this->waiting.remove(aExchange.id);
   this->uncountWaiting(aExchange);
   this->timers.cancel(aExchange.id);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -239,14 +239,17 @@
 
   // RelayAttempts.cpp: the end of an attempt without an answer.
   [[nodiscard]] bool mayHaveRun(const Exchange& aExchange) const;
-  void logDropped(const Exchange& aExchange);
+  void logDropped(const Exchange& aExchange, const Attempt& aAttempt);
   void dropAttempt(Exchange& aExchange, bool aMayHaveRun);
+  void endAttempt(Exchange& aExchange, bool aMayHaveRun);
   [[nodiscard]] const Replica* faultyReplica(const MessageHead& aHead) const;
   void onNotExecuted(Exchange& aExchange, const MessageHead& aHead);
   [[nodiscard]] bool mayTryAgain(const Exchange& aExchange) const;
   void onAttemptFailed(Exchange& aExchange,
                        ReplicaFailure aFailure,
                        std::string_view aCause);
+
+  // RelayReplacement.cpp: when a running attempt gives way to another one.
   void onAttemptDoubtful(Exchange& aExchange,
                          ReplicaFailure aFailure,
                          std::string_view aCause);
@@ -258,7 +261,14 @@
   void stopSearch(Exchange& aExchange);
   void keepAttempt(Exchange& aExchange);
   void endDoubt(Exchange& aExchange);
-  void dropReplacedAttempt(Exchange& aExchange);
+  void setAttemptAside(Exchange& aExchange);
+  [[nodiscard]] static bool isReplaced(const Exchange& aExchange,
+                                       std::uint64_t aConnection);
+  bool returnToReplaced(Exchange& aExchange, std::string_view aCause);
+  void restoreReplaced(Exchange& aExchange, std::string_view aCause);
+  bool goOnWithReplaced(Exchange& aExchange,
+                        const ReplicaConnection& aConnection);
+  void dropReplaced(Exchange& aExchange);
   void recordProgress(Exchange& aExchange);
 
   // RelayWaiting.cpp: requests that wait for a path.
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -89,13 +89,17 @@
     this->onReplicaDisconnected(id, false, "unreadable");
     return false;
   }
-  if (parser.is_header_done() && !aConnection.headHandled) {
-    if (isInterim(parser.head().status)) {
-      return this->skipInterim(exchange, aConnection);
-    }
-    if (!this->handleHead(exchange, aConnection)) {
-      return false;
-    }
+  const bool hasNewHead = parser.is_header_done() && !aConnection.headHandled;
+  if (hasNewHead && isInterim(parser.head().status)) {
+    return this->skipInterim(exchange, aConnection);
+  }
+  if (isReplaced(exchange, id) &&
+      (!parser.is_header_done() ||
+       !this->goOnWithReplaced(exchange, aConnection))) {
+    return false;
+  }
+  if (hasNewHead && !this->handleHead(exchange, aConnection)) {
+    return false;
   }
   if (!aConnection.discardingAnswer && parser.unreadBytes() > 0) {
     this->onAnswerBody(exchange, aConnection);
@@ -202,6 +206,10 @@
     this->onNextUnreachable(*exchange->second);
     return;
   }
+  if (isReplaced(*exchange->second, aConnection)) {
+    this->dropReplaced(*exchange->second);
+    return;
+  }
   ResponseParser& parser = *connection.parser;
   const bool endsAtClose = aClean && connection.headHandled &&
                            !connection.discardingAnswer && parser.need_eof() &&
--- /dev/null
+++ b/src/relay/ReplacedAttempt.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Attempt.h"
+#include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/LayerPath.h"
+
+namespace poplartrack {
+
+/** An attempt whose place another one has taken. It goes on until that one is
+ * accepted, and becomes the current one again if that one is refused. */
+struct ReplacedAttempt
+{
+  Attempt attempt;
+  /** The parts of its path that had read the prompt. */
+  LayerPath cached;
+  /** Exchange::hasLostPartialEvent before it was replaced. */
+  bool hadLostPartialEvent = false;
+};
+
+/** A replica that is full says so within this time, even behind the queue of a
+ * busy loop. One that has not refused an attempt by then has accepted it. */
+constexpr Duration kRefusalTime = std::chrono::milliseconds{ 150 };
+
+} // namespace poplartrack
