Log new connections that are closed unread

What operators saw: nothing. A relay whose loop is busy closes new connections before it reads from them, and only a counter said so.

Change: one line a second, turned_away, with the number of such connections and the load of the loop.

--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -86,6 +86,7 @@
     if (this->loopLoad.turnsAway()) {
       // It is closed unread; its caller opens another one elsewhere.
       this->shared.metrics.count("callers_turned_away_total");
+      ++this->turnedAway;
       continue;
     }
     this->addCaller(std::move(fd));
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -109,6 +109,7 @@
 
   // RelayPeriodic.cpp: periodic tasks.
   void runPeriodicTasks();
+  void logTurnedAway();
   void refreshReplicas();
 
   // RelayPublication.cpp: lost and busy replicas, for other threads.
@@ -571,6 +572,8 @@
   Address localPeers;
   TimerQueue timers;
   LoopLoad loopLoad;
+  /** New connections closed unread since that was logged. */
+  std::uint32_t turnedAway = 0;
   /** Next id of a connection or exchange. Ids are also the keys of their timers
    * and of their sockets in the poller. */
   std::uint64_t nextId;
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "RelayLoopImpl.h"
 
@@ -67,6 +68,22 @@
   this->confirmCrashes();
 }
 
+/** Logs how many new connections were closed unread since the last time. */
+void
+RelayLoop::Impl::logTurnedAway()
+{
+  const std::uint32_t count = std::exchange(this->turnedAway, 0);
+  if (count == 0) {
+    return;
+  }
+  constexpr double kMilli = 1000;
+  this->shared.log.write(
+    LogLine{ LogPart::Request, "turned_away" }
+      .with("channels", static_cast<std::int64_t>(count))
+      .with("load_milli",
+            static_cast<std::int64_t>(this->loopLoad.value() * kMilli)));
+}
+
 /** Expires old state, publishes what other threads need, checks slow and
  * draining replicas, sends the status message and closes expired idle
  * connections. Sets the metrics once a second. */
@@ -120,6 +137,7 @@
   this->shared.log.flush();
   if (this->periodicRuns++ % kRunsPerSecond == 0) {
     this->logTraffic();
+    this->logTurnedAway();
     Metrics& metrics = this->shared.metrics;
     metrics.set("callers_open",
                 static_cast<std::int64_t>(this->callers.size()));
