Log each connection of a caller that the relay closes by its own decision

Change: channel_closed is written for idle connections too, with the time since the last answer. Tests read the log through RelayWorld, in place of two copies.

AnIdleConnectionIsClosedAtItsLimit asks for the line.

--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -416,8 +416,8 @@
   return count <= 0 && !waits;
 }
 
-/** Closes the connection of a caller. Logs it if a request or an answer is lost
- * to the caller with it. */
+/** Closes the connection of a caller. Logs it if that was this relay's
+ * decision, or if a request or an answer is lost to the caller with it. */
 void
 RelayLoop::Impl::closeCaller(std::uint64_t aId, CallerClose aCause)
 {
@@ -427,14 +427,16 @@
     return;
   }
   const CallerConnection& caller = *found->second;
-  const bool loses = aCause == CallerClose::Cut ||
-                     (aCause != CallerClose::Left &&
-                      (caller.receivingRequest || !caller.output.empty()));
-  if (loses) {
+  const bool isExpected = aCause == CallerClose::Left ||
+                          (aCause == CallerClose::Answered &&
+                           !caller.receivingRequest && caller.output.empty());
+  if (!isExpected) {
+    constexpr std::int64_t kMicrosPerMs = 1000;
     this->shared.log.write(
       LogLine{ LogPart::Request, "channel_closed" }
         .with("channel", static_cast<std::int64_t>(aId))
         .with("cause", nameOf(aCause))
+        .with("idle_ms", (this->now - caller.stateSince).count() / kMicrosPerMs)
         .with("receiving", caller.receivingRequest ? 1 : 0)
         .with("unwritten", static_cast<std::int64_t>(caller.output.size())));
   }
--- a/tests/unit/relay/LoopLoadTest.cpp
+++ b/tests/unit/relay/LoopLoadTest.cpp
@@ -132,10 +132,7 @@
 
 TEST(LoopLoad, ARelayWithoutTimeClosesNewConnectionsUnread)
 {
-  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> log{ std::tmpfile(),
-                                                             std::fclose };
   RelayWorld world;
-  ::dup2(::fileno(log.get()), world.logFd);
   RawListener listener;
   // On a busy machine, the relay would lose real time while it waits, and take
   // that for idle time.
@@ -158,12 +155,7 @@
   RawSocket turnedAway = world.sendRequest("/again/x", "id-1", "", "content");
   EXPECT_EQ(turnedAway.readToEnd(), "");
   // The log says so once a second.
-  EXPECT_TRUE(waitFor([&] {
-    std::string text(std::size_t{ 16 } * 1024, ' ');
-    static_cast<void>(
-      ::pread(::fileno(log.get()), text.data(), text.size(), 0));
-    return text.find("request: event=turned_away") != std::string::npos;
-  }));
+  EXPECT_TRUE(world.awaitLog("request: event=turned_away"));
   busy = false;
   std::string answer;
   waitFor([&] {
--- a/tests/unit/relay/RelayAccountsTest.cpp
+++ b/tests/unit/relay/RelayAccountsTest.cpp
@@ -1,7 +1,6 @@
 // Shares of client accounts in a model service that is short of capacity.
 
 #include <algorithm>
-#include <cstdio>
 
 #include "PeerSocket.h"
 #include "RelayWorld.h"
@@ -40,19 +39,13 @@
     routes.push_back(patient);
     this->world.addReplica("one", "model", this->replica.address());
     this->world.replicas.at("one").slots = kSlots;
-    ::dup2(::fileno(this->log), this->world.logFd);
   }
 
-  ~RelayAccounts() override { static_cast<void>(std::fclose(this->log)); }
-
   /** Stops the relay and returns its log. */
   std::string readLog()
   {
     this->world.loop.reset();
-    std::string text(std::size_t{ 16 } * 1024, ' ');
-    static_cast<void>(
-      ::pread(::fileno(this->log), text.data(), text.size(), 0));
-    return text;
+    return this->world.logText();
   }
   /** Sends requests of shop that take all slots. */
   void fillSlots()
@@ -75,7 +68,6 @@
     this->callers.back().send(text);
   }
 
-  std::FILE* log = std::tmpfile();
   RelayWorld world;
   RawListener replica;
   std::vector<RawSocket> callers;
--- a/tests/unit/relay/RelayCallerTest.cpp
+++ b/tests/unit/relay/RelayCallerTest.cpp
@@ -157,6 +157,8 @@
 {
 protected:
   static constexpr Duration kIdleTimeout = std::chrono::seconds{ 5 };
+  /** Longer than the log waits until it is written. */
+  static constexpr Duration kFlushInterval = std::chrono::seconds{ 1 };
 
   /** Starts the relay with a limit on idle connections. */
   void startWithIdleTimeout()
@@ -259,6 +261,9 @@
   expectAnswer(kept);
   this->world.advance(2 * kIdleTimeout);
   EXPECT_EQ(kept.readToEnd(), "");
+  this->world.advance(kFlushInterval);
+  EXPECT_TRUE(has(this->world.logText(), "event=channel_closed"));
+  EXPECT_TRUE(has(this->world.logText(), "cause=idle"));
 }
 
 TEST_F(RelayCallerTest, ARequestThatIsOpenWhenTheProcessEndsIsAnswered)
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <chrono>
+#include <cstdio>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -35,7 +35,7 @@
 {
 public:
   RelayWorld()
-    : logFd(::open("/dev/null", O_WRONLY))
+    : logFd(newLogFile())
     , shared(logFd)
   {
     this->config = std::make_shared<RelayConfig>();
@@ -144,6 +144,20 @@
     }
     return false;
   }
+  /** Returns the beginning of what the relay has written to its log. */
+  [[nodiscard]] std::string logText() const
+  {
+    std::string text(std::size_t{ 64 } * 1024, ' ');
+    const ssize_t size = ::pread(this->logFd, text.data(), text.size(), 0);
+    text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return text;
+  }
+  /** Waits until the log has this text. */
+  [[nodiscard]] bool awaitLog(const std::string& aText) const
+  {
+    return waitFor(
+      [&] { return this->logText().find(aText) != std::string::npos; });
+  }
   /** Waits until the relay has this many open requests. */
   [[nodiscard]] bool awaitOpen(std::size_t aRequests) const
   {
@@ -306,6 +320,14 @@
   std::unique_ptr<RelayLoop> loop;
 
 private:
+  /** Returns a descriptor of a new file that ends with the descriptor. */
+  static int newLogFile()
+  {
+    std::FILE* file = std::tmpfile();
+    const int fd = ::dup(::fileno(file));
+    static_cast<void>(std::fclose(file));
+    return fd;
+  }
   static EngineProfile profile()
   {
     EngineProfile profile;
