Count a partial event only at the connection that it came from

What callers saw: a relay could end by a segmentation fault, and all its requests with it.

Cause: a stream holds more than 16 KB of an incomplete event, its replica falls silent, and the next attempt's connection is being established. That connection has no parser yet, but the partial event was counted for it too, so it was looked at as an unfinished answer.

Change: the event counts at the connection of the current attempt only.

--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -90,9 +90,10 @@
 RelayLoop::Impl::unfinishedBytes(const ReplicaConnection& aConnection) const
 {
   const auto exchange = this->exchanges.find(aConnection.exchange);
-  const std::size_t event = exchange == this->exchanges.end()
-                              ? 0
-                              : exchange->second->splitter.partialBytes();
+  const bool isCurrent = exchange != this->exchanges.end() &&
+                         exchange->second->connection == aConnection.id;
+  const std::size_t event =
+    isCurrent ? exchange->second->splitter.partialBytes() : 0;
   return event + (aConnection.parser ? aConnection.parser->unreadBytes() : 0);
 }
 
