Set the timer of a request whose replacement is on its way

What callers saw: no answer at the deadline, if two connections in turn were neither accepted nor refused, as when a zone is lost.

Cause: a connect timeout of the current attempt found that the next one was being connected already and returned; the timer had expired, and none was set.

--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -27,6 +27,7 @@
     !replicaLost && this->drainState.since.contains(aExchange.replica);
   if (aExchange.next || aExchange.replaced ||
       (!planned && this->hasUnreadAnswer(aExchange))) {
+    this->armExchange(aExchange);
     return;
   }
   const bool triesAgain = this->mayTryAgain(aExchange);
--- a/tests/unit/relay/RelayReplacedAttemptTest.cpp
+++ b/tests/unit/relay/RelayReplacedAttemptTest.cpp
@@ -103,5 +103,27 @@
   EXPECT_TRUE(has(this->caller->readUntil("0\r\n\r\n"), "id: 2"));
 }
 
+TEST_F(RelayReplacedAttemptTest, ADeadlineIsKeptWhileTwoConnectionsHang)
+{
+  // Guards against a request that no timer wakes.
+  const FullListener second;
+  const FullListener third;
+  for (RelayRoute& route : this->world.config->routes["shop.example"]) {
+    route.timeout = std::chrono::seconds{ 3 };
+  }
+  this->startWith("plain", { "one" });
+  this->openRequest("/again/x");
+  this->world.addReplica("two", "plain", second.address());
+  this->world.addReplica("three", "plain", third.address());
+  this->world.publishReplicas(2);
+  this->world.advance(std::chrono::milliseconds{ 300 });
+  this->replica->close();
+  this->world.settle();
+  this->passSilence();
+  this->passSilence();
+  this->passSilence();
+  EXPECT_EQ(this->world.loop->openRequests(), 0U);
+}
+
 } // namespace
 } // namespace poplartrack
