Let only progress of its own answer restore a replaced attempt

Cause: what arrives at the connection of a replaced attempt was taken for its progress or its end without a look at what it is.

Change: reading is resumed; a final error of the next attempt is forwarded unless part of a stream has been; bytes count as progress only with the request's id and stamp; the end of a body without a length counts as its end. A retry after a server error ends its attempt like any other.

--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -63,7 +63,9 @@
     this->onAttemptFailed(aExchange, ReplicaFailure::Faulty, "no stamp");
     return;
   }
-  if (!isSuccess(head.status) && aExchange.replaced) {
+  const bool isFailure = head.status >= kInternalError ||
+                         (aExchange.answering && !isSuccess(head.status));
+  if (isFailure && aExchange.replaced) {
     this->onAttemptFailed(aExchange, ReplicaFailure::Faulty, "failed");
     return;
   }
@@ -97,8 +99,7 @@
   this->shared.metrics.countRetry(RetryReason::ReplicaFailed);
   aExchange.avoid.insert(aExchange.replica);
   aExchange.connection = 0;
-  this->removeLoad(aExchange);
-  ++aExchange.runs;
+  this->endAttempt(aExchange, true);
   this->releaseReplica(aConnection);
   this->dispatch(aExchange);
   return true;
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -267,8 +267,12 @@
                                        std::uint64_t aConnection);
   bool returnToReplaced(Exchange& aExchange, std::string_view aCause);
   void restoreReplaced(Exchange& aExchange, std::string_view aCause);
-  bool goOnWithReplaced(Exchange& aExchange,
+  void goOnWithReplaced(Exchange& aExchange);
+  bool onReplacedAnswer(Exchange& aExchange,
                         const ReplicaConnection& aConnection);
+  bool onReplacedDisconnected(Exchange& aExchange,
+                              const ReplicaConnection& aConnection,
+                              bool aClean);
   void dropReplaced(Exchange& aExchange);
   void recordProgress(Exchange& aExchange);
 
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -212,6 +212,12 @@
   aExchange.hasLostPartialEvent = replaced.hadLostPartialEvent;
   --aExchange.runs;
   this->addLoad(aExchange, &replaced.cached);
+  const auto connection = this->connections.find(aExchange.connection);
+  if (connection != this->connections.end() &&
+      connection->second->pause == ReadPause::Caller) {
+    // Its caller may have caught up meanwhile. The next read pauses it if not.
+    this->resumeReading(*connection->second);
+  }
   this->shared.metrics.count("attempts_restored_total");
   this->shared.log.write(LogLine{ LogPart::Path, "attempt_restored" }
                            .with("id", aExchange.requestId)
@@ -220,20 +226,51 @@
                            .with("late_ms", this->lateMs(aExchange)));
 }
 
-/** Handles bytes of the replaced attempt's answer. If it has gone on, it is the
- * current one again, and the one that took its place ends. Returns whether it
- * is; else it has ended. */
+/** Makes the replaced attempt, which has gone on, the current one, and ends the
+ * one that took its place. */
+void
+RelayLoop::Impl::goOnWithReplaced(Exchange& aExchange)
+{
+  this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
+  this->restoreReplaced(aExchange, "goes on");
+  this->armExchange(aExchange);
+}
+
+/** Handles bytes of the replaced attempt's answer. Returns whether it has gone
+ * on and is the current one again. If they are no part of a successful answer,
+ * it ends. */
 bool
-RelayLoop::Impl::goOnWithReplaced(Exchange& aExchange,
+RelayLoop::Impl::onReplacedAnswer(Exchange& aExchange,
                                   const ReplicaConnection& aConnection)
 {
-  if (!isSuccess(aConnection.parser->head().status)) {
+  const MessageHead& head = aConnection.parser->head();
+  const auto echo = head.headers.find(this->names.requestId);
+  const bool isOwn = !echo || *echo == aExchange.requestId;
+  const bool isStamped = head.headers.find(this->names.stamp).has_value();
+  if (!isOwn || !isStamped || !isSuccess(head.status)) {
     this->dropReplaced(aExchange);
     return false;
   }
-  this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
-  this->restoreReplaced(aExchange, "goes on");
-  this->armExchange(aExchange);
+  this->goOnWithReplaced(aExchange);
+  return true;
+}
+
+/** Handles the end of the replaced attempt's connection. Returns whether that
+ * is the regular end of its answer, and it is the current one again. */
+bool
+RelayLoop::Impl::onReplacedDisconnected(Exchange& aExchange,
+                                        const ReplicaConnection& aConnection,
+                                        bool aClean)
+{
+  const Attempt& attempt = aExchange.replaced->attempt;
+  const bool isEnd =
+    aClean && aConnection.headHandled && aConnection.parser->need_eof() &&
+    attempt.attemptEvents > 0 && attempt.splitter.endsBetweenEvents();
+  if (!isEnd) {
+    this->dropReplaced(aExchange);
+    return false;
+  }
+  this->goOnWithReplaced(aExchange);
   return true;
 }
 
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -95,7 +95,7 @@
   }
   if (isReplaced(exchange, id) &&
       (!parser.is_header_done() ||
-       !this->goOnWithReplaced(exchange, aConnection))) {
+       !this->onReplacedAnswer(exchange, aConnection))) {
     return false;
   }
   if (hasNewHead && !this->handleHead(exchange, aConnection)) {
@@ -160,7 +160,11 @@
     return false;
   }
   if (const auto excess = this->excessIn(aExchange, aConnection)) {
-    this->onExcess(aExchange, *excess);
+    if (isReplaced(aExchange, aConnection.id)) {
+      this->dropReplaced(aExchange);
+    } else {
+      this->onExcess(aExchange, *excess);
+    }
     return false;
   }
   this->resetParser(aConnection);
@@ -206,8 +210,8 @@
     this->onNextUnreachable(*exchange->second);
     return;
   }
-  if (isReplaced(*exchange->second, aConnection)) {
-    this->dropReplaced(*exchange->second);
+  if (isReplaced(*exchange->second, aConnection) &&
+      !this->onReplacedDisconnected(*exchange->second, connection, aClean)) {
     return;
   }
   ResponseParser& parser = *connection.parser;
--- a/tests/unit/relay/RelayReplacedAttemptTest.cpp
+++ b/tests/unit/relay/RelayReplacedAttemptTest.cpp
@@ -88,6 +88,50 @@
   this->expectEnd();
 }
 
+TEST_F(RelayReplacedAttemptTest, AFinalErrorOfTheNextAttemptIsForwarded)
+{
+  // Guards against a timeout where a replica has rejected the request for good.
+  RawSocket next = this->openReplaced();
+  next.send(RelayWorld::answer("id-1", "no", "400 Bad Request", ""));
+  this->expectStatus("400 Bad Request");
+}
+
+TEST_F(RelayReplacedAttemptTest, AnAnswerToAnotherRequestIsNoProgress)
+{
+  // Guards against a running attempt that ends for a late answer elsewhere.
+  RawSocket next = this->openReplaced();
+  this->replica->send(RelayWorld::answer("id-0", "old"));
+  this->world.settle();
+  EXPECT_EQ(this->world.counter("attempts_restored_total"), 0U);
+  this->expectWholeFrom(next);
+}
+
+TEST_F(RelayReplacedAttemptTest, ManyInterimAnswersEndOnlyTheirAttempt)
+{
+  // Guards against a bound on one replica's answers that ends another's.
+  RawSocket next = this->openReplaced();
+  std::string interim;
+  for (int i = 0; i < 200; ++i) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  this->replica->send(interim);
+  this->world.settle();
+  this->expectWholeFrom(next);
+}
+
+TEST_F(RelayReplacedAttemptTest, AnAnswerThatEndsWithItsConnectionIsWhole)
+{
+  // Guards against a complete stream that is cut, for it had no length.
+  this->startTwo(this->two.address());
+  this->openRequest("/stream/x", "X-Tokens: 5,5\r\n");
+  this->replica->send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n\r\n" +
+                      RelayWorld::eventText(1));
+  this->caller->readUntil("id: 1");
+  RawSocket next = this->awaitNext();
+  this->replica->close();
+  EXPECT_TRUE(has(this->caller->readUntil("0\r\n\r\n"), "0\r\n\r\n"));
+}
+
 TEST_F(RelayReplacedAttemptTest, ALargePartOfAnEventBesideAHangingConnection)
 {
   // Guards against a relay that ends when it counts what it holds.
