--- a/tests/unit/relay/FullListener.h
+++ b/tests/unit/relay/FullListener.h
@@ -25,13 +25,13 @@
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof local;
     auto* raw = reinterpret_cast<sockaddr*>(&local);
-    ::bind(this->listener.get(), raw, size);
+    static_cast<void>(::bind(this->listener.get(), raw, size));
     ::listen(this->listener.get(), 0);
     ::getsockname(this->listener.get(), raw, &size);
     this->port = ntohs(local.sin_port);
     for (OwnedFd& caller : this->callers) {
       caller = OwnedFd{ ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0) };
-      ::connect(caller.get(), raw, size);
+      static_cast<void>(::connect(caller.get(), raw, size));
     }
   }
 
