Say that an attempt that is not refused in time is only taken as accepted

Cause: the comment of kRefusalTime stated that a full replica refuses within 150 ms, even behind the queue of a busy loop.

Change: the comment says what the constant does and that it is no proof. No code is changed.

--- a/src/relay/ReplacedAttempt.h
+++ b/src/relay/ReplacedAttempt.h
@@ -17,8 +17,8 @@
   bool hadLostPartialEvent = false;
 };
 
-/** A replica that is full says so within this time, even behind the queue of a
- * busy loop. One that has not refused an attempt by then has accepted it. */
+/** An attempt that was not refused within this time counts as accepted. That is
+ * no proof: its replica may still refuse it later, or break off. */
 constexpr Duration kRefusalTime = std::chrono::milliseconds{ 150 };
 
 } // namespace poplartrack
