Ask replicas that were silent whether they are alive again

Callers saw 503 "No live endpoints cover the model" with Retry-After 5, and streams cut 1.5 s after their second replica had ended, while the only other replica had answered again for half a second.

Cause: a replica that misses a status query is out of use for three heartbeats and 0.4 s. Only an event or a whole answer ends that earlier, no request is sent there meanwhile, and nothing asks it again: in the relay's test world it gets 0 queries in the 2 s after a silence. A started stream waits for a path for 1.5 s only. A suspicion acts as proof.

Change: each kind of evidence has one name (silence, refusal, restart, exit). A replica that a relay takes for lost is asked every 200 ms; the relays of a zone that take it for lost do so in turn, so it gets five queries a second from a zone however many relays the zone has. An answer to a query that was sent after the loss was noticed ends the mark at once. Other relays see it by the status message, which no longer reports the replica, and then ask once themselves, so that a relay that is cut off from the replica keeps its own mark. A missing answer prolongs the mark and does nothing else. A replica that other replicas cannot reach although it answers returns once, and then only by an event. Reports of blocked work that may be older than the replica's own answer do not name it again. Lines "lost" and "not_lost" say by what evidence, for how long, and what ended it.

--- a/include/poplartrack/fleet/LossReports.h
+++ b/include/poplartrack/fleet/LossReports.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "poplartrack/base/Clock.h"
 
@@ -24,6 +25,15 @@
   friend bool operator==(const LossReport&, const LossReport&) = default;
 };
 
+/** What a new report of a relay changes. */
+struct LossReportChange
+{
+  /** The report differs from the one before. */
+  bool differs = false;
+  /** Replicas that the relay took for lost before and no longer does. */
+  std::set<std::string> withdrawn;
+};
+
 /**
  * What the other relays report of replicas. A replica that only one relay
  * cannot reach may be healthy, and that relay may be the one that is cut off,
@@ -37,9 +47,11 @@
 class LossReports
 {
 public:
-  /** Stores a relay's report; returns whether it differs from the previous one.
+  /** Stores a relay's report; returns what has changed since its previous one.
    */
-  bool onPeer(const std::string& aPeer, LossReport aReport, TimePoint aNow);
+  LossReportChange onPeer(const std::string& aPeer,
+                          LossReport aReport,
+                          TimePoint aNow);
   /** Sets the number of replicas in the list, which bounds how many count as
    * lost by the votes of relays that cannot reach them; see mostExcluded(). */
   void setListed(std::size_t aListed);
@@ -69,6 +81,9 @@
     std::string first;
   };
   [[nodiscard]] Reporters reporters(const std::string& aReplica) const;
+  /** Returns the relays that take the replica for lost, in order. */
+  [[nodiscard]] std::vector<std::string> lostFor(
+    const std::string& aReplica) const;
 
 private:
   struct Peer
--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -3,22 +3,27 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/LifeSign.h"
+#include "poplartrack/fleet/LossEvidence.h"
 
 namespace poplartrack {
 
 /** How a replica failed a request. */
 enum class ReplicaFailure : std::uint8_t
 {
-  /** No connection, or a connection that ended during a request. */
+  /** No connection or no answer in time. */
   Unreachable,
+  /** Nothing listens at its address. */
+  Exited,
   /** Work that passes through it has stalled. */
   Stalled,
-  /** It refused a request without running it. */
+  /** It refused a request without running it, or closed its connection. */
   Refused,
   /** It answered with an error of its own, or not in the protocol. */
   Faulty,
@@ -42,6 +47,16 @@
  * layers then takes as long as a whole fast copy. */
 constexpr double kDegradedSlowdown = 2.5;
 
+/** A replica that is considered dead. */
+struct LossMark
+{
+  LossEvidence evidence = LossEvidence::Silence;
+  /** Since when it has shown no sign of life. */
+  TimePoint since{};
+  /** Until when it is out of use, unless it shows a sign of life before. */
+  TimePoint until{};
+};
+
 /** Tracks the health of each replica as seen by this process's own requests.
  * The shared replica list reacts later: a crashed replica stays on it for some
  * seconds. Not thread-safe. */
@@ -59,6 +74,15 @@
                  ReplicaFailure aFailure,
                  TimePoint aNow);
   void onSuccess(const std::string& aReplica);
+  /** Records that a replica that is considered dead has not answered another
+   * status query either. */
+  void onStillSilent(const std::string& aReplica, TimePoint aNow);
+  /**
+   * Records that the replica has answered a status query.
+   * @param aAskedAt when the query was sent
+   * @return whether it was considered dead and no longer is
+   */
+  bool onStatusAnswer(const std::string& aReplica, TimePoint aAskedAt);
   /**
    * Records that work went on that passes through the replica.
    * @param aSentAfter the replica was alive at this time or later
@@ -77,6 +101,11 @@
   [[nodiscard]] bool usable(const std::string& aReplica, TimePoint aNow) const;
   /** Returns whether it is considered dead, and has not only refused. */
   [[nodiscard]] bool dead(const std::string& aReplica, TimePoint aNow) const;
+  /** Returns what it is considered dead by; nothing if it is not. */
+  [[nodiscard]] std::optional<LossMark> markOf(const std::string& aReplica,
+                                               TimePoint aNow) const;
+  /** Returns what ended its last time out of use. */
+  [[nodiscard]] LifeSign lastSign(const std::string& aReplica) const;
   /** Returns whether one more replica may be considered dead; see
    * mostExcluded(). Beyond that, failures count as refusals. */
   [[nodiscard]] bool mayName(const std::string& aReplica, TimePoint aNow) const;
@@ -97,15 +126,25 @@
 
 private:
   struct State;
-  static void revive(State& aState);
+  void onLoss(State& aState, ReplicaFailure aFailure, TimePoint aNow);
+  static void revive(State& aState, LifeSign aSign);
 
   struct State
   {
     TimePoint backoffUntil{};
     bool dead = false;
-    /** When it was last taken for dead. */
+    /** Why it was last taken for dead, and when. */
+    LossEvidence evidence = LossEvidence::Silence;
     TimePoint namedAt{};
+    /** When it was first taken for dead since its last sign of life. */
+    TimePoint silentSince{};
     bool blocksOthers = false;
+    /** When the last status query was sent that it has answered. */
+    TimePoint answeredAt{};
+    LifeSign lastSign = LifeSign::None;
+    /** Until when a status answer does not end that it blocks others: it has
+     * answered this relay before, and blocked them again. */
+    TimePoint blocksUntil{};
     double errors = 0;
     double slowdown = 1;
   };
--- a/src/fleet/LossReports.cpp
+++ b/src/fleet/LossReports.cpp
@@ -1,8 +1,8 @@
 #include "poplartrack/fleet/LossReports.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
-#include <vector>
 
 #include "poplartrack/fleet/ExclusionBound.h"
 
@@ -19,9 +19,17 @@
 constexpr std::size_t kRelaysPerVote = 4;
 constexpr std::size_t kMinVotes = 2;
 
+/** Returns whether the report says that the replica is lost. */
+bool
+saysLost(const LossReport& aReport, const std::string& aReplica)
+{
+  return aReport.confirmed.contains(aReplica) ||
+         aReport.unreachable.contains(aReplica);
+}
+
 } // namespace
 
-bool
+LossReportChange
 LossReports::onPeer(const std::string& aPeer,
                     LossReport aReport,
                     TimePoint aNow)
@@ -29,11 +37,22 @@
   Peer& peer = this->peers[aPeer];
   peer.receivedAt = aNow;
   if (peer.report == aReport) {
-    return false;
+    return {};
+  }
+  LossReportChange change;
+  change.differs = true;
+  for (const auto* named :
+       { &peer.report.confirmed, &peer.report.unreachable }) {
+    std::copy_if(named->begin(),
+                 named->end(),
+                 std::inserter(change.withdrawn, change.withdrawn.end()),
+                 [&](const std::string& aReplica) {
+                   return !saysLost(aReport, aReplica);
+                 });
   }
   peer.report = std::move(aReport);
   this->updateTallies();
-  return true;
+  return change;
 }
 
 void
@@ -137,6 +156,18 @@
   return found;
 }
 
+std::vector<std::string>
+LossReports::lostFor(const std::string& aReplica) const
+{
+  std::vector<std::string> relays;
+  for (const auto& [name, peer] : this->peers) {
+    if (saysLost(peer.report, aReplica)) {
+      relays.push_back(name);
+    }
+  }
+  return relays;
+}
+
 std::set<std::string>
 LossReports::suspects() const
 {
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -11,6 +11,9 @@
  * or draining; each of these lasts about as long as one answer. */
 constexpr Duration kRefusedBackoff = std::chrono::milliseconds{ 400 };
 
+/** Greatest age of what a replica reports of another one. */
+constexpr Duration kMaxReportAge = std::chrono::milliseconds{ 500 };
+
 /** Weight of the newest answer in the error rate. After five errors in a row, a
  * replica counts as failing. */
 constexpr double kNewestWeight = 0.2;
@@ -35,19 +38,14 @@
   State& state = this->states[aReplica];
   switch (aFailure) {
     case ReplicaFailure::Unreachable:
+    case ReplicaFailure::Exited:
     case ReplicaFailure::Stalled:
-      if (!mayName) {
+      if (mayName) {
+        this->onLoss(state, aFailure, aNow);
+      } else {
         state.backoffUntil =
           std::max(state.backoffUntil, aNow + kRefusedBackoff);
-        break;
       }
-      state.dead = true;
-      state.namedAt = aNow;
-      state.blocksOthers =
-        state.blocksOthers || aFailure == ReplicaFailure::Stalled;
-      state.backoffUntil =
-        std::max(state.backoffUntil, aNow + this->deadBackoff);
-      this->anyDeadUntil = std::max(this->anyDeadUntil, state.backoffUntil);
       break;
     case ReplicaFailure::Refused:
       state.backoffUntil = std::max(state.backoffUntil, aNow + kRefusedBackoff);
@@ -58,6 +56,60 @@
   }
 }
 
+void
+ReplicaHealth::onLoss(State& aState, ReplicaFailure aFailure, TimePoint aNow)
+{
+  const bool blocks = aFailure == ReplicaFailure::Stalled;
+  if (blocks && aState.answeredAt != TimePoint{} &&
+      aNow - aState.answeredAt < kMaxReportAge) {
+    // The report may be older than the replica's own answer.
+    return;
+  }
+  if (!aState.dead || aState.backoffUntil <= aNow) {
+    aState.silentSince = aNow;
+  }
+  if (blocks && aState.lastSign == LifeSign::StatusAnswer &&
+      aNow - aState.namedAt < this->deadBackoff) {
+    // It answers this relay, and the others cannot reach it all the same.
+    aState.blocksUntil = aNow + this->deadBackoff;
+  }
+  aState.dead = true;
+  aState.evidence = aFailure == ReplicaFailure::Exited ? LossEvidence::Exit
+                                                       : LossEvidence::Silence;
+  aState.namedAt = aNow;
+  aState.blocksOthers = aState.blocksOthers || blocks;
+  aState.backoffUntil = std::max(aState.backoffUntil, aNow + this->deadBackoff);
+  this->anyDeadUntil = std::max(this->anyDeadUntil, aState.backoffUntil);
+}
+
+void
+ReplicaHealth::onStillSilent(const std::string& aReplica, TimePoint aNow)
+{
+  if (!this->dead(aReplica, aNow)) {
+    return;
+  }
+  State& state = this->states.at(aReplica);
+  state.backoffUntil = aNow + this->deadBackoff;
+  this->anyDeadUntil = std::max(this->anyDeadUntil, state.backoffUntil);
+}
+
+bool
+ReplicaHealth::onStatusAnswer(const std::string& aReplica, TimePoint aAskedAt)
+{
+  const auto found = this->states.find(aReplica);
+  if (found == this->states.end()) {
+    return false;
+  }
+  State& state = found->second;
+  state.answeredAt = std::max(state.answeredAt, aAskedAt);
+  if (!state.dead || aAskedAt <= state.namedAt ||
+      aAskedAt < state.blocksUntil) {
+    return false;
+  }
+  revive(state, LifeSign::StatusAnswer);
+  return true;
+}
+
 void
 ReplicaHealth::onSuccess(const std::string& aReplica)
 {
@@ -66,7 +118,7 @@
     return;
   }
   State& state = found->second;
-  revive(state);
+  revive(state, LifeSign::Answer);
   state.errors -= kNewestWeight * state.errors;
 }
 
@@ -81,13 +133,14 @@
       aSentAfter <= found->second.namedAt) {
     return false;
   }
-  revive(found->second);
+  revive(found->second, LifeSign::Event);
   return true;
 }
 
 void
-ReplicaHealth::revive(State& aState)
+ReplicaHealth::revive(State& aState, LifeSign aSign)
 {
+  aState.lastSign = aState.dead ? aSign : aState.lastSign;
   aState.dead = false;
   aState.blocksOthers = false;
   aState.backoffUntil = TimePoint{};
@@ -122,6 +175,25 @@
          found->second.backoffUntil > aNow;
 }
 
+std::optional<LossMark>
+ReplicaHealth::markOf(const std::string& aReplica, TimePoint aNow) const
+{
+  if (!this->dead(aReplica, aNow)) {
+    return std::nullopt;
+  }
+  const State& state = this->states.at(aReplica);
+  return LossMark{ state.evidence, state.silentSince, state.backoffUntil };
+}
+
+LifeSign
+ReplicaHealth::lastSign(const std::string& aReplica) const
+{
+  const auto found = this->states.find(aReplica);
+  return found == this->states.end() || found->second.dead
+           ? LifeSign::None
+           : found->second.lastSign;
+}
+
 bool
 ReplicaHealth::mayName(const std::string& aReplica, TimePoint aNow) const
 {
--- a/src/relay/ConnectionEnd.h
+++ b/src/relay/ConnectionEnd.h
@@ -10,6 +10,8 @@
   /** The replica's instance closed or reset it, or the connection became
    * unusable. */
   Closed,
+  /** It was not established: nothing listens at the replica's address. */
+  NotListening,
   /** The replica stopped responding. */
   Silent,
 };
--- a/src/relay/RelayAttempts.cpp
+++ b/src/relay/RelayAttempts.cpp
@@ -192,7 +192,8 @@
   aExchange.avoid.insert(aExchange.replica);
   const bool triesAgain = this->mayTryAgain(aExchange);
   this->dropAttempt(aExchange, possiblyRan);
-  if (aFailure == ReplicaFailure::Unreachable) {
+  if (aFailure == ReplicaFailure::Unreachable ||
+      aFailure == ReplicaFailure::Exited) {
     this->publishLostReplicas();
     this->confirmCrashes();
   }
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -349,7 +349,7 @@
     this->endPrefill(aExchange);
   }
   if (aExchange.next && this->now >= aExchange.next->since + kConnectTimeout) {
-    this->onNextUnreachable(aExchange);
+    this->onNextUnreachable(aExchange, ReplicaFailure::Unreachable);
   }
   if (aExchange.replaced && this->now >= aExchange.sentAt + kRefusalTime) {
     this->dropReplaced(aExchange);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -257,7 +257,7 @@
   [[nodiscard]] bool hasUnreadAnswer(const Exchange& aExchange) const;
   Result<AttemptTarget> chooseReplacement(Exchange& aExchange);
   void onNextConnected(Exchange& aExchange, ReplicaConnection& aConnection);
-  void onNextUnreachable(Exchange& aExchange);
+  void onNextUnreachable(Exchange& aExchange, ReplicaFailure aFailure);
   void dropNext(Exchange& aExchange);
   void stopSearch(Exchange& aExchange);
   void keepAttempt(Exchange& aExchange);
@@ -433,16 +433,19 @@
   bool requestReport(const PathPart& aPart, Duration aMinInterval);
   void requestPathReports(const std::string& aFirst);
   void requestSlowReplicaReports();
-  void onReport(const std::string& aReplica, const ReplicaReport& aReport);
+  void onReport(const std::string& aReplica,
+                const ReplicaReport& aReport,
+                TimePoint aAskedAt);
   void onMissingReport(const std::string& aReplica,
-                       bool aRefused,
+                       const ReplicaReport& aReport,
                        bool aOutageProbe);
   void moveBlockedWork(const std::string& aReporter,
                        const std::vector<StalledWork>& aStalled);
   [[nodiscard]] bool usesLostReplica(const Exchange& aExchange) const;
   void rearmStallTimers(const std::string& aReplica);
   [[nodiscard]] bool hasRecentProgress(const std::string& aReplica) const;
-  void onUnreachableReplica(const std::string& aReplica);
+  void onUnreachableReplica(const std::string& aReplica,
+                            ReplicaFailure aFailure);
 
   // RelayLossProbes.cpp: replicas on the paths of late streams.
   [[nodiscard]] std::optional<TimePoint> lateAt(
@@ -456,6 +459,18 @@
   [[nodiscard]] bool mayDeclareLost(const std::string& aReplica,
                                     bool aOutageProbe);
 
+  // RelaySuspects.cpp: replicas that count as lost and may be alive.
+  void recheckSuspects();
+  [[nodiscard]] RecheckTurn recheckTurn(const std::string& aReplica) const;
+  void recheck(const std::string& aReplica);
+  void onLossesWithdrawn(const std::set<std::string>& aReplicas);
+  void onMissingRecheck(const std::string& aReplica, bool aExited);
+  void onAlive(const std::string& aReplica, TimePoint aAskedAt);
+  void recordLosses(const std::set<std::string>& aLost);
+  void logReturn(const std::string& aReplica, const LossRecord& aRecord);
+  [[nodiscard]] std::optional<LossEvidence> lossEvidenceOf(
+    const std::string& aReplica) const;
+
   // RelayOutage.cpp: outages of the store.
   void updateOutageView();
   void probeListedReplicas();
--- a/src/relay/RelayLossProbes.cpp
+++ b/src/relay/RelayLossProbes.cpp
@@ -122,7 +122,7 @@
     this->shared.log.write(LogLine{ LogPart::Replicas, "unanswered" }
                              .with("replica", replica)
                              .with("late", late));
-    this->onUnreachableReplica(replica);
+    this->onUnreachableReplica(replica, ReplicaFailure::Unreachable);
   }
   if (result.late > 0) {
     this->scheduleLossCheck(this->now + StallSuspects::kRecheckInterval);
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -249,8 +249,11 @@
                      { aStatus.unreachable.begin(), aStatus.unreachable.end() },
                      aStatus.slow };
   this->lossProbeState.suspects.onPeer(this->now);
-  if (this->reports.onPeer(peer, std::move(report), this->now)) {
+  const LossReportChange change =
+    this->reports.onPeer(peer, std::move(report), this->now);
+  if (change.differs) {
     this->publishLostReplicas();
+    this->onLossesWithdrawn(change.withdrawn);
     // A late stream may pass through a replica that the peer cannot reach.
     this->scheduleLossCheck(this->now);
   }
--- a/src/relay/RelayPeriodic.cpp
+++ b/src/relay/RelayPeriodic.cpp
@@ -54,6 +54,10 @@
   this->reports.setListed(listed.size());
   this->outliers.keepOnly(kept);
   this->lossProbeState.suspects.keepOnly(kept);
+  this->lossProbeState.rechecks.keepOnly(kept);
+  std::erase_if(
+    this->lossProbeState.rechecked,
+    [&](const std::string& aReplica) { return !kept.contains(aReplica); });
   std::erase_if(
     this->outageProbeState.unanswered,
     [&](const std::string& aReplica) { return !kept.contains(aReplica); });
@@ -127,6 +131,7 @@
   this->budgets.setRelays(
     std::max(this->shared.peers.read()->size() + 1, minRelays));
   this->requestSlowReplicaReports();
+  this->recheckSuspects();
   this->probeListedReplicas();
   this->moveOffDraining();
   this->updateSendRates();
--- a/src/relay/RelayPublication.cpp
+++ b/src/relay/RelayPublication.cpp
@@ -32,11 +32,14 @@
   for (const auto& [replica, since] : this->drainState.restarted) {
     lost.insert_or_assign(replica, true);
   }
+  std::set<std::string> unreachable = this->health.deadReplicas(this->now);
   for (const std::string& replica : this->reports.suspects()) {
     if (this->isLost(replica)) {
       lost.insert_or_assign(replica, true);
+      unreachable.insert(replica);
     }
   }
+  this->recordLosses(unreachable);
   this->announceLosses();
   const auto before = this->shared.lostReplicas.read();
   if (*before == lost) {
@@ -99,16 +102,23 @@
   }
 }
 
-/** Logs that a replica counts as lost: by which signal of this relay, and which
- * relays report it. */
+/** Logs that a replica counts as lost: by which evidence and signal of this
+ * relay, for how long if it shows no sign of life, and which relays report it.
+ */
 void
 RelayLoop::Impl::logLoss(const std::string& aReplica, bool aCertain)
 {
+  constexpr std::int64_t kMicrosPerMs = 1000;
   const LossReports::Reporters reporters = this->reports.reporters(aReplica);
+  const auto evidence = this->lossEvidenceOf(aReplica);
+  const auto mark = this->health.markOf(aReplica, this->now);
+  const Duration left = mark ? mark->until - this->now : Duration{ 0 };
   this->shared.log.write(
     LogLine{ LogPart::Replicas, "lost" }
       .with("replica", aReplica)
       .with("named", aCertain ? 1 : 0)
+      .with("evidence", evidence ? nameOf(*evidence) : "none")
+      .with("for_ms", left.count() / kMicrosPerMs)
       .with("signal", this->ownLossSignal(aReplica))
       .with("reporters", static_cast<std::int64_t>(reporters.count))
       .with("first_reporter", reporters.first)
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -89,11 +89,11 @@
 /** Handles a replica that does not accept the connection of the next attempt.
  * The current one goes on. */
 void
-RelayLoop::Impl::onNextUnreachable(Exchange& aExchange)
+RelayLoop::Impl::onNextUnreachable(Exchange& aExchange, ReplicaFailure aFailure)
 {
   const std::string replica = aExchange.next->target.replica;
   this->dropNext(aExchange);
-  this->health.onFailure(replica, ReplicaFailure::Unreachable, this->now);
+  this->health.onFailure(replica, aFailure, this->now);
   this->publishLostReplicas();
 }
 
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -207,7 +207,10 @@
   }
   if (exchange->second->next &&
       exchange->second->next->connection == aConnection) {
-    this->onNextUnreachable(*exchange->second);
+    this->onNextUnreachable(*exchange->second,
+                            aEnd == ConnectionEnd::NotListening
+                              ? ReplicaFailure::Exited
+                              : ReplicaFailure::Unreachable);
     return;
   }
   if (isReplaced(*exchange->second, aConnection) &&
@@ -233,8 +236,11 @@
   if (!connecting) {
     this->recordFailedStart(*exchange->second);
   }
-  this->onAttemptFailed(
-    *exchange->second, failureOf(connecting, connection.headHandled), aCause);
+  this->onAttemptFailed(*exchange->second,
+                        aEnd == ConnectionEnd::NotListening
+                          ? ReplicaFailure::Exited
+                          : failureOf(connecting, connection.headHandled),
+                        aCause);
 }
 
 } // namespace poplartrack
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -152,8 +152,13 @@
 void
 RelayLoop::Impl::onReplicaConnected(ReplicaConnection& aConnection)
 {
-  if (connectError(aConnection.fd.get()) != 0) {
-    this->onReplicaDisconnected(aConnection.id, false, "not connected");
+  if (const int error = connectError(aConnection.fd.get())) {
+    this->onReplicaDisconnected(aConnection.id,
+                                false,
+                                "not connected",
+                                error == ECONNREFUSED
+                                  ? ConnectionEnd::NotListening
+                                  : ConnectionEnd::Closed);
     return;
   }
   const auto exchange = this->exchanges.find(aConnection.exchange);
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -129,12 +129,13 @@
   }
   this->reportRequestedAt[aPart.replica] = this->now;
   this->shared.metrics.count("replica_questions_total");
-  this->calls.queryStatus(
-    aPart.address,
-    [this, replica = aPart.replica](const ReplicaReport& aReport) {
-      this->post(
-        [this, replica, aReport] { this->onReport(replica, aReport); });
-    });
+  this->calls.queryStatus(aPart.address,
+                          [this, replica = aPart.replica, askedAt = this->now](
+                            const ReplicaReport& aReport) {
+                            this->post([this, replica, aReport, askedAt] {
+                              this->onReport(replica, aReport, askedAt);
+                            });
+                          });
   return true;
 }
 
@@ -169,12 +170,15 @@
   }
 }
 
-/** Handles a replica's report, or its failure to report: updates the replica's
- * health, and moves the work that is blocked on a stalled or lost replica. */
+/** Handles a replica's report to a query that was sent at aAskedAt, or its
+ * failure to report: updates the replica's health, and moves the work that is
+ * blocked on a stalled or lost replica. */
 void
 RelayLoop::Impl::onReport(const std::string& aReplica,
-                          const ReplicaReport& aReport)
+                          const ReplicaReport& aReport,
+                          TimePoint aAskedAt)
 {
+  const bool recheck = this->lossProbeState.rechecked.erase(aReplica) > 0;
   const bool outageProbe =
     this->outageProbeState.unanswered.erase(aReplica) > 0;
   if (aReport.overLimit) {
@@ -184,7 +188,11 @@
     if (aReport.exited) {
       this->crashState.exited.insert(aReplica);
     }
-    this->onMissingReport(aReplica, aReport.refused, outageProbe);
+    if (recheck && this->health.dead(aReplica, this->now)) {
+      this->onMissingRecheck(aReplica, aReport.exited);
+    } else {
+      this->onMissingReport(aReplica, aReport, outageProbe);
+    }
     return;
   }
   this->crashState.exited.erase(aReplica);
@@ -199,6 +207,7 @@
     this->endIncarnation(aReplica);
     return;
   }
+  this->onAlive(aReplica, aAskedAt);
   // Work at a slow replica is not moved. Moving hundreds of streams at once
   // would occupy the zone links for longer than the slow replica delays them.
   this->health.onSlowdown(aReplica, aReport.slowdown);
@@ -209,15 +218,14 @@
   this->moveBlockedWork(aReplica, aReport.stalled);
 }
 
-/** Handles a replica that has not answered a status query. aRefused: no
- * connection was established. aOutageProbe: it was asked only because the store
- * is unavailable. */
+/** Handles a replica that has not answered a status query. aOutageProbe: it was
+ * asked only because the store is unavailable. */
 void
 RelayLoop::Impl::onMissingReport(const std::string& aReplica,
-                                 bool aRefused,
+                                 const ReplicaReport& aReport,
                                  bool aOutageProbe)
 {
-  if (aOutageProbe && !aRefused) {
+  if (aOutageProbe && !aReport.refused) {
     // It accepted the connection, so it is busy. Moving its layers would cost
     // more than waiting.
     return;
@@ -231,8 +239,10 @@
   if (this->mayDeclareLost(aReplica, aOutageProbe)) {
     this->shared.log.write(LogLine{ LogPart::Replicas, "unreached" }
                              .with("replica", aReplica)
-                             .with("connected", aRefused ? 0 : 1));
-    this->onUnreachableReplica(aReplica);
+                             .with("connected", aReport.refused ? 0 : 1));
+    this->onUnreachableReplica(aReplica,
+                               aReport.exited ? ReplicaFailure::Exited
+                                              : ReplicaFailure::Unreachable);
   }
 }
 
@@ -259,10 +269,11 @@
 
 /** Handles a replica that this relay cannot reach: moves its streams. */
 void
-RelayLoop::Impl::onUnreachableReplica(const std::string& aReplica)
+RelayLoop::Impl::onUnreachableReplica(const std::string& aReplica,
+                                      ReplicaFailure aFailure)
 {
   this->health.onSlowdown(aReplica, 1);
-  this->health.onFailure(aReplica, ReplicaFailure::Unreachable, this->now);
+  this->health.onFailure(aReplica, aFailure, this->now);
   this->onFaultyReplica(aReplica);
   if (this->settings.load.lossProbes) {
     // Streams that have no other path yet are moved when there is one.
--- a/tests/unit/fleet/LossReportsTest.cpp
+++ b/tests/unit/fleet/LossReportsTest.cpp
@@ -20,7 +20,7 @@
   LossReports reports;
   LossReport report;
   report.confirmed.insert("one");
-  EXPECT_TRUE(reports.onPeer("a", report, kStart));
+  EXPECT_TRUE(reports.onPeer("a", report, kStart).differs);
   EXPECT_TRUE(reports.lost("one", false, 20));
   EXPECT_FALSE(reports.lost("two", false, 20));
 }
@@ -97,10 +97,23 @@
 TEST(LossReports, ReturnsWhetherAReportDiffers)
 {
   LossReports reports;
-  EXPECT_FALSE(reports.onPeer("a", LossReport{}, kStart));
-  EXPECT_TRUE(reports.onPeer("a", unreachable("one"), kStart));
-  EXPECT_FALSE(reports.onPeer("a", unreachable("one"), kStart));
-  EXPECT_TRUE(reports.onPeer("a", LossReport{}, kStart));
+  EXPECT_FALSE(reports.onPeer("a", LossReport{}, kStart).differs);
+  EXPECT_TRUE(reports.onPeer("a", unreachable("one"), kStart).differs);
+  EXPECT_FALSE(reports.onPeer("a", unreachable("one"), kStart).differs);
+  EXPECT_TRUE(reports.onPeer("a", LossReport{}, kStart).differs);
+}
+
+TEST(LossReports, ReturnsWhatARelayNoLongerTakesForLost)
+{
+  LossReports reports;
+  LossReport both = unreachable("one");
+  both.confirmed.insert("two");
+  reports.onPeer("a", both, kStart);
+  EXPECT_EQ(reports.lostFor("one"), std::vector<std::string>{ "a" });
+  const LossReportChange change =
+    reports.onPeer("a", unreachable("two"), kStart);
+  EXPECT_EQ(change.withdrawn, std::set<std::string>{ "one" });
+  EXPECT_TRUE(reports.lostFor("one").empty());
 }
 
 } // namespace
--- a/tests/unit/fleet/ReplicaHealthTest.cpp
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -67,6 +67,67 @@
   EXPECT_TRUE(health.blockedOn(kStart).empty());
 }
 
+TEST(ReplicaHealth, AStatusAnswerEndsTheMarkOfASilence)
+{
+  // Guards against a replica that is out of use for seconds after a silence.
+  ReplicaHealth health{ kHeartbeat };
+  health.onFailure("one", ReplicaFailure::Unreachable, kStart);
+  EXPECT_TRUE(health.onStatusAnswer("one", kStart + milliseconds{ 200 }));
+  EXPECT_TRUE(health.usable("one", kStart + milliseconds{ 200 }));
+  EXPECT_EQ(health.lastSign("one"), LifeSign::StatusAnswer);
+}
+
+TEST(ReplicaHealth, AnAnswerToAnEarlierQueryDoesNotEndTheMark)
+{
+  // The replica may have been lost after it had sent the answer.
+  ReplicaHealth health{ kHeartbeat };
+  health.onFailure("one", ReplicaFailure::Unreachable, kStart);
+  EXPECT_FALSE(health.onStatusAnswer("one", kStart - milliseconds{ 10 }));
+  EXPECT_FALSE(health.usable("one", kStart + milliseconds{ 10 }));
+}
+
+TEST(ReplicaHealth, AReplicaThatIsStillSilentStaysOutOfUse)
+{
+  // Guards against requests to a replica that has not answered for seconds.
+  ReplicaHealth health{ kHeartbeat };
+  health.onFailure("one", ReplicaFailure::Unreachable, kStart);
+  health.onStillSilent("one", kStart + seconds{ 3 });
+  EXPECT_FALSE(health.usable("one", kStart + seconds{ 6 }));
+  const auto mark = health.markOf("one", kStart + seconds{ 6 });
+  ASSERT_TRUE(mark);
+  EXPECT_EQ(mark->since, kStart);
+  EXPECT_EQ(mark->evidence, LossEvidence::Silence);
+  health.onStillSilent("two", kStart);
+  EXPECT_TRUE(health.usable("two", kStart));
+}
+
+TEST(ReplicaHealth, AReplicaThatBlocksOthersAgainStaysOutOfUse)
+{
+  // It answers this relay, and the other replicas cannot reach it: each return
+  // would stall the work that passes through it.
+  ReplicaHealth health{ kHeartbeat };
+  health.onFailure("one", ReplicaFailure::Stalled, kStart);
+  const TimePoint asked = kStart + milliseconds{ 200 };
+  EXPECT_TRUE(health.onStatusAnswer("one", asked));
+  const TimePoint again = asked + seconds{ 1 };
+  health.onFailure("one", ReplicaFailure::Stalled, again);
+  EXPECT_FALSE(health.onStatusAnswer("one", again + milliseconds{ 200 }));
+  EXPECT_FALSE(health.usable("one", again + seconds{ 3 }));
+  EXPECT_TRUE(health.onProgress("one", again + seconds{ 1 }));
+}
+
+TEST(ReplicaHealth, AReportOlderThanTheReplicasAnswerIsNoLoss)
+{
+  // Guards against a replica that is named again by what was true before it
+  // had answered.
+  ReplicaHealth health{ kHeartbeat };
+  health.onFailure("one", ReplicaFailure::Unreachable, kStart);
+  const TimePoint asked = kStart + milliseconds{ 200 };
+  EXPECT_TRUE(health.onStatusAnswer("one", asked));
+  health.onFailure("one", ReplicaFailure::Stalled, asked + milliseconds{ 200 });
+  EXPECT_TRUE(health.usable("one", asked + milliseconds{ 200 }));
+}
+
 TEST(ReplicaHealth, ReturnsDegradedReplicas)
 {
   ReplicaHealth health{ kHeartbeat };
