Let requests wait for a layer whose holders may be back soon

Callers of a new request got 503 with Retry-After 2.5 to 6 s at once when the only holder of a layer had missed one status query, or had refused one request within the last 0.4 s.

Cause: a replica that is out of use counted as none, whatever the reason, so "no live replica" was said of one that had been silent for 0.3 s.

Change: where a layer has no holder in use, but one that only refused, or that has been silent for at most 1.5 s (longer than a sound one is), the request waits as for memory. It does not wait for a replica that has restarted or exited, and is refused as before once the silence is longer.

Result: RelaySuspectTest.ANewRequestWaitsForAReplicaThatIsSilent got 503 on and passes now; ARequestIsRefusedAtOnceWhenTheSilenceIsTooLong guards that a truly lost replica is waited for no longer (it passes on both).

--- a/src/relay/CandidateFilter.h
+++ b/src/relay/CandidateFilter.h
@@ -12,6 +12,8 @@
   bool ejected = false;
   /** Layers that are announced for release. */
   bool released = false;
+  /** Replicas that are out of use and may be back in a moment. */
+  bool suspected = false;
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayChoice.cpp
+++ b/src/relay/RelayChoice.cpp
@@ -277,9 +277,10 @@
   }
   for (const std::size_t index : listed->second) {
     const Replica& replica = this->view->replicas[index];
+    const bool inUse =
+      !this->isLost(replica.id) && this->health.usable(replica.id, this->now);
     if (this->isDraining(replica) || this->isBackingOff(replica.id) ||
-        this->isLost(replica.id) ||
-        !this->health.usable(replica.id, this->now)) {
+        (!inUse && !(aFilter.suspected && this->mayReturnSoon(replica.id)))) {
       continue;
     }
     const double slowdown = this->slowdownOf(replica.id);
@@ -333,6 +334,8 @@
  *    the request, if still no healthy one could be the first;
  * 5. all of these together, while a release is announced, if a layer has no
  *    other holder or the request is a started stream.
+ * A request waits as for memory if a layer is held only by replicas that may be
+ * back in a moment.
  * Steps 3 and 4 are for relays with outlier ejection; without it, steps 1 and 2
  * leave no first replica out.
  */
@@ -376,12 +379,33 @@
     const CandidateFilter filter{ .slow = true,
                                   .ejected = true,
                                   .released = true };
-    return findPath(
+    path = findPath(
       engine, this->candidatesFor(aExchange, aDemand, filter), aDemand);
   }
+  if (!path && path.error().kind == ErrorKind::NoRoute &&
+      this->hasPathSoon(aExchange, aDemand)) {
+    return fail(ErrorKind::Overloaded,
+                "a layer is held only by replicas that may be back soon");
+  }
   return path;
 }
 
+/** Returns whether there would be a path, or one without memory, with the
+ * replicas that are out of use and may be back in a moment. */
+bool
+RelayLoop::Impl::hasPathSoon(const Exchange& aExchange,
+                             const PathDemand& aDemand)
+{
+  const CandidateFilter filter{
+    .slow = true, .ejected = true, .released = true, .suspected = true
+  };
+  const Result<LayerPath> path =
+    findPath(*aExchange.service->engine,
+             this->candidatesFor(aExchange, aDemand, filter),
+             aDemand);
+  return path.ok() || path.error().kind != ErrorKind::NoRoute;
+}
+
 /** Reserves capacity of the zone links that a path crosses: for the activations
  * of the prompt and of each generated token. */
 void
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -411,6 +411,8 @@
   [[nodiscard]] static std::uint32_t maxCrossingsOf(const Exchange& aExchange);
   [[nodiscard]] Result<LayerPath> findPathFor(const Exchange& aExchange,
                                               PathDemand aDemand);
+  [[nodiscard]] bool hasPathSoon(const Exchange& aExchange,
+                                 const PathDemand& aDemand);
   void limitCrossings(const Exchange& aExchange, PathDemand& aDemand);
   void reserveLinkCapacity(const Exchange& aExchange, const LayerPath& aPath);
   void addLoad(Exchange& aExchange, const LayerPath* aKept = nullptr);
@@ -470,6 +472,7 @@
   void logReturn(const std::string& aReplica, const LossRecord& aRecord);
   [[nodiscard]] std::optional<LossEvidence> lossEvidenceOf(
     const std::string& aReplica) const;
+  [[nodiscard]] bool mayReturnSoon(const std::string& aReplica) const;
 
   // RelayOutage.cpp: outages of the store.
   void updateOutageView();
--- a/src/relay/RelaySuspects.cpp
+++ b/src/relay/RelaySuspects.cpp
@@ -1,4 +1,5 @@
-// Replicas that count as lost: whether they are alive after all.
+// Replicas that count as lost: whether they are alive after all, and whether a
+// request waits for them.
 
 #include <algorithm>
 #include <utility>
@@ -8,6 +9,9 @@
 namespace poplartrack {
 namespace {
 
+/** Longest silence of a sound replica, from when it is noticed. */
+constexpr Duration kLongestSilence = std::chrono::milliseconds{ 1'500 };
+
 /** Minimum time between two queries to a replica that counts as lost. */
 constexpr Duration kMinRecheckInterval = std::chrono::milliseconds{ 100 };
 
@@ -157,4 +161,19 @@
                                 : std::nullopt;
 }
 
+/** Returns whether a replica that is out of use may be back in a moment: it has
+ * only refused, or it is silent and a sound one may be silent for as long. */
+bool
+RelayLoop::Impl::mayReturnSoon(const std::string& aReplica) const
+{
+  const std::optional<LossEvidence> evidence = this->lossEvidenceOf(aReplica);
+  if (!evidence) {
+    return true;
+  }
+  const auto loss = this->lossProbeState.losses.find(aReplica);
+  return *evidence == LossEvidence::Silence &&
+         loss != this->lossProbeState.losses.end() &&
+         this->now - loss->second.since < kLongestSilence;
+}
+
 } // namespace poplartrack
--- a/tests/unit/relay/RelaySuspectTest.cpp
+++ b/tests/unit/relay/RelaySuspectTest.cpp
@@ -170,6 +170,17 @@
   this->expectBackAtFirst();
 }
 
+TEST_F(RelaySuspectTest, ANewRequestWaitsForAReplicaThatIsSilent)
+{
+  // Guards against 503 for what the only replica could serve in a second.
+  this->leaveAtSilentReplica();
+  RawSocket other = this->world.sendRequest("/stream/x", "id-2");
+  ASSERT_TRUE(this->world.awaitOpen(1));
+  this->silent = false;
+  this->pass(milliseconds{ 400 });
+  this->expectServed(other);
+}
+
 TEST_F(RelaySuspectTest, ASilentReplicaIsAskedUntilItAnswers)
 {
   // Guards against a mark that nobody looks at again.
@@ -180,6 +191,15 @@
   EXPECT_LE(this->world.statusQueries - before, 11);
 }
 
+TEST_F(RelaySuspectTest, ARequestIsRefusedAtOnceWhenTheSilenceIsTooLong)
+{
+  // Guards against requests that wait for a replica that is truly lost.
+  this->leaveAtSilentReplica();
+  this->pass(milliseconds{ 1'500 });
+  this->caller.emplace(this->world.sendRequest("/stream/x", "id-2"));
+  this->expectStatus("503");
+}
+
 TEST_F(RelaySuspectTest, AReplicaThatAnotherRelayReachesAgainIsAskedAtOnce)
 {
   // Guards against relays that keep a replica out of use until their own turn.
