--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -257,7 +257,7 @@
   [[nodiscard]] bool hasUnreadAnswer(const Exchange& aExchange) const;
   Result<AttemptTarget> chooseReplacement(Exchange& aExchange);
   void onNextConnected(Exchange& aExchange, ReplicaConnection& aConnection);
-  void onNextUnreachable(Exchange& aExchange);
+  void onNextUnreachable(Exchange& aExchange, ReplicaFailure aFailure);
   void dropNext(Exchange& aExchange);
   void stopSearch(Exchange& aExchange);
   void keepAttempt(Exchange& aExchange);
@@ -411,6 +411,8 @@
   [[nodiscard]] static std::uint32_t maxCrossingsOf(const Exchange& aExchange);
   [[nodiscard]] Result<LayerPath> findPathFor(const Exchange& aExchange,
                                               PathDemand aDemand);
+  [[nodiscard]] bool hasPathSoon(const Exchange& aExchange,
+                                 const PathDemand& aDemand);
   void limitCrossings(const Exchange& aExchange, PathDemand& aDemand);
   void reserveLinkCapacity(const Exchange& aExchange, const LayerPath& aPath);
   void addLoad(Exchange& aExchange, const LayerPath* aKept = nullptr);
@@ -433,16 +435,19 @@
   bool requestReport(const PathPart& aPart, Duration aMinInterval);
   void requestPathReports(const std::string& aFirst);
   void requestSlowReplicaReports();
-  void onReport(const std::string& aReplica, const ReplicaReport& aReport);
+  void onReport(const std::string& aReplica,
+                const ReplicaReport& aReport,
+                TimePoint aAskedAt);
   void onMissingReport(const std::string& aReplica,
-                       bool aRefused,
+                       const ReplicaReport& aReport,
                        bool aOutageProbe);
   void moveBlockedWork(const std::string& aReporter,
                        const std::vector<StalledWork>& aStalled);
   [[nodiscard]] bool usesLostReplica(const Exchange& aExchange) const;
   void rearmStallTimers(const std::string& aReplica);
   [[nodiscard]] bool hasRecentProgress(const std::string& aReplica) const;
-  void onUnreachableReplica(const std::string& aReplica);
+  void onUnreachableReplica(const std::string& aReplica,
+                            ReplicaFailure aFailure);
 
   // RelayLossProbes.cpp: replicas on the paths of late streams.
   [[nodiscard]] std::optional<TimePoint> lateAt(
@@ -456,6 +461,19 @@
   [[nodiscard]] bool mayDeclareLost(const std::string& aReplica,
                                     bool aOutageProbe);
 
+  // RelaySuspects.cpp: replicas that count as lost and may be alive.
+  void recheckSuspects();
+  [[nodiscard]] RecheckTurn recheckTurn(const std::string& aReplica) const;
+  void recheck(const std::string& aReplica);
+  void onLossesWithdrawn(const std::set<std::string>& aReplicas);
+  void onMissingRecheck(const std::string& aReplica, bool aExited);
+  void onAlive(const std::string& aReplica, TimePoint aAskedAt);
+  void recordLosses(const std::set<std::string>& aLost);
+  void logReturn(const std::string& aReplica, const LossRecord& aRecord);
+  [[nodiscard]] std::optional<LossEvidence> lossEvidenceOf(
+    const std::string& aReplica) const;
+  [[nodiscard]] bool mayReturnSoon(const std::string& aReplica) const;
+
   // RelayOutage.cpp: outages of the store.
   void updateOutageView();
   void probeListedReplicas();
