Keep the layers of a silent endpoint as a last resort

What callers saw: an engine that is the only one with its layers did not answer for a second and went on.

Cause: an unanswered query (1 s) acted as proof. The side dropped what it knew of its endpoint, its reply to probes named no service, and the entry took the endpoint out of its view. The refusal of a connection and silence were one error.

Change: silence alone makes the endpoint `silent` (a field at the end of ProbeReply; false from older sides). It keeps its layers and is chosen only if no other endpoint covers them, replaces no running attempt, and its report confirms no layers to the placer. Any answer, also that of a step or call, ends the mark at once. A refused or broken connection or an error puts the endpoint out of use at once, as before; silence does so 3 s after the first query without an answer. The side logs each of these changes with its evidence.

--- a/include/poplartrack/entry/FailingEndpoints.h
+++ b/include/poplartrack/entry/FailingEndpoints.h
@@ -7,14 +7,15 @@
 
 namespace poplartrack {
 
-/** Returns the endpoints whose last probe or call got no reply: no attempt that
- * may still succeed is given up for one of them. */
+/** Returns the endpoints whose last probe or call got no reply, or that do not
+ * answer their sides: no attempt that may still succeed is given up for one of
+ * them. */
 [[nodiscard]] inline std::set<std::string>
 failingEndpoints(const EndpointView& aView)
 {
   std::set<std::string> failing;
   for (const EndpointInfo& info : aView.endpoints) {
-    if (info.failures > 0) {
+    if (info.failures > 0 || info.silent) {
       failing.insert(info.name);
     }
   }
--- a/include/poplartrack/http/HttpClient.h
+++ b/include/poplartrack/http/HttpClient.h
@@ -50,6 +50,8 @@
   bool overLimit = false;
   /** Nothing listens at the address: the connection was refused at once. */
   bool connectRefused = false;
+  /** Ended by a timeout: the peer sent neither an answer nor a refusal. */
+  bool timedOut = false;
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/include/poplartrack/route/EndpointInfo.h
+++ b/include/poplartrack/route/EndpointInfo.h
@@ -37,6 +37,8 @@
   std::uint32_t layersPerSecond = 0;
   /** Draining, according to the instance list or to the side itself. */
   bool draining = false;
+  /** It does not answer its side: a last resort. */
+  bool silent = false;
   LoadHint load;
   /** When the load was last reported. */
   TimePoint loadReportedAt{};
--- a/include/poplartrack/side/EngineClient.h
+++ b/include/poplartrack/side/EngineClient.h
@@ -74,7 +74,8 @@
   void cancel(const std::string& aSequence);
 
   using InfoDone = std::function<void(Result<EngineInfo>)>;
-  /** Queries the endpoint's description of itself. */
+  /** Queries the endpoint's description of itself. The error is Network only if
+   * it sent nothing within the timeout. */
   void info(Duration aTimeout, InfoDone aDone);
 
   using LoadDone = std::function<void(Result<LoadHint>)>;
--- a/include/poplartrack/side/SideServer.h
+++ b/include/poplartrack/side/SideServer.h
@@ -72,6 +72,9 @@
   void passLoad(const EndpointOrder& aOrder, const Responder& aRespond);
   HttpReply onHttp(const HttpRequest& aRequest);
   void watchEndpoint();
+  /** Handles the end of a query that was sent at aAskedAt. */
+  void onEndpointInfo(TimePoint aAskedAt, const Result<EngineInfo>& aInfo);
+  void logWatchChange(WatchChange aChange, const Error& aError) const;
   Duration learnFence();
 
   SideOptions options;
--- a/include/poplartrack/wire/Probe.h
+++ b/include/poplartrack/wire/Probe.h
@@ -57,6 +57,9 @@
   /** Layers of one token that it nominally runs a second; 0 if it is not
    * reported. */
   std::uint32_t layersPerSecond = 0;
+  /** The endpoint has not answered its side's last query. What this message
+   * says of the endpoint is older than that. */
+  bool silent = false;
 
   MSGPACK_DEFINE(refusal,
                  endpoint,
@@ -73,7 +76,8 @@
                  load,
                  fence,
                  capacityLayers,
-                 layersPerSecond);
+                 layersPerSecond,
+                 silent);
 };
 
 } // namespace poplartrack
--- a/src/entry/EndpointTracker.cpp
+++ b/src/entry/EndpointTracker.cpp
@@ -195,7 +195,7 @@
     !tracked.known || restarted || info.name != aReply.endpoint ||
     info.model != aReply.model || info.modelVersion != aReply.modelVersion ||
     info.holds != aReply.holds || tracked.saysLeaving != aReply.leaving ||
-    info.failures != 0;
+    info.silent != aReply.silent || info.failures != 0;
   info.name = aReply.endpoint;
   info.incarnation = aReply.incarnation;
   info.zone = aReply.zone;
@@ -205,7 +205,10 @@
   info.model = aReply.model;
   info.modelVersion = aReply.modelVersion;
   info.holds = aReply.holds;
-  info.holdsReportedAt = aNow;
+  info.silent = aReply.silent;
+  if (!aReply.silent) {
+    info.holdsReportedAt = aNow;
+  }
   info.capacityLayers = aReply.capacityLayers;
   info.layersPerSecond = aReply.layersPerSecond;
   info.load = aReply.load;
@@ -216,7 +219,10 @@
   tracked.known = true;
   tracked.lastHeard = aNow;
   tracked.pause = Duration::zero();
-  tracked.nextProbe = aNow + this->jittered(this->policy.silence);
+  // One that is silent may answer again any moment.
+  tracked.nextProbe =
+    aNow + (aReply.silent ? this->policy.retryFirst
+                          : this->jittered(this->policy.silence));
   this->endpointToInstance[info.name] = aInstance;
   this->changed = this->changed || differs;
   return restarted;
--- a/src/entry/EntryPages.cpp
+++ b/src/entry/EntryPages.cpp
@@ -37,6 +37,7 @@
                              { "accelerator", info.accelerator },
                              { "leaving", info.draining },
                              { "failures", info.failures },
+                             { "silent", info.silent },
                              { "attempts", info.load.attempts } });
   }
   const json body{ { "name", this->settings.name },
--- a/src/http/HttpTransfer.cpp
+++ b/src/http/HttpTransfer.cpp
@@ -360,6 +360,7 @@
   this->result.headers = this->head.fields();
   if (aCode != CURLE_OK) {
     this->result.connectRefused = this->isConnectRefused(aCode);
+    this->result.timedOut = aCode == CURLE_OPERATION_TIMEDOUT;
     this->end(this->outcomeOfFailure(), this->detailOf(aCode));
     return;
   }
--- a/src/route/EndpointHint.cpp
+++ b/src/route/EndpointHint.cpp
@@ -73,7 +73,7 @@
   if (aInfo.draining) {
     return Fitness::Unfit;
   }
-  if (aInfo.failures >= kBackoffProbeFailures) {
+  if (aInfo.silent || aInfo.failures >= kBackoffProbeFailures) {
     return Fitness::BackingOff;
   }
   if (aRecord.failures == 0) {
--- a/src/side/EndpointWatch.cpp
+++ b/src/side/EndpointWatch.cpp
@@ -1,6 +1,7 @@
 #include "poplartrack/side/EndpointWatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplartrack {
 namespace {
@@ -53,14 +54,47 @@
   this->batch = std::max(this->batch, aReport.running);
 }
 
-void
-EndpointWatch::onSilence()
+std::optional<Duration>
+EndpointWatch::onAnswer(TimePoint aNow)
+{
+  const std::scoped_lock lock{ this->guard };
+  this->answeredAt = aNow;
+  const std::optional<TimePoint> since =
+    std::exchange(this->silentSince, std::nullopt);
+  return since ? std::optional{ aNow - *since } : std::nullopt;
+}
+
+WatchChange
+EndpointWatch::onSilence(TimePoint aAskedAt, TimePoint aNow)
+{
+  const std::scoped_lock lock{ this->guard };
+  if (this->answeredAt && *this->answeredAt >= aAskedAt) {
+    return WatchChange::None;
+  }
+  if (!this->silentSince) {
+    this->silentSince = aNow;
+    return this->known ? WatchChange::Silent : WatchChange::None;
+  }
+  return aNow - *this->silentSince >= kMaxSilence ? this->forget()
+                                                  : WatchChange::None;
+}
+
+WatchChange
+EndpointWatch::onFailure()
 {
   const std::scoped_lock lock{ this->guard };
-  // A dead endpoint holds no layers: entries stop choosing it with the next
-  // probe. Its incarnation is kept to distinguish a restart from a short
-  // interruption.
+  return this->forget();
+}
+
+/** A dead endpoint holds no layers: entries stop choosing it with the next
+ * probe. Its incarnation is kept to distinguish a restart from a short
+ * interruption. */
+WatchChange
+EndpointWatch::forget()
+{
+  const bool wasKnown = this->known.has_value();
   this->known.reset();
+  return wasKnown ? WatchChange::Gone : WatchChange::None;
 }
 
 void
@@ -92,6 +126,13 @@
   return this->known;
 }
 
+bool
+EndpointWatch::silent() const
+{
+  const std::scoped_lock lock{ this->guard };
+  return this->silentSince.has_value();
+}
+
 std::uint64_t
 EndpointWatch::incarnation() const
 {
--- a/src/side/EngineClient.cpp
+++ b/src/side/EngineClient.cpp
@@ -43,6 +43,16 @@
   return aReader(aResult.body);
 }
 
+/** Returns the description, or the error that the end of the query proves. */
+Result<EngineInfo>
+judgeInfo(const HttpResult& aResult)
+{
+  if (aResult.outcome != CallOutcome::Replied && !aResult.timedOut) {
+    return fail(ErrorKind::EndpointFailed, aResult.detail);
+  }
+  return judgeRead<EngineInfo>(aResult, readInfo);
+}
+
 } // namespace
 
 EngineClient::EngineClient(HttpClient& aHttp, const std::string& aAddress)
@@ -100,7 +110,7 @@
 {
   this->http.send(this->newCall("/v1/info", aTimeout),
                   [done = std::move(aDone)](const HttpResult& aResult) {
-                    done(judgeRead<EngineInfo>(aResult, readInfo));
+                    done(judgeInfo(aResult));
                   });
 }
 
--- a/src/side/PlainRunner.cpp
+++ b/src/side/PlainRunner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "EndpointLog.h"
 #include "poplartrack/wire/Codec.h"
 
 namespace poplartrack {
@@ -111,6 +112,9 @@
 void
 PlainRunner::onEndpointDone(const PlainCall& aCall, const HttpResult& aResult)
 {
+  if (aResult.outcome == CallOutcome::Replied) {
+    logAnswer(this->parts.endpoint, this->parts.watch.onAnswer(runtimeNow()));
+  }
   PlainReply reply = this->judge(aResult);
   reply.request = aCall.request;
   this->parts.ledger.with([&](StepLedger& aLedger) {
--- a/src/side/SideServer.cpp
+++ b/src/side/SideServer.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include "EndpointLog.h"
 #include "poplartrack/place/OrderFence.h"
 #include "poplartrack/place/PlacementLease.h"
 #include "poplartrack/store/Lease.h"
@@ -22,6 +23,10 @@
  */
 constexpr Duration kListedLeavingHolds = std::chrono::seconds{ 15 };
 
+constexpr std::int64_t kMaxSilenceSeconds =
+  std::chrono::duration_cast<std::chrono::seconds>(EndpointWatch::kMaxSilence)
+    .count();
+
 /** Interval between reads of the lease until one succeeds. If 2,700 sides start
  * at once, they make 1,350 reads a second; the platform serves 2,000. */
 constexpr Duration kFenceRetry = std::chrono::seconds{ 2 };
@@ -193,6 +198,7 @@
   reply.leaving =
     this->ledger.with([](StepLedger& aLedger) { return aLedger.leaving(); });
   reply.revision = this->revision.load();
+  reply.silent = this->watch.silent();
   reply.load = this->stages.load();
   reply.fence = this->orders.highest();
   return reply;
@@ -237,19 +243,49 @@
                      });
 }
 
+void
+SideServer::onEndpointInfo(TimePoint aAskedAt, const Result<EngineInfo>& aInfo)
+{
+  const TimePoint ended = runtimeNow();
+  if (!aInfo) {
+    const bool isSilence = aInfo.error().kind == ErrorKind::Network;
+    const WatchChange change = isSilence
+                                 ? this->watch.onSilence(aAskedAt, ended)
+                                 : this->watch.onFailure();
+    this->logWatchChange(change, aInfo.error());
+    return;
+  }
+  if (!this->watch.info()) {
+    LOG(INFO) << "side: " << this->options.endpoint << " is in use";
+  }
+  const auto restarted = this->watch.onInfo(aInfo.value());
+  logAnswer(this->options.endpoint, this->watch.onAnswer(ended));
+  if (restarted) {
+    this->stages.onEndpointRestarted(*restarted);
+  }
+}
+
+void
+SideServer::logWatchChange(WatchChange aChange, const Error& aError) const
+{
+  if (aChange == WatchChange::Silent) {
+    LOG(WARNING) << "side: " << this->options.endpoint
+                 << " does not answer, is a last resort until it does, for "
+                 << kMaxSilenceSeconds << " s at most";
+  } else if (aChange == WatchChange::Gone) {
+    LOG(WARNING) << "side: " << this->options.endpoint
+                 << " is out of use until it answers, " << describe(aError);
+  }
+}
+
 void
 SideServer::watchEndpoint()
 {
-  this->engine.info(kWatchTimeout, [this](const Result<EngineInfo>& aInfo) {
-    if (!aInfo) {
-      this->watch.onSilence();
-      return;
-    }
-    const auto restarted = this->watch.onInfo(aInfo.value());
-    if (restarted) {
-      this->stages.onEndpointRestarted(*restarted);
-    }
-  });
+  this->engine.info(
+    kWatchTimeout,
+    [this, asked = runtimeNow()](const Result<EngineInfo>& aInfo) {
+      this->onEndpointInfo(asked, aInfo);
+    });
   this->engine.load(kWatchTimeout, [this](const Result<LoadHint>& aLoad) {
     if (aLoad) {
       this->watch.onReport(aLoad.value());
--- a/src/side/StageRunner.cpp
+++ b/src/side/StageRunner.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include "EndpointLog.h"
 #include "poplartrack/wire/StageTrouble.h"
 
 namespace poplartrack {
@@ -87,6 +88,7 @@
     this->abandon(aRun, this->parts.endpoint, aResult.error());
     return;
   }
+  logAnswer(this->parts.endpoint, this->parts.watch.onAnswer(runtimeNow()));
   const EngineOutput& output = aResult.value();
   const auto restarted =
     this->parts.watch.onEngineIncarnation(output.incarnation);
--- a/tests/scenarios/cases/engine_silent_for_a_second.lua
+++ b/tests/scenarios/cases/engine_silent_for_a_second.lua
@@ -4,7 +4,9 @@
 kill("side-b2")
 local function usable(name)
   for _, endpoint in ipairs(status("entry-1").endpoints) do
-    if endpoint.name == name then return endpoint.failures == 0 end
+    if endpoint.name == name then
+      return endpoint.failures == 0 and not endpoint.silent
+    end
   end
   return false
 end
--- a/tests/unit/entry/EndpointTrackerTest.cpp
+++ b/tests/unit/entry/EndpointTrackerTest.cpp
@@ -123,6 +123,29 @@
   EXPECT_TRUE(showsOutdatedView(Refusal::of(fail(ErrorKind::Leaving))));
 }
 
+// Guards against layers that count as confirmed by a report which is older than
+// the silence of their engine, and against an engine that is asked late.
+TEST_F(EndpointTrackerTest, aSilentEndpointStaysInTheViewAndIsAskedSoon)
+{
+  this->learn("a", 5);
+  const TimePoint reported = this->clock.now();
+  this->clock.advance(seconds{ 1 });
+  ProbeReply reply = replyOf("engine-a", 5);
+  reply.silent = true;
+  this->tracker.onProbeReply("a", reply, milliseconds{ 1 }, this->clock.now());
+  EXPECT_TRUE(this->tracker.takeChanged());
+  ASSERT_EQ(this->tracker.view()->endpoints.size(), 1U);
+  EXPECT_TRUE(this->tracker.view()->endpoints[0].silent);
+  EXPECT_EQ(this->tracker.view()->endpoints[0].holdsReportedAt, reported);
+  this->clock.advance(ProbePolicy{}.retryFirst);
+  EXPECT_EQ(this->tracker.dueProbes(this->clock.now()).size(), 1U);
+  reply.silent = false;
+  this->tracker.onProbeReply("a", reply, milliseconds{ 1 }, this->clock.now());
+  EXPECT_FALSE(this->tracker.view()->endpoints[0].silent);
+  EXPECT_EQ(this->tracker.view()->endpoints[0].holdsReportedAt,
+            this->clock.now());
+}
+
 TEST_F(EndpointTrackerTest, probesStayWithinTheBudgetAndReachEveryEndpoint)
 {
   // 340 sides of a region appear at once, as after a switch came back. Probes
--- a/tests/unit/route/RouteChooserTest.cpp
+++ b/tests/unit/route/RouteChooserTest.cpp
@@ -278,6 +278,18 @@
   EXPECT_TRUE(choice.choose(view, query(), kStart).ok());
 }
 
+// Guards against a refusal while the only endpoint of a layer is silent.
+TEST(RouteChooser, aSilentEndpointIsUsedOnlyIfNoOtherCoversALayer)
+{
+  EndpointView view;
+  view.endpoints = { engine("a", { 0, 12 }), engine("b", { 0, 12 }) };
+  view.endpoints[0].silent = true;
+  RouteChooser choice = chooser();
+  EXPECT_FALSE(startMany(choice, view, 10).contains("a"));
+  view.endpoints.pop_back();
+  EXPECT_TRUE(choice.choose(view, query(), kStart).ok());
+}
+
 TEST(RouteChooser, aPrefixKeepsItsEndpointUntilThatIsLoaded)
 {
   EndpointView view;
--- a/tests/unit/side/EndpointWatchTest.cpp
+++ b/tests/unit/side/EndpointWatchTest.cpp
@@ -7,6 +7,16 @@
 
 using std::chrono::milliseconds;
 
+EngineInfo
+engineWithLayers()
+{
+  EngineInfo info;
+  info.incarnation = 1;
+  info.service = "engine";
+  info.holds = LayerRange{ 0, 6 };
+  return info;
+}
+
 TEST(EndpointWatchTest, tellsTheBatchFromTheQueueInsideTheEngine)
 {
   // The side hands every step on at once, so the engine queues them. Told as
@@ -41,5 +51,58 @@
   EXPECT_EQ(watch.load().stepMicros, 5'000U);
 }
 
+// Guards against refusals while the only engine of a layer is silent for a
+// second: it counted as an engine without layers.
+TEST(EndpointWatchTest, aSilentEndpointKeepsItsLayersForAWhile)
+{
+  ManualClock clock;
+  EndpointWatch watch{ 1 };
+  watch.onAnswer(clock.now());
+  watch.onInfo(engineWithLayers());
+  const auto ask = [&] {
+    const TimePoint asked = clock.now();
+    clock.advance(std::chrono::seconds{ 1 });
+    return watch.onSilence(asked, clock.now());
+  };
+  clock.advance(milliseconds{ 1 });
+  EXPECT_EQ(ask(), WatchChange::Silent);
+  EXPECT_TRUE(watch.silent());
+  EXPECT_TRUE(watch.info());
+  EXPECT_EQ(ask(), WatchChange::None);
+  EXPECT_EQ(watch.onAnswer(clock.now()), std::chrono::seconds{ 1 });
+  EXPECT_FALSE(watch.silent());
+  clock.advance(milliseconds{ 1 });
+  EXPECT_EQ(ask(), WatchChange::Silent);
+  EXPECT_EQ(ask(), WatchChange::None);
+  EXPECT_EQ(ask(), WatchChange::None);
+  EXPECT_EQ(ask(), WatchChange::Gone);
+  EXPECT_FALSE(watch.info());
+}
+
+// Guards against an endpoint that counts as silent though it has answered a
+// later query.
+TEST(EndpointWatchTest, anAnswerOutweighsAnEarlierQueryWithoutOne)
+{
+  ManualClock clock;
+  EndpointWatch watch{ 1 };
+  watch.onInfo(engineWithLayers());
+  const TimePoint asked = clock.now();
+  clock.advance(milliseconds{ 500 });
+  watch.onAnswer(clock.now());
+  clock.advance(milliseconds{ 500 });
+  EXPECT_EQ(watch.onSilence(asked, clock.now()), WatchChange::None);
+  EXPECT_FALSE(watch.silent());
+}
+
+// Guards against attempts that are sent to an engine whose process has ended.
+TEST(EndpointWatchTest, anEndpointThatRefusesHoldsNothingAtOnce)
+{
+  EndpointWatch watch{ 1 };
+  watch.onInfo(engineWithLayers());
+  EXPECT_EQ(watch.onFailure(), WatchChange::Gone);
+  EXPECT_FALSE(watch.info());
+  EXPECT_EQ(watch.onFailure(), WatchChange::None);
+}
+
 } // namespace
 } // namespace poplartrack
