Connect again at once after a connect timeout

Cause: the reconnect backoff (100 to 200 ms, against simultaneous connects) also followed a connect timeout. Calls in it fail at once as not sent, and repeats come after 20 to 80 ms, so all of them fell into the backoff.

Evidence, with the old behaviour: StreamClient.afterAConnectTimeoutTheNextCallConnectsAgain: result.detail is "no connection to the peer", expected "the peer did not get ready in time".

Change: only a connect that failed at once starts the backoff; one that timed out has taken longer than it.

Result: StreamClient, StreamCall and PeerTable tests passed.

--- a/include/poplartrack/wire/CallOutcome.h
+++ b/include/poplartrack/wire/CallOutcome.h
@@ -22,6 +22,9 @@
   CallOutcome outcome = CallOutcome::Unknown;
   std::string frame;
   std::string detail;
+  /** Ended by a timeout: the peer sent neither a reply nor a refusal, and may
+   * go on. */
+  bool silent = false;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/wire/StreamClient.h
+++ b/include/poplartrack/wire/StreamClient.h
@@ -17,9 +17,11 @@
 struct StreamClientLimits
 {
   Duration connectTimeout = std::chrono::seconds{ 1 };
-  /** After a failed connect, calls to that peer fail as NotSent for this long
-   * plus a random time up to as much again, so that not all processes reconnect
-   * at once when a zone is available again. */
+  /** After a connect that failed at once, calls to that peer fail as NotSent
+   * for this long plus a random time up to as much again, so that not all
+   * processes reconnect at once when a zone is available again. After a connect
+   * timeout, the next call begins another connect: it has waited for longer
+   * already. */
   Duration reconnectBackoff = std::chrono::milliseconds{ 100 };
   std::size_t maxFrameBytes = kMaxFrameBytes;
   /** A peer with open calls that has been silent this long is sent a PING. */
@@ -68,6 +70,8 @@
   /** Valid only if outcome is Replied. */
   Reply reply;
   std::string detail;
+  /** As in CallResult. */
+  bool silent = false;
 };
 
 /** Sends a message and decodes the reply. A reply that cannot be decoded counts
@@ -87,6 +91,7 @@
                  TypedResult<Reply> typed;
                  typed.outcome = aResult.outcome;
                  typed.detail = std::move(aResult.detail);
+                 typed.silent = aResult.silent;
                  if (aResult.outcome == CallOutcome::Replied) {
                    Result<Reply> reply = decode<Reply>(aResult.frame);
                    if (reply) {
--- a/src/wire/ClientConnection.cpp
+++ b/src/wire/ClientConnection.cpp
@@ -104,7 +104,7 @@
   this->now = aNow;
   if (this->state == State::Connecting || this->state == State::Greeting) {
     if (aNow >= this->connectUntil) {
-      this->close("the peer did not get ready in time");
+      this->closeSilent("the peer did not get ready in time");
     }
     return;
   }
@@ -118,7 +118,7 @@
       this->http2.ping();
       return;
     case KeepAlive::Step::Dead:
-      this->close("the peer does not answer PING");
+      this->closeSilent("the peer does not answer PING");
   }
 }
 
@@ -147,7 +147,7 @@
     // has not been sent completely by now will not be handled.
     const CallOutcome outcome =
       call.source.ended() ? CallOutcome::Unknown : CallOutcome::NotSent;
-    this->end(std::move(call), outcome, kDetail);
+    this->endSilent(std::move(call), outcome, kDetail);
     return;
   }
   const auto waits = std::find_if(
@@ -157,7 +157,7 @@
   if (waits != this->waiting.end()) {
     ClientCall call = std::move(*waits);
     this->waiting.erase(waits);
-    this->end(std::move(call), CallOutcome::NotSent, kDetail);
+    this->endSilent(std::move(call), CallOutcome::NotSent, kDetail);
   }
 }
 
@@ -183,6 +183,13 @@
   }
 }
 
+void
+ClientConnection::closeSilent(const std::string& aDetail)
+{
+  this->peerSilent = true;
+  this->close(aDetail);
+}
+
 void
 ClientConnection::close(const std::string& aDetail)
 {
@@ -224,10 +231,20 @@
   CallResult result;
   result.outcome = aOutcome;
   result.detail = std::move(aDetail);
+  result.silent = this->peerSilent;
   if (aOutcome == CallOutcome::Replied) {
     result.frame = std::move(aCall.reply);
   }
   this->ended.push_back(EndedCall{ std::move(aCall), std::move(result) });
 }
 
+void
+ClientConnection::endSilent(ClientCall aCall,
+                            CallOutcome aOutcome,
+                            std::string aDetail)
+{
+  this->end(std::move(aCall), aOutcome, std::move(aDetail));
+  this->ended.back().result.silent = true;
+}
+
 } // namespace poplartrack
--- a/src/wire/ClientConnection.h
+++ b/src/wire/ClientConnection.h
@@ -51,6 +51,8 @@
   [[nodiscard]] bool closed() const { return this->state == State::Closed; }
   /** Returns whether the peer has ever been ready for calls. */
   [[nodiscard]] bool wasOpen() const { return this->everOpen; }
+  /** Returns whether a timeout closed it. */
+  [[nodiscard]] bool timedOut() const { return this->peerSilent; }
   /** Returns whether new calls need another connection. */
   [[nodiscard]] bool leaving() const { return this->goneAway; }
 
@@ -78,7 +80,11 @@
 
   void finishConnect();
   void submit(ClientCall aCall);
+  /** Closes the connection to a peer that has sent nothing in time. */
+  void closeSilent(const std::string& aDetail);
   void end(ClientCall aCall, CallOutcome aOutcome, std::string aDetail);
+  /** Ends a call whose peer has sent neither a reply nor a refusal. */
+  void endSilent(ClientCall aCall, CallOutcome aOutcome, std::string aDetail);
   void closeWhenDone();
   ClientCall* find(std::int32_t aStream);
 
@@ -90,6 +96,7 @@
   TimePoint now;
   bool everOpen = false;
   bool goneAway = false;
+  bool peerSilent = false;
   std::vector<ClientCall> waiting;
   std::unordered_map<std::int32_t, ClientCall> calls;
   std::unordered_map<std::uint64_t, std::int32_t> streams;
--- a/src/wire/ClientLoop.cpp
+++ b/src/wire/ClientLoop.cpp
@@ -222,7 +222,7 @@
   this->links.erase(aId);
   this->connectionTimers.cancel(aId);
   this->peers.lost(link->peer, aId);
-  if (!link->connection.wasOpen()) {
+  if (!link->connection.wasOpen() && !link->connection.timedOut()) {
     this->peers.failed(link->peer, aNow);
   }
 }
--- a/tests/unit/wire/StreamClientTest.cpp
+++ b/tests/unit/wire/StreamClientTest.cpp
@@ -70,6 +70,35 @@
   EXPECT_EQ(second.detail, "no connection to the peer");
 }
 
+// Guards against calls that fail at once while a sound peer is silent for
+// longer than a connect may take.
+TEST(StreamClient, afterAConnectTimeoutTheNextCallConnectsAgain)
+{
+  StreamClientLimits limits;
+  limits.connectTimeout = milliseconds{ 20 };
+  limits.reconnectBackoff = seconds{ 60 };
+  const auto client = newClient(limits);
+  RawListener listener;
+  for (const char* frame : { "a", "b" }) {
+    const CallResult result = start(*client, listener.address(), frame).get();
+    EXPECT_EQ(result.outcome, CallOutcome::NotSent);
+    EXPECT_EQ(result.detail, "the peer did not get ready in time");
+  }
+}
+
+// Guards against a peer without a process that counts as one that is silent.
+TEST(StreamClient, onlyATimeoutIsSilence)
+{
+  const auto client = newClient();
+  EXPECT_FALSE(start(*client, harness::deadAddress(), "a").get().silent);
+  RawListener listener;
+  auto unread = start(*client, listener.address(), "a", milliseconds{ 10 });
+  EXPECT_TRUE(unread.get().silent);
+  auto sent = start(*client, listener.address(), "b");
+  listener.accept().close();
+  EXPECT_FALSE(sent.get().silent);
+}
+
 TEST(StreamClient, aFrameOverTheLimitIsNotSent)
 {
   StreamClientLimits limits;
