Let an attempt outlive a next stage that is silent

What callers saw: a stage that took no step for 1.56 s (1.04 s without a connection) ended its attempt at the side before it. The request prefilled anew, used retry budget and one of its eight attempts, and was lost if it had no more of them; the stage itself went on.

Cause: three unanswered sends of a step acted as proof. The side dropped the attempt before anyone knew of another route.

Change: after the same 1.56 s the side reports the next stage as silent (StageTrouble.mayContinue, a field at the end; older entries end the attempt as before) and offers the step again until it is taken or refused, or the attempt is fenced or past its deadline. The entry looks for another route and fences the attempt only when it has one. A refused or broken connection and a refusal end the attempt at once, as before. The side logs the silence, its end, and why it ends an attempt; next_stages_silent_total counts.

--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -189,6 +189,7 @@
                     const ExpectedPace& aExpected);
   Actions onOpenTimeout(TimePoint aNow);
   Actions onStall(TimePoint aNow);
+  Actions onSilentStage(const std::string& aEndpoint, TimePoint aNow);
   Actions endBlame(TimePoint aNow);
   Actions askForReplacement(RetryReason aReason, TimePoint aNow);
   Actions keepAttempt(TimePoint aNow);
--- a/include/poplartrack/side/StageRunner.h
+++ b/include/poplartrack/side/StageRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "poplartrack/base/Timers.h"
@@ -57,6 +58,21 @@
               const RunStep& aStep,
               const EngineOutput& aOutput);
   void sendStep(const RunNow& aRun, const RunStep& aStep);
+  /** A step on its way to the next stage. */
+  struct StepOffer
+  {
+    RunNow run;
+    RunStep step;
+    Address next;
+    /** When the next stage was reported as silent, if it was. */
+    std::optional<TimePoint> silentSince;
+  };
+  void offerStep(const StepOffer& aOffer);
+  void onStepOffered(const StepOffer& aOffer,
+                     const TypedResult<StepReply>& aResult);
+  /** Reports the next stage once, and offers the step again while the attempt
+   * is open. */
+  void onNextStageSilent(StepOffer aOffer, const std::string& aDetail);
   void sendToken(const RunNow& aRun, const TokenReady& aToken);
   /** Ends an attempt whose tokens the entry no longer accepts.
    * @param aEntryLives whether the entry rejected the token; otherwise it did
--- a/include/poplartrack/wire/StageTrouble.h
+++ b/include/poplartrack/wire/StageTrouble.h
@@ -11,7 +11,7 @@
 
 namespace poplartrack {
 
-/** From a side to the entry: this attempt cannot continue. */
+/** From a side to the entry: this attempt cannot continue, or may not. */
 struct StageTrouble
 {
   static constexpr MessageKind kKind = MessageKind::StageTrouble;
@@ -22,8 +22,11 @@
   std::string endpoint;
   ErrorKind kind = ErrorKind::Internal;
   std::string detail;
+  /** The endpoint is only silent, and the sender repeats its step: the attempt
+   * continues if the endpoint does. */
+  bool mayContinue = false;
 
-  MSGPACK_DEFINE(request, attempt, endpoint, kind, detail);
+  MSGPACK_DEFINE(request, attempt, endpoint, kind, detail, mayContinue);
 };
 
 /** Acknowledgement of the entry. */
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -231,6 +231,9 @@
       aTrouble.attempt != this->attemptNumber) {
     return {};
   }
+  if (aTrouble.mayContinue) {
+    return this->onSilentStage(aTrouble.endpoint, aNow);
+  }
   return this->nextAttempt(
     RetryReason::StageTrouble, { aTrouble.endpoint }, aNow);
 }
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -209,6 +209,19 @@
   return actions;
 }
 
+/** Looks for a replacement of an attempt one of whose stages is silent. While
+ * one is looked for already, nothing is new. */
+RequestRun::Actions
+RequestRun::onSilentStage(const std::string& aEndpoint, TimePoint aNow)
+{
+  if (this->phase != Phase::Running) {
+    return {};
+  }
+  this->avoid.insert(aEndpoint);
+  this->silent = { aEndpoint };
+  return this->askForReplacement(RetryReason::StageTrouble, aNow);
+}
+
 RequestRun::Actions
 RequestRun::endBlame(TimePoint aNow)
 {
--- a/src/side/StageRunnerSends.cpp
+++ b/src/side/StageRunnerSends.cpp
@@ -1,5 +1,7 @@
 #include "poplartrack/side/StageRunner.h"
 
+#include <glog/logging.h>
+
 #include "poplartrack/wire/FenceRequest.h"
 #include "poplartrack/wire/Repeat.h"
 #include "poplartrack/wire/StageTrouble.h"
@@ -8,10 +10,12 @@
 namespace {
 
 /** A next stage that does not accept a step within this time, in three tries,
- * is reported as lost. The entry's own stall detection is usually faster. */
+ * is reported. The entry's own stall detection is usually faster. */
 constexpr RepeatPolicy kStepRepeat{ 3,
                                     std::chrono::milliseconds{ 500 },
                                     std::chrono::milliseconds{ 20 } };
+/** Pause before a step is offered again to a next stage that is silent. */
+constexpr Duration kSilentPause = std::chrono::milliseconds{ 100 };
 constexpr RepeatPolicy kTokenRepeat{ 4,
                                      std::chrono::seconds{ 1 },
                                      std::chrono::milliseconds{ 20 } };
@@ -37,22 +41,82 @@
     this->abandon(aRun, next, address.error());
     return;
   }
+  this->offerStep(StepOffer{ aRun, aStep, address.value(), {} });
+}
+
+void
+StageRunner::offerStep(const StepOffer& aOffer)
+{
   callRepeatedly<StepReply>(
     this->parts.peers,
     this->parts.timers,
-    address.value(),
-    aStep,
+    aOffer.next,
+    aOffer.step,
     kStepRepeat,
     [this] { this->parts.metrics.countRetry(RetryReason::StepUnacknowledged); },
-    [this, aRun, next](const TypedResult<StepReply>& aResult) {
-      if (aResult.outcome != CallOutcome::Replied) {
-        this->abandon(aRun, next, fail(ErrorKind::StageLost, aResult.detail));
-      } else if (aResult.reply.refusal.refused) {
-        this->abandon(aRun, next, aResult.reply.refusal.error());
-      }
+    [this, aOffer](const TypedResult<StepReply>& aResult) {
+      this->onStepOffered(aOffer, aResult);
     });
 }
 
+void
+StageRunner::onStepOffered(const StepOffer& aOffer,
+                           const TypedResult<StepReply>& aResult)
+{
+  const std::string& next = aOffer.run.nextStage.endpoint;
+  if (aResult.outcome != CallOutcome::Replied) {
+    if (aResult.silent) {
+      this->onNextStageSilent(aOffer, aResult.detail);
+      return;
+    }
+    this->abandon(aOffer.run, next, fail(ErrorKind::StageLost, aResult.detail));
+    return;
+  }
+  if (aOffer.silentSince) {
+    const auto silentFor =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        runtimeNow() - *aOffer.silentSince);
+    LOG(INFO) << "side: " << toText(aOffer.step.request) << " attempt "
+              << aOffer.step.attempt << " continues, " << next
+              << " answers again " << silentFor.count()
+              << " ms after it was reported as silent";
+  }
+  if (aResult.reply.refusal.refused) {
+    this->abandon(aOffer.run, next, aResult.reply.refusal.error());
+  }
+}
+
+void
+StageRunner::onNextStageSilent(StepOffer aOffer, const std::string& aDetail)
+{
+  const OpenAttempt& open = *aOffer.run.attempt;
+  const TimePoint moment = runtimeNow();
+  const bool isOpen = this->parts.ledger.with([&](StepLedger& aLedger) {
+    return aLedger.mayDispatch(open.request, open.attempt, moment);
+  });
+  if (!isOpen) {
+    return;
+  }
+  if (!aOffer.silentSince) {
+    aOffer.silentSince = moment;
+    const std::string& next = aOffer.run.nextStage.endpoint;
+    LOG(WARNING) << "side: " << toText(open.request) << " attempt "
+                 << open.attempt << " waits for " << next
+                 << ", which is silent: " << aDetail;
+    this->parts.metrics.count("next_stages_silent_total");
+    this->tellTrouble(open.replyTo,
+                      StageTrouble{ open.request,
+                                    open.attempt,
+                                    next,
+                                    ErrorKind::StageLost,
+                                    aDetail,
+                                    true });
+  }
+  this->parts.timers.after(kSilentPause, [this, offer = std::move(aOffer)] {
+    this->offerStep(offer);
+  });
+}
+
 void
 StageRunner::sendToken(const RunNow& aRun, const TokenReady& aToken)
 {
@@ -122,6 +186,8 @@
   });
   this->cancelDropped();
   this->parts.metrics.count("attempts_abandoned_total");
+  LOG(INFO) << "side: " << toText(open.request) << " attempt " << open.attempt
+            << " ends, " << aBlamed << ": " << describe(aError);
   this->tellTrouble(
     open.replyTo,
     StageTrouble{
--- a/tests/unit/entry/RequestRunTest.cpp
+++ b/tests/unit/entry/RequestRunTest.cpp
@@ -248,6 +248,45 @@
 }
 
 // Guards against a loss that is answered by the end of an earlier search.
+// Guards against a started stream that is cut because a sound stage did not
+// take a step for a second.
+TEST_F(RequestRunTest, aStageReportedAsSilentEndsNoAttempt)
+{
+  this->run.start(this->now);
+  this->openAll(routeOver());
+  this->run.onToken(this->token(0, 21), this->now);
+  StageTrouble silent;
+  silent.request = kRequest;
+  silent.attempt = this->run.attempt();
+  silent.endpoint = "b";
+  silent.mayContinue = true;
+  const auto actions = this->run.onTrouble(silent, this->now);
+  EXPECT_TRUE(all<SendFence>(actions).empty());
+  const auto needs = all<NeedRoute>(actions);
+  ASSERT_EQ(needs.size(), 1U);
+  EXPECT_TRUE(needs[0].keepsAttempt);
+  EXPECT_EQ(needs[0].failedLast, std::set<std::string>{ "b" });
+  EXPECT_TRUE(this->run.onTrouble(silent, this->now).empty());
+  this->run.onNoRoute(
+    needs[0].attempt, fail(ErrorKind::NoRoute, "none"), this->now);
+  expectRest(*this);
+}
+
+// Guards against an attempt that is waited for though its stage has ended it.
+TEST_F(RequestRunTest, aStageReportedAsFailedEndsItsAttempt)
+{
+  this->run.start(this->now);
+  this->openAll(routeOver());
+  StageTrouble failed;
+  failed.request = kRequest;
+  failed.attempt = this->run.attempt();
+  failed.endpoint = "b";
+  const auto actions = this->run.onTrouble(failed, this->now);
+  EXPECT_EQ(all<SendFence>(actions).size(), 3U);
+  ASSERT_EQ(all<NeedRoute>(actions).size(), 1U);
+  EXPECT_FALSE(all<NeedRoute>(actions)[0].keepsAttempt);
+}
+
 TEST_F(RequestRunTest, aLossDuringTheSearchAsksAgain)
 {
   stall();
