Send a plain call again to a side that was only silent

What callers saw: a plain call whose only side took no connection for a second got 503, "no live endpoint", at its connect timeout, seconds before its deadline, though nothing had run and the side went on.

Cause: a connect timeout counted like a refusal: the side was avoided for the rest of the call, and a call with no other endpoint was given up.

Evidence, with the old behaviour: PlainRunTest.aSideThatWasSilentAtAConnectIsTheLastResort: order.size() is 1, expected 2.

This is safe for calls that must not run twice too: nothing was sent. A refusal, or a refused connection, removes the side from the last resorts, as before.

--- a/include/poplartrack/entry/PlainRun.h
+++ b/include/poplartrack/entry/PlainRun.h
@@ -56,6 +56,9 @@
   /** Endpoints that failed this call: never choose them for a call that is
    * not idempotent. */
   std::set<std::string> avoid;
+  /** Those of them that were only silent at a connect, so that nothing was
+   * sent: choose one of them rather than none. */
+  std::set<std::string> lastResort;
   bool isRetry = false;
   RetryReason reason = RetryReason::PlainNotRun;
   /** The call in progress continues if there is no other endpoint. */
@@ -102,6 +105,8 @@
                                         CallOutcome aOutcome,
                                         const PlainReply& aReply,
                                         TimePoint aNow);
+  /** The side was silent at the connect, so the call was not sent. */
+  std::vector<PlainAction> onUnreached(std::uint32_t aAttempt, TimePoint aNow);
   /** @param aSent the action that is answered */
   std::vector<PlainAction> onFenceReply(const SendFence& aSent,
                                         CallOutcome aOutcome,
@@ -149,6 +154,7 @@
   std::uint32_t attemptNumber = 0;
   PlainTarget target;
   std::set<std::string> avoid;
+  std::set<std::string> unreached;
   /** Some attempt reached a side and its outcome is unknown. */
   bool mayHaveRun = false;
   TimePoint phaseEnd{};
--- a/include/poplartrack/entry/RouteFallback.h
+++ b/include/poplartrack/entry/RouteFallback.h
@@ -2,8 +2,10 @@
 
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "poplartrack/entry/PlainRun.h"
 #include "poplartrack/entry/RunAction.h"
 
 namespace poplartrack {
@@ -29,4 +31,19 @@
   return order;
 }
 
+/** The same for a plain call's endpoint. */
+[[nodiscard]] inline std::vector<std::set<std::string>>
+avoidInOrder(const NeedEndpoint& aNeed)
+{
+  std::vector<std::set<std::string>> order{ aNeed.avoid };
+  if (!aNeed.lastResort.empty()) {
+    std::set<std::string> failed = aNeed.avoid;
+    for (const std::string& endpoint : aNeed.lastResort) {
+      failed.erase(endpoint);
+    }
+    order.push_back(std::move(failed));
+  }
+  return order;
+}
+
 } // namespace poplartrack
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "poplartrack/entry/FailingEndpoints.h"
+#include "poplartrack/entry/RouteFallback.h"
 
 namespace poplartrack {
 namespace {
@@ -138,9 +139,9 @@
 {
   const std::shared_ptr<const EndpointView> view = this->parts.endpoints.view();
   const TimePoint moment = runtimeNow();
-  std::set<std::string> avoid = aNeed.avoid;
+  std::vector<std::set<std::string>> order = avoidInOrder(aNeed);
   if (aNeed.keepsAttempt) {
-    avoid.merge(failingEndpoints(*view));
+    order.front().merge(failingEndpoints(*view));
   }
   const Result<EndpointInfo> chosen =
     this->parts.decider.with([&](RouteChooser& aChooser,
@@ -149,8 +150,14 @@
       for (const std::string& endpoint : aNeed.avoid) {
         aChooser.onEndpointFailed(endpoint, moment);
       }
-      Result<EndpointInfo> found = aChooser.choosePlain(
-        *view, aCall->spec.service, this->parts.zone, avoid, moment);
+      Result<EndpointInfo> found = fail(ErrorKind::NoRoute);
+      for (const std::set<std::string>& avoid : order) {
+        found = aChooser.choosePlain(
+          *view, aCall->spec.service, this->parts.zone, avoid, moment);
+        if (found) {
+          break;
+        }
+      }
       const bool mayRepeatWork =
         aNeed.isRetry && aNeed.reason != RetryReason::PlainNotRun;
       if (found && mayRepeatWork && !aBudget.tryRetry(moment)) {
@@ -179,23 +186,27 @@
 {
   const std::uint32_t attempt = aSend.message.attempt;
   const std::string endpoint = aSend.endpoint;
-  const auto done = [this, aCall, attempt, endpoint](
-                      const TypedResult<PlainReply>& aResult) {
-    const bool replied = aResult.outcome == CallOutcome::Replied;
-    this->parts.decider.with(
-      [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-        aChooser.onPlainEnded(endpoint, replied, runtimeNow());
+  const auto done =
+    [this, aCall, attempt, endpoint](const TypedResult<PlainReply>& aResult) {
+      const bool replied = aResult.outcome == CallOutcome::Replied;
+      this->parts.decider.with(
+        [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
+          aChooser.onPlainEnded(endpoint, replied, runtimeNow());
+        });
+      if (replied) {
+        this->parts.endpoints.onReply(
+          endpoint, aResult.reply.refusal, aResult.reply.load);
+      } else {
+        this->parts.endpoints.onCallFailed(endpoint);
+      }
+      const bool isUnreached =
+        aResult.outcome == CallOutcome::NotSent && aResult.silent;
+      this->apply(aCall, [&](PlainRun& aState, TimePoint aNow) {
+        return isUnreached ? aState.onUnreached(attempt, aNow)
+                           : aState.onPlainReply(
+                               attempt, aResult.outcome, aResult.reply, aNow);
       });
-    if (replied) {
-      this->parts.endpoints.onReply(
-        endpoint, aResult.reply.refusal, aResult.reply.load);
-    } else {
-      this->parts.endpoints.onCallFailed(endpoint);
-    }
-    this->apply(aCall, [&](PlainRun& aState, TimePoint aNow) {
-      return aState.onPlainReply(attempt, aResult.outcome, aResult.reply, aNow);
-    });
-  };
+    };
   this->parts.decider.with(
     [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
       aChooser.onPlainStarted(endpoint, runtimeNow());
--- a/src/entry/PlainRun.cpp
+++ b/src/entry/PlainRun.cpp
@@ -31,7 +31,9 @@
   }
   this->phase = Phase::Choosing;
   this->attemptNumber = 1;
-  return { NeedEndpoint{ this->attemptNumber, {}, false, {}, false } };
+  NeedEndpoint need;
+  need.attempt = this->attemptNumber;
+  return { std::move(need) };
 }
 
 PlainRun::Actions
@@ -108,6 +110,7 @@
   if (!this->isCalling() || aAttempt != this->attemptNumber) {
     return {};
   }
+  this->unreached.erase(this->target.endpoint);
   if (aOutcome == CallOutcome::NotSent) {
     return this->elsewhere(RetryReason::PlainNotRun,
                            fail(ErrorKind::Network, "the side is not reached"),
@@ -139,6 +142,19 @@
     fail(ErrorKind::OutcomeUnknown, describe(aReply.refusal.error())));
 }
 
+PlainRun::Actions
+PlainRun::onUnreached(std::uint32_t aAttempt, TimePoint aNow)
+{
+  if (!this->isCalling() || aAttempt != this->attemptNumber) {
+    return {};
+  }
+  this->unreached.insert(this->target.endpoint);
+  return this->elsewhere(
+    RetryReason::PlainNotRun,
+    fail(ErrorKind::Network, "the side took no connection in time"),
+    aNow);
+}
+
 PlainRun::Actions
 PlainRun::onUnknownOutcome(const Error& aError, TimePoint aNow)
 {
@@ -279,11 +295,13 @@
   // and is lost only if there is another endpoint to ask.
   this->phase = Phase::Replacing;
   this->avoid.insert(this->target.endpoint);
-  return { NeedEndpoint{ this->attemptNumber + 1,
-                         this->avoid,
-                         true,
-                         RetryReason::PlainIdempotent,
-                         true } };
+  NeedEndpoint need;
+  need.attempt = this->attemptNumber + 1;
+  need.avoid = this->avoid;
+  need.isRetry = true;
+  need.reason = RetryReason::PlainIdempotent;
+  need.keepsAttempt = true;
+  return { std::move(need) };
 }
 
 PlainRun::Actions
@@ -296,8 +314,13 @@
   }
   ++this->attemptNumber;
   this->phase = Phase::Choosing;
-  return { NeedEndpoint{
-    this->attemptNumber, this->avoid, true, aReason, false } };
+  NeedEndpoint need;
+  need.attempt = this->attemptNumber;
+  need.avoid = this->avoid;
+  need.lastResort = this->unreached;
+  need.isRetry = true;
+  need.reason = aReason;
+  return { std::move(need) };
 }
 
 PlainRun::Actions
--- a/tests/unit/entry/PlainRunTest.cpp
+++ b/tests/unit/entry/PlainRunTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "poplartrack/entry/RouteFallback.h"
+
 namespace poplartrack {
 namespace {
 
@@ -174,6 +176,28 @@
   EXPECT_EQ(all<Answer>(end)[0].body, "late");
 }
 
+// Guards against a refusal because the only endpoint, which is sound, took no
+// connection for a second.
+TEST_F(PlainRunTest, aSideThatWasSilentAtAConnectIsTheLastResort)
+{
+  for (const bool idempotent : { true, false }) {
+    PlainRun run = sent(idempotent);
+    const auto needs = all<NeedEndpoint>(run.onUnreached(1, now));
+    ASSERT_EQ(needs.size(), 1U);
+    EXPECT_EQ(needs[0].avoid, std::set<std::string>{ "k1" });
+    const auto order = avoidInOrder(needs[0]);
+    ASSERT_EQ(order.size(), 2U);
+    EXPECT_TRUE(order[0].contains("k1"));
+    EXPECT_FALSE(order[1].contains("k1"));
+    // One that has refused it since is no resort.
+    run.onEndpoint(2, kSecond, now);
+    const auto refused =
+      all<NeedEndpoint>(run.onPlainReply(2, CallOutcome::NotSent, {}, now));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(avoidInOrder(refused[0]).at(1), std::set<std::string>{ "k2" });
+  }
+}
+
 // Guards against a last attempt that silence ends before the deadline.
 TEST_F(PlainRunTest, theLastAttemptWaitsForItsDeadline)
 {
