End the backoff of a silent endpoint with its next answer

What callers saw: an endpoint that was silent for a second stayed a last resort for 0.5 s and, after further silences, up to 20 s, with one trial at a time afterwards, though its side had answered probes since. Its load went to the others, and requests were refused there that it could have taken.

Cause: RouteChooser starts the same backoff for silence and for refusals, and only a whole answer or a restart ended it. Replies to probes and calls reset the count of failed calls in the view, but not that backoff.

Evidence, with the old behaviour: RouteChooser.anAnswerEndsTheBackoffOfASilentEndpoint: chose "b", expected "a".

Change: a failure says by what evidence it is known. A backoff whose only evidence is the silence of a side (an unanswered fence, first step, open or connect, or a report of the side before it) ends as soon as the side answers after it. Refusals, errors, broken connections and calls that do not end behind a side that answers keep their backoff. An open that ends by its timeout counts as silence whichever of the two equal timers ends first. The log line of the mark names the evidence and the time.

--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -182,7 +182,8 @@
   /** Ends the current attempt because of these endpoints. */
   Actions nextAttempt(RetryReason aReason,
                       const std::set<std::string>& aFailed,
-                      TimePoint aNow);
+                      TimePoint aNow,
+                      FailureEvidence aEvidence = FailureEvidence::Refusal);
   Actions askForRoute(RetryReason aReason, Actions aActions);
   Actions openRoute(const Route& aRoute,
                     TimePoint aNow,
--- a/include/poplartrack/route/EndpointHint.h
+++ b/include/poplartrack/route/EndpointHint.h
@@ -30,6 +30,10 @@
           const RoutePolicy& aPolicy,
           EndpointRecord& aRecord);
 
+/** Forgets failures by silence if the endpoint's side has answered since. */
+void
+applyAnswer(const EndpointInfo& aInfo, EndpointRecord& aRecord);
+
 /** Returns the fitness, derived from draining, failures and the single trial
  * attempt that is allowed after a backoff. */
 Fitness
--- a/include/poplartrack/route/EndpointMemory.h
+++ b/include/poplartrack/route/EndpointMemory.h
@@ -25,6 +25,9 @@
   /** No new work before this time, unless no other endpoint covers a layer.
    * Afterwards one trial attempt at a time until one succeeds. */
   TimePoint backoffUntil{};
+  /** When the last of them was, and whether all were by silence. */
+  TimePoint failedAt{};
+  bool onlySilent = false;
   /** When this entry first saw the endpoint. */
   TimePoint firstSeen{};
   /** Expected step of one layer and expected hop to the endpoint when it was
--- a/include/poplartrack/route/RouteChooser.h
+++ b/include/poplartrack/route/RouteChooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -11,6 +12,7 @@
 #include "poplartrack/base/Result.h"
 #include "poplartrack/route/EndpointInfo.h"
 #include "poplartrack/route/EndpointMemory.h"
+#include "poplartrack/route/FailureEvidence.h"
 #include "poplartrack/route/RoutePolicy.h"
 #include "poplartrack/wire/RouteStage.h"
 
@@ -97,8 +99,12 @@
    * is much slower than its hints say. */
   void onStalled(const Route& aRoute, TimePoint aNow);
   /** Records a failure of an endpoint and starts its backoff. Failures during a
-   * backoff are ignored. */
-  void onEndpointFailed(std::string_view aEndpoint, TimePoint aNow);
+   * backoff are ignored. A backoff by silence ends as soon as the endpoint's
+   * load is reported again. Returns the end of the backoff if one starts. */
+  std::optional<TimePoint> onEndpointFailed(
+    std::string_view aEndpoint,
+    TimePoint aNow,
+    FailureEvidence aEvidence = FailureEvidence::Refusal);
   /** Records that an endpoint succeeded; resets its failures and its
    * backoff. */
   void onEndpointSucceeded(std::string_view aEndpoint);
@@ -106,7 +112,8 @@
   void onPlainStarted(const std::string& aEndpoint, TimePoint aNow);
   void onPlainEnded(const std::string& aEndpoint,
                     bool aSucceeded,
-                    TimePoint aNow);
+                    TimePoint aNow,
+                    FailureEvidence aEvidence = FailureEvidence::Refusal);
 
   /** Returns the records of the endpoints, for metrics and tests. */
   [[nodiscard]] const EndpointMemory& memory() const { return this->records; }
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -30,6 +30,19 @@
   return XXH3_64bits(aPrompt.data(), count * sizeof(std::uint32_t));
 }
 
+/** Returns for how long an endpoint is a last resort, if that has just begun.
+ */
+std::string
+backoffText(const std::optional<TimePoint>& aUntil, TimePoint aNow)
+{
+  if (!aUntil) {
+    return {};
+  }
+  const auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(*aUntil - aNow);
+  return ", a last resort for " + std::to_string(millis.count()) + " ms";
+}
+
 } // namespace
 
 ModelRunner::ModelRunner(EntryParts aParts, RunPolicy aPolicy)
@@ -211,14 +224,16 @@
     }
   }
   for (const std::string& endpoint : fresh) {
-    LOG(INFO) << "run: " << toText(aRun.spec.request) << " attempt "
-              << aNeed.attempt << " avoids " << endpoint << ", "
-              << nameOf(aNeed.reason);
     this->parts.endpoints.onCallFailed(endpoint);
-    this->parts.decider.with(
+    const TimePoint moment = runtimeNow();
+    const std::optional<TimePoint> until = this->parts.decider.with(
       [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-        aChooser.onEndpointFailed(endpoint, runtimeNow());
+        return aChooser.onEndpointFailed(endpoint, moment, aNeed.evidence);
       });
+    LOG(INFO) << "run: " << toText(aRun.spec.request) << " attempt "
+              << aNeed.attempt << " avoids " << endpoint << ", "
+              << nameOf(aNeed.reason) << " by " << nameOf(aNeed.evidence)
+              << backoffText(until, moment);
   }
 }
 
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -148,7 +148,11 @@
                                  AdmissionControl&,
                                  RetryBudget& aBudget) -> Result<EndpointInfo> {
       for (const std::string& endpoint : aNeed.avoid) {
-        aChooser.onEndpointFailed(endpoint, moment);
+        aChooser.onEndpointFailed(endpoint,
+                                  moment,
+                                  aNeed.lastResort.contains(endpoint)
+                                    ? FailureEvidence::Silence
+                                    : FailureEvidence::Refusal);
       }
       Result<EndpointInfo> found = fail(ErrorKind::NoRoute);
       for (const std::set<std::string>& avoid : order) {
@@ -189,9 +193,15 @@
   const auto done =
     [this, aCall, attempt, endpoint](const TypedResult<PlainReply>& aResult) {
       const bool replied = aResult.outcome == CallOutcome::Replied;
+      const bool isUnreached =
+        aResult.outcome == CallOutcome::NotSent && aResult.silent;
       this->parts.decider.with(
         [&](RouteChooser& aChooser, AdmissionControl&, RetryBudget&) {
-          aChooser.onPlainEnded(endpoint, replied, runtimeNow());
+          aChooser.onPlainEnded(endpoint,
+                                replied,
+                                runtimeNow(),
+                                isUnreached ? FailureEvidence::Silence
+                                            : FailureEvidence::Refusal);
         });
       if (replied) {
         this->parts.endpoints.onReply(
@@ -199,8 +209,6 @@
       } else {
         this->parts.endpoints.onCallFailed(endpoint);
       }
-      const bool isUnreached =
-        aResult.outcome == CallOutcome::NotSent && aResult.silent;
       this->apply(aCall, [&](PlainRun& aState, TimePoint aNow) {
         return isUnreached ? aState.onUnreached(attempt, aNow)
                            : aState.onPlainReply(
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -142,6 +142,10 @@
       aStage >= this->currentRoute.size()) {
     return {};
   }
+  if (aOutcome != CallOutcome::Replied && aNow >= this->phaseEnd) {
+    // The call and the phase have the same timeout; either may end first.
+    return this->onOpenTimeout(aNow);
+  }
   if (!accepted(aOutcome, aReply.refusal)) {
     this->noteRejection(aOutcome, aNow);
     return this->nextAttempt(
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -72,7 +72,8 @@
 RequestRun::Actions
 RequestRun::nextAttempt(RetryReason aReason,
                         const std::set<std::string>& aFailed,
-                        TimePoint aNow)
+                        TimePoint aNow,
+                        FailureEvidence aEvidence)
 {
   this->avoid.insert(aFailed.begin(), aFailed.end());
   if (std::optional<Error> error = this->whyNoRetry(aNow)) {
@@ -91,6 +92,7 @@
   need.avoid = this->avoid;
   need.isRetry = true;
   need.failedLast = aFailed;
+  need.evidence = aEvidence;
   need.reason = aReason;
   need.latest = this->latestStart();
   actions.emplace_back(std::move(need));
@@ -185,7 +187,8 @@
     }
   }
   this->noteRejection(CallOutcome::Unknown, aNow);
-  return this->nextAttempt(RetryReason::OpenRefused, unanswered, aNow);
+  return this->nextAttempt(
+    RetryReason::OpenRefused, unanswered, aNow, FailureEvidence::Silence);
 }
 
 RequestRun::Actions
@@ -248,6 +251,7 @@
   need.isRetry = true;
   need.keepsAttempt = true;
   need.failedLast = this->silent;
+  need.evidence = FailureEvidence::Silence;
   need.reason = aReason;
   need.latest = this->latestStart();
   return { std::move(need) };
--- a/src/route/EndpointHint.cpp
+++ b/src/route/EndpointHint.cpp
@@ -65,6 +65,16 @@
   aRecord.queueRatio += updateWeight * (wait - aRecord.queueRatio);
 }
 
+void
+applyAnswer(const EndpointInfo& aInfo, EndpointRecord& aRecord)
+{
+  if (aRecord.onlySilent && aInfo.loadReportedAt > aRecord.failedAt) {
+    aRecord.failures = 0;
+    aRecord.backoffUntil = TimePoint{};
+    aRecord.onlySilent = false;
+  }
+}
+
 Fitness
 fitnessOf(const EndpointInfo& aInfo,
           const EndpointRecord& aRecord,
--- a/src/route/RouteChooser.cpp
+++ b/src/route/RouteChooser.cpp
@@ -168,6 +168,7 @@
     candidate.info = &info;
     candidate.record = &this->records.at(info.name, aNow);
     applyHint(info, this->policy, *candidate.record);
+    applyAnswer(info, *candidate.record);
     candidate.fitness = fitnessOf(info, *candidate.record, aNow);
     if (candidate.fitness == Fitness::Unfit) {
       continue;
@@ -255,7 +256,8 @@
     if (info.service != aService || aAvoid.contains(info.name)) {
       continue;
     }
-    const EndpointRecord& record = this->records.at(info.name, aNow);
+    EndpointRecord& record = this->records.at(info.name, aNow);
+    applyAnswer(info, record);
     const Fitness fitness = fitnessOf(info, record, aNow);
     if (fitness == Fitness::Unfit) {
       continue;
--- a/src/route/RouteFeedback.cpp
+++ b/src/route/RouteFeedback.cpp
@@ -91,14 +91,19 @@
   }
 }
 
-void
-RouteChooser::onEndpointFailed(std::string_view aEndpoint, TimePoint aNow)
+std::optional<TimePoint>
+RouteChooser::onEndpointFailed(std::string_view aEndpoint,
+                               TimePoint aNow,
+                               FailureEvidence aEvidence)
 {
   EndpointRecord& record = this->records.at(aEndpoint, aNow);
+  const bool isSilence = aEvidence == FailureEvidence::Silence;
+  record.onlySilent = isSilence && (record.failures == 0 || record.onlySilent);
+  record.failedAt = aNow;
   // All work that was in flight when the endpoint failed fails at once and
   // counts as one failure.
   if (record.failures > 0 && aNow < record.backoffUntil) {
-    return;
+    return std::nullopt;
   }
   constexpr std::uint32_t kMaxDoublings = 16;
   const std::uint32_t doublings = std::min(record.failures, kMaxDoublings);
@@ -111,6 +116,7 @@
     static_cast<double>(std::min(backoff, this->policy.maxBackoff).count());
   record.backoffUntil =
     aNow + Duration{ static_cast<std::int64_t>(capped * jitter) };
+  return record.backoffUntil;
 }
 
 void
@@ -134,14 +140,15 @@
 void
 RouteChooser::onPlainEnded(const std::string& aEndpoint,
                            bool aSucceeded,
-                           TimePoint aNow)
+                           TimePoint aNow,
+                           FailureEvidence aEvidence)
 {
   EndpointRecord& record = this->records.at(aEndpoint, aNow);
   record.inFlight -= std::min(record.inFlight, 1U);
   if (aSucceeded) {
     this->onEndpointSucceeded(aEndpoint);
   } else {
-    this->onEndpointFailed(aEndpoint, aNow);
+    this->onEndpointFailed(aEndpoint, aNow, aEvidence);
   }
 }
 
--- a/tests/unit/route/RouteChooserTest.cpp
+++ b/tests/unit/route/RouteChooserTest.cpp
@@ -278,6 +278,47 @@
   EXPECT_TRUE(choice.choose(view, query(), kStart).ok());
 }
 
+// Guards against a sound endpoint that stays out of use for up to 20 s after it
+// was silent for a second.
+TEST(RouteChooser, anAnswerEndsTheBackoffOfASilentEndpoint)
+{
+  using std::chrono::milliseconds;
+  const auto chosenAfter = [](FailureEvidence aEvidence) {
+    EndpointView view;
+    view.endpoints = { engine("a", { 0, 12 }), engine("b", { 0, 12 }) };
+    view.endpoints[1].load.stepMicros *= 2;
+    RouteChooser choice = chooser(withoutSpread());
+    choice.onEndpointFailed("a", kStart, aEvidence);
+    const auto chosen = [&](TimePoint aNow) {
+      return choice.choose(view, query(), aNow).value().route[0].endpoint;
+    };
+    EXPECT_EQ(chosen(kStart + milliseconds{ 1 }), "b");
+    view.endpoints[0].loadReportedAt = kStart + milliseconds{ 2 };
+    return chosen(kStart + milliseconds{ 3 });
+  };
+  EXPECT_EQ(chosenAfter(FailureEvidence::Silence), "a");
+  EXPECT_EQ(chosenAfter(FailureEvidence::Refusal), "b");
+}
+
+// Guards against an answer from between two silences that hides the second one.
+TEST(RouteChooser, aSecondSilenceOutweighsAnEarlierAnswer)
+{
+  using std::chrono::milliseconds;
+  EndpointView view;
+  view.endpoints = { engine("a", { 0, 12 }), engine("b", { 0, 12 }) };
+  view.endpoints[1].load.stepMicros *= 2;
+  RouteChooser choice = chooser(withoutSpread());
+  choice.onEndpointFailed("a", kStart, FailureEvidence::Silence);
+  view.endpoints[0].loadReportedAt = kStart + milliseconds{ 1 };
+  choice.onEndpointFailed(
+    "a", kStart + milliseconds{ 2 }, FailureEvidence::Silence);
+  EXPECT_EQ(choice.choose(view, query(), kStart + milliseconds{ 3 })
+              .value()
+              .route[0]
+              .endpoint,
+            "b");
+}
+
 // Guards against a refusal while the only endpoint of a layer is silent.
 TEST(RouteChooser, aSilentEndpointIsUsedOnlyIfNoOtherCoversALayer)
 {
