Log what takes an endpoint out of an entry's use and back

What was missing: an entry's log said when a request avoided an endpoint, but not when the endpoint became a last resort for all requests or left the view, by what evidence, and what brought it back.

Change: EndpointTracker records these changes with their cause, and EndpointDirectory logs each as a `view:` line. The bound of two failed calls moves beside the count that it bounds.

Evidence: EndpointTrackerTest.tellsWhatTakesAnEndpointOutOfUseAndBack, new; there was nothing to fail before.

--- a/include/poplartrack/entry/EndpointDirectory.h
+++ b/include/poplartrack/entry/EndpointDirectory.h
@@ -60,6 +60,8 @@
                    TimePoint aSent,
                    const TypedResult<ProbeReply>& aResult);
   void publish();
+  /** Logs which endpoints are taken out of use or back. Call with the lock. */
+  void logUseChanges();
 
   mutable std::mutex guard;
   EndpointTracker tracker;
--- a/include/poplartrack/entry/EndpointTracker.h
+++ b/include/poplartrack/entry/EndpointTracker.h
@@ -5,10 +5,12 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/Result.h"
+#include "poplartrack/entry/UseChange.h"
 #include "poplartrack/route/EndpointInfo.h"
 #include "poplartrack/store/PlatformLike.h"
 #include "poplartrack/wire/Probe.h"
@@ -89,6 +91,8 @@
   /** Returns whether anything but load has changed in view() since the last
    * call. */
   bool takeChanged();
+  /** Returns the changes of use since the last call, for the log. */
+  std::vector<UseChange> takeUseChanges();
 
 private:
   struct Tracked
@@ -110,6 +114,10 @@
                   std::string aRegion,
                   std::uint64_t aSeed,
                   TimePoint aNow);
+  [[nodiscard]] static EndpointUse useOf(const Tracked& aTracked);
+  void noteUse(const Tracked& aTracked,
+               EndpointUse aBefore,
+               std::string_view aCause);
   static void askSoon(Tracked& aTracked, TimePoint aNow);
   Tracked* byEndpoint(const std::string& aEndpoint);
   Duration jittered(Duration aDuration);
@@ -123,6 +131,7 @@
   double tokens;
   TimePoint filled;
   bool changed = false;
+  std::vector<UseChange> useChanges;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/route/EndpointInfo.h
+++ b/include/poplartrack/route/EndpointInfo.h
@@ -48,6 +48,16 @@
   std::uint32_t failures = 0;
 };
 
+/** Number of consecutive failed calls that make an endpoint a last resort. */
+constexpr std::uint32_t kLastResortFailures = 2;
+
+/** Returns whether the endpoint is used only if no other covers a layer. */
+[[nodiscard]] inline bool
+isLastResort(const EndpointInfo& aInfo)
+{
+  return aInfo.silent || aInfo.failures >= kLastResortFailures;
+}
+
 /** All endpoints that an entry knows. An update replaces the whole view. */
 struct EndpointView
 {
--- a/src/entry/EndpointDirectory.cpp
+++ b/src/entry/EndpointDirectory.cpp
@@ -111,6 +111,7 @@
     } else {
       this->tracker.onProbeFailed(aTarget.instance, ended);
     }
+    this->logUseChanges();
     if (!this->tracker.takeChanged()) {
       return;
     }
@@ -122,6 +123,15 @@
   }
 }
 
+void
+EndpointDirectory::logUseChanges()
+{
+  for (const UseChange& change : this->tracker.takeUseChanges()) {
+    LOG(INFO) << "view: " << change.endpoint << " is " << nameOf(change.use)
+              << ": " << change.cause;
+  }
+}
+
 void
 EndpointDirectory::onInstanceList(const std::vector<InstanceInfo>& aList)
 {
@@ -153,6 +163,7 @@
 {
   const std::scoped_lock lock{ this->guard };
   this->tracker.onLoad(aEndpoint, aLoad, runtimeNow());
+  this->logUseChanges();
 }
 
 void
@@ -161,6 +172,7 @@
   {
     const std::scoped_lock lock{ this->guard };
     this->tracker.onCallFailed(aEndpoint, runtimeNow());
+    this->logUseChanges();
   }
   this->publish();
 }
--- a/src/entry/EndpointTracker.cpp
+++ b/src/entry/EndpointTracker.cpp
@@ -1,6 +1,7 @@
 #include "poplartrack/entry/EndpointTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplartrack {
 namespace {
@@ -178,6 +179,8 @@
     return false;
   }
   Tracked& tracked = found->second;
+  const EndpointUse before = useOf(tracked);
+  const bool isNew = tracked.info.name.empty();
   tracked.asked = false;
   if (aReply.service.empty()) {
     // The side is alive, but its endpoint does not reply to it (yet): it cannot
@@ -186,6 +189,7 @@
     tracked.nextProbe = aNow + this->policy.retryFirst;
     this->changed = this->changed || tracked.known;
     tracked.known = false;
+    this->noteUse(tracked, before, "its side gets no answer from it");
     return false;
   }
   EndpointInfo& info = tracked.info;
@@ -225,6 +229,12 @@
                           : this->jittered(this->policy.silence));
   this->endpointToInstance[info.name] = aInstance;
   this->changed = this->changed || differs;
+  if (!isNew) {
+    this->noteUse(tracked,
+                  before,
+                  aReply.silent ? "it does not answer its side"
+                                : "a probe is answered");
+  }
   return restarted;
 }
 
@@ -237,7 +247,9 @@
   }
   Tracked& tracked = found->second;
   tracked.asked = false;
+  const EndpointUse before = useOf(tracked);
   ++tracked.info.failures;
+  this->noteUse(tracked, before, "a probe is not answered");
   tracked.pause = tracked.pause == Duration::zero()
                     ? this->policy.retryFirst
                     : std::min(tracked.pause * 2, this->policy.retryMost);
@@ -279,8 +291,10 @@
   tracked->info.loadReportedAt = aNow;
   tracked->lastHeard = aNow;
   if (tracked->info.failures != 0) {
+    const EndpointUse before = useOf(*tracked);
     tracked->info.failures = 0;
     this->changed = true;
+    this->noteUse(*tracked, before, "a call is answered");
   }
   tracked->nextProbe =
     std::max(tracked->nextProbe, aNow + this->policy.silence / 2);
@@ -302,7 +316,9 @@
   if (tracked == nullptr) {
     return;
   }
+  const EndpointUse before = useOf(*tracked);
   ++tracked->info.failures;
+  this->noteUse(*tracked, before, "a call is not answered");
   askSoon(*tracked, aNow);
   this->changed = true;
 }
@@ -322,6 +338,33 @@
   return view;
 }
 
+EndpointUse
+EndpointTracker::useOf(const Tracked& aTracked)
+{
+  if (!aTracked.known) {
+    return EndpointUse::OutOfUse;
+  }
+  return isLastResort(aTracked.info) ? EndpointUse::LastResort
+                                     : EndpointUse::InUse;
+}
+
+void
+EndpointTracker::noteUse(const Tracked& aTracked,
+                         EndpointUse aBefore,
+                         std::string_view aCause)
+{
+  const EndpointUse use = useOf(aTracked);
+  if (use != aBefore) {
+    this->useChanges.push_back({ aTracked.info.name, use, aCause });
+  }
+}
+
+std::vector<UseChange>
+EndpointTracker::takeUseChanges()
+{
+  return std::exchange(this->useChanges, {});
+}
+
 bool
 EndpointTracker::takeChanged()
 {
--- a/src/route/EndpointHint.cpp
+++ b/src/route/EndpointHint.cpp
@@ -6,9 +6,6 @@
 namespace poplartrack {
 namespace {
 
-/** Number of consecutive failures, as counted by probes, that put an endpoint
- * in backoff. */
-constexpr std::uint32_t kBackoffProbeFailures = 2;
 /** Time constant of the smoothing over hints, in microseconds. Hints arrive
  * with probes every second or with tokens every millisecond. */
 constexpr double kHintTimeConstantMicros = 2e6;
@@ -83,7 +80,7 @@
   if (aInfo.draining) {
     return Fitness::Unfit;
   }
-  if (aInfo.silent || aInfo.failures >= kBackoffProbeFailures) {
+  if (isLastResort(aInfo)) {
     return Fitness::BackingOff;
   }
   if (aRecord.failures == 0) {
--- a/tests/unit/entry/EndpointTrackerTest.cpp
+++ b/tests/unit/entry/EndpointTrackerTest.cpp
@@ -146,6 +146,40 @@
             this->clock.now());
 }
 
+// Guards against an endpoint that is out of use and nobody can say why.
+TEST_F(EndpointTrackerTest, tellsWhatTakesAnEndpointOutOfUseAndBack)
+{
+  this->learn("a", 5);
+  EXPECT_TRUE(this->tracker.takeUseChanges().empty());
+  const auto expectChange = [this](EndpointUse aUse, std::string_view aCause) {
+    const std::vector<UseChange> changes = this->tracker.takeUseChanges();
+    ASSERT_EQ(changes.size(), 1U) << aCause;
+    EXPECT_EQ(changes[0].endpoint, "engine-a");
+    EXPECT_EQ(changes[0].use, aUse);
+    EXPECT_EQ(changes[0].cause, aCause);
+  };
+  this->tracker.onCallFailed("engine-a", this->clock.now());
+  EXPECT_TRUE(this->tracker.takeUseChanges().empty());
+  this->tracker.onProbeFailed("a", this->clock.now());
+  expectChange(EndpointUse::LastResort, "a probe is not answered");
+  this->tracker.onLoad("engine-a", LoadHint{}, this->clock.now());
+  expectChange(EndpointUse::InUse, "a call is answered");
+  ProbeReply reply = replyOf("engine-a", 5);
+  const auto probe = [&] {
+    this->tracker.onProbeReply(
+      "a", reply, milliseconds{ 1 }, this->clock.now());
+  };
+  reply.silent = true;
+  probe();
+  expectChange(EndpointUse::LastResort, "it does not answer its side");
+  reply.service.clear();
+  probe();
+  expectChange(EndpointUse::OutOfUse, "its side gets no answer from it");
+  reply = replyOf("engine-a", 5);
+  probe();
+  expectChange(EndpointUse::InUse, "a probe is answered");
+}
+
 TEST_F(EndpointTrackerTest, probesStayWithinTheBudgetAndReachEveryEndpoint)
 {
   // 340 sides of a region appear at once, as after a switch came back. Probes
