--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -182,13 +182,15 @@
   /** Ends the current attempt because of these endpoints. */
   Actions nextAttempt(RetryReason aReason,
                       const std::set<std::string>& aFailed,
-                      TimePoint aNow);
+                      TimePoint aNow,
+                      FailureEvidence aEvidence = FailureEvidence::Refusal);
   Actions askForRoute(RetryReason aReason, Actions aActions);
   Actions openRoute(const Route& aRoute,
                     TimePoint aNow,
                     const ExpectedPace& aExpected);
   Actions onOpenTimeout(TimePoint aNow);
   Actions onStall(TimePoint aNow);
+  Actions onSilentStage(const std::string& aEndpoint, TimePoint aNow);
   Actions endBlame(TimePoint aNow);
   Actions askForReplacement(RetryReason aReason, TimePoint aNow);
   Actions keepAttempt(TimePoint aNow);
--- a/include/poplartrack/route/EndpointInfo.h
+++ b/include/poplartrack/route/EndpointInfo.h
@@ -37,6 +37,8 @@
   std::uint32_t layersPerSecond = 0;
   /** Draining, according to the instance list or to the side itself. */
   bool draining = false;
+  /** It does not answer its side: a last resort. */
+  bool silent = false;
   LoadHint load;
   /** When the load was last reported. */
   TimePoint loadReportedAt{};
@@ -46,6 +48,16 @@
   std::uint32_t failures = 0;
 };
 
+/** Number of consecutive failed calls that make an endpoint a last resort. */
+constexpr std::uint32_t kLastResortFailures = 2;
+
+/** Returns whether the endpoint is used only if no other covers a layer. */
+[[nodiscard]] inline bool
+isLastResort(const EndpointInfo& aInfo)
+{
+  return aInfo.silent || aInfo.failures >= kLastResortFailures;
+}
+
 /** All endpoints that an entry knows. An update replaces the whole view. */
 struct EndpointView
 {
--- a/src/entry/EndpointTracker.cpp
+++ b/src/entry/EndpointTracker.cpp
@@ -1,6 +1,7 @@
 #include "poplartrack/entry/EndpointTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplartrack {
 namespace {
@@ -178,6 +179,8 @@
     return false;
   }
   Tracked& tracked = found->second;
+  const EndpointUse before = useOf(tracked);
+  const bool isNew = tracked.info.name.empty();
   tracked.asked = false;
   if (aReply.service.empty()) {
     // The side is alive, but its endpoint does not reply to it (yet): it cannot
@@ -186,6 +189,7 @@
     tracked.nextProbe = aNow + this->policy.retryFirst;
     this->changed = this->changed || tracked.known;
     tracked.known = false;
+    this->noteUse(tracked, before, "its side gets no answer from it");
     return false;
   }
   EndpointInfo& info = tracked.info;
@@ -195,7 +199,7 @@
     !tracked.known || restarted || info.name != aReply.endpoint ||
     info.model != aReply.model || info.modelVersion != aReply.modelVersion ||
     info.holds != aReply.holds || tracked.saysLeaving != aReply.leaving ||
-    info.failures != 0;
+    info.silent != aReply.silent || info.failures != 0;
   info.name = aReply.endpoint;
   info.incarnation = aReply.incarnation;
   info.zone = aReply.zone;
@@ -205,7 +209,10 @@
   info.model = aReply.model;
   info.modelVersion = aReply.modelVersion;
   info.holds = aReply.holds;
-  info.holdsReportedAt = aNow;
+  info.silent = aReply.silent;
+  if (!aReply.silent) {
+    info.holdsReportedAt = aNow;
+  }
   info.capacityLayers = aReply.capacityLayers;
   info.layersPerSecond = aReply.layersPerSecond;
   info.load = aReply.load;
@@ -216,9 +223,18 @@
   tracked.known = true;
   tracked.lastHeard = aNow;
   tracked.pause = Duration::zero();
-  tracked.nextProbe = aNow + this->jittered(this->policy.silence);
+  // One that is silent may answer again any moment.
+  tracked.nextProbe =
+    aNow + (aReply.silent ? this->policy.retryFirst
+                          : this->jittered(this->policy.silence));
   this->endpointToInstance[info.name] = aInstance;
   this->changed = this->changed || differs;
+  if (!isNew) {
+    this->noteUse(tracked,
+                  before,
+                  aReply.silent ? "it does not answer its side"
+                                : "a probe is answered");
+  }
   return restarted;
 }
 
@@ -231,7 +247,9 @@
   }
   Tracked& tracked = found->second;
   tracked.asked = false;
+  const EndpointUse before = useOf(tracked);
   ++tracked.info.failures;
+  this->noteUse(tracked, before, "a probe is not answered");
   tracked.pause = tracked.pause == Duration::zero()
                     ? this->policy.retryFirst
                     : std::min(tracked.pause * 2, this->policy.retryMost);
@@ -273,8 +291,10 @@
   tracked->info.loadReportedAt = aNow;
   tracked->lastHeard = aNow;
   if (tracked->info.failures != 0) {
+    const EndpointUse before = useOf(*tracked);
     tracked->info.failures = 0;
     this->changed = true;
+    this->noteUse(*tracked, before, "a call is answered");
   }
   tracked->nextProbe =
     std::max(tracked->nextProbe, aNow + this->policy.silence / 2);
@@ -296,7 +316,9 @@
   if (tracked == nullptr) {
     return;
   }
+  const EndpointUse before = useOf(*tracked);
   ++tracked->info.failures;
+  this->noteUse(*tracked, before, "a call is not answered");
   askSoon(*tracked, aNow);
   this->changed = true;
 }
@@ -316,6 +338,33 @@
   return view;
 }
 
+EndpointUse
+EndpointTracker::useOf(const Tracked& aTracked)
+{
+  if (!aTracked.known) {
+    return EndpointUse::OutOfUse;
+  }
+  return isLastResort(aTracked.info) ? EndpointUse::LastResort
+                                     : EndpointUse::InUse;
+}
+
+void
+EndpointTracker::noteUse(const Tracked& aTracked,
+                         EndpointUse aBefore,
+                         std::string_view aCause)
+{
+  const EndpointUse use = useOf(aTracked);
+  if (use != aBefore) {
+    this->useChanges.push_back({ aTracked.info.name, use, aCause });
+  }
+}
+
+std::vector<UseChange>
+EndpointTracker::takeUseChanges()
+{
+  return std::exchange(this->useChanges, {});
+}
+
 bool
 EndpointTracker::takeChanged()
 {
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -142,6 +142,10 @@
       aStage >= this->currentRoute.size()) {
     return {};
   }
+  if (aOutcome != CallOutcome::Replied && aNow >= this->phaseEnd) {
+    // The call and the phase have the same timeout; either may end first.
+    return this->onOpenTimeout(aNow);
+  }
   if (!accepted(aOutcome, aReply.refusal)) {
     this->noteRejection(aOutcome, aNow);
     return this->nextAttempt(
@@ -231,6 +235,9 @@
       aTrouble.attempt != this->attemptNumber) {
     return {};
   }
+  if (aTrouble.mayContinue) {
+    return this->onSilentStage(aTrouble.endpoint, aNow);
+  }
   return this->nextAttempt(
     RetryReason::StageTrouble, { aTrouble.endpoint }, aNow);
 }
--- a/src/route/EndpointHint.cpp
+++ b/src/route/EndpointHint.cpp
@@ -6,9 +6,6 @@
 namespace poplartrack {
 namespace {
 
-/** Number of consecutive failures, as counted by probes, that put an endpoint
- * in backoff. */
-constexpr std::uint32_t kBackoffProbeFailures = 2;
 /** Time constant of the smoothing over hints, in microseconds. Hints arrive
  * with probes every second or with tokens every millisecond. */
 constexpr double kHintTimeConstantMicros = 2e6;
@@ -65,6 +62,16 @@
   aRecord.queueRatio += updateWeight * (wait - aRecord.queueRatio);
 }
 
+void
+applyAnswer(const EndpointInfo& aInfo, EndpointRecord& aRecord)
+{
+  if (aRecord.onlySilent && aInfo.loadReportedAt > aRecord.failedAt) {
+    aRecord.failures = 0;
+    aRecord.backoffUntil = TimePoint{};
+    aRecord.onlySilent = false;
+  }
+}
+
 Fitness
 fitnessOf(const EndpointInfo& aInfo,
           const EndpointRecord& aRecord,
@@ -73,7 +80,7 @@
   if (aInfo.draining) {
     return Fitness::Unfit;
   }
-  if (aInfo.failures >= kBackoffProbeFailures) {
+  if (isLastResort(aInfo)) {
     return Fitness::BackingOff;
   }
   if (aRecord.failures == 0) {
