End no running request because a part of its path is silent

A request in quarantine without an event got 502 as soon as a part of its path was taken for lost, although that replica may only be silent, and although its prompt part may only be one of several equal suspects. A request whose answer was arriving (its head and part of its body, at a plain service) got 502 when a quarantine began: only the events of streams counted as running.

Cause: repair() dropped the attempt for any quarantine, and stopQuarantined() did not look at the answer.

The attempt is ended only if a part has exited, by its restart or because nothing listens at its address; it is sent to no further replica.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -466,6 +466,7 @@
     const std::string& aReplica) const;
   void repair(Exchange& aExchange, bool aPlanned);
   void repairPlain(Exchange& aExchange);
+  void repairQuarantined(Exchange& aExchange, const Suspect& aSuspect);
   void moveOffDrainingFirst(Exchange& aExchange);
   void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
@@ -500,6 +501,7 @@
   void applyQuarantineChanges();
   void beginQuarantine(const Suspect& aSuspect, bool aOwn);
   [[nodiscard]] bool isCertain(const Suspect& aSuspect) const;
+  [[nodiscard]] bool hasBegunAnswer(const Exchange& aExchange) const;
   void stopQuarantined(const Suspect& aSuspect);
   [[nodiscard]] bool contains(Exchange& aExchange,
                               const Suspect& aSuspect) const;
--- a/src/relay/RelayQuarantine.cpp
+++ b/src/relay/RelayQuarantine.cpp
@@ -100,11 +100,24 @@
          this->crashState.ledger.isLikelyCulprit(aSuspect.id);
 }
 
+/** Returns whether the answer of the current attempt has begun to arrive. The
+ * head of a stream may come before its replica begins to run it. */
+bool
+RelayLoop::Impl::hasBegunAnswer(const Exchange& aExchange) const
+{
+  const auto found = this->connections.find(aExchange.connection);
+  const bool hasHead = found != this->connections.end() &&
+                       found->second->headHandled &&
+                       !found->second->discardingAnswer;
+  return aExchange.answering || aExchange.runningSince.has_value() ||
+         (hasHead && !aExchange.streaming) || this->hasUnreadAnswer(aExchange);
+}
+
 /**
- * Ends the attempts that contain a suspect and whose callers have no event yet.
- * Those with events have begun to run and continue. While several parts are
- * suspected, attempts that a replica has already received continue too: they
- * show which part is responsible.
+ * Ends the attempts that contain a suspect and whose answer has not begun: one
+ * that crashes replicas would end all other work there. Answers that have begun
+ * continue. While several parts are suspected, attempts that a replica has
+ * already received continue too: they show which part is responsible.
  */
 void
 RelayLoop::Impl::stopQuarantined(const Suspect& aSuspect)
@@ -113,7 +126,7 @@
   std::vector<std::uint64_t> pending;
   for (const auto& [id, exchange] : this->exchanges) {
     const bool isPending = exchange->connection != 0 &&
-                           !exchange->runningSince && !exchange->answering &&
+                           !this->hasBegunAnswer(*exchange) &&
                            (isCertain || !this->mayHaveRun(*exchange));
     if (isPending && this->contains(*exchange, aSuspect)) {
       pending.push_back(id);
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -79,6 +79,26 @@
     aExchange, ReplicaFailure::Refused, "replica restarted");
 }
 
+/** Handles the loss of a replica on the path of a request in quarantine, which
+ * is sent to no further replica: refuses it if the replica has exited, and else
+ * lets its attempt go on. The replica may only be silent. */
+void
+RelayLoop::Impl::repairQuarantined(Exchange& aExchange, const Suspect& aSuspect)
+{
+  const auto& parts = aExchange.path.parts;
+  const bool hasExited =
+    std::any_of(parts.begin(), parts.end(), [this](const PathPart& aPart) {
+      return !this->drainState.since.contains(aPart.replica) &&
+             this->crashProofOf(aPart.replica) == CrashProof::Exited;
+    });
+  if (!hasExited) {
+    this->keepAttempt(aExchange);
+    return;
+  }
+  this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
+  this->refuseQuarantined(aExchange, aSuspect);
+}
+
 /**
  * Moves a request off a lost or draining replica of its path.
  *
@@ -103,8 +123,7 @@
   const std::vector<Suspect> quarantined = this->quarantinedIn(aExchange);
   // A started stream is not cut for what its request may have done elsewhere.
   if (!quarantined.empty() && !aExchange.runningSince && !aExchange.answering) {
-    this->dropAttempt(aExchange, this->mayHaveRun(aExchange));
-    this->refuseQuarantined(aExchange, quarantined.front());
+    this->repairQuarantined(aExchange, quarantined.front());
     return;
   }
   const PathPart first = aExchange.path.parts.front();
