Take over the outcome of a move while its attempt is set aside

A stream was ordered to move within its path, and set aside before the outcome was known. The outcome was dropped, since the connection was no longer that of the current attempt. If the next replica refused, the stream went on with the path that it did not get (load tables and stall decisions for a replica that has none of its work), or it was replaced again although it had been moved.

Evidence, on the code before: RelaySetAsideTest.cpp:88: Failure this->loadedReplicas() Which is: { "one", "three" } expected { "one", "two" } RelaySetAsideTest.cpp:100: Failure counter("attempts_replaced_total") Which is: 2 expected 1 Now both pass. onRepath() applies the outcome to the attempt that is set aside, and an attempt that is restored without doubt is not searched a replacement.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -273,6 +273,9 @@
   bool onReplacedDisconnected(Exchange& aExchange,
                               const ReplicaConnection& aConnection,
                               bool aClean);
+  void onReplacedRepath(ReplacedAttempt& aReplaced,
+                        const RepathOrder& aOrder,
+                        RepathOutcome aOutcome);
   void dropReplaced(Exchange& aExchange);
   void recordProgress(Exchange& aExchange);
 
--- a/src/relay/RelayRepair.cpp
+++ b/src/relay/RelayRepair.cpp
@@ -227,11 +227,14 @@
 RelayLoop::Impl::onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome)
 {
   const auto found = this->exchanges.find(aOrder.exchange);
-  if (found == this->exchanges.end() ||
-      found->second->connection != aOrder.connection) {
+  if (found == this->exchanges.end()) {
     return;
   }
   Exchange& exchange = *found->second;
+  const bool isAside = isReplaced(exchange, aOrder.connection);
+  if (!isAside && exchange.connection != aOrder.connection) {
+    return;
+  }
   this->shared.log.write(
     LogLine{ LogPart::Path, "repaired" }
       .with("id", exchange.requestId)
@@ -239,6 +242,10 @@
       .with("planned", aOrder.planned ? 1 : 0)
       .with("outcome", static_cast<std::int64_t>(aOutcome))
       .with("late_ms", this->lateMs(exchange)));
+  if (isAside) {
+    this->onReplacedRepath(*exchange.replaced, aOrder, aOutcome);
+    return;
+  }
   if (aOutcome == RepathOutcome::Moved) {
     exchange.lastProgress = std::max(exchange.lastProgress, this->now);
     exchange.overdue = false;
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -185,7 +185,7 @@
 }
 
 /** Makes the replaced attempt the current one again, if there is one, after the
- * one that took its place has ended. Looks for another one. */
+ * one that took its place has ended. Looks for another one if it is doubted. */
 bool
 RelayLoop::Impl::returnToReplaced(Exchange& aExchange, std::string_view aCause)
 {
@@ -193,7 +193,7 @@
     return false;
   }
   this->restoreReplaced(aExchange, aCause);
-  if (this->mayTryAgain(aExchange)) {
+  if (aExchange.doubt && this->mayTryAgain(aExchange)) {
     aExchange.needsRetryBudget = true;
     this->dispatch(aExchange);
   } else {
@@ -274,6 +274,25 @@
   return true;
 }
 
+/** Handles the outcome of an order to move the replaced attempt to another
+ * path, as it counts if that attempt is the current one again. */
+void
+RelayLoop::Impl::onReplacedRepath(ReplacedAttempt& aReplaced,
+                                  const RepathOrder& aOrder,
+                                  RepathOutcome aOutcome)
+{
+  Attempt& attempt = aReplaced.attempt;
+  if (aOutcome == RepathOutcome::Moved) {
+    attempt.lastProgress = std::max(attempt.lastProgress, this->now);
+    attempt.overdue = false;
+    attempt.doubt.reset();
+    return;
+  }
+  attempt.path = aOrder.before;
+  attempt.repairedAt.reset();
+  aReplaced.cached = attempt.runningSince ? aOrder.before : LayerPath{};
+}
+
 /** Ends the replaced attempt, if there is one. */
 void
 RelayLoop::Impl::dropReplaced(Exchange& aExchange)
--- /dev/null
+++ b/tests/unit/relay/RelaySetAsideTest.cpp
@@ -0,0 +1,105 @@
+// What reaches an attempt, or ends the next one, while it is set aside.
+
+#include <mutex>
+
+#include "PeerSocket.h"
+#include "RelayReplacementFixture.h"
+
+namespace poplartrack {
+namespace {
+
+using namespace relaytest;
+
+/** Addresses of parts of a path that the relay does not connect to. */
+const Address kSecondPart{ "127.0.0.1", 2 };
+const Address kThirdPart{ "127.0.0.1", 3 };
+
+/** A stream that is ordered to move within its path, and is set aside before
+ * the outcome is known. */
+class RelaySetAsideMoveTest : public RelayReplacementFixture
+{
+protected:
+  RelaySetAsideMoveTest()
+  {
+    this->world.onRepath = [this](const auto& aDone) { this->outcome = aDone; };
+    this->world.onQuery = [this](const Address& aReplica, const auto& aDone) {
+      ReplicaReport report;
+      report.reached = !this->firstIsSilent;
+      if (aReplica == this->one.address()) {
+        report.stalled.push_back({ "id-1", kSecondPart });
+      }
+      aDone(report);
+    };
+  }
+  /** Returns the connection of the attempt in the stream's place. */
+  RawSocket setAsideDuringMove()
+  {
+    this->world.setPeers({ this->peer.address() });
+    this->world.addModelReplica("one", this->one.address(), { 0, 5 }, "a");
+    this->world.addModelReplica("two", kSecondPart, { 5, 10 }, "a");
+    this->world.replicas["one"].slots = 4;
+    this->world.start();
+    this->openStream("X-Tokens: 5,50\r\n");
+    this->world.addModelReplica("three", kThirdPart, { 5, 10 }, "a");
+    this->world.publishReplicas(2);
+    EXPECT_TRUE(
+      this->world.advanceUntil([this] { return this->world.repaths > 0; }));
+    this->firstIsSilent = true;
+    this->world.addModelReplica("four", this->two.address(), { 0, 10 }, "b");
+    this->world.publishReplicas(3);
+    return this->awaitNext();
+  }
+  /** Ends the move, and then refuses the next attempt. */
+  void endMoveAndRefuse(RawSocket& aNext, RepathOutcome aOutcome)
+  {
+    this->outcome(aOutcome);
+    this->world.settle();
+    aNext.send(RelayWorld::answer(
+      "id-1", "", "503 Service Unavailable", "X-Not-Run: 1\r\n"));
+    this->awaitRestored(1);
+  }
+  /** Returns the replicas that have work of the relay, as it tells others. */
+  std::set<std::string> loadedReplicas()
+  {
+    while (this->peer.receive()) {
+    }
+    std::optional<PeerMessage> message;
+    EXPECT_TRUE(this->world.advanceUntil([&] {
+      message = this->peer.receive();
+      return message && message->status.format == kPeerStatusFormat;
+    }));
+    std::set<std::string> loaded;
+    for (const LoadRow& row : message->status.loads) {
+      loaded.insert(row.replica);
+    }
+    return loaded;
+  }
+
+  PeerSocket peer;
+  std::atomic<bool> firstIsSilent{ false };
+  std::function<void(RepathOutcome)> outcome;
+};
+
+TEST_F(RelaySetAsideMoveTest, ARefusedMoveLeavesItOnTheOldPath)
+{
+  // Guards against load and stall decisions for a path that it did not get.
+  RawSocket next = this->setAsideDuringMove();
+  this->endMoveAndRefuse(next, RepathOutcome::Failed);
+  EXPECT_EQ(this->loadedReplicas(), (std::set<std::string>{ "one", "two" }));
+}
+
+TEST_F(RelaySetAsideMoveTest, AMovedAttemptIsNotReplacedOnceMore)
+{
+  // Guards against a second prefill of a stream that was moved.
+  RawListener five;
+  RawSocket next = this->setAsideDuringMove();
+  this->world.addModelReplica("five", five.address(), { 0, 10 }, "b");
+  this->world.publishReplicas(4);
+  this->endMoveAndRefuse(next, RepathOutcome::Moved);
+  this->world.advance(kRound);
+  EXPECT_EQ(this->world.counter("attempts_replaced_total"), 1U);
+  this->expectEnd();
+}
+
+} // namespace
+} // namespace poplartrack
