Return to the replaced attempt when the next one may not be sent

If the configuration became too old between the choice of the next attempt and its first byte, the started stream was cut, although the attempt that had been set aside still ran. Cause: flushReplica() refused the request itself.

Evidence, on the code before (AnOldConfigurationBeforeTheFirstByteCostsNoStream): RelayFixture.h:56: Failure has(caller->readUntil("0\r\n\r\n"), "id: 2") Actual: false Now it passes: nothing is sent, and the stream goes on where it runs. The test world can act while the relay writes a request's head.

--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -181,7 +181,8 @@
 }
 
 /** Writes the request until the socket accepts no more. Refuses it instead if
- * the configuration has become too old before the first byte. */
+ * the configuration has become too old before the first byte, unless the
+ * attempt that it was to replace goes on. */
 void
 RelayLoop::Impl::flushReplica(ReplicaConnection& aConnection)
 {
@@ -194,11 +195,13 @@
     // its key may have been revoked meanwhile. No byte of the request has been
     // sent yet.
     Exchange& stale = *exchange->second;
+    constexpr std::string_view kCause = "the configuration has become old";
     this->dropAttempt(stale, false);
-    this->refuse(
-      stale,
-      Error{ ErrorKind::NoConfiguration, "the configuration has become old" },
-      stale.runs == 0);
+    if (!this->returnToReplaced(stale, kCause)) {
+      this->refuse(stale,
+                   Error{ ErrorKind::NoConfiguration, std::string{ kCause } },
+                   stale.runs == 0);
+    }
     return;
   }
   while (true) {
--- a/tests/unit/relay/RelaySetAsideTest.cpp
+++ b/tests/unit/relay/RelaySetAsideTest.cpp
@@ -101,5 +101,33 @@
   this->expectEnd();
 }
 
+class RelaySetAsideTest : public RelayReplacementFixture
+{};
+
+TEST_F(RelaySetAsideTest, AnOldConfigurationBeforeTheFirstByteCostsNoStream)
+{
+  // Guards against a cut because the next attempt may not be sent any more.
+  constexpr Duration kOld = std::chrono::minutes{ 11 };
+  this->world.revoke = std::chrono::minutes{ 60 };
+  this->world.shared.configPollFailed = true;
+  std::atomic<bool> ages{ false };
+  this->world.onRequestHead = [&] {
+    if (ages) {
+      this->world.shared.configPollFailed = false;
+    }
+  };
+  this->world.addReplica("one", "model", this->one.address());
+  this->world.addReplica("two", "model", this->two.address());
+  this->world.replicas["two"].zone = "b";
+  this->world.start(kOld);
+  this->openStream();
+  ages = true;
+  ASSERT_TRUE(this->world.advanceUntil(
+    [this] { return this->world.counter("attempts_replaced_total") > 0; }));
+  RawSocket next = this->two.accept();
+  EXPECT_EQ(next.readToEnd(), "");
+  this->expectEnd();
+}
+
 } // namespace
 } // namespace poplartrack
--- a/tests/unit/relay/RelayWorld.h
+++ b/tests/unit/relay/RelayWorld.h
@@ -231,8 +231,15 @@
       }
       aDone(this->repathOutcome);
     };
+    RelayHeaderNames fields = names();
+    fields.pathText = [this, text = fields.pathText](const LayerPath& aPath) {
+      if (this->onRequestHead) {
+        this->onRequestHead();
+      }
+      return text(aPath);
+    };
     auto made =
-      RelayLoop::create(settings, names(), this->shared, calls, this->clock);
+      RelayLoop::create(settings, fields, this->shared, calls, this->clock);
     ASSERT_TRUE(made);
     this->loop = std::move(made).value();
   }
@@ -293,6 +300,8 @@
   RepathOutcome repathOutcome = RepathOutcome::PartMissing;
   /** Ends such an order in another way, or later. */
   std::function<void(std::function<void(RepathOutcome)>)> onRepath;
+  /** Runs while the relay writes the head of a request with a path. */
+  std::function<void()> onRequestHead;
   /** The requests that such orders were for, and the path of the last one. */
   std::set<std::string> repathRequests;
   std::string repathPath;
