Keep an attempt set aside until the next answer begins

A replica that refused the next attempt, or closed, more than 150 ms after the request cost a started stream that was at its last allowed attempt: the first attempt had been ended, since "not refused in 150 ms" counted as accepted. A stream whose next replica closed after its head was cut at any time.

Evidence, on the code before, RelayLateFailureTest: 10 of 16 failed; a refusal and a close after 200, 500 and 1,000 ms, a close after the head after 100 to 1,000 ms, all as RelayFixture.h:56: Failure has(caller->readUntil("0\r\n\r\n"), "id: 2") Actual: false Now 16 of 16 pass.

The first attempt is ended by the first event of the next stream, before that is forwarded (by the head of another answer), or 2 s after it was set aside: a sound replica is not silent for so long, and callers give a stream up then. The next attempt may itself be doubted meanwhile, no sooner than after 150 ms, as before; a third one ends the first. So a true loss is resumed as fast as before. A third attempt began 200 ms after the second on the code before (manual clock); AThirdAttemptDoesNotWaitForTheFirst bounds it at 500 ms.

Price: the memory of both paths for a prefill, at most for 2 s instead of 150 ms, which the load tables do not count; the first prefill of the next attempt is wasted if the first one goes on before. A caller that leaves ends both attempts, as before.

--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -98,8 +98,8 @@
   /** The attempt that is to take the place of the current one, while its
    * connection is being established. */
   std::optional<NextAttempt> next;
-  /** The attempt whose place the current one has taken, until that one is
-   * accepted. */
+  /** The attempt whose place the current one has taken, until the answer of
+   * that one begins. */
   std::optional<ReplacedAttempt> replaced;
   /** The next attempt is a retry that is not charged to the retry budget yet.
    */
--- a/src/relay/RelayAnswer.cpp
+++ b/src/relay/RelayAnswer.cpp
@@ -69,11 +69,13 @@
     this->onAttemptFailed(aExchange, ReplicaFailure::Faulty, "failed");
     return;
   }
-  this->dropReplaced(aExchange);
   if (isSuccess(head.status) && aExchange.route->rule == RetryRule::Stream &&
       aExchange.head.method != "HEAD") {
+    // A replaced attempt goes on until the first event.
     aExchange.streaming = true;
+    return;
   }
+  this->dropReplaced(aExchange);
 }
 
 /** Records an answer with a server error (5xx), and retries the request if it
--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -300,7 +300,7 @@
     next = std::min(next, aExchange.next->since + kConnectTimeout);
   }
   if (aExchange.replaced) {
-    next = std::min(next, aExchange.sentAt + kRefusalTime);
+    next = std::min(next, aExchange.sentAt + kMaxSetAside);
   }
   if (aExchange.prefillRecorded) {
     next = std::min(next, aExchange.prefillEndsAt.value_or(next));
@@ -351,7 +351,7 @@
   if (aExchange.next && this->now >= aExchange.next->since + kConnectTimeout) {
     this->onNextUnreachable(aExchange);
   }
-  if (aExchange.replaced && this->now >= aExchange.sentAt + kRefusalTime) {
+  if (aExchange.replaced && this->now >= aExchange.sentAt + kMaxSetAside) {
     this->dropReplaced(aExchange);
   }
   if (connection->second->pause != ReadPause::None) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -255,6 +255,7 @@
                          ReplicaFailure aFailure,
                          std::string_view aCause);
   [[nodiscard]] bool hasUnreadAnswer(const Exchange& aExchange) const;
+  [[nodiscard]] bool hasUnreadBytes(std::uint64_t aConnection) const;
   Result<AttemptTarget> chooseReplacement(Exchange& aExchange);
   void onNextConnected(Exchange& aExchange, ReplicaConnection& aConnection);
   void onNextUnreachable(Exchange& aExchange);
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -50,6 +50,9 @@
   }
   for (const auto& [id, exchange] : this->exchanges) {
     bytes += exchange->body.size() + exchange->splitter.partialBytes();
+    if (exchange->replaced) {
+      bytes += exchange->replaced->attempt.splitter.partialBytes();
+    }
   }
   return bytes;
 }
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -8,6 +8,13 @@
 #include "poplartrack/base/TcpSocket.h"
 
 namespace poplartrack {
+namespace {
+
+/** An attempt is set aside for this long at least: the one in its place is not
+ * doubted before, so that no third one ends it. */
+constexpr Duration kMinSetAside = std::chrono::milliseconds{ 150 };
+
+} // namespace
 
 /**
  * Handles an attempt that seems to make no progress, by the silence of a
@@ -25,7 +32,9 @@
   const bool replicaLost = aFailure == ReplicaFailure::Unreachable;
   const bool planned =
     !replicaLost && this->drainState.since.contains(aExchange.replica);
-  if (aExchange.next || aExchange.replaced ||
+  const bool isNew =
+    aExchange.replaced && this->now < aExchange.sentAt + kMinSetAside;
+  if (aExchange.next || isNew ||
       (!planned && this->hasUnreadAnswer(aExchange))) {
     this->armExchange(aExchange);
     return;
@@ -57,12 +66,21 @@
   this->dispatch(aExchange);
 }
 
-/** Returns whether bytes of the current attempt's answer have arrived that were
- * not read yet: this relay is behind, and the replica is not silent. */
+/** Returns whether bytes of an answer have arrived that were not read yet: this
+ * relay is behind, and the replica is not silent. */
 bool
 RelayLoop::Impl::hasUnreadAnswer(const Exchange& aExchange) const
 {
-  const auto found = this->connections.find(aExchange.connection);
+  return this->hasUnreadBytes(aExchange.connection) ||
+         (aExchange.replaced &&
+          this->hasUnreadBytes(aExchange.replaced->attempt.connection));
+}
+
+/** Returns whether bytes of the answer on a connection wait to be read. */
+bool
+RelayLoop::Impl::hasUnreadBytes(std::uint64_t aConnection) const
+{
+  const auto found = this->connections.find(aConnection);
   return found != this->connections.end() &&
          found->second->state == ReplicaConnection::State::Busy &&
          (found->second->pause != ReadPause::None ||
@@ -140,8 +158,8 @@
 }
 
 /** Sets the current attempt aside, if there is one, since another one begins.
- * It goes on until that one is accepted: its work would be lost if a replica
- * refused the other one. */
+ * It goes on until the answer of that one begins: its work would be lost if the
+ * other replica refused or broke off. One that was set aside before ends. */
 void
 RelayLoop::Impl::setAttemptAside(Exchange& aExchange)
 {
@@ -166,6 +184,7 @@
     this->dropAttempt(aExchange, false);
     return;
   }
+  this->dropReplaced(aExchange);
   ReplacedAttempt replaced{ aExchange,
                             this->cachedParts(aExchange),
                             aExchange.hasLostPartialEvent };
--- a/src/relay/RelayStream.cpp
+++ b/src/relay/RelayStream.cpp
@@ -113,6 +113,9 @@
   if (caller == this->callers.end()) {
     return;
   }
+  if (!aEvents.empty() || aEnd) {
+    this->dropReplaced(aExchange);
+  }
   std::string text;
   const bool first = !aExchange.answering;
   if (first && (!aEvents.empty() || aEnd)) {
--- a/src/relay/ReplacedAttempt.h
+++ b/src/relay/ReplacedAttempt.h
@@ -6,8 +6,8 @@
 
 namespace poplartrack {
 
-/** An attempt whose place another one has taken. It goes on until that one is
- * accepted, and becomes the current one again if that one is refused. */
+/** An attempt whose place another one has taken. It goes on until the answer of
+ * that one begins, and becomes the current one again if that one fails. */
 struct ReplacedAttempt
 {
   Attempt attempt;
@@ -17,8 +17,9 @@
   bool hadLostPartialEvent = false;
 };
 
-/** An attempt that was not refused within this time counts as accepted. That is
- * no proof: its replica may still refuse it later, or break off. */
-constexpr Duration kRefusalTime = std::chrono::milliseconds{ 150 };
+/** Longest time for which an attempt is set aside. A sound replica may be
+ * silent for a second or so; one that is silent for longer is taken for lost,
+ * and its memory is needed. */
+constexpr Duration kMaxSetAside = std::chrono::milliseconds{ 2'000 };
 
 } // namespace poplartrack
--- a/tests/unit/relay/RelaySetAsideTest.cpp
+++ b/tests/unit/relay/RelaySetAsideTest.cpp
@@ -129,5 +129,94 @@
   this->expectEnd();
 }
 
+TEST_F(RelaySetAsideTest, AThirdAttemptDoesNotWaitForTheFirst)
+{
+  // Guards against a pause of seconds where two replicas are lost in turn.
+  constexpr Duration kMostWait = std::chrono::milliseconds{ 500 };
+  RawListener three;
+  this->world.config->routes["shop.example"][2].attempts = 3;
+  this->startTwo(this->two.address());
+  this->openStream();
+  RawSocket next = this->awaitNext();
+  this->world.addReplica("three", "model", three.address());
+  this->world.publishReplicas(2);
+  const TimePoint begun = this->world.manualClock.now();
+  ASSERT_TRUE(this->world.advanceUntil(
+    [this] { return this->world.counter("attempts_replaced_total") >= 2; }));
+  EXPECT_LE(this->world.manualClock.now() - begun, kMostWait);
+}
+
+/** The time in ms after which the replica of the next attempt fails. */
+class RelayLateFailureTest
+  : public RelayReplacementFixture
+  , public ::testing::WithParamInterface<int>
+{
+protected:
+  /** Opens a stream whose replica falls silent, and lets the time pass after
+   * the next attempt has begun. Returns the connection of that one. */
+  RawSocket openUntilFailure()
+  {
+    this->startTwo(this->two.address());
+    this->openStream();
+    RawSocket next = this->awaitNext();
+    const Duration time = std::chrono::milliseconds{ GetParam() };
+    for (Duration passed{ 0 }; passed < time; passed += kRound) {
+      this->world.advance(kRound);
+    }
+    return next;
+  }
+  /** Expects that the stream ends at its first replica, after the next attempt
+   * has failed. */
+  void expectReturn()
+  {
+    EXPECT_TRUE(this->world.advanceUntil([this] {
+      return this->world.counter("attempts_restored_total") > 0 ||
+             this->world.counter("answers_cut_total") > 0;
+    }));
+    this->expectEnd();
+  }
+};
+
+TEST_P(RelayLateFailureTest, ALateRefusalCostsNoStream)
+{
+  // Guards against a cut because a full replica refused an attempt late.
+  RawSocket next = this->openUntilFailure();
+  next.send(RelayWorld::answer(
+    "id-1", "", "503 Service Unavailable", "X-Not-Run: 1\r\n"));
+  this->expectReturn();
+}
+
+TEST_P(RelayLateFailureTest, AReplicaThatBreaksOffLateCostsNoStream)
+{
+  // The same where the other replica closes before its answer.
+  this->openUntilFailure().close();
+  this->expectReturn();
+}
+
+TEST_P(RelayLateFailureTest, AReplicaThatBreaksOffAfterItsHeadCostsNoStream)
+{
+  // The same where the other replica closes before its first event.
+  RawSocket next = this->openUntilFailure();
+  next.send(RelayWorld::streamHead("id-1"));
+  this->world.settle();
+  next.close();
+  this->expectReturn();
+}
+
+TEST_P(RelayLateFailureTest, TheFirstEventOfTheNextAttemptEndsTheOneSetAside)
+{
+  // Guards against joined pieces of two runs, and against a late resumption.
+  RawSocket next = this->openUntilFailure();
+  next.send(RelayWorld::streamHead("id-1") + RelayWorld::event(2));
+  EXPECT_TRUE(has(this->caller->readUntil("id: 2"), "id: 2"));
+  EXPECT_EQ(this->replica->readToEnd(), "");
+  next.send(RelayWorld::event(3) + RelayWorld::kLastChunk);
+  EXPECT_TRUE(has(this->caller->readUntil("0\r\n\r\n"), "id: 3"));
+}
+
+INSTANTIATE_TEST_SUITE_P(RelaySetAside,
+                         RelayLateFailureTest,
+                         ::testing::Values(100, 200, 500, 1'000));
+
 } // namespace
 } // namespace poplartrack
