Let no event of a draining replica undo the move of its stream

A planned move off a draining replica sets the running attempt aside. Its next event, which comes within tens of milliseconds, made it the current one again and ended the attempt in its place, so a running stream was not moved. Each try counts as an attempt sent, and after eight of them none follows when the replica exits (read, not tried: maySendAgain).

Evidence, on the code before (AStreamThatGoesOnIsMoved): RelayMoveTest.cpp:146: Failure counter("attempts_restored_total") Which is: 1 expected 0 Now it passes. A stream that is set aside by plan is not read until the next attempt has an event or fails; then it is read on, and misses no event (AStreamWhoseMoveIsRefusedMissesNoEvent). An event that comes while the next connection is being established does not end the move either (no test).

--- a/src/relay/AttemptDoubt.h
+++ b/src/relay/AttemptDoubt.h
@@ -14,6 +14,8 @@
   /** Its own replica is taken for lost; otherwise another one of its path is,
    * or one of them drains. */
   bool replicaLost = false;
+  /** Its own replica drains and runs it meanwhile. */
+  bool planned = false;
   /** It was logged why no other attempt can begin. */
   bool isKept = false;
   /** Since when. */
--- a/src/relay/ReadPause.h
+++ b/src/relay/ReadPause.h
@@ -14,6 +14,8 @@
   Caller,
   /** Reads in bulk have used up their share of the loop's time. */
   Time,
+  /** Another attempt has taken the place of a stream whose replica drains. */
+  Replaced,
 };
 
 } // namespace poplartrack
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -264,6 +264,7 @@
   void keepAttempt(Exchange& aExchange);
   void endDoubt(Exchange& aExchange);
   void setAttemptAside(Exchange& aExchange);
+  void pauseReplaced(Exchange& aExchange);
   [[nodiscard]] static bool isReplaced(const Exchange& aExchange,
                                        std::uint64_t aConnection);
   bool returnToReplaced(Exchange& aExchange, std::string_view aCause);
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -218,6 +218,7 @@
       this->shared.metrics.count("streams_paused_total");
       this->callerOf(aConnection)->pausesStream = true;
       break;
+    case ReadPause::Replaced:
     case ReadPause::None:
       break;
   }
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -43,6 +43,7 @@
   if (!aExchange.doubt) {
     aExchange.doubt = AttemptDoubt{ .cause = aCause,
                                     .replicaLost = replicaLost,
+                                    .planned = planned,
                                     .since = this->now };
     aExchange.disturbedByLoss = aExchange.disturbedByLoss || !planned;
     if (!replicaLost) {
@@ -83,6 +84,7 @@
   const auto found = this->connections.find(aConnection);
   return found != this->connections.end() &&
          found->second->state == ReplicaConnection::State::Busy &&
+         found->second->pause != ReadPause::Replaced &&
          (found->second->pause != ReadPause::None ||
           hasUnread(found->second->fd.get()));
 }
@@ -191,9 +193,25 @@
   aExchange.connection = 0;
   this->endAttempt(aExchange, true);
   aExchange.replaced = std::move(replaced);
+  if (doubt.planned) {
+    this->pauseReplaced(aExchange);
+  }
   this->shared.metrics.count("attempts_replaced_total");
 }
 
+/** Stops reading the replaced attempt, whose replica drains and still runs it:
+ * its next event would end the attempt in its place, each time. */
+void
+RelayLoop::Impl::pauseReplaced(Exchange& aExchange)
+{
+  const auto found =
+    this->connections.find(aExchange.replaced->attempt.connection);
+  if (found != this->connections.end()) {
+    found->second->pause = ReadPause::Replaced;
+    this->updateReplicaInterest(*found->second);
+  }
+}
+
 /** Returns whether the connection is that of the replaced attempt. */
 bool
 RelayLoop::Impl::isReplaced(const Exchange& aExchange,
@@ -233,7 +251,8 @@
   this->addLoad(aExchange, &replaced.cached);
   const auto connection = this->connections.find(aExchange.connection);
   if (connection != this->connections.end() &&
-      connection->second->pause == ReadPause::Caller) {
+      (connection->second->pause == ReadPause::Caller ||
+       connection->second->pause == ReadPause::Replaced)) {
     // Its caller may have caught up meanwhile. The next read pauses it if not.
     this->resumeReading(*connection->second);
   }
@@ -361,7 +380,11 @@
       this->crashState.exited.erase(part.replica);
     }
   }
-  this->endDoubt(aExchange);
+  const bool isMoving =
+    aExchange.next && aExchange.doubt && aExchange.doubt->planned;
+  if (!isMoving) {
+    this->endDoubt(aExchange);
+  }
   if (anyAlive) {
     this->publishLostReplicas();
   }
--- a/tests/unit/relay/RelayMoveTest.cpp
+++ b/tests/unit/relay/RelayMoveTest.cpp
@@ -1,6 +1,7 @@
 // Streams that are moved off a draining replica, before it exits.
 
-#include "RelayFixture.h"
+#include "AcceptLoop.h"
+#include "RelayReplacementFixture.h"
 
 namespace poplartrack {
 namespace {
@@ -97,5 +98,70 @@
   this->expectEnd();
 }
 
+/** A draining replica that runs its streams until it exits. */
+class RelayRunningMoveTest : public RelayReplacementFixture
+{
+protected:
+  RelayRunningMoveTest()
+  {
+    this->world.onQuery = [](const Address&, const auto& aDone) {
+      ReplicaReport report;
+      report.reached = true;
+      aDone(report);
+    };
+  }
+  /** Sends further events of the stream from its first replica. */
+  void sendEvents(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      this->replica->send(RelayWorld::event(++this->last));
+      this->world.advance(kRound);
+    }
+  }
+  /** Lets a stream begin to move off its replica, which goes on. Returns the
+   * connection of the next attempt. */
+  RawSocket beginMove()
+  {
+    this->startTwo(this->two.address());
+    this->openStream(kLongStream);
+    this->world.replicas["one"].draining = true;
+    this->world.publishReplicas(2);
+    EXPECT_TRUE(this->world.advanceUntil([this] {
+      this->sendEvents(1);
+      return this->world.counter("attempts_replaced_total") > 0;
+    }));
+    return acceptRequest(this->two, this->head);
+  }
+
+  /** The last event that the first replica has sent. */
+  int last = 1;
+};
+
+TEST_F(RelayRunningMoveTest, AStreamThatGoesOnIsMoved)
+{
+  // Guards against moves that each event of the draining replica undoes, until
+  // no attempt is left when it exits.
+  RawSocket next = this->beginMove();
+  this->sendEvents(4);
+  EXPECT_EQ(this->world.counter("attempts_restored_total"), 0U);
+  const int first = std::stoi(headerValue(this->head, "Last-Event-Id")) + 1;
+  next.send(RelayWorld::streamHead("id-1") + RelayWorld::event(first) +
+            RelayWorld::kLastChunk);
+  const std::string rest = this->caller->readUntil("0\r\n\r\n");
+  EXPECT_TRUE(has(rest, "id: " + std::to_string(first) + "\n")) << rest;
+  EXPECT_FALSE(has(rest, "id: " + std::to_string(first + 1) + "\n")) << rest;
+}
+
+TEST_F(RelayRunningMoveTest, AStreamWhoseMoveIsRefusedMissesNoEvent)
+{
+  // Guards against events of the draining replica that are never read.
+  RawSocket next = this->beginMove();
+  this->sendEvents(4);
+  next.send(RelayWorld::answer(
+    "id-1", "", "503 Service Unavailable", "X-Not-Run: 1\r\n"));
+  const std::string mark = "id: " + std::to_string(this->last) + "\n";
+  EXPECT_TRUE(has(this->caller->readUntil(mark), mark));
+}
+
 } // namespace
 } // namespace poplartrack
