--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -255,6 +255,7 @@
                          ReplicaFailure aFailure,
                          std::string_view aCause);
   [[nodiscard]] bool hasUnreadAnswer(const Exchange& aExchange) const;
+  [[nodiscard]] bool hasUnreadBytes(std::uint64_t aConnection) const;
   Result<AttemptTarget> chooseReplacement(Exchange& aExchange);
   void onNextConnected(Exchange& aExchange, ReplicaConnection& aConnection);
   void onNextUnreachable(Exchange& aExchange, ReplicaFailure aFailure);
@@ -263,6 +264,7 @@
   void keepAttempt(Exchange& aExchange);
   void endDoubt(Exchange& aExchange);
   void setAttemptAside(Exchange& aExchange);
+  void pauseReplaced(Exchange& aExchange);
   [[nodiscard]] static bool isReplaced(const Exchange& aExchange,
                                        std::uint64_t aConnection);
   bool returnToReplaced(Exchange& aExchange, std::string_view aCause);
@@ -273,6 +275,9 @@
   bool onReplacedDisconnected(Exchange& aExchange,
                               const ReplicaConnection& aConnection,
                               bool aClean);
+  void onReplacedRepath(ReplacedAttempt& aReplaced,
+                        const RepathOrder& aOrder,
+                        RepathOutcome aOutcome);
   void dropReplaced(Exchange& aExchange);
   void recordProgress(Exchange& aExchange);
 
@@ -484,6 +489,7 @@
     const std::string& aReplica) const;
   void repair(Exchange& aExchange, bool aPlanned);
   void repairPlain(Exchange& aExchange);
+  void repairQuarantined(Exchange& aExchange, const Suspect& aSuspect);
   void moveOffDrainingFirst(Exchange& aExchange);
   void onRepath(const RepathOrder& aOrder, RepathOutcome aOutcome);
 
@@ -518,6 +524,7 @@
   void applyQuarantineChanges();
   void beginQuarantine(const Suspect& aSuspect, bool aOwn);
   [[nodiscard]] bool isCertain(const Suspect& aSuspect) const;
+  [[nodiscard]] bool hasBegunAnswer(const Exchange& aExchange) const;
   void stopQuarantined(const Suspect& aSuspect);
   [[nodiscard]] bool contains(Exchange& aExchange,
                               const Suspect& aSuspect) const;
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -50,6 +50,9 @@
   }
   for (const auto& [id, exchange] : this->exchanges) {
     bytes += exchange->body.size() + exchange->splitter.partialBytes();
+    if (exchange->replaced) {
+      bytes += exchange->replaced->attempt.splitter.partialBytes();
+    }
   }
   return bytes;
 }
@@ -215,6 +218,7 @@
       this->shared.metrics.count("streams_paused_total");
       this->callerOf(aConnection)->pausesStream = true;
       break;
+    case ReadPause::Replaced:
     case ReadPause::None:
       break;
   }
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -8,6 +8,13 @@
 #include "poplartrack/base/TcpSocket.h"
 
 namespace poplartrack {
+namespace {
+
+/** An attempt is set aside for this long at least: the one in its place is not
+ * doubted before, so that no third one ends it. */
+constexpr Duration kMinSetAside = std::chrono::milliseconds{ 150 };
+
+} // namespace
 
 /**
  * Handles an attempt that seems to make no progress, by the silence of a
@@ -25,7 +32,9 @@
   const bool replicaLost = aFailure == ReplicaFailure::Unreachable;
   const bool planned =
     !replicaLost && this->drainState.since.contains(aExchange.replica);
-  if (aExchange.next || aExchange.replaced ||
+  const bool isNew =
+    aExchange.replaced && this->now < aExchange.sentAt + kMinSetAside;
+  if (aExchange.next || isNew ||
       (!planned && this->hasUnreadAnswer(aExchange))) {
     this->armExchange(aExchange);
     return;
@@ -34,6 +43,7 @@
   if (!aExchange.doubt) {
     aExchange.doubt = AttemptDoubt{ .cause = aCause,
                                     .replicaLost = replicaLost,
+                                    .planned = planned,
                                     .since = this->now };
     aExchange.disturbedByLoss = aExchange.disturbedByLoss || !planned;
     if (!replicaLost) {
@@ -57,14 +67,24 @@
   this->dispatch(aExchange);
 }
 
-/** Returns whether bytes of the current attempt's answer have arrived that were
- * not read yet: this relay is behind, and the replica is not silent. */
+/** Returns whether bytes of an answer have arrived that were not read yet: this
+ * relay is behind, and the replica is not silent. */
 bool
 RelayLoop::Impl::hasUnreadAnswer(const Exchange& aExchange) const
 {
-  const auto found = this->connections.find(aExchange.connection);
+  return this->hasUnreadBytes(aExchange.connection) ||
+         (aExchange.replaced &&
+          this->hasUnreadBytes(aExchange.replaced->attempt.connection));
+}
+
+/** Returns whether bytes of the answer on a connection wait to be read. */
+bool
+RelayLoop::Impl::hasUnreadBytes(std::uint64_t aConnection) const
+{
+  const auto found = this->connections.find(aConnection);
   return found != this->connections.end() &&
          found->second->state == ReplicaConnection::State::Busy &&
+         found->second->pause != ReadPause::Replaced &&
          (found->second->pause != ReadPause::None ||
           hasUnread(found->second->fd.get()));
 }
@@ -140,8 +160,8 @@
 }
 
 /** Sets the current attempt aside, if there is one, since another one begins.
- * It goes on until that one is accepted: its work would be lost if a replica
- * refused the other one. */
+ * It goes on until the answer of that one begins: its work would be lost if the
+ * other replica refused or broke off. One that was set aside before ends. */
 void
 RelayLoop::Impl::setAttemptAside(Exchange& aExchange)
 {
@@ -166,15 +186,32 @@
     this->dropAttempt(aExchange, false);
     return;
   }
+  this->dropReplaced(aExchange);
   ReplacedAttempt replaced{ aExchange,
                             this->cachedParts(aExchange),
                             aExchange.hasLostPartialEvent };
   aExchange.connection = 0;
   this->endAttempt(aExchange, true);
   aExchange.replaced = std::move(replaced);
+  if (doubt.planned) {
+    this->pauseReplaced(aExchange);
+  }
   this->shared.metrics.count("attempts_replaced_total");
 }
 
+/** Stops reading the replaced attempt, whose replica drains and still runs it:
+ * its next event would end the attempt in its place, each time. */
+void
+RelayLoop::Impl::pauseReplaced(Exchange& aExchange)
+{
+  const auto found =
+    this->connections.find(aExchange.replaced->attempt.connection);
+  if (found != this->connections.end()) {
+    found->second->pause = ReadPause::Replaced;
+    this->updateReplicaInterest(*found->second);
+  }
+}
+
 /** Returns whether the connection is that of the replaced attempt. */
 bool
 RelayLoop::Impl::isReplaced(const Exchange& aExchange,
@@ -185,7 +222,7 @@
 }
 
 /** Makes the replaced attempt the current one again, if there is one, after the
- * one that took its place has ended. Looks for another one. */
+ * one that took its place has ended. Looks for another one if it is doubted. */
 bool
 RelayLoop::Impl::returnToReplaced(Exchange& aExchange, std::string_view aCause)
 {
@@ -193,7 +230,7 @@
     return false;
   }
   this->restoreReplaced(aExchange, aCause);
-  if (this->mayTryAgain(aExchange)) {
+  if (aExchange.doubt && this->mayTryAgain(aExchange)) {
     aExchange.needsRetryBudget = true;
     this->dispatch(aExchange);
   } else {
@@ -214,7 +251,8 @@
   this->addLoad(aExchange, &replaced.cached);
   const auto connection = this->connections.find(aExchange.connection);
   if (connection != this->connections.end() &&
-      connection->second->pause == ReadPause::Caller) {
+      (connection->second->pause == ReadPause::Caller ||
+       connection->second->pause == ReadPause::Replaced)) {
     // Its caller may have caught up meanwhile. The next read pauses it if not.
     this->resumeReading(*connection->second);
   }
@@ -274,6 +312,25 @@
   return true;
 }
 
+/** Handles the outcome of an order to move the replaced attempt to another
+ * path, as it counts if that attempt is the current one again. */
+void
+RelayLoop::Impl::onReplacedRepath(ReplacedAttempt& aReplaced,
+                                  const RepathOrder& aOrder,
+                                  RepathOutcome aOutcome)
+{
+  Attempt& attempt = aReplaced.attempt;
+  if (aOutcome == RepathOutcome::Moved) {
+    attempt.lastProgress = std::max(attempt.lastProgress, this->now);
+    attempt.overdue = false;
+    attempt.doubt.reset();
+    return;
+  }
+  attempt.path = aOrder.before;
+  attempt.repairedAt.reset();
+  aReplaced.cached = attempt.runningSince ? aOrder.before : LayerPath{};
+}
+
 /** Ends the replaced attempt, if there is one. */
 void
 RelayLoop::Impl::dropReplaced(Exchange& aExchange)
@@ -323,7 +380,11 @@
       this->crashState.exited.erase(part.replica);
     }
   }
-  this->endDoubt(aExchange);
+  const bool isMoving =
+    aExchange.next && aExchange.doubt && aExchange.doubt->planned;
+  if (!isMoving) {
+    this->endDoubt(aExchange);
+  }
   if (anyAlive) {
     this->publishLostReplicas();
   }
