Use one name per kind of evidence in routes and replica health

The entry's route choice and the relay's replica health each had an enum of their own for the same thing. LossEvidence (silence, refusal, restart, exit) now lies in base and serves both. A comment in RequestRunTest is back at the test that it belongs to.

--- a/include/poplartrack/fleet/LossEvidence.h
+++ b/include/poplartrack/base/LossEvidence.h
@@ -7,14 +7,16 @@
 
 namespace poplartrack {
 
-/** What takes a replica out of use. docs/design/loss-detection.md says for each
- * kind what it may do, for how long, and what ends it. */
+/** What takes a replica or another endpoint out of use.
+ * docs/design/loss-detection.md says for each kind what it may do, for how
+ * long, and what ends it. */
 enum class LossEvidence : std::uint8_t
 {
   /** No answer, no connection or no progress in time. A sound replica may be
    * silent for a second. */
   Silence,
-  /** It has refused a request without running it, or closed a connection. */
+  /** It has refused a request without running it, answered with an error, or
+   * closed a connection. */
   Refusal,
   /** A new process runs at its address. */
   Restart,
--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -183,7 +183,7 @@
   Actions nextAttempt(RetryReason aReason,
                       const std::set<std::string>& aFailed,
                       TimePoint aNow,
-                      FailureEvidence aEvidence = FailureEvidence::Refusal);
+                      LossEvidence aEvidence = LossEvidence::Refusal);
   Actions askForRoute(RetryReason aReason, Actions aActions);
   Actions openRoute(const Route& aRoute,
                     TimePoint aNow,
--- a/include/poplartrack/entry/RunAction.h
+++ b/include/poplartrack/entry/RunAction.h
@@ -7,8 +7,8 @@
 
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/Error.h"
+#include "poplartrack/base/LossEvidence.h"
 #include "poplartrack/observe/RetryReason.h"
-#include "poplartrack/route/FailureEvidence.h"
 #include "poplartrack/wire/FenceRequest.h"
 #include "poplartrack/wire/OpenAttempt.h"
 #include "poplartrack/wire/RunStep.h"
@@ -28,7 +28,7 @@
   /** Those of them that failed last. A route through them replaces no attempt
    * that continues. */
   std::set<std::string> failedLast;
-  FailureEvidence evidence = FailureEvidence::Refusal;
+  LossEvidence evidence = LossEvidence::Refusal;
   /** Why it is retried, if isRetry. */
   RetryReason reason = RetryReason::StageLost;
   /** A retry that starts later is not expected to end by the deadline. */
--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -9,8 +9,8 @@
 #include <unordered_map>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/base/LossEvidence.h"
 #include "poplartrack/fleet/LifeSign.h"
-#include "poplartrack/fleet/LossEvidence.h"
 
 namespace poplartrack {
 
--- a/include/poplartrack/route/RouteChooser.h
+++ b/include/poplartrack/route/RouteChooser.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/base/LossEvidence.h"
 #include "poplartrack/base/Result.h"
 #include "poplartrack/route/EndpointInfo.h"
 #include "poplartrack/route/EndpointMemory.h"
-#include "poplartrack/route/FailureEvidence.h"
 #include "poplartrack/route/RoutePolicy.h"
 #include "poplartrack/wire/RouteStage.h"
 
@@ -104,7 +104,7 @@
   std::optional<TimePoint> onEndpointFailed(
     std::string_view aEndpoint,
     TimePoint aNow,
-    FailureEvidence aEvidence = FailureEvidence::Refusal);
+    LossEvidence aEvidence = LossEvidence::Refusal);
   /** Records that an endpoint succeeded; resets its failures and its
    * backoff. */
   void onEndpointSucceeded(std::string_view aEndpoint);
@@ -113,7 +113,7 @@
   void onPlainEnded(const std::string& aEndpoint,
                     bool aSucceeded,
                     TimePoint aNow,
-                    FailureEvidence aEvidence = FailureEvidence::Refusal);
+                    LossEvidence aEvidence = LossEvidence::Refusal);
 
   /** Returns the records of the endpoints, for metrics and tests. */
   [[nodiscard]] const EndpointMemory& memory() const { return this->records; }
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -151,8 +151,8 @@
         aChooser.onEndpointFailed(endpoint,
                                   moment,
                                   aNeed.lastResort.contains(endpoint)
-                                    ? FailureEvidence::Silence
-                                    : FailureEvidence::Refusal);
+                                    ? LossEvidence::Silence
+                                    : LossEvidence::Refusal);
       }
       Result<EndpointInfo> found = fail(ErrorKind::NoRoute);
       for (const std::set<std::string>& avoid : order) {
@@ -200,8 +200,8 @@
           aChooser.onPlainEnded(endpoint,
                                 replied,
                                 runtimeNow(),
-                                isUnreached ? FailureEvidence::Silence
-                                            : FailureEvidence::Refusal);
+                                isUnreached ? LossEvidence::Silence
+                                            : LossEvidence::Refusal);
         });
       if (replied) {
         this->parts.endpoints.onReply(
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -73,7 +73,7 @@
 RequestRun::nextAttempt(RetryReason aReason,
                         const std::set<std::string>& aFailed,
                         TimePoint aNow,
-                        FailureEvidence aEvidence)
+                        LossEvidence aEvidence)
 {
   this->avoid.insert(aFailed.begin(), aFailed.end());
   if (std::optional<Error> error = this->whyNoRetry(aNow)) {
@@ -188,7 +188,7 @@
   }
   this->noteRejection(CallOutcome::Unknown, aNow);
   return this->nextAttempt(
-    RetryReason::OpenRefused, unanswered, aNow, FailureEvidence::Silence);
+    RetryReason::OpenRefused, unanswered, aNow, LossEvidence::Silence);
 }
 
 RequestRun::Actions
@@ -251,7 +251,7 @@
   need.isRetry = true;
   need.keepsAttempt = true;
   need.failedLast = this->silent;
-  need.evidence = FailureEvidence::Silence;
+  need.evidence = LossEvidence::Silence;
   need.reason = aReason;
   need.latest = this->latestStart();
   return { std::move(need) };
--- a/src/route/RouteFeedback.cpp
+++ b/src/route/RouteFeedback.cpp
@@ -94,10 +94,10 @@
 std::optional<TimePoint>
 RouteChooser::onEndpointFailed(std::string_view aEndpoint,
                                TimePoint aNow,
-                               FailureEvidence aEvidence)
+                               LossEvidence aEvidence)
 {
   EndpointRecord& record = this->records.at(aEndpoint, aNow);
-  const bool isSilence = aEvidence == FailureEvidence::Silence;
+  const bool isSilence = aEvidence == LossEvidence::Silence;
   record.onlySilent = isSilence && (record.failures == 0 || record.onlySilent);
   record.failedAt = aNow;
   // All work that was in flight when the endpoint failed fails at once and
@@ -141,7 +141,7 @@
 RouteChooser::onPlainEnded(const std::string& aEndpoint,
                            bool aSucceeded,
                            TimePoint aNow,
-                           FailureEvidence aEvidence)
+                           LossEvidence aEvidence)
 {
   EndpointRecord& record = this->records.at(aEndpoint, aNow);
   record.inFlight -= std::min(record.inFlight, 1U);
--- a/tests/unit/entry/RequestRunTest.cpp
+++ b/tests/unit/entry/RequestRunTest.cpp
@@ -247,7 +247,6 @@
   expectRest(*this);
 }
 
-// Guards against a loss that is answered by the end of an earlier search.
 // Guards against a started stream that is cut because a sound stage did not
 // take a step for a second.
 TEST_F(RequestRunTest, aStageReportedAsSilentEndsNoAttempt)
@@ -287,6 +286,7 @@
   EXPECT_FALSE(all<NeedRoute>(actions)[0].keepsAttempt);
 }
 
+// Guards against a loss that is answered by the end of an earlier search.
 TEST_F(RequestRunTest, aLossDuringTheSearchAsksAgain)
 {
   stall();
--- a/tests/unit/route/RouteChooserTest.cpp
+++ b/tests/unit/route/RouteChooserTest.cpp
@@ -283,7 +283,7 @@
 TEST(RouteChooser, anAnswerEndsTheBackoffOfASilentEndpoint)
 {
   using std::chrono::milliseconds;
-  const auto chosenAfter = [](FailureEvidence aEvidence) {
+  const auto chosenAfter = [](LossEvidence aEvidence) {
     EndpointView view;
     view.endpoints = { engine("a", { 0, 12 }), engine("b", { 0, 12 }) };
     view.endpoints[1].load.stepMicros *= 2;
@@ -296,8 +296,8 @@
     view.endpoints[0].loadReportedAt = kStart + milliseconds{ 2 };
     return chosen(kStart + milliseconds{ 3 });
   };
-  EXPECT_EQ(chosenAfter(FailureEvidence::Silence), "a");
-  EXPECT_EQ(chosenAfter(FailureEvidence::Refusal), "b");
+  EXPECT_EQ(chosenAfter(LossEvidence::Silence), "a");
+  EXPECT_EQ(chosenAfter(LossEvidence::Refusal), "b");
 }
 
 // Guards against an answer from between two silences that hides the second one.
@@ -308,10 +308,10 @@
   view.endpoints = { engine("a", { 0, 12 }), engine("b", { 0, 12 }) };
   view.endpoints[1].load.stepMicros *= 2;
   RouteChooser choice = chooser(withoutSpread());
-  choice.onEndpointFailed("a", kStart, FailureEvidence::Silence);
+  choice.onEndpointFailed("a", kStart, LossEvidence::Silence);
   view.endpoints[0].loadReportedAt = kStart + milliseconds{ 1 };
   choice.onEndpointFailed(
-    "a", kStart + milliseconds{ 2 }, FailureEvidence::Silence);
+    "a", kStart + milliseconds{ 2 }, LossEvidence::Silence);
   EXPECT_EQ(choice.choose(view, query(), kStart + milliseconds{ 3 })
               .value()
               .route[0]
