Send each write to a store at most once

What callers saw: a conditional write or a create that the store had carried out was reported as a conflict, so that its writer took its own row for another's; or as refused, which promises that it had no effect.

Cause: libcurl repeats a request by itself when a kept connection is closed before an answer begins. The store carried out the first copy; the answer to the second one (412, 503) says nothing about the first. UsersStore::transact and putObject used kept connections, and so did PlatformClient::putObject; PlatformClient::transact, orders to replicas and engines did not. Steps of engines may be repeated (the engine rejects a position that it holds), and reads have no effect.

Change: writes use a connection of their own, so the outcome is PlatformUnknown. By reading the code, all writers resolve that with a read: the lease, the directory and the quarantine rows read their row again. Calls to the store are paid by count, connections are not, and a write has 600 ms, so a kept connection that has fallen silent would cost it too. The alternative, a check before each further copy on a kept connection, saves a handshake but keeps that loss. Reads keep their connections.

--- a/include/poplartrack/store/PlatformClient.h
+++ b/include/poplartrack/store/PlatformClient.h
@@ -55,6 +55,8 @@
   /** Sends a call, whose URL is a path, to the platform and waits for its
    * end. */
   HttpResult send(HttpCall aCall);
+  /** As send, for a call that writes. Its request is sent at most once. */
+  HttpResult write(HttpCall aCall);
   /** Sends a GET request and returns the body of the reply. */
   Result<std::string> get(const std::string& aPath);
 
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -38,6 +38,16 @@
   return this->http.sendAndWait(std::move(aCall));
 }
 
+HttpResult
+PlatformClient::write(HttpCall aCall)
+{
+  // libcurl silently repeats a request when a kept-alive connection breaks
+  // during it. The repeated write would meet the effect of the first one, or
+  // be refused after it: its answer says nothing about the first one.
+  aCall.freshConnection = true;
+  return this->send(std::move(aCall));
+}
+
 Result<std::string>
 PlatformClient::get(const std::string& aPath)
 {
@@ -94,11 +104,7 @@
   call.method = "POST";
   call.url = "/transactions";
   call.body = transactionToJson(aWrites);
-  // libcurl silently repeats a request when a kept-alive connection breaks
-  // during it. The repeated transaction would meet the effect of the first one
-  // and report a conflict with this client's own write.
-  call.freshConnection = true;
-  const HttpResult result = this->send(std::move(call));
+  const HttpResult result = this->write(std::move(call));
   if (result.outcome != CallOutcome::Replied || result.status != kOk) {
     return writeFailure(result, kConflict);
   }
@@ -117,7 +123,7 @@
   call.method = "PUT";
   call.url = "/objects/" + percentEncode(aName);
   call.body = aBytes;
-  const HttpResult result = this->send(std::move(call));
+  const HttpResult result = this->write(std::move(call));
   const bool stored = result.status == kOk || result.status == kCreated;
   if (result.outcome != CallOutcome::Replied || !stored) {
     return writeFailure(result, kConflict);
