Read the rows beside a key that is no UTF-8

Callers would see: one row whose key has bytes that are no UTF-8, or an escaped surrogate without its pair, and a relay followed the list of replicas no more; in the operator's table, it followed the configuration no more.

Cause: simdjson rejects a whole document for one such string, and a page of rows is one document. RFC 8259 8.1 wants UTF-8, but its grammar allows the escape (8.2), the store's page only says "texts of at most 200 bytes", and rows come from any writer: nothing there shows that it can't happen.

--- a/tests/standins/lib/UsersStoreStandin.cpp
+++ b/tests/standins/lib/UsersStoreStandin.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/Base64.h"
+#include "platform/Utf8Repair.h"
 
 namespace poplartrack::standins {
 namespace {
@@ -38,6 +39,46 @@
 
 constexpr std::string_view kNoBase64 = "?";
 
+/** Marks both ends of a key in hexadecimal digits, for which its bytes are sent
+ * as they are. */
+constexpr std::string_view kRawMark = "#raw#";
+
+/** Returns a key as a JSON library can write it. */
+std::string
+keyText(const std::string& aKey)
+{
+  if (isUtf8(aKey)) {
+    return aKey;
+  }
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text{ kRawMark };
+  for (const char letter : aKey) {
+    const auto byte = static_cast<unsigned char>(letter);
+    text += kDigits[byte / kDigits.size()];
+    text += kDigits[byte % kDigits.size()];
+  }
+  return text.append(kRawMark);
+}
+
+/** Returns the body with the bytes of all marked keys. */
+std::string
+withRawKeys(std::string aBody)
+{
+  constexpr int kHex = 16;
+  std::size_t begin = 0;
+  while ((begin = aBody.find(kRawMark, begin)) != std::string::npos) {
+    const std::size_t digits = begin + kRawMark.size();
+    const std::size_t end = aBody.find(kRawMark, digits);
+    std::string bytes;
+    for (std::size_t at = digits; at < end; at += 2) {
+      bytes += static_cast<char>(std::stoi(aBody.substr(at, 2), nullptr, kHex));
+    }
+    aBody.replace(begin, end + kRawMark.size() - begin, bytes);
+    begin += bytes.size();
+  }
+  return aBody;
+}
+
 HttpReply
 replyWith(int aStatus, Json aBody, std::uint64_t aVersion)
 {
@@ -46,7 +87,7 @@
   HttpReply reply;
   reply.status = aStatus;
   reply.headers["Content-Type"] = "application/json";
-  reply.body = aBody.dump();
+  reply.body = withRawKeys(aBody.dump());
   return reply;
 }
 
@@ -189,7 +230,7 @@
       more = true;
       break;
     }
-    list.push_back({ { "Key", name.second },
+    list.push_back({ { "Key", keyText(name.second) },
                      { "Value", valueText(row) },
                      { "Ver", row.version } });
   }
@@ -226,7 +267,7 @@
   std::map<std::uint64_t, Json> changed;
   for (const auto& [name, row] : this->rows) {
     if (name.first == queryOf(aRequest, "Table") && row.version > after) {
-      Json one{ { "Key", name.second },
+      Json one{ { "Key", keyText(name.second) },
                 { "Value", valueText(row) },
                 { "Ver", row.version } };
       if (row.deleted) {
--- a/tests/standins/lib/UsersStoreStandin.h
+++ b/tests/standins/lib/UsersStoreStandin.h
@@ -38,7 +38,8 @@
   UsersStoreStandin();
 
   [[nodiscard]] Address address() const { return this->server->address(); }
-  /** Writes a row as the operator or a replica does. */
+  /** Writes a row as the operator or a replica does. A key that is no UTF-8 is
+   * sent as it is. */
   void put(const std::string& aTable,
            const std::string& aKey,
            const std::string& aValue);
--- a/tests/unit/users_platform/DecodersTest.cpp
+++ b/tests/unit/users_platform/DecodersTest.cpp
@@ -202,6 +202,17 @@
   EXPECT_FALSE(decodeReplica(std::string(1, '\0'), kEntry));
 }
 
+// Guards against names that cannot be written as JSON.
+TEST(ReplicaDecoder, RejectsNamesThatAreNoUtf8)
+{
+  constexpr std::string_view kEntry =
+    R"({"Service":"s","Address":"10.0.0.1:80","Zone":"a","Slots":4,
+        "State":"ready"})";
+  for (const std::string_view name : { "i\xFF", "\xC3(", "\xED\xA0\x80" }) {
+    EXPECT_FALSE(decodeReplica(std::string{ name }, kEntry));
+  }
+}
+
 TEST(ReplicaDecoder, RejectsAnEntryWithoutAnAddress)
 {
   EXPECT_FALSE(decodeReplica("i-1", R"({"Service":"s"})"));
--- a/tests/unit/users_platform/UsersStoreTest.cpp
+++ b/tests/unit/users_platform/UsersStoreTest.cpp
@@ -6,6 +6,7 @@
 #include "standins/lib/UsersStoreStandin.h"
 #include "unit/base/ErrorIn.h"
 #include "unit/relay/AnsweringReplica.h"
+#include "unit/store/ScriptedStore.h"
 
 namespace poplartrack {
 namespace {
@@ -254,5 +255,76 @@
   EXPECT_EQ(healed.value().present.size(), 1U);
 }
 
+// Guards against one key that is no UTF-8 and makes its page unreadable.
+TEST_F(UsersStoreTest, AKeyThatIsNoUtf8AffectsNoOtherRow)
+{
+  this->standin.put("servers", "a", kReplica);
+  const auto before = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(before);
+  for (const char* key : { "a\xFF", "b\xC3(", "\xED\xA0\x80", "\x80" }) {
+    this->standin.put("servers", key, kReplica);
+  }
+  this->standin.put("servers", "c", kReplica);
+  const auto whole = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(whole);
+  EXPECT_EQ(whole.value().present.size(), 2U);
+  EXPECT_EQ(whole.value().unreadable.size(), 4U);
+  this->standin.drop("servers", "a\xFF");
+  const auto change =
+    this->store.awaitReplicas(before.value().next, milliseconds{ 10 });
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change.value().present.size(), 1U);
+  EXPECT_EQ(change.value().unreadable.size(), 3U);
+  EXPECT_EQ(change.value().removed, std::vector<std::string>{ "a\xFF" });
+}
+
+// Guards against a key that JSON can escape and no UTF-8 can encode.
+TEST_F(UsersStoreTest, AnEscapedSurrogateInAKeyAffectsNoOtherRow)
+{
+  const std::string row = R"("Value":"e30=","Ver":1})";
+  ScriptedStore page{ { ScriptedStore::answer(
+    "200 OK",
+    R"({"Ver":1,"Rows":[{"Key":"a\ud800",)" + row + R"(,{"Key":"b",)" + row +
+      "]}") } };
+  const auto client = std::move(HttpClient::create(HttpClientLimits{})).value();
+  UsersStore pageStore{ *client, page.address() };
+  const auto rows = pageStore.scanRows("own", "", "", 10);
+  ASSERT_TRUE(rows);
+  ASSERT_EQ(rows.value().size(), 2U);
+  EXPECT_EQ(rows.value().back().key, "b");
+}
+
+// Guards against rows left out or read twice behind a key that is no UTF-8.
+TEST_F(UsersStoreTest, AReadContinuesBehindAKeyThatIsNoUtf8)
+{
+  constexpr int kBefore = 499;
+  for (int i = 0; i < kBefore; ++i) {
+    this->standin.put("servers", "a-" + std::to_string(i), kReplica);
+  }
+  this->standin.put("servers", "b\xFF", kReplica);
+  this->standin.put("servers", "b\xFF\xFE", kReplica);
+  this->standin.put("servers", "c", kReplica);
+  const auto poll = this->store.readReplicas(kTimeout);
+  ASSERT_TRUE(poll);
+  EXPECT_EQ(poll.value().calls, 2U);
+  EXPECT_EQ(poll.value().present.size(), kBefore + 1U);
+  EXPECT_EQ(poll.value().unreadable.size(), 2U);
+}
+
+// Guards against a configuration that is not followed for a row beside it.
+TEST_F(UsersStoreTest, AKeyThatIsNoUtf8DoesNotHideTheConfiguration)
+{
+  this->standin.put("op", "config", kConfig);
+  const auto first = this->store.readConfig(kTimeout);
+  ASSERT_TRUE(first);
+  this->standin.put("op", "\xFF", "{}");
+  this->standin.put("op", "config", R"({"Version":9})");
+  const auto changed =
+    this->store.awaitConfig(first.value().next, milliseconds{ 10 });
+  ASSERT_TRUE(changed);
+  ASSERT_TRUE(changed.value().config);
+  EXPECT_EQ(changed.value().config->version, 9U);
+}
+
 } // namespace
 } // namespace poplartrack
