Let replicas in the soak fall silent, and stop within their head

What no test had: sound replicas, up to all at once, that say nothing for 0.9 to 1.3 s and continue, and replicas that stop within the head of each answer and close, beside changes of the configuration, SIGHUP, restarts and the other faults of a seed.

A replica prints "took REPLICA ID MS" for each request; the judge finds each one that was taken before a silence of its replica began and was not answered whole. It counts those that it has judged. A request may be lost if its relay or a replica of its service was killed, paused, cut off or left meanwhile (or a silence took more than 1.5 s, since a fault ended late), if that replica stopped within its head before it took the request, or if it was sent after its relay had been told to end. The half heads come from the link (TcpForwarder::cutAnswers): answers to earlier requests stay whole.

The disturbances of the other judges are as before.

--- a/tests/harness/ForwardedConnection.cpp
+++ b/tests/harness/ForwardedConnection.cpp
@@ -74,17 +74,30 @@
     if (got < 0) {
       return errno == EAGAIN || errno == EWOULDBLOCK;
     }
-    if (got == 0) {
-      this->ended = true;
-      // The end travels like the bytes before it.
-      this->push("", aRules, aNow);
-      return true;
+    const auto size = static_cast<std::size_t>(got);
+    const std::size_t passing = std::min(size, this->left.value_or(size));
+    this->readBytes += size;
+    if (passing > 0) {
+      this->push({ buffer.data(), passing }, aRules, aNow);
+    }
+    if (this->left) {
+      *this->left -= passing;
+    }
+    if (got == 0 || this->left == 0U) {
+      this->endNow(aRules, aNow);
     }
-    this->push({ buffer.data(), static_cast<std::size_t>(got) }, aRules, aNow);
   }
   return true;
 }
 
+void
+ForwardedBytes::endNow(const ForwardRules& aRules, TimePoint aNow)
+{
+  this->ended = true;
+  // The end travels like the bytes before it.
+  this->push("", aRules, aNow);
+}
+
 bool
 ForwardedBytes::writeTo(int aFd, TimePoint aNow)
 {
@@ -123,8 +136,12 @@
   }
   const int clientFd = this->client.get();
   const int targetFd = this->target.get();
-  return this->up.readFrom(clientFd, aRules, aNow) &&
-         this->down.readFrom(targetFd, aRules, aNow) &&
+  const std::size_t asked = this->up.total();
+  const bool isOpen = this->up.readFrom(clientFd, aRules, aNow);
+  if (aRules.answerBytes > 0 && this->up.total() != asked) {
+    this->down.endAfter(aRules.answerBytes);
+  }
+  return isOpen && this->down.readFrom(targetFd, aRules, aNow) &&
          this->up.writeTo(targetFd, aNow) &&
          this->down.writeTo(clientFd, aNow) &&
          !(this->up.finished() && this->down.finished());
--- a/tests/harness/ForwardedConnection.h
+++ b/tests/harness/ForwardedConnection.h
@@ -20,6 +20,9 @@
   bool frozen = false;
   Duration delay{ 0 };
   std::size_t bytesPerSecond = 0;
+  /** Bytes that pass of the answer to each request that comes from now on; 0:
+   * no limit. */
+  std::size_t answerBytes = 0;
 };
 
 /** Closes a socket so that its peer sees a reset. */
@@ -35,7 +38,12 @@
   /** Writes what is due. False when the sink was reset. */
   bool writeTo(int aFd, TimePoint aNow);
 
+  /** Lets this many further bytes pass, and then the end. */
+  void endAfter(std::size_t aBytes) { this->left = aBytes; }
+
   [[nodiscard]] bool wantsRead() const;
+  /** How many bytes have been read. */
+  [[nodiscard]] std::size_t total() const { return this->readBytes; }
   /** When the next bytes are due; nothing when there are none. */
   [[nodiscard]] std::optional<TimePoint> nextDue() const;
   [[nodiscard]] bool finished() const { return this->closed; }
@@ -49,8 +57,12 @@
 
   void push(std::string aBytes, const ForwardRules& aRules, TimePoint aNow);
 
+  void endNow(const ForwardRules& aRules, TimePoint aNow);
+
   std::deque<Piece> pieces;
   std::size_t held = 0;
+  std::size_t readBytes = 0;
+  std::optional<std::size_t> left;
   TimePoint freeAt{};
   bool ended = false;
   bool closed = false;
--- a/tests/harness/TcpForwarder.cpp
+++ b/tests/harness/TcpForwarder.cpp
@@ -72,6 +72,12 @@
   });
 }
 
+void
+TcpForwarder::cutAnswers(std::size_t aBytes)
+{
+  this->change([aBytes](ForwardRules& aRules) { aRules.answerBytes = aBytes; });
+}
+
 void
 TcpForwarder::change(const std::function<void(ForwardRules&)>& aChange)
 {
--- a/tests/harness/TcpForwarder.h
+++ b/tests/harness/TcpForwarder.h
@@ -46,6 +46,10 @@
   /** Bytes a second that pass in each direction of each connection; 0 for no
    * limit. */
   void limit(std::size_t aBytesPerSecond);
+  /** Passes so many bytes of the answer to each request that comes from now on,
+   * and then closes its connection, as a peer that stops within the head of its
+   * answer. 0: no longer. */
+  void cutAnswers(std::size_t aBytes);
 
 private:
   void change(const std::function<void(ForwardRules&)>& aChange);
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -222,7 +222,8 @@
   if (this->send(text)) {
     this->readAnswer(id, call);
   }
-  this->gaveUp = nowMillis() >= this->giveUpAt;
+  call.endedAt = nowMillis();
+  this->gaveUp = call.endedAt >= this->giveUpAt;
   const bool keep =
     call.whole && this->in.find("onnection: close") == std::string::npos;
   this->in.clear();
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -67,6 +67,7 @@
 {
   std::int64_t at = 0;
   const CallRecord* call = nullptr;
+  std::string id = {};
 };
 
 /** A replica and a relay. */
@@ -91,7 +92,7 @@
     const auto call = aRecord.all().find(id);
     if (call != aRecord.all().end()) {
       arrivals[{ replica, call->second.relay }].push_back(
-        Arrival{ at, &call->second });
+        Arrival{ at, &call->second, id });
     }
   }
   for (auto& [pair, list] : arrivals) {
@@ -110,8 +111,8 @@
              std::int64_t aFrom,
              std::int64_t aTo)
 {
-  return aRecord.wasDisturbed(aPair.first, aFrom, aTo) ||
-         aRecord.wasDisturbed(aPair.second, aFrom, aTo);
+  return aRecord.disturbances.overlaps(aPair.first, aFrom, aTo) ||
+         aRecord.disturbances.overlaps(aPair.second, aFrom, aTo);
 }
 
 /** Holds what reached replicas against the backoffs that they asked for. */
@@ -164,6 +165,59 @@
   }
 }
 
+/** Whether a request that a replica had taken may have been lost. */
+bool
+mayBeLost(const SoakRecord& aRecord, const Pair& aPair, const Arrival& aArrival)
+{
+  const CallRecord& call = *aArrival.call;
+  const std::string service{ serviceOf(call.kind) };
+  return aRecord.losses.overlaps(aPair.second, call.sentAt, call.endedAt) ||
+         aRecord.losses.overlaps(service, call.sentAt, call.endedAt) ||
+         // It may have had no time left.
+         aRecord.stops.overlaps(aPair.second, call.sentAt, call.sentAt) ||
+         aRecord.headStops.overlaps(aPair.first, call.sentAt, aArrival.at);
+}
+
+/** Whether the replica fell silent after it had taken the request and before
+ * that had ended. */
+bool
+metSilence(const SoakRecord& aRecord,
+           const std::string& aReplica,
+           const Arrival& aArrival)
+{
+  const std::vector<Span>& silences = aRecord.silences.all();
+  return std::any_of(
+    silences.begin(), silences.end(), [&](const Span& aSilence) {
+      return aSilence.who == aReplica && aArrival.at <= aSilence.from &&
+             aArrival.call->endedAt >= aSilence.from;
+    });
+}
+
+/** Finds requests that a replica had taken before it fell silent and that were
+ * not answered whole. */
+void
+judgeSilences(const SoakRecord& aRecord,
+              const std::vector<std::string>& aLines,
+              SoakVerdict& aVerdict)
+{
+  for (const auto& [pair, list] : arrivalsOf(aRecord, aLines, "took")) {
+    for (const Arrival& arrival : list) {
+      if (!metSilence(aRecord, pair.first, arrival) ||
+          mayBeLost(aRecord, pair, arrival)) {
+        continue;
+      }
+      ++aVerdict.throughSilence;
+      if (!arrival.call->whole) {
+        aVerdict.broken.push_back(
+          arrival.id + ": taken by " + pair.first + " at " +
+          std::to_string(arrival.at) + " before its silence, and ended with " +
+          std::to_string(arrival.call->status) + " at " +
+          std::to_string(arrival.call->endedAt) + ", not whole");
+      }
+    }
+  }
+}
+
 /** Holds the crashes under a prompt part against their bound: few requests with
  * it reach replicas once five have crashed and the relays could know it. */
 void
@@ -230,6 +284,7 @@
   judgeDrains(aRecord, aLines, verdict.broken);
   judgeCrashes(aLines, verdict.broken);
   judgeShares(aRecord, aLines, verdict);
+  judgeSilences(aRecord, aLines, verdict);
   const Runs runs = runsOf(aLines);
   for (const auto& [id, call] : aRecord.all()) {
     ++verdict.calls;
--- a/tests/soak/SoakJudge.h
+++ b/tests/soak/SoakJudge.h
@@ -16,6 +16,9 @@
   std::size_t refused = 0;
   /** How often a request was held back for its account's share. */
   std::size_t beyondShare = 0;
+  /** How many requests a replica had taken before it fell silent, where neither
+   * their relay nor a replica of their service was lost meanwhile. */
+  std::size_t throughSilence = 0;
   /** Promises that were broken, one line each. */
   std::vector<std::string> broken;
 };
@@ -35,14 +38,19 @@
  *   answer of a replica that announces its drain reaches that replica from it.
  * - at most three replicas crash under a prompt part later than 3 s after the
  *   fifth has.
+ * - each request that a replica had taken before it fell silent is answered
+ *   whole, unless its relay or a replica of its service was lost, that replica
+ *   stopped within the head of its answers, or it was sent when its relay had
+ *   been told to end.
  * - no request is held back or refused for its account's share while it is the
  *   only one of its account.
  * The backoffs and drains hold where neither of the two was disturbed
  * meanwhile.
  *
  * @param aLines the log lines of relays about requests beyond their account's
- * share; "run ID MS", "rejected REPLICA ID MS", "announced
- * REPLICA ID MS" and "crashed REPLICA ID MS", as replicas printed them
+ * share; "run ID MS", "took REPLICA ID MS", "rejected REPLICA ID MS",
+ * "announced REPLICA ID MS" and "crashed REPLICA ID MS", as replicas printed
+ * them
  */
 SoakVerdict
 judge(const SoakRecord& aRecord, const std::vector<std::string>& aLines);
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakPlan.h"
 
+#include <array>
 #include <random>
 
 namespace poplartrack::soak {
@@ -69,4 +70,39 @@
   return plan;
 }
 
+std::vector<PlannedFault>
+silencePlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength)
+{
+  // The next silence of a replica begins well after its last one has ended: two
+  // in a row would be a longer one.
+  constexpr int kLeastSilence = 900;
+  constexpr int kMostSilence = 1'300;
+  constexpr int kLeastApart = 2'100;
+  constexpr std::size_t kMostAtOnce = 8;
+  std::mt19937_64 random{ aSeed };
+  std::vector<PlannedFault> plan;
+  for (std::chrono::milliseconds at{ 600 }; at < aLength;
+       at += between(random, kLeastApart, kLeastApart + 600)) {
+    const std::size_t first = random() % kMostAtOnce;
+    const std::size_t count = 1 + random() % kMostAtOnce;
+    for (std::size_t i = 0; i < count; ++i) {
+      plan.push_back({ at + between(random, 0, 100),
+                       Fault::ReplicaFallsSilent,
+                       first + i,
+                       between(random, kLeastSilence, kMostSilence) });
+    }
+  }
+  constexpr std::array<Fault, 3> kBeside{ Fault::ReplicaStopsInHead,
+                                          Fault::ConfigChanges,
+                                          Fault::RelayHangsUp };
+  for (std::chrono::milliseconds at{ 500 }; at < aLength;
+       at += between(random, 100, 700)) {
+    plan.push_back({ at,
+                     kBeside.at(random() % kBeside.size()),
+                     random(),
+                     between(random, 200, 1'200) });
+  }
+  return plan;
+}
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -35,9 +35,13 @@
   ReplicaSlows,
   AccountFloods,
   ReplicaSendsEndlessly,
+  ReplicaFallsSilent,
+  ReplicaStopsInHead,
+  ConfigChanges,
+  RelayHangsUp,
 };
 
-constexpr std::array<std::string_view, 23> kFaultNames{
+constexpr std::array<std::string_view, 27> kFaultNames{
   "relay killed",
   "relay paused",
   "relay stopped",
@@ -61,9 +65,13 @@
   "replica slows",
   "account floods",
   "replica sends endlessly",
+  "replica falls silent",
+  "replica stops in head",
+  "config changes",
+  "relay gets a hangup signal",
 };
 static_assert(kFaultNames.size() ==
-              static_cast<std::size_t>(Fault::ReplicaSendsEndlessly) + 1);
+              static_cast<std::size_t>(Fault::RelayHangsUp) + 1);
 
 /** The faults before ReplicaRejects. Plans of these alone stay as they were
  * when there were no others, so that a seed gives the same run. */
@@ -104,4 +112,11 @@
 std::vector<PlannedFault>
 endlessPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
 
+/** The further faults of a run with silences: sound replicas, up to all at
+ * once, that say nothing for a second or so and continue, and meanwhile
+ * replicas that stop within the head of each answer, changes of the
+ * configuration and signals to relays. */
+std::vector<PlannedFault>
+silencePlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakRecord.h
+++ b/tests/soak/SoakRecord.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,16 @@
   Stream,
 };
 
+constexpr std::string_view kPlainService = "plain";
+constexpr std::string_view kModelService = "model";
+
+/** The service that answers requests of this kind. */
+constexpr std::string_view
+serviceOf(RequestKind aKind)
+{
+  return aKind == RequestKind::Stream ? kModelService : kPlainService;
+}
+
 /** What a caller saw of one request. */
 struct CallRecord
 {
@@ -34,22 +45,65 @@
   std::string relay = {};
   /** In ms of the clock that counts suspension. */
   std::int64_t sentAt = 0;
+  /** When the answer had come or the caller gave up. */
+  std::int64_t endedAt = 0;
   /** The only request of its account at that time. */
   bool alone = false;
   /** When a refusal asked the caller to return; 0: it did not. */
   std::chrono::milliseconds retryAfter{ 0 };
 };
 
-/** From when to when a relay or a replica did not run, or its link was
- * disturbed, in ms of the clock that counts suspension; no end yet: 0. */
-struct Disturbance
+/** From when to when something held for somebody, in ms of the clock that
+ * counts suspension; no end yet: 0. */
+struct Span
 {
-  /** Address of the relay, or id of the replica. */
   std::string who;
   std::int64_t from = 0;
   std::int64_t to = 0;
 };
 
+/** The spans of one cause. Not thread-safe. */
+class SpanList
+{
+public:
+  void begin(const std::string& aWho, std::int64_t aNow)
+  {
+    this->spans.push_back(Span{ aWho, aNow, 0 });
+  }
+  /** Ends the earliest span that is open, and returns it. */
+  Span end(const std::string& aWho, std::int64_t aNow)
+  {
+    for (Span& span : this->spans) {
+      if (span.who == aWho && span.to == 0) {
+        span.to = aNow;
+        return span;
+      }
+    }
+    return {};
+  }
+  void endAll(const std::string& aWho, std::int64_t aNow)
+  {
+    while (this->end(aWho, aNow).to != 0) {
+    }
+  }
+  void add(const Span& aSpan) { this->spans.push_back(aSpan); }
+  [[nodiscard]] const std::vector<Span>& all() const { return this->spans; }
+  /** Whether one held at any moment of this time. */
+  [[nodiscard]] bool overlaps(const std::string& aWho,
+                              std::int64_t aFrom,
+                              std::int64_t aTo) const
+  {
+    return std::any_of(
+      this->spans.begin(), this->spans.end(), [&](const Span& aOne) {
+        return aOne.who == aWho && aOne.from <= aTo &&
+               (aOne.to == 0 || aOne.to >= aFrom);
+      });
+  }
+
+private:
+  std::vector<Span> spans;
+};
+
 /** From when to when a key was not in force, in ms of the clock that counts
  * suspension; no end yet: 0. */
 struct KeyGap
@@ -59,10 +113,24 @@
   std::int64_t to = 0;
 };
 
-/** What callers and the operator did, for the judge. Thread-safe. */
+/** What callers and the operator did, for the judge. Thread-safe but for the
+ * spans, which belong to the thread that begins and ends faults. */
 class SoakRecord
 {
 public:
+  /** A relay, by its address, or a replica, by its id, did not run, or its link
+   * was disturbed. */
+  SpanList disturbances;
+  /** A relay, by its address, or a replica of a service, by the service's name,
+   * was gone or could not be told from one that is. */
+  SpanList losses;
+  /** A relay, by its address, was told to end. */
+  SpanList stops;
+  /** A sound replica, by its id, said nothing for a second or so. */
+  SpanList silences;
+  /** A replica, by its id, stopped within the head of each answer. */
+  SpanList headStops;
+
   void began(const std::string& aId, RequestKind aKind, const std::string& aKey)
   {
     const std::scoped_lock lock{ this->guard };
@@ -87,32 +155,6 @@
       }
     }
   }
-  void disturbed(const std::string& aWho, std::int64_t aNow)
-  {
-    const std::scoped_lock lock{ this->guard };
-    this->disturbances.push_back(Disturbance{ aWho, aNow, 0 });
-  }
-  void undisturbed(const std::string& aWho, std::int64_t aNow)
-  {
-    const std::scoped_lock lock{ this->guard };
-    for (Disturbance& disturbance : this->disturbances) {
-      if (disturbance.who == aWho && disturbance.to == 0) {
-        disturbance.to = aNow;
-      }
-    }
-  }
-  /** Whether it was disturbed at any moment of this time. */
-  [[nodiscard]] bool wasDisturbed(const std::string& aWho,
-                                  std::int64_t aFrom,
-                                  std::int64_t aTo) const
-  {
-    return std::any_of(this->disturbances.begin(),
-                       this->disturbances.end(),
-                       [&](const Disturbance& aOne) {
-                         return aOne.who == aWho && aOne.from <= aTo &&
-                                (aOne.to == 0 || aOne.to >= aFrom);
-                       });
-  }
   /** To be called when nobody records any more. */
   [[nodiscard]] const std::map<std::string, CallRecord>& all() const
   {
@@ -127,7 +169,6 @@
   std::mutex guard;
   std::map<std::string, CallRecord> calls;
   std::vector<KeyGap> gaps;
-  std::vector<Disturbance> disturbances;
 };
 
 } // namespace poplartrack::soak
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -30,6 +30,9 @@
 /** The smallest instance that relays run on. */
 constexpr std::size_t kRelayMemoryMb = 112;
 
+/** Fewer bytes than any head of an answer has. */
+constexpr std::size_t kMostHeadBytes = 32;
+
 constexpr Duration kStopPatience = std::chrono::seconds{ 10 };
 
 Json
@@ -92,6 +95,12 @@
   };
 }
 
+bool
+hasOutput(const std::string& aPath)
+{
+  return std::ifstream{ aPath }.peek() != std::ifstream::traits_type::eof();
+}
+
 /** Returns a socket on the first port of a range that no other run has. It
  * keeps the range until it is closed. */
 OwnedFd
@@ -137,12 +146,12 @@
     this->replicas.push_back(std::move(replica));
   };
   for (std::size_t i = 0; i < aSize.plain; ++i) {
-    add("plain", i % 2 == 0 ? "a" : "b", "");
+    add(std::string{ kPlainService }, i % 2 == 0 ? "a" : "b", "");
   }
   for (std::size_t i = 0; i < 2 * aSize.engines; ++i) {
     // The second replica of each zone.
     const bool slow = aSize.contention && i / 2 == 1;
-    add("model",
+    add(std::string{ kModelService },
         i % 2 == 0 ? "a" : "b",
         slow ? std::string{ kSlowKind } : "card");
   }
@@ -176,19 +185,24 @@
     accounts.push_back({ { "Name", "account-" + std::to_string(i) },
                          { "ApiKeys", Json::array({ kAccountKeys.at(i) }) } });
   }
-  this->store.put(std::string{ wire_names::kOperatorTable },
-                  std::string{ wire_names::kConfigKey },
-                  Json{ { "Version", ++this->version },
-                        { "Routes",
-                          { routeOf("once", "non_idempotent", "plain", 1),
-                            routeOf("again", "idempotent", "plain", 2),
-                            routeOf("stream", "streaming", "model", 2) } },
-                        { "Services",
-                          { { { "Name", "plain" } },
-                            { { "Name", "model" },
-                              { "Engine", engine(this->contention) } } } },
-                        { "Tenants", accounts } }
-                    .dump());
+  const std::string plain{ kPlainService };
+  const std::string model{ kModelService };
+  Json routes{ routeOf("once", "non_idempotent", plain, 1),
+               routeOf("again", "idempotent", plain, 2),
+               routeOf("stream", "streaming", model, 2) };
+  if (this->extraRoute) {
+    routes.push_back(routeOf("extra", "idempotent", plain, 2));
+  }
+  this->store.put(
+    std::string{ wire_names::kOperatorTable },
+    std::string{ wire_names::kConfigKey },
+    Json{ { "Version", ++this->version },
+          { "Routes", routes },
+          { "Services",
+            { { { "Name", plain } },
+              { { "Name", model }, { "Engine", engine(this->contention) } } } },
+          { "Tenants", accounts } }
+      .dump());
 }
 
 void
@@ -285,6 +299,12 @@
   return *this->relays[aWho % this->relays.size()];
 }
 
+std::string
+SoakWorld::relayAddress(std::size_t aWho) const
+{
+  return toText(this->relayAddresses[aWho % this->relayAddresses.size()]);
+}
+
 SoakWorld::Replica&
 SoakWorld::replica(std::size_t aWho)
 {
@@ -330,23 +350,74 @@
     case Fault::RelayKilled:
     case Fault::RelayPaused:
     case Fault::RelayStopped:
-      return toText(
-        this->relayAddresses[aFault.who % this->relayAddresses.size()]);
+      return this->relayAddress(aFault.who);
     case Fault::ReplicaPaused:
     case Fault::ReplicaLinkCut:
     case Fault::ReplicaLinkSilent:
     case Fault::ReplicaLinkSlow:
+    case Fault::ReplicaFallsSilent:
+    case Fault::ReplicaStopsInHead:
       return this->replica(aFault.who).id;
     default:
       return {};
   }
 }
 
+std::string
+SoakWorld::lostBy(const PlannedFault& aFault)
+{
+  switch (aFault.fault) {
+    case Fault::RelayKilled:
+    case Fault::RelayPaused:
+      return this->relayAddress(aFault.who);
+    case Fault::ReplicaKilled:
+    case Fault::ReplicaPaused:
+    case Fault::ReplicaLeaves:
+    case Fault::ReplicaAnnounces:
+    case Fault::ReplicaLinkCut:
+    case Fault::ReplicaLinkSilent:
+      return this->replica(aFault.who).service;
+    default:
+      return {};
+  }
+}
+
+void
+SoakWorld::beginSilence(Replica& aReplica)
+{
+  // Faults end late while a relay is waited for. Without a pause between them,
+  // two silences would be one that is too long.
+  constexpr std::int64_t kLeastPauseMs = 500;
+  const std::int64_t now = nowMillis();
+  if (now - aReplica.lastSilence < kLeastPauseMs) {
+    return;
+  }
+  this->record.silences.begin(aReplica.id, now);
+  aReplica.link->freeze();
+}
+
+void
+SoakWorld::endSilence(Replica& aReplica)
+{
+  /** A replica that says nothing for longer cannot be told from a lost one. */
+  constexpr std::int64_t kLongestMs = 1'500;
+  aReplica.link->heal();
+  aReplica.lastSilence = nowMillis();
+  const Span span =
+    this->record.silences.end(aReplica.id, aReplica.lastSilence);
+  if (span.to - span.from > kLongestMs) {
+    this->record.losses.add({ aReplica.service, span.from, span.to });
+  }
+}
+
 void
 SoakWorld::begin(const PlannedFault& aFault)
 {
   if (const std::string who = this->disturbedBy(aFault); !who.empty()) {
-    this->record.disturbed(who, nowMillis());
+    this->record.disturbances.begin(who, nowMillis());
+  }
+  if (const std::string who = this->lostBy(aFault); !who.empty()) {
+    this->record.losses.begin(who, nowMillis());
   }
   constexpr Duration kSlow = std::chrono::milliseconds{ 60 };
   constexpr int kBusy = 503;
@@ -358,6 +429,7 @@
       this->relay(aFault.who).process->signal(SIGSTOP);
       break;
     case Fault::RelayStopped:
+      this->record.stops.begin(this->relayAddress(aFault.who), nowMillis());
       this->relay(aFault.who).process->signal(SIGTERM);
       break;
     case Fault::ReplicaKilled:
@@ -421,6 +493,25 @@
       // takes the lower one first.
       this->usedReplica(aFault.who).process->signal(SIGQUIT);
       break;
+    case Fault::ReplicaFallsSilent:
+      this->beginSilence(this->replica(aFault.who));
+      break;
+    case Fault::ReplicaStopsInHead: {
+      Replica& replica = this->replica(aFault.who);
+      this->record.headStops.begin(replica.id, nowMillis());
+      replica.link->cutAnswers(1 + aFault.who % kMostHeadBytes);
+      break;
+    }
+    case Fault::ConfigChanges:
+      this->extraRoute = !this->extraRoute;
+      this->pushConfig();
+      break;
+    case Fault::RelayHangsUp:
+      // A process that has just begun cannot have set its signals up.
+      if (hasOutput(this->relay(aFault.who).process->outputPath())) {
+        this->relay(aFault.who).process->signal(SIGHUP);
+      }
+      break;
     case Fault::AccountFloods:
       ++this->flooding.at(aFault.who % kFloodAccounts);
       break;
@@ -431,7 +522,7 @@
 SoakWorld::end(const PlannedFault& aFault)
 {
   if (const std::string who = this->disturbedBy(aFault); !who.empty()) {
-    this->record.undisturbed(who, nowMillis());
+    this->record.disturbances.endAll(who, nowMillis());
   }
   switch (aFault.fault) {
     case Fault::RelayKilled:
@@ -446,6 +537,9 @@
       if (!relay.process->waitExit(kStopPatience)) {
         relay.process->signal(SIGKILL);
       }
+      if (aFault.fault == Fault::RelayStopped) {
+        this->record.stops.end(this->relayAddress(aFault.who), nowMillis());
+      }
       this->startRelay(relay);
       break;
     }
@@ -460,6 +554,21 @@
     case Fault::ReplicaSendsEndlessly:
       this->usedReplica(aFault.who).process->signal(SIGUSR2);
       break;
+    case Fault::ReplicaFallsSilent:
+      this->endSilence(this->replica(aFault.who));
+      break;
+    case Fault::ReplicaStopsInHead: {
+      Replica& replica = this->replica(aFault.who);
+      replica.link->cutAnswers(0);
+      this->record.headStops.end(replica.id, nowMillis());
+      break;
+    }
+    case Fault::ConfigChanges:
+      this->extraRoute = !this->extraRoute;
+      this->pushConfig();
+      break;
+    case Fault::RelayHangsUp:
+      break;
     case Fault::AccountFloods:
       --this->flooding.at(aFault.who % kFloodAccounts);
       break;
@@ -501,6 +610,10 @@
       this->record.keyBack("key-2", nowMillis());
       break;
   }
+  // The fault may end with the end of a process.
+  if (const std::string who = this->lostBy(aFault); !who.empty()) {
+    this->record.losses.end(who, nowMillis());
+  }
 }
 
 void
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -82,6 +82,9 @@
     std::unique_ptr<harness::TcpForwarder> link;
     std::unique_ptr<harness::ChildProcess> process;
     int lives = 0;
+    /** When its last silence ended, in ms of the clock that counts suspension.
+     */
+    std::int64_t lastSilence = 0;
   };
 
   void pushConfig();
@@ -95,8 +98,13 @@
   void restoreStore();
   /** Who is disturbed by the fault, as the record names it; empty: nobody. */
   std::string disturbedBy(const PlannedFault& aFault);
+  /** Whose loss the fault is, as the record names it; empty: nobody's. */
+  std::string lostBy(const PlannedFault& aFault);
+  void beginSilence(Replica& aReplica);
+  void endSilence(Replica& aReplica);
   /** The process of a relay or replica; starts a dead one first. */
   Relay& relay(std::size_t aWho);
+  [[nodiscard]] std::string relayAddress(std::size_t aWho) const;
   Replica& replica(std::size_t aWho);
   /** A plain replica, or one at which paths usually begin: others get no
    * requests of their own. */
@@ -117,6 +125,8 @@
   std::uint16_t nextPort;
   int version = 0;
   bool secondKey = true;
+  /** The configuration has one route more. */
+  bool extraRoute = false;
   bool contention;
   /** The first replicas, which usedReplica() chooses from. */
   std::size_t used;
--- a/tests/soak/soak.cmake
+++ b/tests/soak/soak.cmake
@@ -1,12 +1,13 @@
 # The fault soak: real relays, stand-in replicas, faults from outside.
-add_executable(soak
-  tests/soak/soak.cpp
+add_library(soak_parts STATIC
   tests/soak/SoakCaller.cpp
   tests/soak/SoakJudge.cpp
   tests/soak/SoakPlan.cpp
   tests/soak/SoakWorld.cpp)
-target_include_directories(soak PRIVATE tests)
-target_link_libraries(soak PRIVATE harness)
+target_include_directories(soak_parts PUBLIC tests)
+target_link_libraries(soak_parts PUBLIC harness)
+add_executable(soak tests/soak/soak.cpp)
+target_link_libraries(soak PRIVATE soak_parts)
 
 # Three fixed seeds in CI. What is checked does not depend on how fast the
 # machine is; the limit is far above what a run takes.
@@ -38,3 +39,11 @@
   COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --endless)
 set_tests_properties(soak.three_seeds_with_endless_answers
   PROPERTIES TIMEOUT 300 PROCESSORS 3)
+
+# The same with replicas that are silent for a second and ones that stop within
+# the head of their answers, beside changes, signals and restarts.
+add_test(NAME soak.three_seeds_with_silences
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --signals
+          --silences --callers=20)
+set_tests_properties(soak.three_seeds_with_silences
+  PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -42,6 +42,9 @@
   int callers = 6;
   /** Also replicas that answer with bytes that do not end. */
   bool endless = false;
+  /** Also sound replicas that are silent for a second, and ones that stop
+   * within the head of their answers. */
+  bool silences = false;
   /** Also requests with a prompt part that crashes replicas. */
   bool deadlyPart = false;
 };
@@ -232,6 +235,12 @@
       plan.push_back(fault);
     }
   }
+  if (aOptions.silences) {
+    for (const PlannedFault& fault :
+         silencePlanOf(aOptions.seed, aOptions.length)) {
+      plan.push_back(fault);
+    }
+  }
   if (aOptions.deadlyPart) {
     threads.emplace_back([&] { sendDeadly(world, record, stop); });
   }
@@ -264,7 +273,8 @@
   broken.insert(broken.end(), verdict.broken.begin(), verdict.broken.end());
   std::cout << "seed " << aOptions.seed << ": " << plan.size() << " faults, "
             << verdict.calls << " calls, " << verdict.whole << " whole, "
-            << verdict.refused << " refused, " << verdict.beyondShare
+            << verdict.refused << " refused, " << verdict.throughSilence
+            << " through a silence, " << verdict.beyondShare
             << " times beyond a share, " << broken.size() << " promises broken"
             << std::endl;
   if (broken.empty()) {
@@ -306,6 +316,9 @@
   add("deadly-part", "also requests with a part that crashes replicas");
   add("signals", "also faults that replicas and the store announce");
   add("endless", "also replicas that answer with bytes that do not end");
+  add("silences",
+      "also replicas that are silent for a second, or stop within the head of "
+      "an answer; only alone or with --signals");
   add("contention",
       "several accounts, floods, uneven replicas, and relays that make all "
       "decisions under load");
@@ -321,7 +334,13 @@
     run.callers = line["callers"].as<int>();
     run.size.contention = line.count("contention") > 0;
     run.endless = line.count("endless") > 0;
+    run.silences = line.count("silences") > 0;
     run.deadlyPart = line.count("deadly-part") > 0;
+    if (run.silences &&
+        (run.endless || run.deadlyPart || run.size.contention)) {
+      // Their replicas fail requests that they have taken.
+      throw std::runtime_error("--silences with faults that it does not judge");
+    }
     if (line.count("signals") > 0) {
       run.faultKinds = kSignalFaults;
     }
--- a/tests/standins/lib/UsersReplica.cpp
+++ b/tests/standins/lib/UsersReplica.cpp
@@ -240,6 +240,7 @@
   std::printf(
     "run %s %lld\n", id.c_str(), static_cast<long long>(suspendAwareMillis()));
   std::fflush(stdout);
+  this->print("took", id);
   const std::string parts = headerOf(aRequest, wire_names::kPromptParts);
   const std::vector<std::string_view> shared = sharedPromptParts(parts);
   if (std::find(shared.begin(), shared.end(), kDeadlyPart) != shared.end()) {
--- a/tests/standins/lib/UsersReplica.h
+++ b/tests/standins/lib/UsersReplica.h
@@ -53,12 +53,12 @@
 /**
  * A replica of the users' platform, as far as a relay can tell: registers, runs
  * plain requests and streams, takes orders to hold layers, and prints a line
- * "run ID MS" for each request that it begins, MS on the clock that counts
- * suspension. A request with kDeadlyPart as a part that others may share
- * crashes it at its first event; it prints "crashed REPLICA ID MS". While it
- * rejects requests or announces its drain, it also prints "rejected REPLICA ID
- * MS" or "announced REPLICA ID MS" for each one. While it fails its requests or
- * is slow, its reports do not show it.
+ * "run ID MS" and "took REPLICA ID MS" for each request that it begins, MS on
+ * the clock that counts suspension. A request with kDeadlyPart as a part that
+ * others may share crashes it at its first event; it prints "crashed REPLICA ID
+ * MS". While it rejects requests or announces its drain, it also prints
+ * "rejected REPLICA ID MS" or "announced REPLICA ID MS" for each one. While it
+ * fails its requests or is slow, its reports do not show it.
  */
 class UsersReplica
 {
--- a/tests/unit/harness/TcpForwarderTest.cpp
+++ b/tests/unit/harness/TcpForwarderTest.cpp
@@ -48,6 +48,33 @@
   EXPECT_EQ(target.accept().readUntil("b"), "b");
 }
 
+TEST(TcpForwarder, cutAnswersEndsLaterAnswersAndNoOther)
+{
+  RawListener target;
+  TcpForwarder link{ target.address() };
+  RawSocket running = RawSocket::connectTo(link.address());
+  running.send("a");
+  RawSocket runningServer = target.accept();
+  runningServer.readUntil("a");
+  link.cutAnswers(3);
+  RawSocket client = RawSocket::connectTo(link.address());
+  client.send("b");
+  RawSocket server = target.accept();
+  server.readUntil("b");
+  server.send("ab");
+  server.send("cde");
+  EXPECT_EQ(client.readToEnd(), "abc");
+  runningServer.send("whole answer!");
+  EXPECT_EQ(running.readUntil("!"), "whole answer!");
+  link.cutAnswers(0);
+  RawSocket later = RawSocket::connectTo(link.address());
+  later.send("c");
+  RawSocket laterServer = target.accept();
+  laterServer.readUntil("c");
+  laterServer.send("whole answer!");
+  EXPECT_EQ(later.readUntil("!"), "whole answer!");
+}
+
 TEST(TcpForwarder, freezeHoldsBytesUntilHeal)
 {
   RawListener target;
--- a/tests/unit/soak/SoakJudgeTest.cpp
+++ b/tests/unit/soak/SoakJudgeTest.cpp
@@ -9,6 +9,9 @@
 namespace poplartrack::soak {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 CallRecord
 answered(RequestKind aKind, int aStatus)
 {
@@ -84,8 +87,8 @@
     "rejected i d 1800",
   };
   EXPECT_EQ(judge(record, late).broken.size(), 1U);
-  record.disturbed("relay", 1'500);
-  record.undisturbed("relay", 1'900);
+  record.disturbances.begin("relay", 1'500);
+  record.disturbances.end("relay", 1'900);
   EXPECT_TRUE(judge(record, late).broken.empty());
 }
 
@@ -105,6 +108,81 @@
     1U);
 }
 
+/** A stream of a relay that was sent at 1,000 and has ended at 4,000. */
+CallRecord
+streamOf(int aStatus)
+{
+  CallRecord call = answered(RequestKind::Stream, aStatus);
+  call.relay = "relay";
+  call.sentAt = 1'000;
+  call.endedAt = 4'000;
+  return call;
+}
+
+/** A record with one call under the id "a" and a silence of the replica "i". */
+SoakRecord&
+recordSilence(SoakRecord& aRecord, const CallRecord& aCall, std::int64_t aFrom)
+{
+  aRecord.ended("a", aCall);
+  aRecord.silences.begin("i", aFrom);
+  aRecord.silences.end("i", aFrom + 1'200);
+  return aRecord;
+}
+
+// Guards against an accepted request that is given up while its replica is
+// silent.
+TEST(SoakJudge, ARequestThatAReplicaHasTakenOutlivesItsSilence)
+{
+  const std::vector<std::string> lines{ "took i a 1010" };
+  SoakRecord whole;
+  const SoakVerdict held =
+    judge(recordSilence(whole, streamOf(200), 2'000), lines);
+  EXPECT_TRUE(held.broken.empty());
+  EXPECT_EQ(held.throughSilence, 1U);
+  for (const int status : { 0, 502 }) {
+    SoakRecord lost;
+    recordSilence(lost, streamOf(status), 2'000);
+    EXPECT_EQ(judge(lost, lines).broken.size(), 1U);
+  }
+  SoakRecord later;
+  recordSilence(later, streamOf(502), 1'005);
+  EXPECT_TRUE(judge(later, lines).broken.empty());
+  SoakRecord other;
+  recordSilence(other, streamOf(502), 2'000);
+  EXPECT_TRUE(judge(other, { "took other a 1010" }).broken.empty());
+}
+
+TEST(SoakJudge, ARequestMayBeLostWithItsRelayOrAReplicaOfItsService)
+{
+  const std::vector<std::string> lines{ "took i a 1010" };
+  for (const char* who : { "relay", "model" }) {
+    SoakRecord record;
+    recordSilence(record, streamOf(502), 2'000);
+    record.losses.begin(who, 3'900);
+    EXPECT_TRUE(judge(record, lines).broken.empty()) << who;
+  }
+  for (const char* who : { "another relay", "plain" }) {
+    SoakRecord record;
+    recordSilence(record, streamOf(502), 2'000);
+    record.losses.begin(who, 3'900);
+    EXPECT_EQ(judge(record, lines).broken.size(), 1U) << who;
+  }
+  SoakRecord cut;
+  recordSilence(cut, streamOf(502), 2'000);
+  cut.headStops.begin("i", 1'005);
+  EXPECT_TRUE(judge(cut, lines).broken.empty());
+  for (const std::int64_t stoppedAt : { 990, 1'100 }) {
+    SoakRecord stopped;
+    recordSilence(stopped, streamOf(502), 2'000);
+    stopped.stops.begin("relay", stoppedAt);
+    EXPECT_EQ(judge(stopped, lines).broken.empty(), stoppedAt < 1'000);
+  }
+  SoakRecord cutLater;
+  recordSilence(cutLater, streamOf(502), 2'000);
+  cutLater.headStops.begin("i", 1'500);
+  EXPECT_EQ(judge(cutLater, lines).broken.size(), 1U);
+}
+
 // An account that asks for little is held to the share of one that floods.
 TEST(SoakJudge, ARequestWithoutOthersOfItsAccountIsNotBeyondItsShare)
 {
@@ -145,6 +223,25 @@
   }
 }
 
+TEST(SoakPlan, SilencesOfAReplicaAreShortAndApart)
+{
+  constexpr std::size_t kReplicas = 8;
+  std::set<Fault> kinds;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::vector<milliseconds> ends(kReplicas, milliseconds{ 0 });
+    for (const PlannedFault& fault : silencePlanOf(seed, seconds{ 8 })) {
+      kinds.insert(fault.fault);
+      if (fault.fault == Fault::ReplicaFallsSilent) {
+        milliseconds& end = ends.at(fault.who % kReplicas);
+        EXPECT_GE(fault.at, end + milliseconds{ 500 });
+        EXPECT_LE(fault.lasts, milliseconds{ 1'300 });
+        end = fault.at + fault.lasts;
+      }
+    }
+  }
+  EXPECT_EQ(kinds.size(), 4U);
+}
+
 TEST(SoakPlan, TheSameSeedGivesTheSamePlan)
 {
   const auto one = planOf(7, std::chrono::seconds{ 60 });
