--- a/tests/scenarios/World.cpp
+++ b/tests/scenarios/World.cpp
@@ -115,6 +115,7 @@
 World::~World()
 {
   this->client.reset();
+  this->relays.reset();
   this->processes.clear();
   this->links.clear();
   std::error_code ignored;
@@ -325,4 +326,60 @@
   return sha256Hex(textOf(aArguments, "text"));
 }
 
+RelayWorld&
+World::relayWorld()
+{
+  if (!this->relays) {
+    throw std::runtime_error("no relays have been started");
+  }
+  return *this->relays;
+}
+
+Json
+World::startRelays(const Json& aArguments)
+{
+  soak::SoakSize size;
+  size.relays = aArguments.value("relays", size.relays);
+  size.plain = aArguments.value("plain", size.plain);
+  size.engines = aArguments.value("engines", size.engines);
+  this->relays = std::make_unique<RelayWorld>(this->build, this->scratch, size);
+  return true;
+}
+
+Json
+World::relayFault(const Json& aArguments)
+{
+  this->relayWorld().fault(textOf(aArguments, "name"),
+                           aArguments.at("who").get<std::size_t>(),
+                           aArguments.at("begins").get<bool>());
+  return true;
+}
+
+Json
+World::relayBegin(const Json& aArguments)
+{
+  return this->relayWorld().begin(textOf(aArguments, "kind"),
+                                  aArguments.at("relay").get<std::size_t>());
+}
+
+Json
+World::relayFinish(const Json& aArguments)
+{
+  const soak::CallRecord call =
+    this->relayWorld().finish(aArguments.at("id").get<std::size_t>());
+  return { { "status", call.status }, { "whole", call.whole } };
+}
+
+Json
+World::relayTaken(const Json& /*aArguments*/)
+{
+  return this->relayWorld().taken();
+}
+
+Json
+World::relayVerdict(const Json& /*aArguments*/)
+{
+  return this->relayWorld().verdict();
+}
+
 } // namespace poplartrack::scenarios
--- a/tests/scenarios/World.h
+++ b/tests/scenarios/World.h
@@ -10,6 +10,7 @@
 #include "harness/TcpForwarder.h"
 #include "poplartrack/http/HttpClient.h"
 #include "scenarios/PendingCall.h"
+#include "scenarios/RelayWorld.h"
 
 namespace poplartrack::scenarios {
 
@@ -65,10 +66,23 @@
   Json pause(const Json& aArguments);
   /** sha256{text}. */
   Json sha256(const Json& aArguments);
+  /** relays{relays, plain, engines}: relays and replicas as in the soak. */
+  Json startRelays(const Json& aArguments);
+  /** relay_fault{name, who, begins}: begins or ends a fault of the soak. */
+  Json relayFault(const Json& aArguments);
+  /** relay_begin{kind, relay}: starts a request; gives its number. */
+  Json relayBegin(const Json& aArguments);
+  /** relay_finish{id}: waits for its end; gives {status, whole}. */
+  Json relayFinish(const Json& aArguments);
+  /** relay_taken{}: how often a replica has taken a request. */
+  Json relayTaken(const Json& aArguments);
+  /** relay_verdict{}: {calls, whole, through_silence, broken={...}}. */
+  Json relayVerdict(const Json& aArguments);
 
 private:
   harness::ChildProcess& process(const Json& aArguments);
   PendingCall& pending(const Json& aArguments);
+  RelayWorld& relayWorld();
 
   std::string build;
   std::string scratch;
@@ -77,6 +91,7 @@
   std::map<std::string, std::unique_ptr<harness::TcpForwarder>> links;
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> calls;
   std::uint64_t nextCall = 1;
+  std::unique_ptr<RelayWorld> relays;
 };
 
 } // namespace poplartrack::scenarios
--- a/tests/scenarios/prelude.lua
+++ b/tests/scenarios/prelude.lua
@@ -659,3 +659,55 @@
   end
   return count
 end
+
+-- Relays ---------------------------------------------------------------------
+
+-- relay_world{relays=2, plain=2, engines=3}: relays between callers and replicas
+-- of the users' platform, as in the soak; engines= is the number in each of two
+-- zones.
+function relay_world(size)
+  raw.relays(size)
+  relays_serve(size.relays)
+end
+
+-- Waits until so many relays serve all kinds of requests.
+function relays_serve(relays)
+  for relay = 0, relays - 1 do
+    for _, kind in ipairs { "once", "again", "stream" } do
+      eventually("relay " .. relay .. " serves " .. kind, function()
+        return relay_answer(relay_request(kind, relay)).whole
+      end)
+    end
+  end
+end
+
+-- Kinds: "once", "again", "stream". Gives a number for relay_answer().
+function relay_request(kind, relay)
+  return raw.relay_begin { kind = kind, relay = relay }
+end
+
+function relay_answer(id)
+  return raw.relay_finish { id = id }
+end
+
+-- Begins a fault of the soak (SoakPlan.h); gives the function that ends it.
+function relay_fault(name, who)
+  raw.relay_fault { name = name, who = who, begins = true }
+  return function()
+    raw.relay_fault { name = name, who = who, begins = false }
+  end
+end
+
+function requests_taken()
+  return raw.relay_taken {}
+end
+
+-- Holds what callers saw against what replicas ran, with the soak's judge.
+function relay_judge()
+  local verdict = raw.relay_verdict {}
+  for _, line in ipairs(verdict.broken) do
+    print("broken: " .. line)
+  end
+  expect_equal(#verdict.broken, 0, "broken promises")
+  return verdict
+end
--- a/tests/scenarios/scenario_runner.cpp
+++ b/tests/scenarios/scenario_runner.cpp
@@ -35,6 +35,12 @@
   Word{ "right", &World::right },
   Word{ "pause", &World::pause },
   Word{ "sha256", &World::sha256 },
+  Word{ "relays", &World::startRelays },
+  Word{ "relay_fault", &World::relayFault },
+  Word{ "relay_begin", &World::relayBegin },
+  Word{ "relay_finish", &World::relayFinish },
+  Word{ "relay_taken", &World::relayTaken },
+  Word{ "relay_verdict", &World::relayVerdict },
 };
 
 int
--- a/tests/scenarios/scenarios.cmake
+++ b/tests/scenarios/scenarios.cmake
@@ -2,9 +2,10 @@
 add_executable(scenario_runner
   tests/scenarios/scenario_runner.cpp
   tests/scenarios/LuaJson.cpp
+  tests/scenarios/RelayWorld.cpp
   tests/scenarios/World.cpp)
 target_include_directories(scenario_runner PRIVATE tests)
-target_link_libraries(scenario_runner PRIVATE harness)
+target_link_libraries(scenario_runner PRIVATE soak_parts)
 
 # Each scenario is a test of its own. They start real processes and wait for
 # events, so the limit is far above what a passing run needs.
