Bring back plain replicas, which give no report, by any answer

What callers would see: a replica of a plain service that was once silent is used only when no other is left, until it leaves the list.

Cause: it is asked for a report while it counts as lost. Replicas of plain services may have none, and an answer that is no report counted as a missing one, which prolongs the mark each time.

Change: an answer that is no report prolongs no mark. It ends the mark of a replica of a plain service. It does not end that of a model's replica: the address may have been taken over by another service, and the mark ends by its time, as before.

--- a/include/poplartrack/relay/ReplicaCalls.h
+++ b/include/poplartrack/relay/ReplicaCalls.h
@@ -23,6 +23,9 @@
 {
   /** The replica answered; otherwise the other fields keep their defaults. */
   bool reached = false;
+  /** An answer came from its address, which may be no report: replicas of plain
+   * services have none. */
+  bool replied = false;
   /** No connection could be established; the other fields keep their defaults.
    */
   bool refused = false;
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -471,7 +471,10 @@
   [[nodiscard]] RecheckTurn recheckTurn(const std::string& aReplica) const;
   void recheck(const std::string& aReplica);
   void onLossesWithdrawn(const std::set<std::string>& aReplicas);
-  void onMissingRecheck(const std::string& aReplica, bool aExited);
+  void onMissingRecheck(const std::string& aReplica,
+                        const ReplicaReport& aReport,
+                        TimePoint aAskedAt);
+  [[nodiscard]] bool runsModel(const std::string& aReplica) const;
   void onAlive(const std::string& aReplica, TimePoint aAskedAt);
   void recordLosses(const std::set<std::string>& aLost);
   void logReturn(const std::string& aReplica, const LossRecord& aRecord);
--- a/src/relay/RelayStall.cpp
+++ b/src/relay/RelayStall.cpp
@@ -189,7 +189,7 @@
       this->crashState.exited.insert(aReplica);
     }
     if (recheck && this->health.dead(aReplica, this->now)) {
-      this->onMissingRecheck(aReplica, aReport.exited);
+      this->onMissingRecheck(aReplica, aReport, aAskedAt);
     } else {
       this->onMissingReport(aReplica, aReport, outageProbe);
     }
--- a/src/relay/RelaySuspects.cpp
+++ b/src/relay/RelaySuspects.cpp
@@ -80,18 +80,38 @@
   }
 }
 
-/** Handles a replica that was asked because it counts as lost, and has not
- * answered. Its requests have been dealt with when it was named. */
+/** Handles a replica that was asked because it counts as lost, and has given no
+ * report. Its requests have been dealt with when it was named. An answer that
+ * is no report shows that a replica of a plain service is alive; at the address
+ * of a model's replica, another service may have sent it. */
 void
-RelayLoop::Impl::onMissingRecheck(const std::string& aReplica, bool aExited)
+RelayLoop::Impl::onMissingRecheck(const std::string& aReplica,
+                                  const ReplicaReport& aReport,
+                                  TimePoint aAskedAt)
 {
-  if (aExited) {
+  if (aReport.exited) {
     this->health.onFailure(aReplica, ReplicaFailure::Exited, this->now);
-  } else if (!this->ownLink.isSlow(this->now)) {
+  } else if (aReport.replied && !this->runsModel(aReplica)) {
+    this->onAlive(aReplica, aAskedAt);
+  } else if (!aReport.replied && !this->ownLink.isSlow(this->now)) {
     this->health.onStillSilent(aReplica, this->now);
   }
 }
 
+/** Returns whether the replica is one of a model's service. */
+bool
+RelayLoop::Impl::runsModel(const std::string& aReplica) const
+{
+  const Replica* listed = this->replicaById(aReplica);
+  const auto config = this->shared.config.read();
+  if (listed == nullptr || config == nullptr) {
+    return false;
+  }
+  const auto service = config->services.find(listed->service);
+  return service != config->services.end() &&
+         service->second.engine.has_value();
+}
+
 /** Handles a replica's answer to a status query that was sent at aAskedAt. */
 void
 RelayLoop::Impl::onAlive(const std::string& aReplica, TimePoint aAskedAt)
--- a/tests/unit/relay/RelaySuspectTest.cpp
+++ b/tests/unit/relay/RelaySuspectTest.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "FullListener.h"
 #include "PeerSocket.h"
 #include "RelayFixture.h"
 
@@ -214,6 +215,41 @@
   this->expectServed(other);
 }
 
+TEST_F(RelaySuspectTest, APlainReplicaWithoutReportsIsUsedAgain)
+{
+  // Guards against a plain replica that is out of use until it leaves the list.
+  const FullListener full;
+  this->world.onQuery = [](const Address&, const auto& aDone) {
+    ReplicaReport report;
+    report.replied = true;
+    aDone(report);
+  };
+  this->world.addReplica("one", "plain", full.address());
+  this->world.start();
+  this->caller.emplace(this->world.sendRequest("/once/x", "id-1"));
+  ASSERT_TRUE(this->world.awaitOpen(1));
+  this->pass(milliseconds{ 1'000 });
+  this->expectStatus("503");
+  this->pass(milliseconds{ 400 });
+  EXPECT_TRUE(has(this->world.logText(), "by=status_answer out_ms="));
+}
+
+TEST_F(RelaySuspectTest, AnAnswerThatIsNoReportNeitherEndsNorProlongsAMark)
+{
+  // Guards against requests to another service at the address of a replica, and
+  // against a mark without end.
+  this->leaveAtSilentReplica();
+  this->world.onQuery = [](const Address&, const auto& aDone) {
+    ReplicaReport report;
+    report.replied = true;
+    aDone(report);
+  };
+  this->pass(milliseconds{ 3'000 });
+  EXPECT_FALSE(has(this->world.logText(), "event=not_lost"));
+  this->pass(milliseconds{ 1'600 });
+  EXPECT_TRUE(has(this->world.logText(), "by=expiry out_ms="));
+}
+
 TEST_F(RelaySuspectTest, TheLogSaysWhyAReplicaIsOutOfUseAndWhatBroughtItBack)
 {
   this->leaveAtSilentReplica();
