A replica that answers this relay may still be named as blocking others

What callers saw: a stream whose first replica cannot reach the next part, while this relay can, gets no event until its limit, with other parts free.

Cause: a report that work is blocked on a replica was dropped whenever the replica had answered a status query less than 0.5 s before. With loss probes every part of a late stream is asked each 300 ms, so the report never counted, and the repair ordered the path that the stream had already.

Change: only an answer that has ended a mark makes an older report void.

--- a/include/poplartrack/fleet/ReplicaHealth.h
+++ b/include/poplartrack/fleet/ReplicaHealth.h
@@ -139,7 +139,7 @@
     /** When it was first taken for dead since its last sign of life. */
     TimePoint silentSince{};
     bool blocksOthers = false;
-    /** When the last status query was sent that it has answered. */
+    /** When the status query was sent whose answer last brought it back. */
     TimePoint answeredAt{};
     LifeSign lastSign = LifeSign::None;
     /** Until when a status answer does not end that it blocks others: it has
--- a/src/fleet/ReplicaHealth.cpp
+++ b/src/fleet/ReplicaHealth.cpp
@@ -101,11 +101,11 @@
     return false;
   }
   State& state = found->second;
-  state.answeredAt = std::max(state.answeredAt, aAskedAt);
   if (!state.dead || aAskedAt <= state.namedAt ||
       aAskedAt < state.blocksUntil) {
     return false;
   }
+  state.answeredAt = aAskedAt;
   revive(state, LifeSign::StatusAnswer);
   return true;
 }
--- a/tests/unit/fleet/ReplicaHealthTest.cpp
+++ b/tests/unit/fleet/ReplicaHealthTest.cpp
@@ -128,6 +128,17 @@
   EXPECT_TRUE(health.usable("one", asked + milliseconds{ 200 }));
 }
 
+TEST(ReplicaHealth, AReplicaInUseThatAnswersMayBlockOthers)
+{
+  // Guards against status answers that hide that other replicas cannot reach
+  // it.
+  ReplicaHealth health{ kHeartbeat };
+  health.onSlowdown("one", 1);
+  health.onStatusAnswer("one", kStart);
+  health.onFailure("one", ReplicaFailure::Stalled, kStart + milliseconds{ 90 });
+  EXPECT_FALSE(health.usable("one", kStart + milliseconds{ 100 }));
+}
+
 TEST(ReplicaHealth, ReturnsDegradedReplicas)
 {
   ReplicaHealth health{ kHeartbeat };
