Bound the queries that relays send out of turn

What a replica that was lost would see: each relay that still takes it for lost asks at every report that any other relay withdraws, up to ten times a second and relay.

Change: a relay asks out of turn at most once a second and replica.

Evidence: SuspectRechecksTest ARelayAsksOutOfTurnOnceASecond (new function, so there is nothing to fail before).

--- a/include/poplartrack/fleet/SuspectRechecks.h
+++ b/include/poplartrack/fleet/SuspectRechecks.h
@@ -33,6 +33,8 @@
 public:
   /** Time between two queries of a zone. */
   static constexpr Duration kInterval = std::chrono::milliseconds{ 200 };
+  /** Time between two queries of a relay out of turn. */
+  static constexpr Duration kWithdrawalInterval = std::chrono::seconds{ 1 };
 
   /**
    * Returns whether this relay is to ask now, and then expects that it does.
@@ -42,6 +44,9 @@
              TimePoint aSince,
              RecheckTurn aTurn,
              TimePoint aNow);
+  /** Returns whether this relay is to ask now, out of turn, since another relay
+   * no longer reports the replica, and then expects that it does. */
+  bool isDueOnWithdrawal(const std::string& aReplica, TimePoint aNow);
   /** Drops what is kept for all other replicas. */
   void keepOnly(const std::set<std::string>& aKept);
 
@@ -51,6 +56,8 @@
     TimePoint since{};
     /** The interval since then that was looked at last. */
     std::uint64_t interval = 0;
+    /** When it was last asked out of turn. */
+    TimePoint outOfTurnAt{};
   };
   std::unordered_map<std::string, Asked> asked;
 };
--- a/src/fleet/SuspectRechecks.cpp
+++ b/src/fleet/SuspectRechecks.cpp
@@ -12,7 +12,8 @@
 {
   Asked& last = this->asked[aReplica];
   if (last.since != aSince) {
-    last = Asked{ aSince, 0 };
+    last.since = aSince;
+    last.interval = 0;
   }
   const auto interval = static_cast<std::uint64_t>(
     std::max(aNow - aSince, Duration{ 0 }) / kInterval);
@@ -28,6 +29,18 @@
   return due;
 }
 
+bool
+SuspectRechecks::isDueOnWithdrawal(const std::string& aReplica, TimePoint aNow)
+{
+  Asked& last = this->asked[aReplica];
+  if (last.outOfTurnAt != TimePoint{} &&
+      aNow - last.outOfTurnAt < kWithdrawalInterval) {
+    return false;
+  }
+  last.outOfTurnAt = aNow;
+  return true;
+}
+
 void
 SuspectRechecks::keepOnly(const std::set<std::string>& aKept)
 {
--- a/src/relay/RelaySuspects.cpp
+++ b/src/relay/RelaySuspects.cpp
@@ -74,7 +74,8 @@
 RelayLoop::Impl::onLossesWithdrawn(const std::set<std::string>& aReplicas)
 {
   for (const std::string& replica : aReplicas) {
-    if (this->health.dead(replica, this->now)) {
+    if (this->health.dead(replica, this->now) &&
+        this->lossProbeState.rechecks.isDueOnWithdrawal(replica, this->now)) {
       this->recheck(replica);
     }
   }
--- a/tests/unit/fleet/SuspectRechecksTest.cpp
+++ b/tests/unit/fleet/SuspectRechecksTest.cpp
@@ -60,5 +60,18 @@
     rechecks.isDue("one", second, {}, second + SuspectRechecks::kInterval));
 }
 
+TEST(SuspectRechecks, ARelayAsksOutOfTurnOnceASecond)
+{
+  // Guards against a thousand relays that ask at each report that is withdrawn.
+  SuspectRechecks rechecks;
+  int queries = 0;
+  for (int i = 0; i < 20; ++i) {
+    queries +=
+      rechecks.isDueOnWithdrawal("one", kStart + milliseconds{ 100 } * i) ? 1
+                                                                          : 0;
+  }
+  EXPECT_EQ(queries, 2);
+}
+
 } // namespace
 } // namespace poplartrack
