A move that brings no event does not end a stream that goes on

What callers saw: a stream at a draining replica is cut if the next replica brings nothing for 2 s and then closes, though the first one has gone on. Cause: the attempt set aside was ended after 2 s, its unread events with it. Evidence, before: RelayRunningMoveTest.AMoveThatBringsNoEventCostsNoRunningStream has(readUntil("0\r\n\r\n"), mark): Actual: false Change: an attempt set aside with unread events is the current one again then.

--- a/src/relay/RelayExchange.cpp
+++ b/src/relay/RelayExchange.cpp
@@ -352,6 +352,10 @@
     this->onNextUnreachable(aExchange, ReplicaFailure::Unreachable);
   }
   if (aExchange.replaced && this->now >= aExchange.sentAt + kMaxSetAside) {
+    if (this->hasPausedAnswer(aExchange)) {
+      this->goOnWithReplaced(aExchange);
+      return;
+    }
     this->dropReplaced(aExchange);
   }
   if (connection->second->pause != ReadPause::None) {
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -265,6 +265,7 @@
   void endDoubt(Exchange& aExchange);
   void setAttemptAside(Exchange& aExchange);
   void pauseReplaced(Exchange& aExchange);
+  [[nodiscard]] bool hasPausedAnswer(const Exchange& aExchange) const;
   [[nodiscard]] static bool isReplaced(const Exchange& aExchange,
                                        std::uint64_t aConnection);
   bool returnToReplaced(Exchange& aExchange, std::string_view aCause);
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -212,6 +212,17 @@
   }
 }
 
+/** Returns whether the replaced attempt is not read and has gone on. */
+bool
+RelayLoop::Impl::hasPausedAnswer(const Exchange& aExchange) const
+{
+  const auto found =
+    this->connections.find(aExchange.replaced->attempt.connection);
+  return found != this->connections.end() &&
+         found->second->pause == ReadPause::Replaced &&
+         hasUnread(found->second->fd.get());
+}
+
 /** Returns whether the connection is that of the replaced attempt. */
 bool
 RelayLoop::Impl::isReplaced(const Exchange& aExchange,
--- a/tests/unit/relay/RelayMoveTest.cpp
+++ b/tests/unit/relay/RelayMoveTest.cpp
@@ -163,5 +163,34 @@
   EXPECT_TRUE(has(this->caller->readUntil(mark), mark));
 }
 
+TEST_F(RelayRunningMoveTest, AMoveThatBringsNoEventCostsNoRunningStream)
+{
+  // Guards against a running attempt that ends before the next one has an
+  // event.
+  RawSocket next = this->beginMove();
+  for (Duration passed{ 0 }; passed < std::chrono::milliseconds{ 2'100 };
+       passed += kRound) {
+    this->world.advance(kRound);
+    if (passed < std::chrono::milliseconds{ 500 }) {
+      this->replica->send(RelayWorld::event(++this->last));
+    }
+  }
+  next.close();
+  this->world.settle();
+  this->replica->send(RelayWorld::event(++this->last) + RelayWorld::kLastChunk);
+  const std::string mark = "id: " + std::to_string(this->last) + "\n";
+  EXPECT_TRUE(has(this->caller->readUntil("0\r\n\r\n"), mark));
+}
+
+TEST_F(RelayRunningMoveTest, TRIALACallerThatLeavesEndsBothAttempts)
+{
+  RawSocket next = this->beginMove();
+  this->sendEvents(4);
+  this->caller->close();
+  EXPECT_TRUE(this->world.awaitOpen(0));
+  EXPECT_EQ(next.readToEnd(), "");
+  EXPECT_EQ(this->replica->readToEnd(), "");
+}
+
 } // namespace
 } // namespace poplartrack
