--- a/tests/unit/relay/RelayMoveTest.cpp
+++ b/tests/unit/relay/RelayMoveTest.cpp
@@ -182,8 +182,9 @@
   EXPECT_TRUE(has(this->caller->readUntil("0\r\n\r\n"), mark));
 }
 
-TEST_F(RelayRunningMoveTest, TRIALACallerThatLeavesEndsBothAttempts)
+TEST_F(RelayRunningMoveTest, ACallerThatLeavesEndsBothAttempts)
 {
+  // Guards against work for a caller that has left, at either replica.
   RawSocket next = this->beginMove();
   this->sendEvents(4);
   this->caller->close();
