Test that a relay asks out of turn only once a second

The review's trial: one relay of twenty reports and withdraws a loss ten times in 2 s, and a relay that takes the replica for lost may ask twice.

--- a/tests/unit/relay/RelaySuspectTest.cpp
+++ b/tests/unit/relay/RelaySuspectTest.cpp
@@ -250,6 +250,29 @@
   EXPECT_TRUE(has(this->world.logText(), "by=expiry out_ms="));
 }
 
+TEST_F(RelaySuspectTest, ARelayAsksInItsTurnWhileAnotherReportsInTurn)
+{
+  // Guards against queries of all relays of a fleet for each change of one.
+  std::vector<PeerSocket> peers(20);
+  std::vector<Address> addresses;
+  for (const PeerSocket& peer : peers) {
+    addresses.push_back(peer.address());
+  }
+  this->world.setPeers(addresses);
+  this->leaveAtSilentReplica();
+  for (const PeerSocket& peer : peers) {
+    this->reportFrom(peer, { "one" });
+  }
+  const int before = this->world.statusQueries;
+  for (int i = 0; i < 10; ++i) {
+    this->reportFrom(peers.front(), {});
+    this->world.manualClock.advance(milliseconds{ 100 });
+    this->reportFrom(peers.front(), { "one" });
+    this->world.manualClock.advance(milliseconds{ 100 });
+  }
+  EXPECT_LE(this->world.statusQueries - before, 2);
+}
+
 TEST_F(RelaySuspectTest, TheLogSaysWhyAReplicaIsOutOfUseAndWhatBroughtItBack)
 {
   this->leaveAtSilentReplica();
