--- a/tests/unit/relay/RelaySuspectTest.cpp
+++ b/tests/unit/relay/RelaySuspectTest.cpp
@@ -255,6 +255,7 @@
   // Guards against queries of all relays of a fleet for each change of one.
   std::vector<PeerSocket> peers(20);
   std::vector<Address> addresses;
+  addresses.reserve(peers.size());
   for (const PeerSocket& peer : peers) {
     addresses.push_back(peer.address());
   }
