Judge the end of a replica's connection by the first error on it

Callers saw the part of a body as a complete answer: a replica answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the relay still wrote the upload.

Cause: the failing send() consumes the socket's pending error (ECONNRESET). The reads that follow return what had arrived and then 0, as at a regular end, and a body without a length ends with its connection. The same held for ETIMEDOUT, which is a silence.

EndJudge is now the one place that says how a connection has ended, for the current attempt and for one that was replaced: the error of a write decides, where there is one. EPIPE is left out: Linux reports a reset so if the peer's regular end had come before, and such an answer stays whole. ConnectionEnd has that regular end as a value of its own in place of a bool beside it. A connection whose write failed is not kept for another request either.

--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -204,9 +204,8 @@
   bool skipInterim(Exchange& aExchange, ReplicaConnection& aConnection);
   bool discardAnswer(ReplicaConnection& aConnection);
   void onReplicaDisconnected(std::uint64_t aConnection,
-                             bool aClean,
-                             std::string_view aCause,
-                             ConnectionEnd aEnd = ConnectionEnd::Closed);
+                             ConnectionEnd aEnd,
+                             std::string_view aCause);
 
   // RelayAdmission.cpp: admission of requests.
   void beginExchange(CallerConnection& aCaller, MessageHead aHead);
@@ -275,7 +274,7 @@
                         const ReplicaConnection& aConnection);
   bool onReplacedDisconnected(Exchange& aExchange,
                               const ReplicaConnection& aConnection,
-                              bool aClean);
+                              bool aIsFinished);
   void onReplacedRepath(ReplacedAttempt& aReplaced,
                         const RepathOrder& aOrder,
                         RepathOutcome aOutcome);
--- a/src/relay/RelayReplacement.cpp
+++ b/src/relay/RelayReplacement.cpp
@@ -309,11 +309,11 @@
 bool
 RelayLoop::Impl::onReplacedDisconnected(Exchange& aExchange,
                                         const ReplicaConnection& aConnection,
-                                        bool aClean)
+                                        bool aIsFinished)
 {
   const Attempt& attempt = aExchange.replaced->attempt;
   const bool isEnd =
-    aClean && aConnection.headHandled && aConnection.parser->need_eof() &&
+    aIsFinished && aConnection.headHandled && aConnection.parser->need_eof() &&
     attempt.attemptEvents > 0 && attempt.splitter.endsBetweenEvents();
   if (!isEnd) {
     this->dropReplaced(aExchange);
--- a/src/relay/RelayReplicaInput.cpp
+++ b/src/relay/RelayReplicaInput.cpp
@@ -21,14 +21,9 @@
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
     return;
   }
-  if (count < 0 && errno == ETIMEDOUT) {
-    this->onReplicaDisconnected(
-      aConnection.id, false, "silent", ConnectionEnd::Silent);
-    return;
-  }
   if (count <= 0) {
-    this->onReplicaDisconnected(
-      aConnection.id, count == 0, count == 0 ? "closed" : "reset");
+    const ConnectionEnd end = aConnection.endJudge.endOf(count < 0 ? errno : 0);
+    this->onReplicaDisconnected(aConnection.id, end, nameOf(end));
     return;
   }
   if (aConnection.state == ReplicaConnection::State::Idle) {
@@ -86,7 +81,7 @@
   }
   Exchange& exchange = *found->second;
   if (parser.problem() == ParseProblem::Malformed) {
-    this->onReplicaDisconnected(id, false, "unreadable");
+    this->onReplicaDisconnected(id, ConnectionEnd::Broken, "unreadable");
     return false;
   }
   const bool hasNewHead = parser.is_header_done() && !aConnection.headHandled;
@@ -136,7 +131,7 @@
     this->readSignals(aConnection, head, !aConnection.discardingAnswer)
       .rateLimit;
   if (!echo && aConnection.answersRead > 0) {
-    this->onReplicaDisconnected(id, false, "answer without id");
+    this->onReplicaDisconnected(id, ConnectionEnd::Broken, "answer without id");
     return false;
   }
   if (aConnection.discardingAnswer) {
@@ -156,7 +151,8 @@
 {
   ++aConnection.interimAnswers;
   if (aConnection.parser->head().status == kSwitchingProtocols) {
-    this->onReplicaDisconnected(aConnection.id, false, "unreadable");
+    this->onReplicaDisconnected(
+      aConnection.id, ConnectionEnd::Broken, "unreadable");
     return false;
   }
   if (const auto excess = this->excessIn(aExchange, aConnection)) {
@@ -185,15 +181,14 @@
   return true;
 }
 
-/** Handles the end of a connection. aClean says that the replica closed it,
- * which may be the end of an answer without a length. Otherwise the attempt
- * fails. */
+/** Handles the end of a connection. Unless that is also the end of its answer,
+ * the attempt fails. */
 void
 RelayLoop::Impl::onReplicaDisconnected(std::uint64_t aConnection,
-                                       bool aClean,
-                                       std::string_view aCause,
-                                       ConnectionEnd aEnd)
+                                       ConnectionEnd aEnd,
+                                       std::string_view aCause)
 {
+  const bool isFinished = aEnd == ConnectionEnd::Finished;
   const auto found = this->connections.find(aConnection);
   if (found == this->connections.end()) {
     return;
@@ -214,11 +209,12 @@
     return;
   }
   if (isReplaced(*exchange->second, aConnection) &&
-      !this->onReplacedDisconnected(*exchange->second, connection, aClean)) {
+      !this->onReplacedDisconnected(
+        *exchange->second, connection, isFinished)) {
     return;
   }
   ResponseParser& parser = *connection.parser;
-  const bool endsAtClose = aClean && connection.headHandled &&
+  const bool endsAtClose = isFinished && connection.headHandled &&
                            !connection.discardingAnswer && parser.need_eof() &&
                            parser.problem() == ParseProblem::None &&
                            this->mayEndAtClose(*exchange->second, parser);
--- a/src/relay/RelayReplicas.cpp
+++ b/src/relay/RelayReplicas.cpp
@@ -153,12 +153,12 @@
 RelayLoop::Impl::onReplicaConnected(ReplicaConnection& aConnection)
 {
   if (const int error = connectError(aConnection.fd.get())) {
+    constexpr std::string_view kCause = "not connected";
     this->onReplicaDisconnected(aConnection.id,
-                                false,
-                                "not connected",
                                 error == ECONNREFUSED
                                   ? ConnectionEnd::NotListening
-                                  : ConnectionEnd::Closed);
+                                  : ConnectionEnd::Broken,
+                                kCause);
     return;
   }
   const auto exchange = this->exchanges.find(aConnection.exchange);
@@ -220,7 +220,8 @@
       if (errno == EAGAIN || errno == EINTR) {
         break;
       }
-      // The connection was reset. An answer received before may still be read.
+      // The connection has ended. An answer received before may still be read.
+      aConnection.endJudge.onWriteError(errno);
       aConnection.output.clear();
       aConnection.bodyLeft = 0;
       this->setReplicaWriteInterest(aConnection, false);
@@ -293,8 +294,9 @@
   // of the body.
   const bool reusable =
     aConnection.input.empty() && aConnection.output.empty() &&
-    aConnection.bodyLeft == 0 && aConnection.parser->keep_alive() &&
-    keep > Duration{ 0 } && aConnection.parser->is_done();
+    aConnection.bodyLeft == 0 && !aConnection.endJudge.hasWriteError() &&
+    aConnection.parser->keep_alive() && keep > Duration{ 0 } &&
+    aConnection.parser->is_done();
   if (!reusable) {
     this->closeReplica(aConnection.id);
     return;
--- a/src/relay/ReplicaConnection.h
+++ b/src/relay/ReplicaConnection.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "ByteBlocks.h"
+#include "EndJudge.h"
 #include "MessageParser.h"
 #include "ReadPause.h"
 #include "poplartrack/base/Address.h"
@@ -43,6 +44,7 @@
   /** At least one byte of the current request has been passed to the socket.
    * From then on only the replica's answer can prove that it did not run. */
   bool anySent = false;
+  EndJudge endJudge;
   /** The poller reports when the socket is writable. */
   bool watchesWrite = false;
   /** Why the poller does not report readable bytes. */
--- a/tests/harness/RawSocket.cpp
+++ b/tests/harness/RawSocket.cpp
@@ -124,6 +124,19 @@
   return got < 0 && errno == ECONNRESET;
 }
 
+void
+RawSocket::reset()
+{
+  resetOnClose(this->fd.get());
+  this->fd.reset();
+}
+
+void
+RawSocket::endWriting()
+{
+  ::shutdown(this->fd.get(), SHUT_WR);
+}
+
 RawListener::RawListener()
 {
   Result<OwnedFd> listening = listenTcp(Address{ "127.0.0.1", 0 });
--- a/tests/harness/RawSocket.h
+++ b/tests/harness/RawSocket.h
@@ -36,6 +36,10 @@
   bool readToReset();
   /** Closes it at once; unread bytes make this a reset. */
   void close() { this->fd.reset(); }
+  /** Resets it at once: the peer gets no regular end. */
+  void reset();
+  /** Ends this side in the regular way; the peer may go on writing. */
+  void endWriting();
 
 private:
   OwnedFd fd;
