Leave a reset to be read when looking for unread bytes

Symptom, not reported: the same as of a write that consumes a reset. Where a stream waits for a sign of its replica, or was replaced, the relay looks whether unread bytes wait (hasUnread). If the connection was reset just then, the next read returns 0, and an answer without a length counts as ended there.

Cause: recv() with MSG_PEEK consumes the socket's pending error like any read. poll() tells of bytes, an end and an error without consuming any of them.

Evidence: on TcpSocket.aLookForUnreadBytesLeavesAResetToBeRead fails (the read after the look returns 0 instead of ECONNRESET); it passes now. That a caller has got such an answer was not shown.

--- a/include/poplartrack/base/TcpSocket.h
+++ b/include/poplartrack/base/TcpSocket.h
@@ -44,7 +44,7 @@
 resetOnClose(int aFd);
 
 /** Whether bytes that were not read yet wait in the socket, or the end of the
- * connection. */
+ * connection. An error that ended it stays for the read that meets it. */
 bool
 hasUnread(int aFd);
 
--- a/src/base/TcpSocket.cpp
+++ b/src/base/TcpSocket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -121,10 +122,8 @@
 bool
 hasUnread(int aFd)
 {
-  char next = 0;
-  const ssize_t count =
-    ::recv(aFd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+  pollfd entry{ aFd, POLLIN, 0 };
+  return ::poll(&entry, 1, 0) > 0;
 }
 
 Result<Address>
