Bound what the unfinished replies to our own calls hold together

Operators of systems like ours saw a machine run out of memory under replicas that send bytes without end; the requests of all others ended with it.

Cause here: each reply has a limit (4 MB), but nothing limits all of them. A client has up to 64 connections to a peer and 256 in all.

HeldReplies counts what unfinished replies hold, in the capacity of their buffers. Beyond maxHeldBytes (32 MB; two of the largest replies at least) the largest one is given up as over the limit, so small ones are not harmed.

--- a/include/poplartrack/http/HttpClient.h
+++ b/include/poplartrack/http/HttpClient.h
@@ -62,6 +62,9 @@
   std::size_t maxConnections = 256;
   std::size_t maxConnectionsPerHost = 64;
   std::size_t maxBodyBytes = 4U << 20U;
+  /** What all unfinished replies may hold together. Beyond it the largest ends
+   * as over the limit. */
+  std::size_t maxHeldBytes = 32U << 20U;
 };
 
 /** libcurl's multi interface on one thread of its own. */
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -18,6 +18,14 @@
 /** libcurl's own timers and curl_multi_wakeup end a poll earlier. */
 constexpr int kPollMillis = 60'000;
 
+/** A reply of the largest size alone must have room, in a buffer that doubles
+ * when it grows. */
+std::size_t
+mostHeld(const HttpClientLimits& aLimits)
+{
+  return std::max(aLimits.maxHeldBytes, 2 * aLimits.maxBodyBytes);
+}
+
 bool
 initLibcurl()
 {
@@ -33,6 +41,7 @@
   Impl(CURLM* aMulti, HttpClientLimits aLimits)
     : multi(aMulti)
     , limits(aLimits)
+    , heldReplies(mostHeld(aLimits))
     , thread([this] { this->run(); })
   {
   }
@@ -58,6 +67,7 @@
   std::vector<TransferPtr> incoming;
   bool stopping = false;
   // Touched only by the client's thread.
+  HeldReplies heldReplies;
   std::unordered_map<HttpTransfer*, TransferPtr> open;
   std::thread thread;
 };
@@ -76,8 +86,10 @@
 void
 HttpClient::Impl::send(HttpCall aCall, HttpDone aDone)
 {
-  auto transfer = std::make_unique<HttpTransfer>(
-    std::move(aCall), std::move(aDone), this->limits.maxBodyBytes);
+  auto transfer = std::make_unique<HttpTransfer>(std::move(aCall),
+                                                 std::move(aDone),
+                                                 this->limits.maxBodyBytes,
+                                                 this->heldReplies);
   if (this->enqueue(transfer)) {
     curl_multi_wakeup(this->multi);
     return;
--- a/src/http/HttpTransfer.cpp
+++ b/src/http/HttpTransfer.cpp
@@ -46,16 +46,19 @@
 
 HttpTransfer::HttpTransfer(HttpCall aCall,
                            HttpDone aDone,
-                           std::size_t aMaxBodyBytes)
+                           std::size_t aMaxBodyBytes,
+                           HeldReplies& aHeld)
   : call(std::move(aCall))
   , done(std::move(aDone))
   , maxBodyBytes(this->call.maxBodyBytes == 0 ? aMaxBodyBytes
                                               : this->call.maxBodyBytes)
+  , heldReplies(aHeld)
 {
 }
 
 HttpTransfer::~HttpTransfer()
 {
+  this->forgetHeld();
   if (this->easy != nullptr) {
     curl_easy_cleanup(this->easy);
   }
@@ -213,9 +216,11 @@
   const Progress onProgress =
     [](void* aSelf, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
       auto* self = static_cast<HttpTransfer*>(aSelf);
-      const bool ends = self->hasTooMuchFraming() &&
-                        !self->refuse("the reply's framing is over the limit");
-      return ends ? 1 : 0;
+      if (self->hasTooMuchFraming()) {
+        self->refuse("the reply's framing is over the limit");
+        return 1;
+      }
+      return self->givenUp ? 1 : 0;
     };
   curl_easy_setopt(this->easy, CURLOPT_VERBOSE, 1L);
   curl_easy_setopt(this->easy, CURLOPT_DEBUGFUNCTION, onDebug);
@@ -266,8 +271,42 @@
   if (this->result.body.size() + aBytes.size() > this->maxBodyBytes) {
     return this->refuse("the reply's body is over the limit");
   }
+  return this->holdBytes(aBytes);
+}
+
+bool
+HttpTransfer::holdBytes(std::string_view aBytes)
+{
+  if (this->givenUp) {
+    return false;
+  }
   this->result.body += aBytes;
-  return true;
+  this->counted = true;
+  HttpTransfer* excess =
+    this->heldReplies.update(*this, this->result.body.capacity());
+  if (excess != nullptr) {
+    excess->giveUp();
+  }
+  return !this->givenUp;
+}
+
+void
+HttpTransfer::giveUp()
+{
+  this->givenUp = true;
+  this->refuse("the replies hold too much memory together");
+  this->result.body = std::string{};
+  this->forgetHeld();
+}
+
+/** A transfer that never began may be destroyed on the thread of its caller,
+ * which must not touch what the client's thread counts. */
+void
+HttpTransfer::forgetHeld()
+{
+  if (std::exchange(this->counted, false)) {
+    this->heldReplies.remove(*this);
+  }
 }
 
 /** Returns why a reply that libcurl takes for a success is not whole; nullopt
--- a/src/http/HttpTransfer.h
+++ b/src/http/HttpTransfer.h
@@ -8,6 +8,7 @@
 
 #include <curl/curl.h>
 
+#include "HeldReplies.h"
 #include "ReplyHead.h"
 #include "poplartrack/http/HttpClient.h"
 
@@ -17,7 +18,11 @@
 class HttpTransfer
 {
 public:
-  HttpTransfer(HttpCall aCall, HttpDone aDone, std::size_t aMaxBodyBytes);
+  /** aHeld outlives the transfer, and belongs to its thread. */
+  HttpTransfer(HttpCall aCall,
+               HttpDone aDone,
+               std::size_t aMaxBodyBytes,
+               HeldReplies& aHeld);
   HttpTransfer(const HttpTransfer&) = delete;
   HttpTransfer& operator=(const HttpTransfer&) = delete;
   ~HttpTransfer();
@@ -50,6 +55,11 @@
   [[nodiscard]] std::string detailOf(CURLcode aCode) const;
   bool takeHeader(std::string_view aLine);
   bool takeBytes(std::string_view aBytes);
+  /** Adds to the body. Returns false if this reply is given up. */
+  bool holdBytes(std::string_view aBytes);
+  /** Drops what has arrived of the reply, which ends soon. */
+  void giveUp();
+  void forgetHeld();
   /** Whether too many bytes have come that are neither head nor body. */
   [[nodiscard]] bool hasTooMuchFraming() const;
   /** Records that the reply exceeds a limit. Returns false. */
@@ -58,11 +68,16 @@
   HttpCall call;
   HttpDone done;
   std::size_t maxBodyBytes;
+  HeldReplies& heldReplies;
   ReplyHead head;
   std::size_t bodyBytes = 0;
   /** Bytes behind the head, of which body is only a part. */
   std::size_t rawBytes = 0;
   HttpResult result;
+  /** The replies of the client hold too much, and this one is given up. */
+  bool givenUp = false;
+  /** heldReplies counts this one. */
+  bool counted = false;
   std::string problem;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
--- a/tests/unit/http/HttpClientTest.cpp
+++ b/tests/unit/http/HttpClientTest.cpp
@@ -1,9 +1,11 @@
 #include "poplartrack/http/HttpClient.h"
 
+#include <atomic>
 #include <future>
 
 #include <gtest/gtest.h>
 
+#include "../relay/WaitFor.h"
 #include "harness/RawSocket.h"
 
 namespace poplartrack {
@@ -444,6 +446,79 @@
   }
 }
 
+// Guards against replies without end that take the memory of the process
+// together, each below its own limit.
+TEST(HttpClient, manyRepliesWithoutEndAreBoundedTogether)
+{
+  constexpr std::size_t kPeers = 8;
+  constexpr std::size_t kMegabyte = std::size_t{ 1 } << 20U;
+  HttpClientLimits limits;
+  limits.maxBodyBytes = kMegabyte;
+  limits.maxHeldBytes = 2 * kMegabyte;
+  std::atomic<std::size_t> overLimit{ 0 };
+  const auto client = newClient(limits);
+  RawListener listener;
+  std::vector<RawSocket> peers;
+  for (std::size_t i = 0; i < kPeers; ++i) {
+    HttpCall call = callTo(listener.address());
+    call.timeout = std::chrono::minutes{ 1 };
+    client->send(call, [&overLimit](const HttpResult& aResult) {
+      EXPECT_EQ(aResult.outcome, CallOutcome::Unknown);
+      overLimit += aResult.overLimit ? 1 : 0;
+    });
+    peers.push_back(listener.accept());
+    peers.back().readUntil(kHeadEnd);
+  }
+  for (RawSocket& peer : peers) {
+    peer.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(kMegabyte - 1, 'x'));
+  }
+  // Two of them at most have room.
+  EXPECT_TRUE(relaytest::waitFor([&] { return overLimit >= kPeers - 2; }));
+  std::future<HttpResult> small = start(*client, callTo(listener.address()));
+  RawSocket sound = listener.accept();
+  sound.readUntil(kHeadEnd);
+  sound.send(kReply);
+  EXPECT_EQ(small.get().outcome, CallOutcome::Replied);
+}
+
+/** Returns whether a call with a long body ends although its peer reads none of
+ * it and sends bytes that are no reply, without end. */
+bool
+uploadEndsUnder(const std::string& aStart, const std::string& aRepeated)
+{
+  constexpr std::size_t kUploadBytes = std::size_t{ 12 } << 20U;
+  constexpr std::size_t kEnough = std::size_t{ 64 } << 20U;
+  const auto client = newClient();
+  RawListener listener;
+  HttpCall call = callTo(listener.address());
+  call.method = "POST";
+  call.body.assign(kUploadBytes, 'x');
+  call.framing = BodyFraming::Optional;
+  call.timeout = std::chrono::minutes{ 1 };
+  call.maxBodyBytes = 100'000;
+  std::future<HttpResult> result = start(*client, call);
+  RawSocket peer = listener.accept();
+  std::string block;
+  while (block.size() < 4'096) {
+    block += aRepeated;
+  }
+  bool isOpen = peer.send(aStart);
+  for (std::size_t sent = 0; isOpen && sent < kEnough; sent += block.size()) {
+    isOpen = peer.send(block);
+  }
+  peer.close();
+  return !isOpen && result.get().outcome == CallOutcome::Unknown;
+}
+
+TEST(HttpClient, aReplyWithoutEndWhileTheRequestIsWrittenIsBounded)
+{
+  EXPECT_TRUE(uploadEndsUnder("HTTP/1.1 200 OK\r\n\r\n", "x"));
+  EXPECT_TRUE(uploadEndsUnder("HTTP/1.1 200 OK\r\n", "Name: value\r\n"));
+  EXPECT_TRUE(uploadEndsUnder("HTTP/1.1 200 ", "x"));
+  EXPECT_TRUE(uploadEndsUnder("", "HTTP/1.1 103 Early Hints\r\n\r\n"));
+  EXPECT_TRUE(uploadEndsUnder(kChunked + "5;", "x"));
+}
+
 TEST(HttpClient, aHeaderThatCarriesAnotherRequestIsNotSent)
 {
   HttpCall call = callTo(harness::deadAddress());
--- a/tests/unit/relay/EarlyAnswerTest.cpp
+++ b/tests/unit/relay/EarlyAnswerTest.cpp
@@ -104,6 +104,33 @@
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
 }
 
+TEST_F(EarlyAnswer, WithoutEndIsClosedWhileTheUploadIsWritten)
+{
+  // Guards against bounds that hold only once the request is written.
+  constexpr std::size_t kEnough = std::size_t{ 64 } << 20U;
+  const std::string start = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n";
+  this->world.adjust = [](RelaySettings& aSettings) {
+    aSettings.answerMb = 1;
+    aSettings.bulkReadShare = 1;
+  };
+  this->startWith("plain", { "one" });
+  for (const std::string& begun :
+       { start + "\r\n", start, std::string{ "HTTP/1.1 200 " } }) {
+    SCOPED_TRACE(begun);
+    this->upload("/once/x");
+    std::string block;
+    while (block.size() < 4'096) {
+      block += "Name: value\r\n";
+    }
+    bool isOpen = this->replica->send(begun);
+    for (std::size_t sent = 0; isOpen && sent < kEnough; sent += block.size()) {
+      isOpen = this->replica->send(block);
+    }
+    EXPECT_FALSE(isOpen);
+    this->expectStatus("502 ");
+  }
+}
+
 TEST_F(EarlyAnswer, WithALengthIsWholeWhateverFollows)
 {
   this->startWith("plain", { "one" });
