Answer late and open requests of an entry before it stops

Callers saw their connections cut, with no answer, in a planned stop of an entry (LOST): for requests that came on kept connections after the listener had closed, and for all that were open when drain_timeout_ms ended, calls that must not be repeated among them.

Cause: stopListening() closed the listener alone, so requests on connections that callers had kept were taken and passed on; and the process ended with its handlers still waiting, whose connections were closed first.

From stopListening() on, requests are refused with 503 "draining": not run, with Connection: close. The process waits that half second for the answers to be written.

--- a/include/poplartrack/entry/CallerApi.h
+++ b/include/poplartrack/entry/CallerApi.h
@@ -32,6 +32,8 @@
   std::string replyTo;
   /** Ends the waits of calls for their idempotency keys. */
   std::stop_token draining;
+  /** Requests are refused from here on: the process ends. */
+  std::stop_token closed;
 };
 
 /** Answers callers as docs/CALLING.md specifies. Runs on the threads of their
--- a/include/poplartrack/entry/EntryServer.h
+++ b/include/poplartrack/entry/EntryServer.h
@@ -40,8 +40,11 @@
    * none waits for another holder of its idempotency key any longer.
    */
   void startDraining();
-  /** Second step: accepts no new connections. */
+  /** Second step: accepts no new connections, and refuses requests that still
+   * come on those that callers have kept. */
   void stopListening();
+  /** Last step, if the time is up: answers the requests that are open. */
+  void endOpenRequests();
   /** Returns whether every request has been answered completely and no end of a
    * claimed call is kept for a retry. */
   [[nodiscard]] bool drained() const;
@@ -80,6 +83,7 @@
   Decider decider;
   std::unique_ptr<EndpointTracker> tracker;
   std::stop_source draining;
+  std::stop_source closed;
   /** Whether all parts exist. Frames that arrive before are rejected. */
   std::atomic<bool> assembled{ false };
   std::unique_ptr<StreamServer> server;
--- a/include/poplartrack/entry/ModelRunner.h
+++ b/include/poplartrack/entry/ModelRunner.h
@@ -36,6 +36,9 @@
   void onEndpointGone(const std::string& aEndpoint);
   /** Handles a caller that disconnects before the end of its request. */
   void onCallerGone(const std::shared_ptr<ActiveRun>& aRun);
+  /** Ends all requests, since the process ends. Others are refused from now
+   * on. */
+  void endAll();
 
   /** Returns the query that chooses a request's route. */
   RouteQuery queryFor(const RequestSpec& aSpec, TimePoint aNow) const;
@@ -48,6 +51,7 @@
   using Actions = std::vector<RunAction>;
 
   RunPtr find(const RequestId& aRequest) const;
+  [[nodiscard]] std::vector<RunPtr> allRuns() const;
   /** Passes an event to a run and executes the resulting actions. */
   void apply(const RunPtr& aRun,
              const std::function<Actions(RequestRun&, TimePoint)>& aEvent);
@@ -75,6 +79,8 @@
   EntryParts parts;
   RunPolicy policy;
   mutable std::mutex guard;
+  /** No further request starts. */
+  bool isEnding = false;
   std::unordered_map<RequestId, RunPtr> runs;
 };
 
--- a/include/poplartrack/entry/PlainDispatcher.h
+++ b/include/poplartrack/entry/PlainDispatcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,12 +34,19 @@
 
   /** Runs a call to its end; blocks the calling thread. */
   PlainEnd call(const PlainSpec& aSpec);
+  /** Ends all calls, since the process ends. Others are refused from now on. */
+  void endAll();
 
 private:
   struct Active;
   using ActivePtr = std::shared_ptr<Active>;
   using Actions = std::vector<PlainAction>;
 
+  /** Returns false if no further call may start. */
+  bool add(const ActivePtr& aCall);
+  void remove(const ActivePtr& aCall);
+  static PlainEnd awaitEnd(Active& aCall);
+
   void apply(const ActivePtr& aCall,
              const std::function<Actions(PlainRun&, TimePoint)>& aEvent);
   void absorb(Active& aCall, const Actions& aActions);
@@ -50,6 +58,11 @@
 
   EntryParts parts;
   PlainPolicy policy;
+  std::mutex guard;
+  /** The calls in progress. Protected by guard. */
+  std::set<ActivePtr> calls;
+  /** No further call starts. Protected by guard. */
+  bool isEnding = false;
 };
 
 } // namespace poplartrack
--- a/include/poplartrack/entry/PlainRun.h
+++ b/include/poplartrack/entry/PlainRun.h
@@ -115,6 +115,8 @@
   std::vector<PlainAction> onEndpointGone(const std::string& aEndpoint,
                                           TimePoint aNow);
   std::vector<PlainAction> onCallerGone(TimePoint aNow);
+  /** The entry ends: its caller gets an answer now. */
+  std::vector<PlainAction> onEntryEnds();
   std::vector<PlainAction> onTick(TimePoint aNow);
 
   /** Returns when to call onTick(); nullopt once the call has ended. */
@@ -146,6 +148,8 @@
   Actions askForReplacement();
   Actions elsewhere(RetryReason aReason, const Error& aError, TimePoint aNow);
   Actions onUnknownOutcome(const Error& aError, TimePoint aNow);
+  /** Ends the call at once, as unknown if it may have run. */
+  Actions abandon(ErrorKind aKind);
   Actions giveUp(Error aError);
 
   PlainSpec spec;
--- a/include/poplartrack/entry/RequestRun.h
+++ b/include/poplartrack/entry/RequestRun.h
@@ -94,6 +94,8 @@
   std::vector<RunAction> onEndpointGone(const std::string& aEndpoint,
                                         TimePoint aNow);
   std::vector<RunAction> onCallerGone(TimePoint aNow);
+  /** The entry ends: its caller gets an answer now. */
+  std::vector<RunAction> onEntryEnds();
   /** Call at nextWake() or later; earlier calls have no effect. */
   std::vector<RunAction> onTick(TimePoint aNow);
 
--- a/src/cli/RunRole.cpp
+++ b/src/cli/RunRole.cpp
@@ -1,5 +1,6 @@
 #include "cli/RunRole.h"
 
+#include <algorithm>
 #include <iostream>
 
 #include <glog/logging.h>
@@ -27,6 +28,9 @@
   return ExitCode::Usage;
 }
 
+/** Kept of the drain timeout for answering what is open at its end. */
+constexpr Duration kEndingTime = std::chrono::milliseconds{ 500 };
+
 ExitCode
 drainEntry(EntryServer& aEntry, const TuningSettings& aTuning)
 {
@@ -34,8 +38,14 @@
   // Until the balancer has noticed, callers still come and are served.
   waitUntilDone([] { return false; }, aTuning.drainGrace);
   aEntry.stopListening();
-  const bool whole =
-    waitUntilDone([&] { return aEntry.drained(); }, aTuning.drainTimeout);
+  const auto isDrained = [&aEntry] { return aEntry.drained(); };
+  const Duration limit =
+    std::max(aTuning.drainTimeout - kEndingTime, Duration{ 0 });
+  const bool whole = waitUntilDone(isDrained, limit);
+  if (!whole) {
+    aEntry.endOpenRequests();
+    waitUntilDone(isDrained, kEndingTime);
+  }
   LOG(INFO) << (whole ? "entry: drained" : "entry: stopped with work open");
   return whole ? ExitCode::Ok : ExitCode::Refused;
 }
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -81,6 +81,11 @@
   context.request = randomRequestId();
   context.arrived = runtimeNow();
   context.configuration = this->parts.configuration.read();
+  if (this->parts.closed.stop_requested()) {
+    return this->refuse(context,
+                        fail(ErrorKind::Draining),
+                        defaultRetryAfter(ErrorKind::Draining));
+  }
   const std::vector<std::string> path = splitPath(aRequest.path);
   if (!isModelPath(path) && !isServicePath(path)) {
     return this->refuse(context,
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -180,7 +180,8 @@
                     this->claimEnds,
                     this->configuration->published(),
                     replyTo,
-                    this->draining.get_token() });
+                    this->draining.get_token(),
+                    this->closed.get_token() });
   this->assembled = true;
   this->endpoints->start([this] { return this->configuration->revision(); },
                          [this](std::uint64_t aRevision) {
@@ -311,7 +312,17 @@
 void
 EntryServer::stopListening()
 {
+  // Answers close their connections before requests are refused: the refusal
+  // must say so, too.
   this->callers->stopListening();
+  this->closed.request_stop();
+}
+
+void
+EntryServer::endOpenRequests()
+{
+  this->models->endAll();
+  this->plains->endAll();
 }
 
 bool
--- a/src/entry/ModelRunner.cpp
+++ b/src/entry/ModelRunner.cpp
@@ -79,6 +79,9 @@
     std::make_shared<ActiveRun>(aSpec, std::move(run).value(), aPlan, started);
   {
     const std::scoped_lock lock{ this->guard };
+    if (this->isEnding) {
+      return fail(ErrorKind::Draining);
+    }
     this->runs.emplace(aSpec.request, active);
   }
   this->parts.decider.with(
@@ -433,17 +436,35 @@
 
 void
 ModelRunner::onEndpointGone(const std::string& aEndpoint)
+{
+  for (const RunPtr& run : this->allRuns()) {
+    this->apply(run, [&](RequestRun& aState, TimePoint aNow) {
+      return aState.onEndpointGone(aEndpoint, aNow);
+    });
+  }
+}
+
+std::vector<ModelRunner::RunPtr>
+ModelRunner::allRuns() const
 {
   std::vector<RunPtr> all;
+  const std::scoped_lock lock{ this->guard };
+  for (const auto& [id, run] : this->runs) {
+    all.push_back(run);
+  }
+  return all;
+}
+
+void
+ModelRunner::endAll()
+{
   {
     const std::scoped_lock lock{ this->guard };
-    for (const auto& [id, run] : this->runs) {
-      all.push_back(run);
-    }
+    this->isEnding = true;
   }
-  for (const RunPtr& run : all) {
-    this->apply(run, [&](RequestRun& aState, TimePoint aNow) {
-      return aState.onEndpointGone(aEndpoint, aNow);
+  for (const RunPtr& run : this->allRuns()) {
+    this->apply(run, [](RequestRun& aState, TimePoint /*aNow*/) {
+      return aState.onEntryEnds();
     });
   }
 }
--- a/src/entry/PlainDispatcher.cpp
+++ b/src/entry/PlainDispatcher.cpp
@@ -45,23 +45,65 @@
     return PlainEnd{ {}, run.error(), RunState::NotRun, 0, {} };
   }
   const auto active = std::make_shared<Active>(aSpec, std::move(run).value());
+  if (!this->add(active)) {
+    return PlainEnd{ {}, fail(ErrorKind::Draining), RunState::NotRun, 0, {} };
+  }
   this->parts.decider.with(
     [](RouteChooser&, AdmissionControl&, RetryBudget& aBudget) {
       aBudget.onRequest(runtimeNow());
     });
   this->apply(active,
               [](PlainRun& aRun, TimePoint aNow) { return aRun.start(aNow); });
-  std::unique_lock lock{ active->guard };
-  active->changed.wait_until(
-    lock, aSpec.deadline + kGrace, [&] { return active->end.has_value(); });
-  if (!active->end) {
-    return PlainEnd{ {},
-                     fail(ErrorKind::DeadlineExceeded),
-                     RunState::Unknown,
-                     active->run.attempt(),
-                     active->endpoint };
+  PlainEnd end = awaitEnd(*active);
+  this->remove(active);
+  return end;
+}
+
+PlainEnd
+PlainDispatcher::awaitEnd(Active& aCall)
+{
+  std::unique_lock lock{ aCall.guard };
+  aCall.changed.wait_until(lock, aCall.spec.deadline + kGrace, [&aCall] {
+    return aCall.end.has_value();
+  });
+  return aCall.end.value_or(PlainEnd{ {},
+                                      fail(ErrorKind::DeadlineExceeded),
+                                      RunState::Unknown,
+                                      aCall.run.attempt(),
+                                      aCall.endpoint });
+}
+
+bool
+PlainDispatcher::add(const ActivePtr& aCall)
+{
+  const std::scoped_lock lock{ this->guard };
+  if (!this->isEnding) {
+    this->calls.insert(aCall);
+  }
+  return !this->isEnding;
+}
+
+void
+PlainDispatcher::remove(const ActivePtr& aCall)
+{
+  const std::scoped_lock lock{ this->guard };
+  this->calls.erase(aCall);
+}
+
+void
+PlainDispatcher::endAll()
+{
+  std::set<ActivePtr> open;
+  {
+    const std::scoped_lock lock{ this->guard };
+    this->isEnding = true;
+    open = this->calls;
+  }
+  for (const ActivePtr& call : open) {
+    this->apply(call, [](PlainRun& aRun, TimePoint /*aNow*/) {
+      return aRun.onEntryEnds();
+    });
   }
-  return *active->end;
 }
 
 void
--- a/src/entry/PlainRun.cpp
+++ b/src/entry/PlainRun.cpp
@@ -213,6 +213,18 @@
 
 PlainRun::Actions
 PlainRun::onCallerGone(TimePoint /*aNow*/)
+{
+  return this->abandon(ErrorKind::Cancelled);
+}
+
+PlainRun::Actions
+PlainRun::onEntryEnds()
+{
+  return this->abandon(ErrorKind::Draining);
+}
+
+PlainRun::Actions
+PlainRun::abandon(ErrorKind aKind)
 {
   if (this->ended()) {
     return {};
@@ -222,7 +234,9 @@
     this->mayHaveRun = true;
     actions.emplace_back(this->fenceTarget(FenceRequest::kFenceAll));
   }
-  Actions end = this->giveUp(fail(ErrorKind::Cancelled));
+  const bool claimsNotRun = rowOf(aKind).runState == RunState::NotRun;
+  Actions end = this->giveUp(
+    fail(claimsNotRun && this->mayHaveRun ? ErrorKind::OutcomeUnknown : aKind));
   actions.insert(actions.end(), end.begin(), end.end());
   return actions;
 }
--- a/src/entry/RequestRunRetry.cpp
+++ b/src/entry/RequestRunRetry.cpp
@@ -307,6 +307,22 @@
   return actions;
 }
 
+RequestRun::Actions
+RequestRun::onEntryEnds()
+{
+  if (this->ended()) {
+    return {};
+  }
+  Actions actions;
+  this->fenceRoute(FenceRequest::kFenceAll, false, actions);
+  const bool hasNotRun = this->allProved(Proof::NotRun);
+  this->givenUpFor =
+    fail(hasNotRun ? ErrorKind::Draining : ErrorKind::OutcomeUnknown);
+  this->finishGivingUp(hasNotRun ? RunState::NotRun : RunState::Unknown,
+                       actions);
+  return actions;
+}
+
 RequestRun::Actions
 RequestRun::giveUp(Error aError, TimePoint aNow)
 {
--- a/tests/scenarios/prelude.lua
+++ b/tests/scenarios/prelude.lua
@@ -238,7 +238,8 @@
   return name, wire
 end
 
--- entry("entry-1"); options: zone, peers (list of entry names), grace_ms
+-- entry("entry-1"); options: zone, peers (list of entry names), grace_ms,
+-- drain_ms
 function entry(name, options)
   options = options or {}
   local zone = options.zone or "oslo-a"
@@ -252,6 +253,7 @@
   end
   extra = extra .. "[tuning]\nconfig_poll_ms = 200\ninstance_poll_ms = 200\n" ..
     "probe_interval_ms = 200\ndrain_grace_ms = " .. (options.grace_ms or 100) ..
+    "\ndrain_timeout_ms = " .. (options.drain_ms or 130000) ..
     "\nplacement = " .. tostring(options.placement or false) .. "\n"
   local text = settings_text(name, zone,
     'callers = "127.0.0.1:0"\nwire = "127.0.0.1:0"\n', extra)
@@ -601,7 +603,8 @@
   end
   local names = {}
   for i = 1, options.entries or 1 do
-    names[#names + 1] = entry("entry-" .. i, { peers = { table.unpack(names) } })
+    names[#names + 1] = entry("entry-" .. i, {
+      peers = { table.unpack(names) }, drain_ms = options.drain_ms })
   end
   toy_settings = settings {
     models = { toy = { layers = 12 } },
--- a/tests/unit/entry/EntryServerTest.cpp
+++ b/tests/unit/entry/EntryServerTest.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include "harness/RawSocket.h"
 #include "poplartrack/base/TcpSocket.h"
 #include "poplartrack/wire/ConfigFetch.h"
 #include "standins/lib/PlatformHttp.h"
@@ -113,5 +114,30 @@
   EXPECT_GT(answered, 0);
 }
 
+// Guards against a request that comes late on a kept connection, is taken, and
+// is cut when the process ends.
+TEST_F(EntryServerTest, aRequestAfterThePlannedStopIsRefusedAsNotRun)
+{
+  constexpr std::string_view kCall = "POST /v1/services/kituo/dispatch HTTP/1.1"
+                                     "\r\nHost: entry\r\n"
+                                     "Content-Length: 2\r\n\r\n{}";
+  this->release.set_value();
+  harness::RawSocket caller =
+    harness::RawSocket::connectTo(this->entry->callersAddress());
+  caller.send(kCall);
+  caller.readUntil("}\n");
+  this->entry->startDraining();
+  caller.send(kCall);
+  const std::string before = caller.readUntil("}\n");
+  EXPECT_EQ(before.find("\"draining\""), std::string::npos) << before;
+  this->entry->stopListening();
+  caller.send(kCall);
+  const std::string answer = caller.readToEnd();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("\"draining\""), std::string::npos) << answer;
+  EXPECT_NE(answer.find("\"not run\""), std::string::npos) << answer;
+}
+
 } // namespace
 } // namespace poplartrack
