Test that a relay refuses what comes late in a planned stop

Other operators saw requests that came late in the grace time taken, passed on and cut. The relay handled this before: it refuses requests 2.6 s after SIGTERM and answers what is open half a second before the end. These tests keep it so; nothing else changes.

--- a/tests/unit/relay/RelayCallerTest.cpp
+++ b/tests/unit/relay/RelayCallerTest.cpp
@@ -275,6 +275,34 @@
   this->expectStatus("502 Bad Gateway");
 }
 
+TEST_F(RelayCallerTest, ARequestThatWaitsWhenTheProcessEndsHasNotRun)
+{
+  // Guards against the same for a request that was not passed on.
+  this->world.useManualClock();
+  this->world.startLoop();
+  RawSocket waiting = this->world.sendRequest("/once/x", "id-1");
+  ASSERT_TRUE(this->world.awaitOpen(1));
+  this->world.loop->stop();
+  EXPECT_TRUE(has(waiting.readUntil("}"), "503 Service Unavailable"));
+}
+
+TEST_F(RelayCallerTest, ALateRequestOnAKeptConnectionIsRefusedAsNotRun)
+{
+  // Guards against a request that is taken late in a planned stop, and is cut
+  // at its end.
+  this->startWith("plain", { "one" });
+  RawSocket kept = this->world.caller();
+  this->world.settle();
+  this->world.shared.draining = true;
+  this->world.shared.refusesRequests = true;
+  kept.send(RelayWorld::request("/once/x", "id-1"));
+  const std::string answer = kept.readToEnd();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_TRUE(has(answer, "Connection: close\r\n")) << answer;
+  EXPECT_TRUE(has(answer, "\"draining\"")) << answer;
+  EXPECT_EQ(this->world.counter("replica_connects_total"), 0U);
+}
+
 TEST_F(RelayCallerTest, ARequestThatArrivesWhileTheProcessEndsIsNotRead)
 {
   // Guards against a request that is read and then lost with the process.
