--- a/src/http/HeadCheck.cpp
+++ b/src/http/HeadCheck.cpp
@@ -5,7 +5,6 @@
 #include <limits>
 
 #include "HeaderText.h"
-#include "LowerCase.h"
 
 namespace poplartrack {
 namespace {
@@ -71,11 +70,10 @@
       flaw != HeadFlaw::None) {
     return flaw;
   }
-  const std::string name = lowerCase(aName);
-  if (name == "content-length") {
+  if (equalsIgnoringCase(aName, "content-length")) {
     return this->onLength(aValue);
   }
-  if (name == "transfer-encoding") {
+  if (equalsIgnoringCase(aName, "transfer-encoding")) {
     return this->onCoding(aValue);
   }
   return HeadFlaw::None;
@@ -108,7 +106,7 @@
 HeadCheck::onCoding(std::string_view aValue)
 {
   const bool isValid = this->version == kHttp11 && !this->chunked &&
-                       !this->length && lowerCase(aValue) == "chunked";
+                       !this->length && equalsIgnoringCase(aValue, "chunked");
   this->chunked = true;
   return isValid ? HeadFlaw::None : HeadFlaw::TransferEncoding;
 }
--- a/src/http/HeaderText.h
+++ b/src/http/HeaderText.h
@@ -26,6 +26,22 @@
   return aCharacter == ' ' || aCharacter == '\t';
 }
 
+/** Whether two texts are the same but for the case of ASCII letters. */
+inline bool
+equalsIgnoringCase(std::string_view aOne, std::string_view aOther)
+{
+  const auto lower = [](char aCharacter) {
+    const bool isUpper = aCharacter >= 'A' && aCharacter <= 'Z';
+    return isUpper ? static_cast<char>(aCharacter - 'A' + 'a') : aCharacter;
+  };
+  return std::equal(
+    aOne.begin(),
+    aOne.end(),
+    aOther.begin(),
+    aOther.end(),
+    [lower](char aLeft, char aRight) { return lower(aLeft) == lower(aRight); });
+}
+
 /** Returns a text without the blanks around it. */
 inline std::string_view
 trimBlanks(std::string_view aText)
