--- a/tests/unit/relay/EndlessAnswerTest.cpp
+++ b/tests/unit/relay/EndlessAnswerTest.cpp
@@ -249,20 +249,10 @@
 
 TEST_F(EndlessAnswer, AReplicaThatSendsOneCountsAsFaulty)
 {
-  // With equal load, the choice falls on the replica with fewer errors.
   this->request("plain", "/once/x");
-  const bool first = has(this->head, "X-Expect: one\r\n");
   EXPECT_TRUE(this->isClosedUnder(kFailed, "x"));
   this->expectStatus("502 ");
-  for (int i = 2; i < 5; ++i) {
-    const std::string id = "id-" + std::to_string(i);
-    RawSocket next = this->world.sendRequest("/once/x", id);
-    RawSocket other = this->nextAttempt();
-    EXPECT_TRUE(has(this->head, first ? "X-Expect: two" : "X-Expect: one"));
-    other.send(RelayWorld::answer(
-      id, "whole", "200 OK", "X-Stamp: s\r\nConnection: close\r\n"));
-    next.readUntil("whole");
-  }
+  this->expectOtherReplicaNext("/once/x");
 }
 
 TEST_F(EndlessAnswer, FramingOfARequestIsRefused)
--- a/tests/unit/relay/RelayFixture.h
+++ b/tests/unit/relay/RelayFixture.h
@@ -65,6 +65,21 @@
     const std::string rest = this->caller->readUntil("0\r\n\r\n");
     EXPECT_TRUE(has(rest, "id: 2\n")) << rest;
   }
+  /** Expects that the replica of the last request gets none of the next ones:
+   * with equal load, the choice falls on the one with fewer errors. */
+  void expectOtherReplicaNext(const std::string& aPath)
+  {
+    const bool first = has(this->head, "X-Expect: one\r\n");
+    for (int i = 2; i < 5; ++i) {
+      const std::string id = "id-" + std::to_string(i);
+      RawSocket next = this->world.sendRequest(aPath, id);
+      RawSocket other = this->nextAttempt();
+      EXPECT_TRUE(has(this->head, first ? "X-Expect: two" : "X-Expect: one"));
+      other.send(RelayWorld::answer(
+        id, "whole", "200 OK", "X-Stamp: s\r\nConnection: close\r\n"));
+      next.readUntil("whole");
+    }
+  }
   /** Expects the status line of the answer, and returns it with its fields. */
   std::string expectStatus(const std::string& aStatus)
   {
