Test that folded lines are found wherever the bytes of a head are split

The check looks at the lines that the parser consumes at once. The test splits a folded head and a sound answer, whose body has lines that begin with blanks, at each of their bytes.

--- a/tests/unit/relay/MessageParserTest.cpp
+++ b/tests/unit/relay/MessageParserTest.cpp
@@ -53,6 +53,40 @@
   EXPECT_EQ(chunks.problem(), ParseProblem::BodyTooLarge);
 }
 
+/** Feeds a parser these bytes in two parts, of which the first has this size.
+ */
+void
+feedInParts(ResponseParser& aParser, std::string_view aBytes, std::size_t aSize)
+{
+  std::string input{ aBytes.substr(0, aSize) };
+  input.erase(0, aParser.feed(input));
+  input.append(aBytes.substr(aSize));
+  aParser.feed(input);
+}
+
+TEST(MessageParser, RejectsAFoldedLineWhereverTheBytesAreSplit)
+{
+  // Guards against lines of a body that are taken for folded ones of the head.
+  constexpr std::string_view kFolded =
+    "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 1\r\n\r\nx";
+  constexpr std::string_view kBody = " x\n y\r\n z";
+  const std::string sound =
+    "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 9\r\n\r\n" +
+    std::string{ kBody };
+  for (std::size_t size = 0; size <= kFolded.size(); ++size) {
+    ResponseParser parser{ kHead, 0 };
+    feedInParts(parser, kFolded, size);
+    EXPECT_EQ(parser.problem(), ParseProblem::Malformed) << size;
+  }
+  for (std::size_t size = 0; size <= sound.size(); ++size) {
+    ResponseParser parser{ kHead, 0 };
+    feedInParts(parser, sound, size);
+    EXPECT_EQ(parser.problem(), ParseProblem::None) << size;
+    EXPECT_TRUE(parser.is_done()) << size;
+    EXPECT_EQ(parser.takeBody(), kBody) << size;
+  }
+}
+
 /** Feeds a parser the start of an answer, then bytes again and again. Returns
  * the problem after so many bytes, or before. */
 ParseProblem
