--- a/review/standins-2/Wire.h
+++ b/review/standins-2/Wire.h
@@ -60,11 +60,13 @@
 class Listener
 {
 public:
-  Listener();
+  /** Port 0 picks a free one; see isOpen(). */
+  explicit Listener(std::uint16_t aPort = 0);
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
   ~Listener();
 
+  [[nodiscard]] bool isOpen() const { return this->fd >= 0; }
   [[nodiscard]] poplartrack::Address address() const;
   /** Returns a socket, or -1 when the listener has been interrupted. */
   [[nodiscard]] int accept() const;
@@ -74,7 +76,8 @@
   int fd = -1;
 };
 
-/** Returns a TCP port that is free now. */
+/** Returns a TCP port that is free now, below those that the system gives to
+ * outgoing connections, and another one with each call. */
 std::uint16_t
 freePort();
 
