--- a/review/standins-2/Site.cpp
+++ b/review/standins-2/Site.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <utility>
 
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -170,6 +171,8 @@
   const std::string log = aFolder + "/" + aName + ".log";
   this->process = ::fork();
   if (this->process == 0) {
+    // It must not outlive a case that is ended by its time limit.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const bool redirected = std::freopen(log.c_str(), "w", stdout) != nullptr &&
                             std::freopen(log.c_str(), "a", stderr) != nullptr;
     if (redirected) {
--- a/review/standins-2/raised_body_limit.cpp
+++ b/review/standins-2/raised_body_limit.cpp
@@ -94,7 +94,12 @@
                " served, " + std::to_string(onKept.denied) +
                " denied; on new ones: " + std::to_string(onNew.served) +
                " served, " + std::to_string(onNew.denied) + " denied");
-  return denied > kAllowed ? kBroken : kHeld;
+  if (denied > kAllowed) {
+    return kBroken;
+  }
+  // Requests that end in another way show nothing.
+  const std::size_t judged = onKept.served + onNew.served + denied;
+  return judged == 2 * kClients ? kHeld : kNotRun;
 }
 
 } // namespace
--- a/review/standins-2/revoke_last_key.cpp
+++ b/review/standins-2/revoke_last_key.cpp
@@ -24,12 +24,13 @@
   R"([{"Name":"retailer","ApiKeys":[],"Priority":1}])";
 
 /** Sends requests with one key, alternately to the relays, on new channels.
- * Returns their ids. */
+ * Returns their ids. Clears aAllAnswered if one gets no answer. */
 std::set<std::string>
 sendWith(const Site& aSite,
          Record& aRecord,
          const std::string& aPhase,
-         const std::string& aKey)
+         const std::string& aKey,
+         bool& aAllAnswered)
 {
   std::set<std::string> ids;
   for (std::size_t i = 0; i < kClients; ++i) {
@@ -42,6 +43,7 @@
       wire.isOpen() &&
       wire.write(requestText("POST", target, id, aKey, "an order"));
     const auto answer = sent ? wire.read(kAnswerTime) : std::nullopt;
+    aAllAnswered = aAllAnswered && answer.has_value();
     aRecord.line("sent " + id + ", answered " +
                  std::to_string(statusOf(answer)));
   }
@@ -57,13 +59,15 @@
   if (!site.start()) {
     return kNotRun;
   }
-  const auto first = sendWith(site, aRecord, "before", "key-one");
-  const auto second = sendWith(site, aRecord, "before", "key-two");
-  const auto unknown = sendWith(site, aRecord, "before", "never-a-key");
-  const bool works = site.runsOf(first).size() == kClients &&
-                     site.runsOf(second).size() == kClients &&
-                     site.runsOf(unknown).empty();
-  if (!works) {
+  bool allAnswered = true;
+  const auto first = sendWith(site, aRecord, "before", "key-one", allAnswered);
+  const auto second = sendWith(site, aRecord, "before", "key-two", allAnswered);
+  const auto unknown =
+    sendWith(site, aRecord, "before", "never-a-key", allAnswered);
+  const bool worked = site.runsOf(first).size() == kClients &&
+                      site.runsOf(second).size() == kClients &&
+                      site.runsOf(unknown).empty();
+  if (!worked) {
     aRecord.line("the keys do not work before the revocation");
     return kNotRun;
   }
@@ -74,19 +78,26 @@
     site.putConfig(configText(++version, kNoKey, kMaxBody));
   }
   std::this_thread::sleep_for(kAfterRevoke);
-  const auto revoked = sendWith(site, aRecord, "after", "key-one");
-  const auto alsoRevoked = sendWith(site, aRecord, "after", "key-two");
-  const auto never = sendWith(site, aRecord, "after", "never-a-key");
-  const auto without = sendWith(site, aRecord, "after", "");
-  const std::size_t revokedRuns =
-    hasTrouble() ? site.runsOf(revoked).size() + site.runsOf(alsoRevoked).size()
-                 : 0;
+  const auto revoked = sendWith(site, aRecord, "after", "key-one", allAnswered);
+  const auto alsoRevoked =
+    sendWith(site, aRecord, "after", "key-two", allAnswered);
+  const auto never =
+    sendWith(site, aRecord, "after", "never-a-key", allAnswered);
+  const auto without = sendWith(site, aRecord, "after", "", allAnswered);
+  const std::size_t keyRuns =
+    site.runsOf(revoked).size() + site.runsOf(alsoRevoked).size();
+  const std::size_t revokedRuns = hasTrouble() ? keyRuns : 0;
   const std::size_t unknownRuns = site.runsOf(never).size();
   aRecord.line(
     "ran with a revoked key: " + std::to_string(revokedRuns) +
     ", with a key that never was: " + std::to_string(unknownRuns) +
     ", without a key: " + std::to_string(site.runsOf(without).size()));
-  return revokedRuns + unknownRuns > 0 ? kBroken : kHeld;
+  if (revokedRuns + unknownRuns > 0) {
+    return kBroken;
+  }
+  // Silence shows nothing, nor do keys that no longer work without a change.
+  const bool works = hasTrouble() || keyRuns == 2 * kClients;
+  return allAnswered && works ? kHeld : kNotRun;
 }
 
 } // namespace
--- a/review/standins-2/smuggled_request.cpp
+++ b/review/standins-2/smuggled_request.cpp
@@ -28,8 +28,8 @@
 }
 
 /** Sends a request of the retailer whose body is the text of another one. Reads
- * all that comes back on the channel. */
-void
+ * all that comes back on the channel. Returns whether anything did. */
+bool
 sendRound(const Site& aSite,
           Record& aRecord,
           const std::string& aCoding,
@@ -47,18 +47,20 @@
   Wire wire{ aSite.relay(0).front() };
   const std::string body = aCoding == "chunked" ? chunkOf(inner) : inner;
   if (!wire.isOpen() || !wire.write(head + body)) {
-    return;
+    return false;
   }
   aRecord.line("sent " + aOuter + " with Transfer-Encoding: " + aCoding +
                "; its body of " + std::to_string(inner.size()) +
                " bytes is the text of " + aInner);
   constexpr Millis kNext{ 500 };
   auto answer = wire.read(kAnswerTime);
+  const bool answered = answer.has_value();
   while (answer) {
     aRecord.line("answered " + std::to_string(answer->status()) + " to " +
                  answer->field("Poplartrack-Request-Id").value_or("-"));
     answer = wire.read(kNext);
   }
+  return answered;
 }
 
 int
@@ -69,6 +71,7 @@
   if (!site.start()) {
     return kNotRun;
   }
+  bool allAnswered = true;
   std::set<std::string> outer;
   std::set<std::string> inner;
   for (int i = 0; i < kRounds; ++i) {
@@ -77,7 +80,9 @@
     const std::string coding = hasTrouble() ? odd : "chunked";
     outer.insert("outer-" + number);
     inner.insert("inner-" + number);
-    sendRound(site, aRecord, coding, "outer-" + number, "inner-" + number);
+    allAnswered =
+      sendRound(site, aRecord, coding, "outer-" + number, "inner-" + number) &&
+      allAnswered;
   }
   const std::size_t smuggled = site.runsOf(inner).size();
   std::size_t cut = 0;
@@ -86,10 +91,12 @@
   }
   aRecord.line("ran from inside a body: " + std::to_string(smuggled) +
                "; ran without their body: " + std::to_string(cut));
-  if (!hasTrouble() && site.runsOf(outer).size() != kRounds) {
-    return kNotRun;
+  if (smuggled + cut > 0) {
+    return kBroken;
   }
-  return smuggled + cut > 0 ? kBroken : kHeld;
+  // A relay that ends or is silent rejects nothing.
+  const bool works = hasTrouble() || site.runsOf(outer).size() == kRounds;
+  return allAnswered && works ? kHeld : kNotRun;
 }
 
 } // namespace
