Require keys whenever a configuration declares accounts

Cause: admitRequest() required a key while the configuration had any. A configuration that declares accounts without keys looked like one that declares none. The same test gave the bound on the age of the proof, so a relay that was cut off meanwhile served on.

Now AccountList says what the document declares: no accounts, all of them read, or some unreadable. Known keys go on working beside what cannot be read; an unknown key gets 503 then and no 401, since it may be one of those.

--- a/include/poplartrack/fleet/RelayConfig.h
+++ b/include/poplartrack/fleet/RelayConfig.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "poplartrack/base/Clock.h"
+#include "poplartrack/fleet/AccountList.h"
 #include "poplartrack/fleet/EngineProfile.h"
 #include "poplartrack/fleet/RelayRoute.h"
 
@@ -51,6 +52,9 @@
   std::map<std::string, std::vector<RelayRoute>, std::less<>> routes;
   std::map<std::string, RelayService, std::less<>> services;
   CallerLimits limits;
+  /** What the document says of client accounts. Requests need a key unless the
+   * document is known to declare none. */
+  AccountList accountList = AccountList::Complete;
   std::vector<RelayAccount> accounts;
   /** Maps an API key to its index in accounts. */
   std::unordered_map<std::string, std::size_t> keys;
@@ -58,6 +62,12 @@
   /** Returns the route of a request, or null. aPath has no query. */
   [[nodiscard]] const RelayRoute* routeFor(std::string_view aHost,
                                            std::string_view aPath) const;
+  /** Whether routes that are not open accept only requests with a known key.
+   * This also holds while no account has a key. */
+  [[nodiscard]] bool requiresKeys() const
+  {
+    return this->accountList != AccountList::Absent;
+  }
   /** Returns the account that holds the key, or null. */
   [[nodiscard]] const RelayAccount* accountFor(const std::string& aKey) const;
   /** Returns the service of this name, or null. */
--- a/src/fleet/RelayConfig.cpp
+++ b/src/fleet/RelayConfig.cpp
@@ -22,6 +22,10 @@
 const RelayAccount*
 RelayConfig::accountFor(const std::string& aKey) const
 {
+  // A request without a key comes with an empty one.
+  if (aKey.empty()) {
+    return nullptr;
+  }
   const auto found = this->keys.find(aKey);
   return found == this->keys.end() ? nullptr : &this->accounts[found->second];
 }
--- a/src/relay/RequestGate.cpp
+++ b/src/relay/RequestGate.cpp
@@ -55,8 +55,12 @@
   AdmittedRequest admitted;
   admitted.route = route;
   admitted.account = aConfig->accountFor(aRequest.apiKey);
-  admitted.requiresKey = !route->open && !aConfig->keys.empty();
+  admitted.requiresKey = !route->open && aConfig->requiresKeys();
   if (admitted.requiresKey && admitted.account == nullptr) {
+    if (aConfig->accountList == AccountList::Partial) {
+      return Error{ ErrorKind::NoConfiguration,
+                    "not all accounts can be read" };
+    }
     return deny(ErrorKind::Unauthorized, "no account has this key");
   }
   if (!isUsable(aProof, aPolicy, admitted.requiresKey)) {
