Refuse a configuration whose routes or backends are no list

Callers would see 404 for every request, or an answer of another service: routes that are no list counted as none, and so did the backends of a route, whose service was taken instead.

Cause: a member of another type was read like a missing one. A missing member means none, as before.

--- a/tests/unit/users_platform/ConfigAccountsTest.cpp
+++ b/tests/unit/users_platform/ConfigAccountsTest.cpp
@@ -122,5 +122,16 @@
   EXPECT_EQ(refusalOf(config, "x"), ErrorKind::NoConfiguration);
 }
 
+// Guards against routes and backends that cannot be read and count as none: a
+// shorter prefix or another service would take their requests.
+TEST(ConfigAccounts, ListsOfAnotherTypeAreNotTakenForNone)
+{
+  EXPECT_FALSE(decodeConfig(R"({"Version":1,"Routes":{"a":1}})"));
+  EXPECT_FALSE(decodeConfig(R"({"Version":1,"Routes":null})"));
+  EXPECT_FALSE(decodeConfig(R"({"Version":1,"Routes":[{"Host":"h",
+    "Prefix":"/","Kind":"idempotent","Service":"s","Backends":{"a":1}}]})"));
+  EXPECT_TRUE(decodeConfig(R"({"Version":1})"));
+}
+
 } // namespace
 } // namespace poplartrack
