Prove no configuration while the newest one cannot be read

Callers would see revoked keys work on: a configuration that cannot be read was left out, the poll that brought it proved nothing, but the next one, which reported no change, proved the old configuration again.

Cause: that a configuration is unreadable was a property of one poll, not of what the store holds.

The log tells what a configuration asks for (keys_required, accounts), which keys=0 did not, and gauges show it: config_keys, config_keys_required, config_accounts_partial, config_unreadable, configs_unreadable_total.

--- a/include/poplartrack/fleet/FleetPolls.h
+++ b/include/poplartrack/fleet/FleetPolls.h
@@ -14,14 +14,15 @@
 /** The result of one poll of the operator's configuration. */
 struct ConfigPoll
 {
-  /** Null when it has not changed. */
+  /** Null when it has not changed, or cannot be read. */
   std::shared_ptr<const RelayConfig> config;
   /** Store version from which the next poll continues. */
   std::uint64_t next = 0;
   /** The result was in force at this time, on the process's clock that counts
    * suspension, or later. */
   TimePoint asOf{};
-  /** Entries that could not be read, for the log. */
+  /** Why the newest configuration cannot be read, for the log; empty if it can,
+   * or has not changed. */
   std::vector<std::string> unreadable;
 };
 
--- a/include/poplartrack/relay/FleetControl.h
+++ b/include/poplartrack/relay/FleetControl.h
@@ -138,6 +138,10 @@
   void setLeadsOutage(bool aLeads);
   /** Puts a newer configuration in force and records the proof of freshness. */
   void applyConfig(const ConfigPoll& aPoll);
+  /** Notes whether the newest configuration in the store can be read. */
+  void trackUnreadable(const ConfigPoll& aPoll);
+  /** Logs and publishes what is in force now. */
+  void reportInForce(const RelayConfig& aConfig);
   /** Handles the outcome of a configuration poll, including its failure. */
   void onConfigPoll(const Result<ConfigPoll>& aPoll);
   /** Logs that polls of aWhat have begun to fail. */
@@ -220,6 +224,9 @@
   /** The following and the catch-up thread may both put a configuration in
    * force. */
   std::mutex configGuard;
+  /** Version of the store at which its configuration could not be read; empty
+   * once a readable one follows. Guarded by configGuard. */
+  std::optional<std::uint64_t> unreadableAt;
   /** Guards replicaList and loggedUnreadable. */
   std::mutex listGuard;
   ReplicaList replicaList;
--- a/include/poplartrack/relay/FleetControl.inl.h
+++ b/include/poplartrack/relay/FleetControl.inl.h
@@ -187,34 +187,67 @@
   this->applyConfig(aPoll.value());
 }
 
+// An unreadable configuration may revoke keys or add routes that need one.
+// Until a readable one follows, the relay doesn't count as having the newest:
+// polls that report no change prove nothing, and requests are refused once the
+// last proof is too old.
 template<FleetStoreLike Store>
 void
-FleetControl<Store>::applyConfig(const ConfigPoll& aPoll)
+FleetControl<Store>::trackUnreadable(const ConfigPoll& aPoll)
 {
-  for (const std::string& problem : aPoll.unreadable) {
+  if (!aPoll.unreadable.empty()) {
+    this->shared.metrics.count("configs_unreadable_total");
     this->shared.log.write(
-      LogLine{ LogPart::Config, "unreadable" }.with("reason", problem));
+      LogLine{ LogPart::Config, "unreadable" }
+        .with("reason", aPoll.unreadable.back())
+        .with("store_version", static_cast<std::int64_t>(aPoll.next)));
+    this->unreadableAt = std::max(this->unreadableAt.value_or(0), aPoll.next);
+  } else if (aPoll.config && aPoll.next >= this->unreadableAt.value_or(0)) {
+    this->unreadableAt.reset();
   }
+  this->shared.metrics.set("config_unreadable", this->unreadableAt ? 1 : 0);
+}
+
+template<FleetStoreLike Store>
+void
+FleetControl<Store>::reportInForce(const RelayConfig& aConfig)
+{
+  const auto keys = static_cast<std::int64_t>(aConfig.keys.size());
+  const std::int64_t required = aConfig.requiresKeys() ? 1 : 0;
+  const bool partial = aConfig.accountList == AccountList::Partial;
+  this->shared.metrics.set("config_version",
+                           static_cast<std::int64_t>(aConfig.version));
+  this->shared.metrics.set("config_keys", keys);
+  this->shared.metrics.set("config_keys_required", required);
+  this->shared.metrics.set("config_accounts_partial", partial ? 1 : 0);
+  this->shared.log.write(
+    LogLine{ LogPart::Config, "in_force" }
+      .with("version", static_cast<std::int64_t>(aConfig.version))
+      .with("keys", keys)
+      .with("keys_required", required)
+      .with("accounts", nameOf(aConfig.accountList)));
+}
+
+template<FleetStoreLike Store>
+void
+FleetControl<Store>::applyConfig(const ConfigPoll& aPoll)
+{
   const std::scoped_lock lock{ this->configGuard };
+  this->trackUnreadable(aPoll);
   const auto current = this->shared.config.read();
   // An older version than the one in force is never applied: it would restore a
   // key or a route that has been removed.
   if (aPoll.config &&
       (current == nullptr || aPoll.config->version > current->version)) {
     this->shared.config.replace(aPoll.config);
-    this->shared.metrics.set("config_version",
-                             static_cast<std::int64_t>(aPoll.config->version));
-    this->shared.log.write(
-      LogLine{ LogPart::Config, "in_force" }
-        .with("version", static_cast<std::int64_t>(aPoll.config->version))
-        .with("keys", static_cast<std::int64_t>(aPoll.config->keys.size())));
+    this->reportInForce(*aPoll.config);
   }
   // After a restore from an older copy, the store may lack a configuration that
   // another relay has and that has removed a key.
   const auto inForce = this->shared.config.read();
   const bool newest =
     inForce != nullptr && inForce->version >= this->shared.peerConfigVersion;
-  if (aPoll.unreadable.empty() && newest) {
+  if (!this->unreadableAt && newest) {
     this->shared.freshness.prove(aPoll.asOf);
   }
 }
--- a/tests/unit/relay/FleetControlTest.cpp
+++ b/tests/unit/relay/FleetControlTest.cpp
@@ -46,6 +46,63 @@
   EXPECT_GE(this->shared.freshness.age(), Duration{ 0 });
 }
 
+/** Returns a poll that finds a configuration which cannot be read, or, without
+ * a reason, no change; its result is of that much later. */
+ConfigPoll
+pollAfter(Duration aLater, std::uint64_t aNext, const char* aReason = nullptr)
+{
+  ConfigPoll poll;
+  poll.asOf = SuspendAwareClock{}.now() + aLater;
+  poll.next = aNext;
+  if (aReason != nullptr) {
+    poll.unreadable.emplace_back(aReason);
+  }
+  return poll;
+}
+
+// Guards against removed keys that stay valid for as long as nothing changes
+// behind an unreadable configuration.
+TEST_F(FleetControlTest, APollWithoutAChangeIsNoProofAfterAnUnreadableOne)
+{
+  constexpr Duration kLater = std::chrono::hours{ 1 };
+  this->store.scriptConfig(configPoll(5));
+  this->store.scriptConfig(pollAfter(kLater, 8, "no version"));
+  this->store.scriptConfig(pollAfter(2 * kLater, 9));
+  this->runScript();
+  EXPECT_GE(this->shared.freshness.age(), Duration{ 0 });
+  EXPECT_EQ(this->shared.metrics.counter("configs_unreadable_total"), 1U);
+}
+
+// Guards against an older answer of the store that hides an unreadable
+// configuration.
+TEST_F(FleetControlTest, AnOlderAnswerIsNoProofAfterAnUnreadableConfiguration)
+{
+  constexpr Duration kLater = std::chrono::hours{ 1 };
+  ConfigPoll overtaken = configPoll(5);
+  overtaken.asOf += 2 * kLater;
+  overtaken.next = 7;
+  this->store.scriptConfig(pollAfter(kLater, 8, "no version"));
+  this->store.scriptConfig(overtaken);
+  this->runScript();
+  EXPECT_GE(this->shared.freshness.age(), Duration{ 0 });
+}
+
+// Guards against relays that refuse requests after the operator has mended the
+// configuration.
+TEST_F(FleetControlTest, AMendedConfigurationIsProofAgain)
+{
+  constexpr Duration kLater = std::chrono::hours{ 1 };
+  ConfigPoll mended = configPoll(6);
+  mended.asOf += kLater;
+  mended.next = 9;
+  this->store.scriptConfig(configPoll(5));
+  this->store.scriptConfig(pollAfter(Duration{ 0 }, 8, "no version"));
+  this->store.scriptConfig(mended);
+  this->runScript();
+  EXPECT_LT(this->shared.freshness.age(), Duration{ 0 });
+  EXPECT_EQ(this->shared.config.read()->version, 6U);
+}
+
 TEST_F(FleetControlTest, ThereIsNoProofOfFreshnessWithoutAConfiguration)
 {
   ConfigPoll empty;
