Refuse requests whose body has no known end

Cause: Boost.Beast takes a request without a length, whose last coding it doesn't know, for one without a body. HeadCheck judged answers only. It now judges the heads of requests, too, at their end, when all codings are known (RFC 9112, 6.1 and 6.3): 400 without a known end, 501 for another coding below the chunks. The connection is closed, and nothing is passed on. Folded lines, names that are no tokens and control characters in values are refused as in answers; the log says the flaw.

HeadCheck.aRequestHasAKnownEnd asks for what was not there before.

--- a/include/poplartrack/base/ErrorKind.h
+++ b/include/poplartrack/base/ErrorKind.h
@@ -61,6 +61,8 @@
   HeadTimeout,
   // What replicas ended under.
   Quarantined,
+  // What the caller sent, as HTTP.
+  UnknownCoding,
 };
 
 /** What an answer says about whether the work ran. */
@@ -101,7 +103,7 @@
 };
 
 constexpr std::size_t kErrorKindCount =
-  static_cast<std::size_t>(ErrorKind::Quarantined) + 1;
+  static_cast<std::size_t>(ErrorKind::UnknownCoding) + 1;
 
 /** The row of a kind. */
 const ErrorRow&
--- a/include/poplartrack/http/HeadCheck.h
+++ b/include/poplartrack/http/HeadCheck.h
@@ -4,15 +4,17 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace poplartrack {
 
-/** Why bytes are not the head of an answer. */
+/** Why bytes are not the head of a request or of an answer. */
 enum class HeadFlaw : std::uint8_t
 {
   None,
-  /** It is no line "HTTP/1.x STATUS REASON". */
+  /** It is no line "HTTP/1.x STATUS REASON", or another version of HTTP. */
   StatusLine,
   /** The status is outside 100 to 599, or 101: nobody asks for a change of the
    * protocol. */
@@ -26,24 +28,28 @@
   FoldedLine,
   /** The length of the body is no number, or there are several. */
   ContentLength,
-  /** The body is transferred in another way than in chunks, or has a length,
-   * too. */
+  /** The transfer codings don't end with one of chunks, so nothing tells where
+   * the body ends; or it has a length, too. */
   TransferEncoding,
+  /** The body of a request comes in chunks, under a coding that is not decoded.
+   */
+  UnknownCoding,
   /** It exceeds the limit of its reader. */
   TooLarge,
 };
 
 /** The texts of HeadFlaw, in its order, as they stand in details of errors. */
-constexpr std::array<const char*, 9> kHeadFlawTexts{
+constexpr std::array<const char*, 10> kHeadFlawTexts{
   "",
-  "the reply has no valid status line",
-  "the reply's status is none of HTTP",
-  "the name of a field of the reply is invalid",
-  "the value of a field of the reply is invalid",
-  "a line of the reply's head is folded",
-  "the reply's length is invalid",
-  "the reply's transfer coding is invalid",
-  "the reply's head is over the limit",
+  "the first line is invalid",
+  "the status is none of HTTP",
+  "the name of a field is invalid",
+  "the value of a field is invalid",
+  "a line of the head is folded",
+  "the length of the body is invalid",
+  "the transfer coding is invalid",
+  "the transfer coding is unknown",
+  "the head is over the limit",
 };
 static_assert(kHeadFlawTexts.size() ==
               static_cast<std::size_t>(HeadFlaw::TooLarge) + 1);
@@ -56,19 +62,24 @@
 }
 
 /**
- * Judges whether a head is that of an HTTP/1.1 answer, as RFC 9110 and RFC 9112
- * define it. All readers of answers ask it, whichever library parses for them:
- * each library takes some heads that are none, and their bytes would reach
- * callers as an answer.
+ * Judges whether a head is that of an HTTP/1.1 request or answer, as RFC 9110
+ * and RFC 9112 define it. All readers ask it, whichever library parses for
+ * them: each library takes some heads that are none. The bytes of such an
+ * answer would reach callers; the body of such a request could be taken for the
+ * next one.
  */
 class HeadCheck
 {
 public:
-  /** Begins a head. aVersion: 11 for HTTP/1.1. */
+  /** Begins the head of an answer. aVersion: 11 for HTTP/1.1. */
   HeadFlaw onStatus(int aVersion, int aStatus, std::string_view aReason);
+  /** Begins the head of a request. */
+  void onRequest(int aVersion);
   /** Takes a field whose value has no blanks around it. Fields after the head
    * are not to be passed here; see flawOfField(). */
   HeadFlaw onField(std::string_view aName, std::string_view aValue);
+  /** Ends the head: judges what only all of its fields show. */
+  [[nodiscard]] HeadFlaw onEnd() const;
 
   [[nodiscard]] int status() const { return this->parsedStatus; }
   /** Whether the body comes in chunks. */
@@ -85,7 +96,10 @@
 
   int version = 0;
   int parsedStatus = 0;
+  bool isRequest = false;
   bool chunked = false;
+  /** The transfer codings of a request, in their order. */
+  std::vector<std::string> codings;
   std::optional<std::uint64_t> length;
 };
 
--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -176,6 +176,12 @@
     503,
     NotRun,
     0 },
+  { UnknownCoding,
+    "unknown_coding",
+    "The body has a transfer coding that is not supported.",
+    501,
+    NotRun,
+    0 },
 } };
 
 constexpr bool
--- a/src/http/HeadCheck.cpp
+++ b/src/http/HeadCheck.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <limits>
 
 #include "HeaderText.h"
@@ -63,6 +64,14 @@
   return isStatus ? HeadFlaw::None : HeadFlaw::Status;
 }
 
+void
+HeadCheck::onRequest(int aVersion)
+{
+  *this = HeadCheck{};
+  this->version = aVersion;
+  this->isRequest = true;
+}
+
 HeadFlaw
 HeadCheck::onField(std::string_view aName, std::string_view aValue)
 {
@@ -100,17 +109,53 @@
   return this->chunked ? HeadFlaw::TransferEncoding : HeadFlaw::None;
 }
 
-/** Takes the transfer coding. No request asks for another one than chunks, and
+/** Takes transfer codings. Those of a request are judged together at its end.
+ * An answer may have none but chunks: no request asks for another one, and
  * whoever passes the body on would leave the other one on it. */
 HeadFlaw
 HeadCheck::onCoding(std::string_view aValue)
 {
+  if (this->isRequest) {
+    this->chunked = true;
+    std::string_view rest = aValue;
+    while (true) {
+      const std::size_t comma = rest.find(',');
+      this->codings.emplace_back(trimBlanks(rest.substr(0, comma)));
+      if (comma == std::string_view::npos) {
+        return HeadFlaw::None;
+      }
+      rest.remove_prefix(comma + 1);
+    }
+  }
   const bool isValid = this->version == kHttp11 && !this->chunked &&
                        !this->length && equalsIgnoringCase(aValue, "chunked");
   this->chunked = true;
   return isValid ? HeadFlaw::None : HeadFlaw::TransferEncoding;
 }
 
+HeadFlaw
+HeadCheck::onEnd() const
+{
+  if (this->codings.empty()) {
+    return HeadFlaw::None;
+  }
+  const auto isChunks = [](const std::string& aCoding) {
+    return equalsIgnoringCase(aCoding, "chunked");
+  };
+  const auto isCoding = [](std::string_view aCoding) {
+    return isToken(trimBlanks(aCoding.substr(0, aCoding.find(';'))));
+  };
+  const auto last = std::prev(this->codings.end());
+  const bool hasEnd = this->version == kHttp11 && !this->length &&
+                      isChunks(*last) &&
+                      std::none_of(this->codings.begin(), last, isChunks) &&
+                      std::all_of(this->codings.begin(), last, isCoding);
+  if (!hasEnd) {
+    return HeadFlaw::TransferEncoding;
+  }
+  return this->codings.size() == 1 ? HeadFlaw::None : HeadFlaw::UnknownCoding;
+}
+
 HeadFlaw
 checkStatusLine(HeadCheck& aCheck, std::string_view aLine)
 {
--- a/src/relay/MessageParser.h
+++ b/src/relay/MessageParser.h
@@ -24,6 +24,8 @@
    * trailers. */
   FramingTooLarge,
   BodyTooLarge,
+  /** The body has a transfer coding that is not decoded. */
+  UnknownCoding,
 };
 
 /** The start line and the header fields of a message. */
@@ -42,11 +44,10 @@
 
 /**
  * Incremental parser of one HTTP/1.1 message, based on Boost.Beast. All bytes
- * from callers and replicas pass through it. It rejects a message that has both
- * Content-Length and chunked encoding, or differing Content-Length fields:
- * either could hide a second request in the body (request smuggling). A
- * response is rejected, too, if its head is not that of an answer; see
- * HeadCheck.
+ * from callers and replicas pass through it. It rejects a message whose body
+ * has no known end, or two: either could hide a second request in the body
+ * (request smuggling). HeadCheck judges all heads, since Boost.Beast takes some
+ * that are none.
  */
 template<bool kIsRequest>
 class MessageParser : public boost::beast::http::basic_parser<kIsRequest>
@@ -74,6 +75,8 @@
   void feedEnd();
 
   [[nodiscard]] ParseProblem problem() const { return this->parseProblem; }
+  /** What is wrong with the head, where HeadCheck found it. */
+  [[nodiscard]] HeadFlaw flaw() const { return this->headFlaw; }
   [[nodiscard]] const MessageHead& head() const { return this->parsedHead; }
   /** Returns and clears the body bytes parsed since the last call. */
   std::string takeBody() { return this->body.takeJoined(); }
@@ -96,6 +99,7 @@
     this->parsedHead.method.assign(aMethod.data(), aMethod.size());
     this->parsedHead.target.assign(aTarget.data(), aTarget.size());
     this->parsedHead.version = aVersion;
+    this->check.onRequest(aVersion);
   }
   void on_response_impl(int aStatus,
                         Text aReason,
@@ -105,8 +109,9 @@
     this->parsedHead.status = aStatus;
     this->parsedHead.reason.assign(aReason.data(), aReason.size());
     this->parsedHead.version = aVersion;
-    if (this->check.onStatus(aVersion, aStatus, this->parsedHead.reason) !=
-        HeadFlaw::None) {
+    this->headFlaw =
+      this->check.onStatus(aVersion, aStatus, this->parsedHead.reason);
+    if (this->headFlaw != HeadFlaw::None) {
       aError = boost::beast::http::error::bad_status;
     }
   }
@@ -120,12 +125,20 @@
     }
     std::string name{ aName.data(), aName.size() };
     std::string value{ aValue.data(), aValue.size() };
-    if (!kIsRequest && this->check.onField(name, value) != HeadFlaw::None) {
+    this->headFlaw = this->check.onField(name, value);
+    if (this->headFlaw != HeadFlaw::None) {
       aError = boost::beast::http::error::bad_field;
     }
     this->parsedHead.headers.add(std::move(name), std::move(value));
   }
-  void on_header_impl(ErrorCode&) override { this->headerDone = true; }
+  void on_header_impl(ErrorCode& aError) override
+  {
+    this->headerDone = true;
+    this->headFlaw = this->check.onEnd();
+    if (this->headFlaw != HeadFlaw::None) {
+      aError = boost::beast::http::error::bad_transfer_encoding;
+    }
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
                          ErrorCode&) override
   {
@@ -149,8 +162,8 @@
   }
   /** Sets parseProblem unless the parser only needs more bytes. */
   void recordError(const ErrorCode& aError);
-  /** Sets parseProblem if these lines of a response's head have one that
-   * continues another. The base joins such lines. */
+  /** Sets parseProblem if these lines of a head have one that continues
+   * another. The base joins such lines. */
   void checkFolding(std::string_view aLines);
   /** Sets parseProblem if too many bytes are framing. aUnparsed: number of
    * bytes that the parser cannot consume yet. */
@@ -162,8 +175,8 @@
 
   std::size_t headLimit;
   MessageHead parsedHead;
-  /** For responses only. */
   HeadCheck check;
+  HeadFlaw headFlaw = HeadFlaw::None;
   ByteBlocks body;
   std::uint64_t bodyCount = 0;
   std::uint64_t consumed = 0;
@@ -184,6 +197,8 @@
     this->parseProblem = ParseProblem::HeadTooLarge;
   } else if (aError == http::error::body_limit) {
     this->parseProblem = ParseProblem::BodyTooLarge;
+  } else if (this->headFlaw == HeadFlaw::UnknownCoding) {
+    this->parseProblem = ParseProblem::UnknownCoding;
   } else {
     this->parseProblem = ParseProblem::Malformed;
   }
@@ -203,7 +218,7 @@
       this->put(boost::asio::buffer(rest.data(), rest.size()), error);
     taken += read;
     this->recordError(error);
-    if (!kIsRequest && inHead) {
+    if (inHead) {
       this->checkFolding(rest.substr(0, read));
     }
     if (error || read == 0) {
@@ -220,6 +235,7 @@
 MessageParser<kIsRequest>::checkFolding(std::string_view aLines)
 {
   if (this->parseProblem == ParseProblem::None && hasFoldedLine(aLines)) {
+    this->headFlaw = HeadFlaw::FoldedLine;
     this->parseProblem = ParseProblem::Malformed;
   }
 }
--- a/src/relay/RelayCallerOutput.cpp
+++ b/src/relay/RelayCallerOutput.cpp
@@ -35,6 +35,8 @@
       return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -62,6 +62,8 @@
       return ErrorKind::HeadTooLarge;
     case ParseProblem::BodyTooLarge:
       return ErrorKind::TooLarge;
+    case ParseProblem::UnknownCoding:
+      return ErrorKind::UnknownCoding;
     case ParseProblem::None:
     case ParseProblem::Malformed:
       break;
@@ -286,7 +288,8 @@
   this->shared.metrics.countRefusal(error.kind);
   this->shared.log.write(LogLine{ LogPart::Request, "unreadable" }
                            .with("id", requestId)
-                           .with("reason", nameOf(error.kind)));
+                           .with("reason", nameOf(error.kind))
+                           .with("flaw", textOf(aCaller.parser->flaw())));
   this->answerError(aCaller, error, requestId, Duration{ 0 }, true);
 }
 
--- a/tests/unit/http/HeadCheckTest.cpp
+++ b/tests/unit/http/HeadCheckTest.cpp
@@ -1,5 +1,7 @@
 #include "poplartrack/http/HeadCheck.h"
 
+#include <initializer_list>
+
 #include <gtest/gtest.h>
 
 namespace poplartrack {
@@ -115,6 +117,49 @@
             HeadFlaw::TransferEncoding);
 }
 
+/** Returns the flaw of the whole head of a request with these codings, each in
+ * a field of its own. */
+HeadFlaw
+flawOfCodings(std::initializer_list<const char*> aValues, int aVersion = 11)
+{
+  HeadCheck check;
+  check.onRequest(aVersion);
+  for (const char* value : aValues) {
+    const HeadFlaw flaw = check.onField("Transfer-Encoding", value);
+    if (flaw != HeadFlaw::None) {
+      return flaw;
+    }
+  }
+  return check.onEnd();
+}
+
+// Guards against requests in the body of one whose end is unknown.
+TEST(HeadCheck, aRequestHasAKnownEnd)
+{
+  EXPECT_EQ(flawOfCodings({}), HeadFlaw::None);
+  EXPECT_EQ(flawOfCodings({ "Chunked" }), HeadFlaw::None);
+  for (const char* value : { "",
+                             "identity",
+                             "xchunked",
+                             "chunked, gzip",
+                             "chunked, chunked",
+                             "chunked,",
+                             ", chunked",
+                             "chunked;q=1",
+                             "a b, chunked" }) {
+    EXPECT_EQ(flawOfCodings({ value }), HeadFlaw::TransferEncoding) << value;
+  }
+  EXPECT_EQ(flawOfCodings({ "chunked", "gzip" }), HeadFlaw::TransferEncoding);
+  EXPECT_EQ(flawOfCodings({ "chunked" }, 10), HeadFlaw::TransferEncoding);
+  EXPECT_EQ(flawOfCodings({ "gzip, chunked" }), HeadFlaw::UnknownCoding);
+  EXPECT_EQ(flawOfCodings({ "x;a=b", "chunked" }), HeadFlaw::UnknownCoding);
+  HeadCheck both;
+  both.onRequest(11);
+  both.onField("Content-Length", "4");
+  both.onField("Transfer-Encoding", "chunked");
+  EXPECT_NE(both.onEnd(), HeadFlaw::None);
+}
+
 TEST(HeadCheck, aFoldedLineIsOneWithinTheHead)
 {
   EXPECT_TRUE(hasFoldedLine("A: b\r\n c\r\n\r\n"));
