Take the limits of a request when its first byte arrives

Cause: the parser, which holds the limits, was made when the last answer had been written, or when the connection was accepted. A lowered limit did not hold either, and a connection accepted before the first configuration had the defaults. The parser is made when the first byte arrives now, and the limits of that moment hold for the request and its timeouts.

By the same reasoning a relay that knows no configuration, or whose proof is too old to deny by, answers 503 with Retry-After in place of 413 and 431, after which callers don't return. A limit of 0 bytes on bodies meant no limit, as for answers; it now means no body.

--- a/include/poplartrack/relay/RequestGate.h
+++ b/include/poplartrack/relay/RequestGate.h
@@ -55,8 +55,8 @@
   /** A request that requires a key is sent only while the configuration is at
    * most this old. */
   Duration maxKeyAge = std::chrono::milliseconds{ 3'800 };
-  /** An unknown route or key is answered with 404 or 401 only while the
-   * configuration is at most this old. */
+  /** An unknown route or key, or a size over the limit, is answered with 404,
+   * 401, 413 or 431 only while the configuration is at most this old. */
   Duration maxDenyAge = std::chrono::milliseconds{ 3'800 };
 };
 
@@ -76,6 +76,11 @@
          const GatePolicy& aPolicy,
          bool aRequiresKey);
 
+/** Returns whether a request may be denied because of the configuration, with
+ * an answer after which callers don't repeat it. */
+[[nodiscard]] bool
+mayDeny(const ConfigProof& aProof, const GatePolicy& aPolicy);
+
 /**
  * Decides whether a request may be forwarded. Without a configuration (aConfig
  * is null), or with one too old to decide by, the error is NoConfiguration.
--- a/src/relay/CallerConnection.h
+++ b/src/relay/CallerConnection.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "ByteBlocks.h"
 #include "MessageParser.h"
 #include "poplartrack/base/Clock.h"
 #include "poplartrack/base/OwnedFd.h"
+#include "poplartrack/fleet/RelayConfig.h"
 
 namespace poplartrack {
 
@@ -25,6 +27,11 @@
   /** Bytes of memory set aside for the body of the request that is being
    * received. */
   std::size_t announced = 0;
+  /** The limits on the request that is being received, or else on the next one:
+   * those in force when its first byte arrived. Empty if there was no
+   * configuration. */
+  std::optional<CallerLimits> limits;
+  /** Null while no request is being received or answered. */
   std::unique_ptr<RequestParser> parser;
   /** Id of the request that is being answered; 0 if none. */
   std::uint64_t exchange = 0;
--- a/src/relay/MessageParser.h
+++ b/src/relay/MessageParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
@@ -56,16 +57,19 @@
   using ErrorCode = boost::beast::error_code;
   using Text = boost::beast::string_view;
 
-  /** Limits are in bytes; a body limit of 0 means no limit. */
+  /** Limits are in bytes; for responses, a body limit of 0 means no limit. */
   MessageParser(std::size_t aHeadLimit, std::uint64_t aBodyLimit)
     : headLimit(aHeadLimit)
   {
     this->eager(true);
-    this->header_limit(static_cast<std::uint32_t>(aHeadLimit));
+    constexpr std::size_t kLargest = std::numeric_limits<std::uint32_t>::max();
+    this->header_limit(
+      static_cast<std::uint32_t>(std::min(aHeadLimit, kLargest)));
     // With boost::none as the limit, Beast 1.74 rejects every body that has a
     // Content-Length: an empty optional compares less than any length.
-    this->body_limit(aBodyLimit == 0 ? std::numeric_limits<std::uint64_t>::max()
-                                     : aBodyLimit);
+    const bool isUnlimited = !kIsRequest && aBodyLimit == 0;
+    this->body_limit(isUnlimited ? std::numeric_limits<std::uint64_t>::max()
+                                 : aBodyLimit);
   }
 
   /** Parses aBytes up to the end of the message or an error. Returns the number
--- a/src/relay/RelayCallers.cpp
+++ b/src/relay/RelayCallers.cpp
@@ -113,14 +113,12 @@
   caller->id = this->nextId++;
   caller->fd = std::move(aFd);
   caller->stateSince = this->now;
-  this->resetParser(*caller);
   if (!this->poller.add(caller->fd.get(), caller->id, false)) {
     return;
   }
-  const auto config = this->shared.config.read();
-  this->timers.arm(caller->id,
-                   this->now +
-                     (config ? config->limits : CallerLimits{}).headerTimeout);
+  this->timers.arm(
+    caller->id,
+    this->now + this->callerLimits().value_or(CallerLimits{}).headerTimeout);
   this->callers.emplace(caller->id, std::move(caller));
 }
 
@@ -170,15 +168,31 @@
   return !this->callers.contains(id);
 }
 
-/** Prepares the connection for the next request, with the current limits of the
- * configuration. */
-void
-RelayLoop::Impl::resetParser(CallerConnection& aCaller)
+/** Returns the limits in force; empty if there is no configuration yet. */
+std::optional<CallerLimits>
+RelayLoop::Impl::callerLimits() const
 {
   const auto config = this->shared.config.read();
-  const CallerLimits limits = config ? config->limits : CallerLimits{};
+  return config ? std::optional{ config->limits } : std::nullopt;
+}
+
+/** Prepares for a request whose first bytes have arrived. */
+void
+RelayLoop::Impl::beginRequest(CallerConnection& aCaller)
+{
+  const CallerLimits limits = aCaller.limits.value_or(CallerLimits{});
   aCaller.parser =
     std::make_unique<RequestParser>(limits.headerBytes, limits.bodyBytes);
+  aCaller.receivingRequest = true;
+  aCaller.stateSince = this->now;
+  this->timers.arm(aCaller.id, this->now + limits.headerTimeout);
+}
+
+/** Clears the state of a request that has been answered. */
+void
+RelayLoop::Impl::endRequest(CallerConnection& aCaller)
+{
+  aCaller.parser.reset();
   aCaller.receivingRequest = false;
   aCaller.continueSent = false;
   aCaller.announced = 0;
@@ -205,6 +219,11 @@
   if (aCaller.lingering) {
     return;
   }
+  const bool receives = aCaller.receivingRequest && aCaller.exchange == 0;
+  if (!receives && aCaller.input.empty()) {
+    // A connection may outlive many configurations.
+    aCaller.limits = this->callerLimits();
+  }
   aCaller.input.append(bytes.data(), static_cast<std::size_t>(count));
   this->held += static_cast<std::size_t>(count);
   if (aCaller.exchange != 0) {
@@ -226,12 +245,7 @@
     return;
   }
   if (!aCaller.receivingRequest) {
-    aCaller.receivingRequest = true;
-    aCaller.stateSince = this->now;
-    const auto config = this->shared.config.read();
-    this->timers.arm(
-      aCaller.id,
-      this->now + (config ? config->limits : CallerLimits{}).headerTimeout);
+    this->beginRequest(aCaller);
   }
   const std::size_t taken = aCaller.parser->feed(aCaller.input);
   aCaller.input.erase(0, taken);
@@ -241,7 +255,8 @@
   }
   const MessageHead& head = aCaller.parser->head();
   if (aCaller.parser->is_header_done() && !this->hasMemoryFor(aCaller)) {
-    this->refuseUnread(aCaller);
+    this->refuseUnread(
+      aCaller, Error{ ErrorKind::Overloaded, "no memory for the body" });
     return;
   }
   if (!aCaller.parser->is_done()) {
@@ -257,23 +272,33 @@
   this->beginExchange(aCaller, head);
 }
 
-/** Rejects a request for which there is no memory, and closes its connection:
- * the rest of its body is not read. */
+/** Rejects a request that may come again, and closes its connection: the rest
+ * of its body is not read. */
 void
-RelayLoop::Impl::refuseUnread(CallerConnection& aCaller)
+RelayLoop::Impl::refuseUnread(CallerConnection& aCaller, const Error& aError)
 {
   const auto id = aCaller.parser->head().headers.find(this->names.requestId);
   const std::string requestId{ id.value_or("") };
-  const Error error{ ErrorKind::Overloaded, "no memory for the body" };
-  this->shared.metrics.countRefusal(error.kind);
+  this->shared.metrics.countRefusal(aError.kind);
   this->shared.log.write(LogLine{ LogPart::Request, "refused" }
                            .with("id", requestId)
-                           .with("reason", error.detail));
+                           .with("reason", aError.detail));
   RefusalState state;
-  state.kind = error.kind;
+  state.kind = aError.kind;
   state.timeLeft = kUnreadRetryTime;
   state.jitterSeed = std::hash<std::string>{}(requestId);
-  this->answerError(aCaller, error, requestId, retryAdvice(state), true);
+  this->answerError(aCaller, aError, requestId, retryAdvice(state), true);
+}
+
+/** Whether the limits of a request are certain enough to reject it for its
+ * size: callers don't repeat such a request, and a newer configuration may
+ * allow it. */
+bool
+RelayLoop::Impl::areLimitsCertain(const CallerConnection& aCaller) const
+{
+  const ConfigProof proof{ this->shared.freshness.age(),
+                           this->shared.configPollFailed };
+  return aCaller.limits && mayDeny(proof, this->gate);
 }
 
 /** Rejects a request that cannot be parsed and closes its connection: where the
@@ -283,6 +308,14 @@
                                 ParseProblem aProblem)
 {
   const Error error{ errorKindOf(aProblem), "the request cannot be read" };
+  const bool isOversize =
+    error.kind == ErrorKind::TooLarge || error.kind == ErrorKind::HeadTooLarge;
+  if (isOversize && !this->areLimitsCertain(aCaller)) {
+    this->refuseUnread(aCaller,
+                       Error{ ErrorKind::NoConfiguration,
+                              "it cannot be told whether it is too large" });
+    return;
+  }
   const auto id = aCaller.parser->head().headers.find(this->names.requestId);
   const std::string requestId{ id.value_or("") };
   this->shared.metrics.countRefusal(error.kind);
@@ -310,7 +343,7 @@
     this->flushCaller(aCaller);
     return;
   }
-  this->resetParser(aCaller);
+  this->endRequest(aCaller);
   this->armIdleTimer(aCaller);
   if (aCaller.readPaused) {
     aCaller.readPaused = false;
@@ -324,10 +357,9 @@
 RelayLoop::Impl::armIdleTimer(CallerConnection& aCaller)
 {
   aCaller.stateSince = this->now;
-  const auto config = this->shared.config.read();
   this->timers.arm(aCaller.id,
                    this->now +
-                     (config ? config->limits : CallerLimits{}).idleTimeout);
+                     this->callerLimits().value_or(CallerLimits{}).idleTimeout);
 }
 
 /** Handles the timeout of a connection that is idle, closing or receiving a
@@ -351,10 +383,9 @@
     this->closeCaller(aCaller.id, CallerClose::Unwritten);
     return;
   }
-  const auto config = this->shared.config.read();
-  const CallerLimits limits = config ? config->limits : CallerLimits{};
   if (!aCaller.receivingRequest) {
     // The limit may have grown since the timer was set.
+    const CallerLimits limits = this->callerLimits().value_or(CallerLimits{});
     const TimePoint due =
       aCaller.stateSince +
       (aCaller.hasServed ? limits.idleTimeout : limits.headerTimeout);
@@ -365,6 +396,7 @@
     }
     return;
   }
+  const CallerLimits limits = aCaller.limits.value_or(CallerLimits{});
   const TimePoint headDue = aCaller.stateSince + limits.headerTimeout;
   if (this->now < headDue) {
     this->timers.arm(aCaller.id, headDue);
--- a/src/relay/RelayLoopImpl.h
+++ b/src/relay/RelayLoopImpl.h
@@ -127,9 +127,12 @@
   void onCallerReadable(CallerConnection& aCaller);
   void parseCallerInput(CallerConnection& aCaller);
   void onParseProblem(CallerConnection& aCaller, ParseProblem aProblem);
-  void resetParser(CallerConnection& aCaller);
+  [[nodiscard]] std::optional<CallerLimits> callerLimits() const;
+  [[nodiscard]] bool areLimitsCertain(const CallerConnection& aCaller) const;
+  void beginRequest(CallerConnection& aCaller);
+  void endRequest(CallerConnection& aCaller);
   void onAnswerWritten(CallerConnection& aCaller);
-  void refuseUnread(CallerConnection& aCaller);
+  void refuseUnread(CallerConnection& aCaller, const Error& aError);
   void armIdleTimer(CallerConnection& aCaller);
   void onCallerTimer(CallerConnection& aCaller);
   bool readAtTimeout(CallerConnection& aCaller);
--- a/src/relay/RelayMemory.cpp
+++ b/src/relay/RelayMemory.cpp
@@ -41,8 +41,9 @@
 {
   std::size_t bytes = 0;
   for (const auto& [id, caller] : this->callers) {
+    const std::size_t body = caller->parser ? caller->parser->unreadBytes() : 0;
     bytes += caller->input.size() + caller->output.held() +
-             std::max(caller->parser->unreadBytes(), caller->announced);
+             std::max(body, caller->announced);
   }
   for (const auto& [id, connection] : this->connections) {
     bytes += connection->input.size() + connection->output.held();
--- a/src/relay/RequestGate.cpp
+++ b/src/relay/RequestGate.cpp
@@ -29,6 +29,12 @@
   return trusted && (!aRequiresKey || aProof.age <= aPolicy.maxKeyAge);
 }
 
+bool
+mayDeny(const ConfigProof& aProof, const GatePolicy& aPolicy)
+{
+  return aProof.age <= aPolicy.maxDenyAge && isUsable(aProof, aPolicy, false);
+}
+
 std::variant<AdmittedRequest, Error>
 admitRequest(const RelayConfig* aConfig,
              const ConfigProof& aProof,
@@ -40,8 +46,7 @@
   }
   // A relay that is cut off from the store may miss a route or a key that was
   // added. It doesn't answer 404 or 401 then, since callers don't retry these.
-  const bool certain =
-    aProof.age <= aPolicy.maxDenyAge && isUsable(aProof, aPolicy, false);
+  const bool certain = mayDeny(aProof, aPolicy);
   const auto deny = [certain](ErrorKind aKind, const char* aDetail) {
     return certain ? Error{ aKind, aDetail }
                    : Error{ ErrorKind::NoConfiguration, aDetail };
