Block the signals of a role before it reads its settings

Cause: the signals were blocked after the settings had been read. The relay reads its settings once at its start and compares later ones with these: a change in between was not logged.

--- a/src/cli/ProcessLoop.cpp
+++ b/src/cli/ProcessLoop.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <ctime>
 
+#include "cli/RoleSignals.h"
+
 namespace poplartrack {
 namespace {
 
@@ -23,8 +25,7 @@
 void
 blockStopSignals()
 {
-  const sigset_t set = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  blockRoleSignals();
   // A peer that closes a connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
 }
--- a/src/cli/ProcessLoop.h
+++ b/src/cli/ProcessLoop.h
@@ -6,8 +6,8 @@
 
 namespace poplartrack {
 
-/** Keeps SIGTERM and SIGINT from ending the process; call before any thread
- * starts, so that all inherit it. */
+/** Keeps SIGTERM, SIGINT and SIGHUP from ending the process; call before any
+ * thread starts, so that all inherit it. */
 void
 blockStopSignals();
 
--- a/src/cli/RunRelay.cpp
+++ b/src/cli/RunRelay.cpp
@@ -10,6 +10,8 @@
 #include <thread>
 
 #include "cli/RoleArguments.h"
+#include "cli/RoleSignals.h"
+#include "config/SettingsBinding.h"
 #include "platform/RelayNames.h"
 #include "platform/ReplicaOrders.h"
 #include "platform/UsersStore.h"
@@ -39,24 +41,13 @@
 /** Kept of the time between SIGTERM and SIGKILL for ending itself. */
 constexpr Duration kEndingMargin = std::chrono::milliseconds{ 500 };
 
-sigset_t
-watchedSignals()
-{
-  sigset_t set;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  sigaddset(&set, SIGHUP);
-  return set;
-}
-
-/** Waits for one of the watched signals; 0 when none came in time. */
+/** Waits for one of the role's signals; 0 when none came in time. */
 int
 waitForSignal(Duration aMost)
 {
   constexpr std::int64_t kMicrosPerSecond = 1'000'000;
   constexpr std::int64_t kNanosPerMicro = 1'000;
-  const sigset_t set = watchedSignals();
+  const sigset_t set = roleSignals();
   const timespec pause{ aMost.count() / kMicrosPerSecond,
                         aMost.count() % kMicrosPerSecond * kNanosPerMicro };
   const int signal = sigtimedwait(&set, nullptr, &pause);
@@ -117,11 +108,14 @@
   aShared.log.write(line);
 }
 
-/** Runs until SIGTERM or SIGINT. */
+/** Runs until SIGTERM or SIGINT. aContent: the settings file as it was read at
+ * the start. */
 void
-waitForStop(const std::string& aPath, RelayShared& aShared)
+waitForStop(const std::string& aPath,
+            const std::string& aContent,
+            RelayShared& aShared)
 {
-  std::string content = contentOf(aPath);
+  std::string content = aContent;
   while (true) {
     const int signal = waitForSignal(kSettingsPause);
     if (signal == SIGTERM || signal == SIGINT) {
@@ -165,7 +159,9 @@
 }
 
 ExitCode
-serve(const std::string& aPath, const RelaySettings& aSettings)
+serve(const std::string& aPath,
+      const std::string& aContent,
+      const RelaySettings& aSettings)
 {
   RelayShared shared{ STDOUT_FILENO };
   shared.joining = true;
@@ -221,7 +217,7 @@
       return snapshotClient.fetch(aRelay, aQuery, aTimeout);
     }
   };
-  waitForStop(aPath, shared);
+  waitForStop(aPath, aContent, shared);
   // The lease is given back beside the draining: the store may not answer, and
   // the grace time has begun.
   std::thread leaving{ [&control] { control.releaseLease(); } };
@@ -243,16 +239,22 @@
   if (arguments.exit) {
     return *arguments.exit;
   }
-  const Checked<RelaySettings> settings = loadRelaySettings(arguments.settings);
+  // Before the settings are read: a signal may come at any time.
+  blockRoleSignals();
+  // A peer that closes a connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+  const Checked<std::string> content = readSettingsFile(arguments.settings);
+  if (!content.ok()) {
+    std::cerr << toText(content.problems);
+    return ExitCode::Usage;
+  }
+  const Checked<RelaySettings> settings =
+    parseRelaySettings(arguments.settings, content.value);
   if (!settings.ok()) {
     std::cerr << toText(settings.problems);
     return ExitCode::Usage;
   }
-  const sigset_t set = watchedSignals();
-  pthread_sigmask(SIG_BLOCK, &set, nullptr);
-  // A peer that closes a connection must not end the process.
-  std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
-  return serve(arguments.settings, settings.value);
+  return serve(arguments.settings, content.value, settings.value);
 }
 
 } // namespace poplartrack
