Let the soak change each member of the desired state

Some callers send unknown keys or none, and larger bodies; all keep their connections after refusals.

The judge holds each run and each denial (4xx but 408, 421, 429) against the states that may be in force: the one of 5 s before the request, and all later ones. This holds in all runs of the soak. What the operator declares is in files of its own (SoakDesired, SoakConfig), out of SoakWorld.

--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -11,6 +11,7 @@
 #include "platform/WireNames.h"
 #include "poplartrack/base/TcpSocket.h"
 #include "soak/SoakClock.h"
+#include "soak/SoakDesired.h"
 #include "standins/lib/UsersReplica.h"
 
 namespace poplartrack::soak {
@@ -175,6 +176,7 @@
     aCall.retryAfter =
       std::chrono::milliseconds{ std::llround(seconds * kMsPerSecond) };
   }
+  this->complete = whole;
   constexpr int kOk = 200;
   aCall.whole = whole && aCall.status == kOk;
   if (aCall.status != kOk || !aCall.wrong.empty()) {
@@ -191,41 +193,67 @@
 SoakCaller::call(const Address& aRelay, const std::string& aKey)
 {
   const auto kind = static_cast<RequestKind>(this->random() % 3);
+  const std::string key = this->drawKey();
+  if (!this->odd) {
+    return this->call(aRelay, kind, aKey.empty() ? key : aKey);
+  }
+  return this->call(aRelay, kind, key, this->drawBodyBytes());
+}
+
+std::string
+SoakCaller::drawKey()
+{
   const bool second = this->random() % 4 == 0;
-  const std::string key = second ? "key-2" : "key-1";
-  return this->call(aRelay, kind, aKey.empty() ? key : aKey);
+  if (this->odd && this->random() % 4 == 0) {
+    return second ? "" : "nobodys-key";
+  }
+  return second ? "key-2" : "key-1";
+}
+
+std::size_t
+SoakCaller::drawBodyBytes()
+{
+  constexpr std::array<std::size_t, 4> kSizes{
+    2, kLoweredBody, kUsualBody, kRaisedBody
+  };
+  return kSizes.at(this->random() % kSizes.size());
 }
 
 CallRecord
 SoakCaller::call(const Address& aRelay,
                  RequestKind aKind,
-                 const std::string& aKey)
+                 const std::string& aKey,
+                 std::size_t aBodyBytes)
 {
   const std::string id = this->name + "-" + std::to_string(++this->count);
   CallRecord call{ aKind, aKey, 0, false, {}, toText(aRelay), nowMillis() };
   if (!this->connect(aRelay)) {
     return call;
   }
+  call.bodyBytes = aBodyBytes;
   call.alone = this->onlyOfAccount && !this->gaveUp;
-  this->record.began(id, aKind, aKey);
+  this->record.began(id, call);
   this->giveUpAt = nowMillis() + kPatienceMs;
   const std::string text =
     "POST " + pathOf(aKind) + " HTTP/1.1\r\nHost: soak.example\r\n" +
     std::string{ wire_names::kRequestId } + ": " + id + "\r\n" +
-    std::string{ wire_names::kApiKey } + ": " + aKey + "\r\n" +
-    std::string{ wire_names::kDeadline } + ": " + std::to_string(kPatienceMs) +
-    "\r\n" + std::string{ wire_names::kTokens } + ": 40,60\r\n" +
+    (aKey.empty() ? "" : std::string{ wire_names::kApiKey } + ": " + aKey) +
+    (aKey.empty() ? "" : "\r\n") + std::string{ wire_names::kDeadline } + ": " +
+    std::to_string(kPatienceMs) + "\r\n" + std::string{ wire_names::kTokens } +
+    ": 40,60\r\n" +
     (aKind == RequestKind::Stream ? std::string{ wire_names::kPromptParts } +
                                       ": " + this->parts + id + ":20\r\n"
                                   : std::string{}) +
-    "Content-Length: 2\r\n\r\nhi";
+    "Content-Length: " + std::to_string(aBodyBytes) + "\r\n\r\n" +
+    std::string(aBodyBytes, 'x');
+  this->complete = false;
   if (this->send(text)) {
     this->readAnswer(id, call);
   }
   call.endedAt = nowMillis();
   this->gaveUp = call.endedAt >= this->giveUpAt;
   const bool keep =
-    call.whole && this->in.find("onnection: close") == std::string::npos;
+    this->complete && this->in.find("onnection: close") == std::string::npos;
   this->in.clear();
   // A connection is kept until the relay closes it, or an answer is missing.
   if (!keep) {
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -26,6 +26,9 @@
   /** Sets the parts of the prompts of later streams, "ID:TOKENS,"; each request
    * adds one of its own. */
   void setParts(std::string aParts) { this->parts = std::move(aParts); }
+  /** Makes some of the requests that choose their key have none or one that
+   * nobody holds, and bodies of different sizes. */
+  void setOdd() { this->odd = true; }
   /** Says that no other caller has requests of this one's account. */
   void setOnlyOfAccount() { this->onlyOfAccount = true; }
   /** Sends one request of a random kind; gives what came of it.
@@ -33,7 +36,8 @@
   CallRecord call(const Address& aRelay, const std::string& aKey = {});
   CallRecord call(const Address& aRelay,
                   RequestKind aKind,
-                  const std::string& aKey);
+                  const std::string& aKey,
+                  std::size_t aBodyBytes = 2);
 
 private:
   bool connect(const Address& aRelay);
@@ -42,6 +46,8 @@
   bool readMore();
   void readAnswer(const std::string& aId, CallRecord& aCall);
   void readBody(const std::string& aId, CallRecord& aCall);
+  [[nodiscard]] std::string drawKey();
+  [[nodiscard]] std::size_t drawBodyBytes();
   [[nodiscard]] bool chunked(std::size_t aHeadEnd) const;
 
   SoakRecord& record;
@@ -53,6 +59,9 @@
   std::string in;
   std::int64_t giveUpAt = 0;
   bool onlyOfAccount = false;
+  bool odd = false;
+  /** The last answer, whatever it said, was whole by its framing. */
+  bool complete = false;
   /** The last answer did not come in time: the relay may not know yet that the
    * caller has left. */
   bool gaveUp = false;
--- a/tests/soak/SoakJudge.cpp
+++ b/tests/soak/SoakJudge.cpp
@@ -274,6 +274,69 @@
   }
 }
 
+/** Whether an answer says that the desired state does not let a request in. */
+bool
+isDenial(int aStatus)
+{
+  constexpr int kFirstClientError = 400;
+  constexpr int kFirstServerError = 500;
+  constexpr int kTimeout = 408;
+  constexpr int kMisdirected = 421;
+  return aStatus >= kFirstClientError && aStatus < kFirstServerError &&
+         aStatus != kTimeout && aStatus != kMisdirected && aStatus != kTooMany;
+}
+
+/** How many of the states that may be in force let a request in. */
+struct Admissions
+{
+  std::size_t states = 0;
+  std::size_t allowing = 0;
+};
+
+Admissions
+admissionsOf(const SoakRecord& aRecord,
+             const CallRecord& aCall,
+             std::int64_t aUntil)
+{
+  const std::vector<DesiredState>& states = aRecord.states;
+  Admissions admissions;
+  for (std::size_t i = 0; i < states.size(); ++i) {
+    const bool replaced =
+      i + 1 < states.size() && states[i + 1].from < aCall.sentAt - kRevokeMs;
+    if (!replaced && states[i].from <= aUntil) {
+      ++admissions.states;
+      admissions.allowing += allows(states[i], aCall) ? 1 : 0;
+    }
+  }
+  return admissions;
+}
+
+/** Holds a call against what the operator declared. */
+void
+judgeAdmission(const SoakRecord& aRecord,
+               const std::string& aId,
+               const CallRecord& aCall,
+               const std::vector<std::int64_t>& aRuns,
+               std::vector<std::string>& aBroken)
+{
+  for (const std::int64_t at : aRuns) {
+    const Admissions until = admissionsOf(aRecord, aCall, at);
+    if (until.states > 0 && until.allowing == 0) {
+      aBroken.push_back(aId + ": ran with key \"" + aCall.key + "\" and " +
+                        std::to_string(aCall.bodyBytes) +
+                        " bytes, which no desired state allows, at " +
+                        std::to_string(at) + " on " + aCall.relay);
+    }
+  }
+  const Admissions until = admissionsOf(aRecord, aCall, aCall.endedAt);
+  if (isDenial(aCall.status) && until.states > 0 &&
+      until.allowing == until.states) {
+    aBroken.push_back(aId + ": refused with " + std::to_string(aCall.status) +
+                      " at " + std::to_string(aCall.endedAt) + " by " +
+                      aCall.relay + ", though each desired state allows it");
+  }
+}
+
 } // namespace
 
 SoakVerdict
@@ -296,6 +359,12 @@
       verdict.broken.push_back(id + ": " + call.wrong);
     }
     const auto found = runs.find(id);
+    judgeAdmission(aRecord,
+                   id,
+                   call,
+                   found == runs.end() ? std::vector<std::int64_t>{}
+                                       : found->second,
+                   verdict.broken);
     if (found == runs.end()) {
       continue;
     }
--- a/tests/soak/SoakJudge.h
+++ b/tests/soak/SoakJudge.h
@@ -31,6 +31,9 @@
  * - each whole answer is the replica's, each stream complete and in order, and
  *   what came of a broken one is its beginning;
  * - no run with a key later than 5 s after it was taken away;
+ * - no run that no desired state lets in, and no refusal that callers don't
+ *   repeat of what each one lets in, of those that may be in force: the one of
+ *   5 s before the request was sent, and all later ones;
  * - at most two requests of a relay reach a replica from half a second after it
  *   has rejected one of that relay until the end of the backoff that it asks
  *   for;
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -105,4 +105,25 @@
   return plan;
 }
 
+std::vector<PlannedFault>
+memberPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength)
+{
+  constexpr int kShort = 300;
+  constexpr int kLong = 8'500;
+  std::mt19937_64 random{ aSeed };
+  std::vector<PlannedFault> plan;
+  for (std::chrono::milliseconds at{ 400 }; at < aLength;
+       at += between(random, 300, 1'800)) {
+    plan.push_back(
+      { at, Fault::MemberChanges, random(), between(random, kShort, kLong) });
+    if (random() % 2 == 0) {
+      plan.push_back({ at + between(random, 0, 400),
+                       Fault::RelayHangsUp,
+                       random(),
+                       std::chrono::milliseconds{ 0 } });
+    }
+  }
+  return plan;
+}
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -39,9 +39,10 @@
   ReplicaStopsInHead,
   ConfigChanges,
   RelayHangsUp,
+  MemberChanges,
 };
 
-constexpr std::array<std::string_view, 27> kFaultNames{
+constexpr std::array<std::string_view, 28> kFaultNames{
   "relay killed",
   "relay paused",
   "relay stopped",
@@ -69,9 +70,10 @@
   "replica stops in head",
   "config changes",
   "relay gets a hangup signal",
+  "desired state changes",
 };
 static_assert(kFaultNames.size() ==
-              static_cast<std::size_t>(Fault::RelayHangsUp) + 1);
+              static_cast<std::size_t>(Fault::MemberChanges) + 1);
 
 /** The faults before ReplicaRejects. Plans of these alone stay as they were
  * when there were no others, so that a seed gives the same run. */
@@ -85,8 +87,8 @@
 {
   std::chrono::milliseconds at{ 0 };
   Fault fault = Fault::RelayKilled;
-  /** Which relay, replica or account: a number to be taken modulo their count.
-   */
+  /** Which relay, replica, account or MemberChange: a number to be taken modulo
+   * their count. */
   std::size_t who = 0;
   std::chrono::milliseconds lasts{ 0 };
 };
@@ -119,4 +121,11 @@
 std::vector<PlannedFault>
 silencePlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
 
+/** The further faults of a run with changes of the desired state: each member
+ * is taken out, emptied, raised, lowered and put back, in series and
+ * overlapping, beside signals to relays. Some changes last longer than a
+ * revoked key may work. */
+std::vector<PlannedFault>
+memberPlanOf(std::uint64_t aSeed, std::chrono::milliseconds aLength);
+
 } // namespace poplartrack::soak
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -13,6 +13,7 @@
 #include "platform/WireNames.h"
 #include "poplartrack/base/TcpSocket.h"
 #include "soak/SoakClock.h"
+#include "soak/SoakConfig.h"
 #include "standins/lib/UsersReplica.h"
 
 namespace poplartrack::soak {
@@ -20,8 +21,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int kLayers = 12;
-
 /** Runs side by side take their ports from ranges of their own. */
 constexpr int kFirstPort = 12'000;
 constexpr int kPortRanges = 40;
@@ -35,72 +34,11 @@
 
 constexpr Duration kStopPatience = std::chrono::seconds{ 10 };
 
-Json
-routeOf(const std::string& aName,
-        const std::string& aKind,
-        const std::string& aService,
-        int aAttempts)
-{
-  return { { "Name", aName },
-           { "Host", "soak.example" },
-           { "Prefix", "/" + aName + "/" },
-           { "Kind", aKind },
-           { "Service", aService },
-           { "TimeoutMs", 5'000 },
-           { "SloMs", 500 },
-           { "GapAimMs", 200 },
-           { "Attempts", aAttempts },
-           { "Resumable", aKind == "streaming" } };
-}
-
 constexpr std::string_view kAllDecisions =
   "[load]\naccount_shares = true\npace_admission = true\n"
   "return_bookings = true\ndemand_placement = true\nloss_probes = true\n"
   "outlier_ejection = true\noutage_placement = true\n";
 
-/** An accelerator with less memory and speed; only with contention. */
-constexpr std::string_view kSlowKind = "slow-card";
-constexpr int kSlowKindSlowdown = 2;
-
-/** A model that three replicas hold together with room for a lost one. With
- * contention, they have memory for about 16 requests in all. */
-Json
-engine(bool aContention)
-{
-  Json kinds{
-    { { "Name", "card" }, { "Mb", 1'200 }, { "pace", 1 }, { "ReadX", 1 } }
-  };
-  if (aContention) {
-    kinds.push_back({ { "Name", kSlowKind },
-                      { "Mb", 700 },
-                      { "pace", kSlowKindSlowdown },
-                      { "ReadX", kSlowKindSlowdown } });
-  }
-  return {
-    { "Slots", 64 },
-    { "Layers", kLayers },
-    { "LayerMb", 100 },
-    { "KvTokenBytes", aContention ? 2'000'000 : 120'000 },
-    { "step_ms", 1 },
-    { "per_seq_ms", 0.01 },
-    { "context_per_k", 0.01 },
-    { "read_per_s", 100'000 },
-    { "ActBytes", 1'000 },
-    { "PipeMbps", 8'000 },
-    { "usual", { { "prompt", 40 }, { "answer", 60 } } },
-    { "Models", { { { "Name", "m" }, { "LoadS", 1.0 } } } },
-    { "Kinds", kinds },
-    { "delays",
-      { { { "From", "a" }, { "Target", "b" }, { "delay_ms", 0.2 } } } }
-  };
-}
-
-bool
-hasOutput(const std::string& aPath)
-{
-  return std::ifstream{ aPath }.peek() != std::ifstream::traits_type::eof();
-}
-
 /** Returns a socket on the first port of a range that no other run has. It
  * keeps the range until it is closed. */
 OwnedFd
@@ -176,33 +114,26 @@
 void
 SoakWorld::pushConfig()
 {
-  Json keys{ "key-1" };
+  DesiredState state;
+  state.accounts["account"] = { "key-1" };
   if (this->secondKey) {
-    keys.push_back("key-2");
+    state.accounts["account"].emplace_back("key-2");
   }
-  Json accounts{ { { "Name", "account" }, { "ApiKeys", keys } } };
   for (std::size_t i = 1; this->contention && i < kAccountKeys.size(); ++i) {
-    accounts.push_back({ { "Name", "account-" + std::to_string(i) },
-                         { "ApiKeys", Json::array({ kAccountKeys.at(i) }) } });
+    state.accounts["account-" + std::to_string(i)].emplace_back(
+      kAccountKeys.at(i));
   }
-  const std::string plain{ kPlainService };
-  const std::string model{ kModelService };
-  Json routes{ routeOf("once", "non_idempotent", plain, 1),
-               routeOf("again", "idempotent", plain, 2),
-               routeOf("stream", "streaming", model, 2) };
-  if (this->extraRoute) {
-    routes.push_back(routeOf("extra", "idempotent", plain, 2));
+  for (std::size_t i = 0; i < this->changes.size(); ++i) {
+    if (this->changes.at(i) > 0) {
+      apply(static_cast<MemberChange>(i), state);
+    }
   }
   this->store.put(
     std::string{ wire_names::kOperatorTable },
     std::string{ wire_names::kConfigKey },
-    Json{ { "Version", ++this->version },
-          { "Routes", routes },
-          { "Services",
-            { { { "Name", plain } },
-              { { "Name", model }, { "Engine", engine(this->contention) } } } },
-          { "Tenants", accounts } }
-      .dump());
+    configText(state, ++this->version, this->contention, this->extraRoute));
+  state.from = nowMillis();
+  this->record.states.push_back(std::move(state));
 }
 
 void
@@ -507,10 +438,11 @@
       this->pushConfig();
       break;
     case Fault::RelayHangsUp:
-      // A process that has just begun cannot have set its signals up.
-      if (hasOutput(this->relay(aFault.who).process->outputPath())) {
-        this->relay(aFault.who).process->signal(SIGHUP);
-      }
+      this->relay(aFault.who).process->signal(SIGHUP);
+      break;
+    case Fault::MemberChanges:
+      ++this->changes.at(aFault.who % this->changes.size());
+      this->pushConfig();
       break;
     case Fault::AccountFloods:
       ++this->flooding.at(aFault.who % kFloodAccounts);
@@ -569,6 +501,10 @@
       break;
     case Fault::RelayHangsUp:
       break;
+    case Fault::MemberChanges:
+      --this->changes.at(aFault.who % this->changes.size());
+      this->pushConfig();
+      break;
     case Fault::AccountFloods:
       --this->flooding.at(aFault.who % kFloodAccounts);
       break;
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -127,6 +127,8 @@
   bool secondKey = true;
   /** The configuration has one route more. */
   bool extraRoute = false;
+  /** By MemberChange: changes that have begun and not ended. */
+  std::array<int, kMemberChangeNames.size()> changes{};
   bool contention;
   /** The first replicas, which usedReplica() chooses from. */
   std::size_t used;
--- a/tests/soak/soak.cmake
+++ b/tests/soak/soak.cmake
@@ -1,6 +1,7 @@
 # The fault soak: real relays, stand-in replicas, faults from outside.
 add_library(soak_parts STATIC
   tests/soak/SoakCaller.cpp
+  tests/soak/SoakConfig.cpp
   tests/soak/SoakJudge.cpp
   tests/soak/SoakPlan.cpp
   tests/soak/SoakWorld.cpp)
@@ -47,3 +48,10 @@
           --silences --callers=20)
 set_tests_properties(soak.three_seeds_with_silences
   PROPERTIES TIMEOUT 300 PROCESSORS 3)
+
+# The same with members of the desired state that are taken out, emptied,
+# raised, lowered and put back, beside kills, cuts and signals.
+add_test(NAME soak.three_seeds_with_member_changes
+  COMMAND soak ${CMAKE_BINARY_DIR} --seed=1 --seeds=3 --seconds=6 --members)
+set_tests_properties(soak.three_seeds_with_member_changes
+  PROPERTIES TIMEOUT 300 PROCESSORS 3)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -47,6 +47,9 @@
   bool silences = false;
   /** Also requests with a prompt part that crashes replicas. */
   bool deadlyPart = false;
+  /** Also changes of members of the desired state, and requests that some of
+   * these let in. */
+  bool members = false;
 };
 
 /** Pause between two requests with the part that crashes replicas. */
@@ -183,6 +186,18 @@
   return missing;
 }
 
+/** Returns which one a fault affects. */
+std::string
+detailOf(const PlannedFault& aFault)
+{
+  if (aFault.fault == Fault::MemberChanges) {
+    return std::string{
+      kMemberChangeNames[aFault.who % kMemberChangeNames.size()]
+    };
+  }
+  return std::to_string(aFault.who % 100);
+}
+
 /** One run; whether every promise held. */
 bool
 runOnce(const SoakOptions& aOptions)
@@ -211,6 +226,9 @@
   for (int i = 0; i < aOptions.callers; ++i) {
     threads.emplace_back([&, i] {
       SoakCaller caller{ record, "c" + std::to_string(i), aOptions.seed + i };
+      if (aOptions.members) {
+        caller.setOdd();
+      }
       std::size_t turn = static_cast<std::size_t>(i);
       const std::size_t account = contention ? turn % kFloodAccounts : 0;
       const std::string key{ account > 0 ? kAccountKeys.at(account) : "" };
@@ -241,6 +259,12 @@
       plan.push_back(fault);
     }
   }
+  if (aOptions.members) {
+    for (const PlannedFault& fault :
+         memberPlanOf(aOptions.seed, aOptions.length)) {
+      plan.push_back(fault);
+    }
+  }
   if (aOptions.deadlyPart) {
     threads.emplace_back([&] { sendDeadly(world, record, stop); });
   }
@@ -285,7 +309,7 @@
     std::cout << "  " << fault.at.count() << " ms to "
               << (fault.at + fault.lasts).count()
               << " ms: " << kFaultNames[static_cast<std::size_t>(fault.fault)]
-              << " (" << fault.who % 100 << ")\n";
+              << " (" << detailOf(fault) << ")\n";
   }
   for (const std::string& line : broken) {
     std::cout << "  BROKEN " << line << '\n';
@@ -319,6 +343,9 @@
   add("silences",
       "also replicas that are silent for a second, or stop within the head of "
       "an answer; only alone or with --signals");
+  add("members",
+      "also members of the desired state that are taken out, emptied, raised, "
+      "lowered and put back; without --contention");
   add("contention",
       "several accounts, floods, uneven replicas, and relays that make all "
       "decisions under load");
@@ -336,6 +363,7 @@
     run.endless = line.count("endless") > 0;
     run.silences = line.count("silences") > 0;
     run.deadlyPart = line.count("deadly-part") > 0;
+    run.members = line.count("members") > 0;
     if (run.silences &&
         (run.endless || run.deadlyPart || run.size.contention)) {
       // Their replicas fail requests that they have taken.
--- a/tests/unit/soak/SoakJudgeTest.cpp
+++ b/tests/unit/soak/SoakJudgeTest.cpp
@@ -45,6 +45,71 @@
   EXPECT_EQ(judge(record, { "run nobody 1" }).broken.size(), 2U);
 }
 
+/** Returns a state that was acknowledged at this time. */
+DesiredState
+stateAt(std::int64_t aFrom)
+{
+  DesiredState state;
+  state.from = aFrom;
+  state.accounts["account"] = { "key-1" };
+  return state;
+}
+
+/** Returns a request that was sent and answered at these times. */
+CallRecord
+callAt(std::int64_t aSentAt, int aStatus)
+{
+  CallRecord call = answered(RequestKind::Again, aStatus);
+  call.sentAt = aSentAt;
+  call.endedAt = aSentAt + 100;
+  return call;
+}
+
+TEST(SoakJudge, NothingRunsThatNoStateInForceAllows)
+{
+  for (const MemberChange change : { MemberChange::KeysEmptied,
+                                     MemberChange::KeysTakenOut,
+                                     MemberChange::AccountsEmptied,
+                                     MemberChange::RouteTakenOut,
+                                     MemberChange::RoutesEmptied }) {
+    SoakRecord record;
+    record.states = { stateAt(0), stateAt(1'000) };
+    apply(change, record.states.back());
+    record.ended("old", callAt(5'900, 200));
+    EXPECT_TRUE(judge(record, { "run old 5950" }).broken.empty());
+    record.ended("late", callAt(6'100, 200));
+    EXPECT_EQ(judge(record, { "run late 6150" }).broken.size(), 1U)
+      << kMemberChangeNames[static_cast<std::size_t>(change)];
+  }
+  SoakRecord record;
+  record.states = { stateAt(0) };
+  CallRecord unknown = callAt(10, 200);
+  unknown.key = "nobodys-key";
+  record.ended("unknown", unknown);
+  CallRecord large = callAt(10, 200);
+  large.bodyBytes = kUsualBody + 1;
+  record.ended("large", large);
+  EXPECT_EQ(judge(record, { "run unknown 20", "run large 20" }).broken.size(),
+            2U);
+  apply(MemberChange::AccountsTakenOut, record.states.back());
+  apply(MemberChange::LimitRaised, record.states.back());
+  EXPECT_TRUE(
+    judge(record, { "run unknown 20", "run large 20" }).broken.empty());
+}
+
+TEST(SoakJudge, NothingIsDeniedThatEachStateInForceAllows)
+{
+  SoakRecord record;
+  record.states = { stateAt(0), stateAt(1'000), stateAt(2'000) };
+  apply(MemberChange::KeysEmptied, record.states[1]);
+  record.ended("old", callAt(6'900, 401));
+  EXPECT_TRUE(judge(record, {}).broken.empty());
+  record.ended("late", callAt(7'100, 401));
+  EXPECT_EQ(judge(record, {}).broken.size(), 1U);
+  record.ended("late", callAt(7'100, 503));
+  EXPECT_TRUE(judge(record, {}).broken.empty());
+}
+
 TEST(SoakJudge, AKeyThatWasTakenAwayRunsNoLongerThanTheBound)
 {
   SoakRecord record;
