--- a/tests/scenarios/World.cpp
+++ b/tests/scenarios/World.cpp
@@ -122,6 +122,16 @@
   std::filesystem::remove_all(this->scratch, ignored);
 }
 
+void
+World::keepLogs(const std::string& aFolder) const
+{
+  std::error_code ignored;
+  std::filesystem::remove_all(aFolder, ignored);
+  std::filesystem::create_directories(aFolder, ignored);
+  std::filesystem::copy(
+    this->scratch, aFolder, std::filesystem::copy_options::recursive, ignored);
+}
+
 harness::ChildProcess&
 World::process(const Json& aArguments)
 {
--- a/tests/scenarios/World.h
+++ b/tests/scenarios/World.h
@@ -32,6 +32,10 @@
   /** Kills what still runs and removes the scratch folder. */
   ~World();
 
+  /** Copies the logs of all processes so far to a folder, in place of what is
+   * there. */
+  void keepLogs(const std::string& aFolder) const;
+
   /** spawn{name, command={...}}: a program of the build folder. */
   Json spawn(const Json& aArguments);
   /** ready{name, key}: waits for the process's ready line. */
--- a/tests/scenarios/scenario_runner.cpp
+++ b/tests/scenarios/scenario_runner.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <filesystem>
 #include <iostream>
 #include <stdexcept>
 #include <string>
@@ -133,6 +134,13 @@
     addWords(lua, world);
     passed = runFile(lua, argv[2]) && runFile(lua, scenario);
     lua_close(lua);
+    if (!passed) {
+      const std::string kept =
+        std::string{ argv[1] } + "/failed-logs/" +
+        std::filesystem::path{ scenario }.stem().string();
+      world.keepLogs(kept);
+      std::cout << "logs in " << kept << std::endl;
+    }
   }
   std::cout << (passed ? "passed " : "FAILED ") << scenario << std::endl;
   return passed ? 0 : 1;
