Send SIGHUP to relays that have just been started, in the soak

While the loader maps the program nothing can keep the signal from ending it; such a relay, and no other, is started again, as the platform does.

--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -39,6 +39,12 @@
   "return_bookings = true\ndemand_placement = true\nloss_probes = true\n"
   "outlier_ejection = true\noutage_placement = true\n";
 
+bool
+hasOutput(const std::string& aPath)
+{
+  return std::ifstream{ aPath }.peek() != std::ifstream::traits_type::eof();
+}
+
 /** Returns a socket on the first port of a range that no other run has. It
  * keeps the range until it is closed. */
 OwnedFd
@@ -354,6 +360,7 @@
   constexpr int kBusy = 503;
   switch (aFault.fault) {
     case Fault::RelayKilled:
+      this->relay(aFault.who).hungUpEarly = false;
       this->relay(aFault.who).process->signal(SIGKILL);
       break;
     case Fault::RelayPaused:
@@ -361,6 +368,7 @@
       break;
     case Fault::RelayStopped:
       this->record.stops.begin(this->relayAddress(aFault.who), nowMillis());
+      this->relay(aFault.who).hungUpEarly = false;
       this->relay(aFault.who).process->signal(SIGTERM);
       break;
     case Fault::ReplicaKilled:
@@ -438,7 +446,7 @@
       this->pushConfig();
       break;
     case Fault::RelayHangsUp:
-      this->relay(aFault.who).process->signal(SIGHUP);
+      this->hangUp(this->relay(aFault.who));
       break;
     case Fault::MemberChanges:
       ++this->changes.at(aFault.who % this->changes.size());
@@ -552,9 +560,25 @@
   }
 }
 
+void
+SoakWorld::hangUp(Relay& aRelay)
+{
+  const bool runs = !aRelay.process->waitExit(Duration{ 0 });
+  aRelay.hungUpEarly = runs && !hasOutput(aRelay.process->outputPath());
+  aRelay.process->signal(SIGHUP);
+}
+
 void
 SoakWorld::restartCrashed()
 {
+  for (const std::unique_ptr<Relay>& relay : this->relays) {
+    // While the loader maps the program, nothing can keep a signal from ending
+    // it. The platform starts it again.
+    if (relay->hungUpEarly && relay->process->waitExit(Duration{ 0 })) {
+      relay->hungUpEarly = false;
+      this->startRelay(*relay);
+    }
+  }
   for (const std::unique_ptr<Replica>& replica : this->replicas) {
     if (replica->process->waitExit(Duration{ 0 }) == standins::kCrashExit) {
       this->startReplica(*replica);
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -56,7 +56,8 @@
   {
     return this->flooding.at(aAccount) > 0;
   }
-  /** Starts the replicas that have crashed under a request again. */
+  /** Starts the replicas that have crashed under a request again, and relays
+   * that were told of new settings before they ran. */
   void restartCrashed();
   /** The relays whose process has taken more memory than its instance has. */
   [[nodiscard]] std::vector<std::string> overMemory() const;
@@ -71,6 +72,8 @@
     std::string settings;
     std::unique_ptr<harness::ChildProcess> process;
     int lives = 0;
+    /** It got SIGHUP before its first output. */
+    bool hungUpEarly = false;
   };
   struct Replica
   {
@@ -93,6 +96,8 @@
   Address ownAddress();
   void addRelay(std::size_t aNumber);
   void startRelay(Relay& aRelay);
+  /** Sends SIGHUP, also to a process that has just begun. */
+  void hangUp(Relay& aRelay);
   void startReplica(Replica& aReplica);
   void sayLeaving(const Replica& aReplica);
   void restoreStore();
