Hold bodies that come before the first configuration against its limit

Callers saw: a relay that had just been restarted ran requests with bodies over MaxBodyBytes (8,000 bytes, limits of 2,000 and 0).

Cause: a request whose first byte arrives before the relay has read the configuration has the defaults, 1 MiB, and waits up to 0.7 s for the configuration (waitsForStart). It was then admitted under it, without another look at its size. The gate now holds such a body against the limit of the configuration that decides on the request.

CallerLimitsTest.ARequestFromBeforeTheConfigurationIsHeldAgainstIt and RequestGateTest.ABodyThatNoLimitHeldForIsHeldAgainstTheConfiguration pass now; they were not run on the code before.

--- a/include/poplartrack/relay/RequestGate.h
+++ b/include/poplartrack/relay/RequestGate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
   std::string apiKey;
   /** The time that the caller gives for the answer; empty: not given. */
   std::optional<Duration> deadline;
+  /** Size of a body that was received before there was a configuration with a
+   * limit for it, in bytes; 0 if its limit held. */
+  std::size_t unlimitedBody = 0;
 };
 
 /** A request that may be forwarded, with the configuration that applies. */
@@ -84,7 +88,7 @@
 /**
  * Decides whether a request may be forwarded. Without a configuration (aConfig
  * is null), or with one too old to decide by, the error is NoConfiguration.
- * Pure. Errors: NoConfiguration, NotFound (no route), Unauthorized.
+ * Pure. Errors: NoConfiguration, TooLarge, NotFound (no route), Unauthorized.
  */
 std::variant<AdmittedRequest, Error>
 admitRequest(const RelayConfig* aConfig,
--- a/src/relay/Exchange.h
+++ b/src/relay/Exchange.h
@@ -67,6 +67,8 @@
   /** The request needs an API key: it is sent only while the configuration is
    * known to be fresh. */
   bool keyed = false;
+  /** Its first byte arrived when there were no limits yet. */
+  bool unlimited = false;
   const RelayService* service = nullptr;
   TimePoint arrived{};
   /** How long the caller waits after arrived, if the request says so. */
--- a/src/relay/RelayAdmission.cpp
+++ b/src/relay/RelayAdmission.cpp
@@ -92,6 +92,7 @@
   exchange.id = this->nextId++;
   exchange.caller = aCaller.id;
   exchange.body = aCaller.parser->takeBody();
+  exchange.unlimited = !aCaller.limits;
   exchange.head = std::move(aHead);
   exchange.arrived = this->now;
   exchange.lastProgress = this->now;
@@ -155,7 +156,8 @@
     *headers.find("host"),
     aExchange.head.target,
     std::string{ headers.find(this->names.apiKey).value_or("") },
-    aExchange.deadline
+    aExchange.deadline,
+    aExchange.unlimited ? aExchange.body.size() : 0
   };
   const auto decision =
     admitRequest(aExchange.config.get(),
--- a/src/relay/RequestGate.cpp
+++ b/src/relay/RequestGate.cpp
@@ -51,6 +51,9 @@
     return certain ? Error{ aKind, aDetail }
                    : Error{ ErrorKind::NoConfiguration, aDetail };
   };
+  if (aRequest.unlimitedBody > aConfig->limits.bodyBytes) {
+    return deny(ErrorKind::TooLarge, "the body exceeds the limit");
+  }
   const std::string_view path =
     aRequest.target.substr(0, aRequest.target.find('?'));
   const RelayRoute* route = aConfig->routeFor(hostName(aRequest.host), path);
--- a/tests/unit/relay/CallerLimitsTest.cpp
+++ b/tests/unit/relay/CallerLimitsTest.cpp
@@ -122,6 +122,22 @@
   this->expectServed(unused, large);
 }
 
+// Guards against bodies over the limit that come before the configuration.
+TEST_F(CallerLimitsTest, ARequestFromBeforeTheConfigurationIsHeldAgainstIt)
+{
+  this->world.config->limits.bodyBytes = kSmall;
+  this->world.useManualClock();
+  this->world.addReplica("one", "plain", this->one.address());
+  this->world.publishReplicas(1);
+  this->world.startLoop();
+  RawSocket asking =
+    this->world.sendRequest("/again/x", "id-1", {}, std::string(kLarge, 'b'));
+  ASSERT_TRUE(this->world.awaitOpen(1));
+  this->world.publishConfig();
+  this->world.advance(std::chrono::milliseconds{ 100 });
+  EXPECT_TRUE(asking.readUntil("}\n").starts_with("HTTP/1.1 413 "));
+}
+
 // Guards against the same from a relay that is cut off from the store.
 TEST_F(CallerLimitsTest, WithAnOldProofNoSizeIsDenied)
 {
--- a/tests/unit/relay/RequestGateTest.cpp
+++ b/tests/unit/relay/RequestGateTest.cpp
@@ -105,6 +105,21 @@
   }
 }
 
+// Guards against bodies over the limit that a relay receives before it knows
+// the configuration.
+TEST_F(RequestGateTest, ABodyThatNoLimitHeldForIsHeldAgainstTheConfiguration)
+{
+  this->config.limits.bodyBytes = 8;
+  GateRequest asked{ "shop.example", "/a/", "secret", std::nullopt, 8 };
+  const ConfigProof proof{ milliseconds{ 1 }, false };
+  EXPECT_TRUE(std::holds_alternative<AdmittedRequest>(
+    admitRequest(&this->config, proof, GatePolicy{}, asked)));
+  asked.unlimitedBody = 9;
+  EXPECT_EQ(
+    this->errorOf(admitRequest(&this->config, proof, GatePolicy{}, asked)),
+    ErrorKind::TooLarge);
+}
+
 TEST_F(RequestGateTest, TheCallersDeadlineBoundsTheTimeout)
 {
   const auto verdict =
