--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -563,8 +563,10 @@
 void
 SoakWorld::hangUp(Relay& aRelay)
 {
-  const bool runs = !aRelay.process->waitExit(Duration{ 0 });
-  aRelay.hungUpEarly = runs && !hasOutput(aRelay.process->outputPath());
+  if (aRelay.process->waitExit(Duration{ 0 })) {
+    return;
+  }
+  aRelay.hungUpEarly = !hasOutput(aRelay.process->outputPath());
   aRelay.process->signal(SIGHUP);
 }
 
